--- /dev/null
+++ b/balancer.go
@@ -0,0 +1,911 @@
+package frostshift
+
+// Every decision of the balancer. The types it speaks in are in api.go.
+//
+// Reading order: the constants; New (what a Balancer keeps is in state.go); one
+// method per event, from Start to Timer; then what they call: place and pick (the
+// ordinary path), load, estimate and sample (the score), allows to coldRate (who is
+// ready), observe and adjust (what is learnt), settle to end (what follows an
+// attempt), enqueue to serve (waiting), listen (silence), and last discovery.
+//
+// The ordinary path is failure-aware peak EWMA with two choices: of two random
+// ready hosts the one with the lower estimate x (own pending + 1) gets the
+// request. Departures from it decide who is ready, and each says when it acts.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// The constants, each relative to settings or to what is measured.
+const (
+	decayAims   = 8        // the estimate's decay, in shortest aims: it outlasts a gap between samples
+	decayGaps   = 8        // ... and at least so many gaps between own samples of a host
+	seedShare   = 0.25     // RTT of an unknown host, in shortest aims: it must not look free
+	penaltyAims = 1        // base penalty of an error or refusal, in shortest aims
+	penaltyRTTs = 2        // ... and at least so many mean RTTs of good answers
+	backoffAims = 2        // first ejection, in shortest aims
+	errorGap    = 30       // answers between two errors above which they are no cause to eject
+	trialAims   = 8        // wait for a trial that may be sent again, in shortest aims
+	backoffMax  = 5        // doublings of an ejection at most
+	coldChance  = 3.0      // deviations of what the bank sends by chance that the cold budget leaves room for
+	rateFalls   = 4        // span of the rate of answers, in Falls
+	quotaBurst  = 1.0      // seconds of its quota a tenant may save up
+	sweepShare  = 1.0 / 16 // time between looks at waiting requests and silent hosts, in shortest aims
+	limitAims   = 0.375    // mean RTT that the in-flight limit of a host steers to, in shortest aims
+	recentAims  = 0.5      // span of a host's recent mean RTT, in shortest aims: faster than hosts tip
+	limitLeast  = 2        // ... and is never kept from holding: one runs while the next arrives
+	growth      = 0.3      // attempts that the bank adds at a host in a round while requests wait
+	limitStart  = 4        // attempts a new host may hold from the whole bank
+	waitShare   = 0.2      // of its aim that a request waits for a host at most
+	patience    = 3        // deviations above the mean RTT after which an unheard host counts as silent
+	repeatWorth = 0.5      // worth of a client's repeat while others wait, as a share: it may come late
+	lineWeight  = 0.02     // weight of an arrival in the shares of the lines: about the last fifty count
+	meanWeight  = 0.1      // weight of a sample in a mean: about the last ten count
+	pressAims   = 0.45     // mean RTT, in aims, above which requests are shed: most are still in time
+	pressWeight = 0.2      // weight of an answer of mean worth in the lateness: hosts tip within seconds
+	shedStep    = 0.2      // share of what is admitted that an answer at twice that sheds
+	admitStep   = 0.1      // share of all that an answer in no time would admit again
+	crowdRatio  = 5        // RTTs of calmer times that an answer takes when its host counts as crowded
+	calmDrift   = 0.0005   // how an answer lets calmer times fade: they last some thousand answers
+	restAims    = 12       // first rest of a crowded host, in shortest aims: many requests' time
+	shedSharers = 8        // instances at a host above which its in-flight limit leaves each less than one
+	admitStart  = 0.6      // share admitted at the start, when all of a bank may know nothing at once
+	admitLeast  = 0.02     // share always admitted: answers must go on telling
+	subsetMeet  = 12       // instances that draw from a host: their connections and handshakes load it
+	subsetLeast = 4        // hosts in a subset at least: a choice of two while some are out
+	answerSteps = 2        // steps ahead of its deadline that a request is answered at the latest
+)
+
+const (
+	tokenSweep = iota + 1 // look at queue and hosts
+	tokenWatch            // ask discovery
+	tokenAnswer
+)
+
+const tokenShift = 56 // a token is its kind above the request ID
+
+// New returns a Balancer for the settings, or an error if they cannot be served.
+func New(set Settings, seed uint64) (*Balancer, error) {
+	if err := check(&set); err != nil {
+		return nil, err
+	}
+	b := &Balancer{set: set, rng: seed, byID: map[HostID]*host{}, reqs: map[RequestID]*request{}}
+	b.aim = set.Classes[0].Aim
+	for _, c := range set.Classes {
+		b.aim = min(b.aim, c.Aim)
+	}
+	b.admit, b.span = admitStart, rateFalls*set.Fall.Seconds()
+	b.sharers = float64(set.Instances)
+	for _, t := range set.Tenants {
+		r := t.Quota / float64(set.Instances)
+		b.quota = append(b.quota, bucket{tokens: r * quotaBurst, rate: r})
+	}
+	b.lat = make([]mean, len(set.Classes))
+	b.calm = make([]float64, len(set.Classes))
+	b.layBands()
+	return b, nil
+}
+
+// layBands orders the waiting lines: each class has one within quota and one
+// beyond it, and the same again for repeats. The line worth most is served first;
+// of equal worth, the one with the tighter aim.
+func (b *Balancer) layBands() {
+	type line struct {
+		class, part int
+		worth       float64
+	}
+	var lines []line
+	for i, c := range b.set.Classes {
+		for part := range 4 {
+			worth := c.Worth
+			if part&overQuota != 0 {
+				worth *= b.set.OverQuotaWorth
+			}
+			if part&repeated != 0 {
+				worth *= repeatWorth
+			}
+			lines = append(lines, line{i, part, worth})
+		}
+	}
+	slices.SortStableFunc(lines, func(x, y line) int {
+		aimX, aimY := b.set.Classes[x.class].Aim, b.set.Classes[y.class].Aim
+		return cmp.Or(cmp.Compare(y.worth, x.worth), cmp.Compare(aimX, aimY))
+	})
+	b.band = make([][4]int, len(b.set.Classes))
+	b.bands = make([]list[request], len(lines))
+	b.arrived = make([]float64, len(lines))
+	for k, l := range lines {
+		b.band[l.class][l.part] = k
+	}
+}
+
+// Start is the first event: the gateway has come up. Where the list must be
+// asked for, the watch begins here, spread by rank so that a bank that starts
+// together does not swamp discovery.
+func (b *Balancer) Start(now Time) {
+	b.now = now
+	if b.set.Ask {
+		b.watchIn(b.set.AskWithin / 4 * Time(b.set.Rank) / Time(b.set.Instances))
+	}
+}
+
+// Hosts is news of the host list.
+func (b *Balancer) Hosts(now Time, kind ListKind, list []Host) {
+	b.now = now
+	if kind == ListFailed {
+		b.lostList()
+		return
+	}
+	if kind != ListSaved {
+		b.foundList()
+	}
+	if kind != ListChanges {
+		for _, h := range b.hosts {
+			h.State = Removed
+		}
+	}
+	for _, e := range list {
+		b.learn(e)
+	}
+	for i := len(b.hosts) - 1; i >= 0; i-- {
+		b.forget(b.hosts[i])
+	}
+	b.layRing()
+	b.pump()
+}
+
+// layRing lays the hosts in a ring of scattered order that begins at this instance's
+// place by rank; its subset is the first of them that are of use. Places at multiples
+// of the golden ratio spread any run of ranks evenly, and a host more or less moves a
+// subset by one host at most. It guards hosts against a connection from every instance
+// and gives an instance enough samples of each. It acts where more than subsetMeet
+// instances share a host. Half a subset is of the own zone, as crossing costs, the
+// other half anywhere, as a zone may have more traffic than its hosts can carry.
+func (b *Balancer) layRing() {
+	b.ring, b.warm = b.ring[:0], 0
+	var near []*host
+	zone := map[int]float64{} // hosts in each
+	for _, h := range b.hosts {
+		if h.State != Ready {
+			continue
+		}
+		b.ring = append(b.ring, h)
+		zone[h.Zone]++
+		if !h.cold {
+			b.warm++
+		}
+	}
+	slices.SortFunc(b.ring, func(x, y *host) int { return cmp.Compare(x.place, y.place) })
+	b.subset = max(subsetLeast, (b.warm*subsetMeet+b.set.Instances-1)/b.set.Instances)
+	for _, h := range b.ring {
+		if b.set.Zones > 1 && !b.remote(h) {
+			near = append(near, h)
+		}
+	}
+	near = b.turn(near)
+	near = near[:min(len(near), b.subset/2)]
+	all := b.turn(b.ring)
+	b.ring = append([]*host(nil), near...)
+	for _, h := range all {
+		if !slices.Contains(near, h) {
+			b.ring = append(b.ring, h)
+		}
+	}
+	b.sharers = min(1, float64(b.subset)/float64(max(b.warm, 1))) * float64(b.set.Instances)
+	// What instances of its own zone and all instances walk past is what shares a cold host.
+	bank, half := float64(b.set.Instances), float64(b.subset/2)
+	anywhere := min(1, float64(b.subset*3/2)/float64(max(len(all), 1)))
+	for _, h := range b.ring {
+		h.sharers = bank * anywhere
+		if b.set.Zones > 1 {
+			h.sharers = min(bank, h.sharers+bank/float64(b.set.Zones)*min(1, half/zone[h.Zone]))
+		}
+	}
+}
+
+// turn returns the hosts from this instance's place on.
+func (b *Balancer) turn(part []*host) []*host {
+	_, at := math.Modf(float64(b.set.Rank) * (math.Phi - 1))
+	first := int(at * float64(len(part)))
+	return append(append([]*host(nil), part[first:]...), part[:first]...)
+}
+
+// remote says whether a host stands in another zone.
+func (b *Balancer) remote(h *host) bool { return h.Zone != b.set.Zone }
+
+// learn takes over one entry of the list.
+func (b *Balancer) learn(e Host) {
+	h := b.byID[e.ID]
+	if h == nil {
+		if e.State == Removed {
+			return
+		}
+		h = &host{place: mix(uint64(e.ID)), heard: b.now, limit: limitStart,
+			fresh: true, good: errorGap, rttAt: b.now}
+		b.byID[e.ID] = h
+		b.hosts = append(b.hosts, h)
+	}
+	started := h.Started
+	h.Host = e
+	for len(b.kinds) <= e.Kind {
+		b.kinds = append(b.kinds, mean{})
+	}
+	if e.Started > 0 && e.Started != started {
+		b.chill(h, e.Started)
+	}
+}
+
+// chill marks a host cold as of its start.
+func (b *Balancer) chill(h *host, since Time) {
+	if b.set.ColdFrom < 1 && b.now-since < b.set.WarmAfter {
+		h.cold, h.coldAt = true, since
+		h.credit, h.creditAt = b.float(), b.now // instances that hear of a start together do not send in step
+	}
+}
+
+// Request is a client's request, owed one final answer from here on.
+func (b *Balancer) Request(now Time, q Request) {
+	b.now = now
+	if b.reqs[q.ID] != nil || q.Class < 0 || q.Class >= len(b.set.Classes) {
+		return
+	}
+	r := b.newRequest()
+	r.Request, r.class, r.arrived = q, &b.set.Classes[q.Class], now
+	r.deadline = now + min(max(q.Left, 0), r.class.Deadline)
+	r.band = b.band[q.Class][b.part(r)]
+	b.reqs[q.ID] = r
+	for i := range b.arrived {
+		b.arrived[i] *= 1 - lineWeight
+	}
+	b.arrived[r.band]++
+	// Every request has a timer ahead of its deadline: an attempt that is still
+	// connecting then ends only later, too late to answer on its outcome.
+	b.wake(max(now, r.deadline-answerSteps*b.set.Step), tokenAnswer<<tokenShift|uint64(q.ID))
+	if now+answerSteps*b.set.Step >= r.deadline {
+		b.answer(r) // it came too late to be sent
+		return
+	}
+	if b.shed(r) {
+		b.log(logShed, "shedding: answers are late, %.0f%% of requests admitted", 100*b.admit)
+		b.answer(r)
+		return
+	}
+	b.place(r, false)
+}
+
+// shed says whether a request is refused on arrival: requests are admitted in the
+// order of their worth up to the share that hosts serve in time. It guards against
+// hosts that are crowded by many instances at once, of which each holds so little
+// that no in-flight limit of its own could tell. It acts while answers are late.
+func (b *Balancer) shed(r *request) bool {
+	if b.admit >= 1 || b.sharers <= shedSharers {
+		return false
+	}
+	var all, before float64
+	for i, n := range b.arrived {
+		all += n
+		if i < r.band {
+			before += n
+		}
+	}
+	return b.admit*all < before+b.arrived[r.band]*b.float()
+}
+
+// press moves the share admitted by how late an answer came, in aims, weighed by worth.
+func (b *Balancer) press(c *Class, rtt float64) {
+	b.worth.add(c.Worth)
+	b.late.blend(min(1, rtt/c.Aim.Seconds()), min(pressWeight*c.Worth/b.worth.mean, 0.5))
+	if over := b.late.mean/pressAims - 1; over > 0 {
+		b.admit = max(admitLeast, b.admit*(1-shedStep*min(over, 1)))
+	} else {
+		b.admit = min(1, b.admit-admitStep*over)
+	}
+}
+
+// The parts of a class that wait in lines of their own.
+const (
+	overQuota = 1 << iota // beyond the tenant's quota
+	repeated              // the client has asked before
+)
+
+// part says which part of its class a request belongs to.
+func (b *Balancer) part(r *request) (part int) {
+	if r.Tenant >= 0 && r.Tenant < len(b.quota) && !b.quota[r.Tenant].take(b.now) {
+		part |= overQuota
+	}
+	if r.Repeat {
+		part |= repeated
+	}
+	return part
+}
+
+// Started says that a stream has begun: the request belongs to that attempt.
+func (b *Balancer) Started(now Time, id RequestID, n int) {
+	b.now = now
+	r := b.reqs[id]
+	if r == nil || r.done || n < 0 || n >= len(r.atts) {
+		return
+	}
+	r.bound = true
+	b.cancelOthers(r, n)
+}
+
+// Outcome is the end of an attempt.
+func (b *Balancer) Outcome(now Time, o Outcome) {
+	b.now = now
+	r := b.reqs[o.Request]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.atts) || r.atts[o.Attempt].ended {
+		return
+	}
+	a := r.atts[o.Attempt]
+	a.ended, a.result = true, o.Result
+	r.out--
+	a.host.pending--
+	a.host.flight.remove(&a.link)
+	b.observe(a, max(o.Elapsed, 0).Seconds())
+	b.settle(r, a, o.Closed)
+	b.forget(a.host)
+	b.pump()
+}
+
+// Gone says that nobody waits for the request any more.
+func (b *Balancer) Gone(now Time, id RequestID) {
+	b.now = now
+	if r := b.reqs[id]; r != nil && !r.done {
+		b.end(r)
+	}
+}
+
+// Timer is a Wake that has come due.
+func (b *Balancer) Timer(now Time, token uint64) {
+	b.now = now
+	switch token >> tokenShift {
+	case tokenSweep:
+		if now >= b.sweepAt {
+			b.sweepAt = 0
+			b.listen()
+			b.pump()
+		}
+	case tokenWatch:
+		if now >= b.watchAt && !b.watching {
+			b.act(Action{Kind: Watch})
+			b.watchIn(b.set.AskWithin)
+		}
+	case tokenAnswer:
+		if r := b.reqs[RequestID(token&(1<<tokenShift-1))]; r != nil && !r.done && !r.bound {
+			b.overdue(r)
+			b.answer(r)
+		}
+	}
+}
+
+// crowded rests a host whose answers take several times the RTT of calmer times. A
+// host that turned slow when crowded recovers only once it is left nearly idle, and
+// where all have, no choice of two tells them apart. Acts where a host is shared by so
+// many that in-flight limits cannot hold.
+func (b *Balancer) crowded(h *host, class int, rtt float64) {
+	calm := b.calm[class] * (1 + calmDrift)
+	if m := b.lat[class].mean; calm == 0 || m < calm {
+		calm = m
+	}
+	if b.calm[class] = calm; calm == 0 {
+		return
+	}
+	h.crowd += (rtt/calm - h.crowd) / 2
+	switch {
+	case b.sharers <= shedSharers || b.now < h.restUntil:
+	case h.crowd < crowdRatio/2:
+		h.rests = 0
+	case h.crowd > crowdRatio:
+		d := float64(restAims*b.aim) * float64(int(1)<<min(h.rests, 2))
+		h.restUntil = b.now + Time(d*(0.75+0.5*b.float()))
+		h.rests++
+		b.log(logRest, "host %x rests: it answers %.0f times slower than in calmer times", h.ID, h.crowd)
+	}
+}
+
+// overdue learns from a request that has no answer at its deadline as from a
+// time-out: called off, its attempts would tell nothing of hosts that are so late.
+func (b *Balancer) overdue(r *request) {
+	for _, a := range r.atts {
+		if !a.ended {
+			rtt := (b.now - a.sent).Seconds()
+			b.press(r.class, rtt)
+			b.crowded(a.host, r.Class, rtt)
+			b.sample(a.host, rtt)
+			b.adjust(a.host, rtt, a.sent)
+		}
+	}
+}
+
+// place sends the request if a host is ready for it and else lets it wait. It
+// does not overtake what waits already.
+func (b *Balancer) place(r *request, again bool) {
+	if b.queued == 0 {
+		if h := b.pick(r); h != nil {
+			b.send(r, h)
+			return
+		}
+	}
+	b.enqueue(r, again)
+	b.pump()
+}
+
+// pick is the ordinary path: of two random ready hosts, the less loaded.
+func (b *Balancer) pick(r *request) *host {
+	full := 0
+	b.ready, b.out = b.ready[:0], b.out[:0]
+	for i, h := range b.ring {
+		// The walk ends at half more than the subset, however few are of use: were each
+		// instance to seek on, those few would meet more connections than they accept.
+		if n := len(b.ready) + full; n == b.subset || n > 1 && i >= b.subset*3/2 {
+			break
+		}
+		switch {
+		case h.State != Ready || !b.allows(r, h):
+		case b.ejected(r, h) && h.down:
+		case b.ejected(r, h):
+			b.out = append(b.out, h)
+		case b.now < h.restUntil || b.coldHold(h):
+		case h.cold && i >= b.subset*3/2: // those further on have other sharers
+		case b.atLimit(h):
+			full++
+		default:
+			b.ready = append(b.ready, h)
+		}
+	}
+	// Fail open: when most hosts are out, the fault is more likely the path or the load
+	// than every host, and the few left must not take it all. Not if they take no connection.
+	if len(b.out) > len(b.ready)+full {
+		b.log(logFailOpen, "%d hosts are ejected, most that are near: using them all the same", len(b.out))
+		for _, h := range b.out[:min(len(b.out), b.subset)] {
+			if !b.coldHold(h) && !b.atLimit(h) {
+				b.ready = append(b.ready, h)
+			}
+		}
+	}
+	n := len(b.ready)
+	if n == 0 {
+		return nil
+	}
+	if n == 1 {
+		return b.ready[0]
+	}
+	i, j := b.rand(n), b.rand(n-1)
+	if j >= i {
+		j++
+	}
+	if b.load(b.ready[j]) < b.load(b.ready[i]) {
+		i = j
+	}
+	return b.ready[i]
+}
+
+// load is the score of a host: its estimate now x (own pending + 1). A host of
+// another zone counts as slower by what crossing costs, in shares of the shortest aim.
+func (b *Balancer) load(h *host) float64 {
+	rtt := b.estimate(h)
+	if b.remote(h) {
+		rtt += b.set.CrossPrice * b.aim.Seconds()
+	}
+	return rtt * float64(h.pending+1)
+}
+
+// estimate reads the RTT decayed toward zero, so that a host that was
+// penalised and then left alone drifts back into use.
+func (b *Balancer) estimate(h *host) float64 {
+	if h.fresh {
+		return b.seed(h) * b.fade(h)
+	}
+	return h.rtt * b.fade(h)
+}
+
+// seed is the estimate of a host that has given no sample: the mean RTT of its kind
+// or, before its kind has given any, a share of the shortest aim. It guards the slow
+// hosts of a large fleet, where each instance meets each host seldom, against an equal
+// share, which is more than they can do. Acts until the first sample.
+func (b *Balancer) seed(h *host) float64 {
+	if k := &b.kinds[h.Kind]; k.seen {
+		return b.all.mean * k.mean
+	}
+	return seedShare * b.aim.Seconds()
+}
+
+// penalty is the base penalty of an error or a refusal. It grows with the mean RTT:
+// beside hosts that answer late, one that refuses at once would be the best choice.
+func (b *Balancer) penalty() float64 {
+	return max(penaltyAims*b.aim.Seconds(), penaltyRTTs*b.all.mean)
+}
+
+// fade is the weight that a host's estimate has kept since its last sample. Where
+// samples of a host come seldom, a decay of a few aims would leave nothing of one by
+// the next and the draw would be of chance: it grows with the gap between samples.
+func (b *Balancer) fade(h *host) float64 {
+	decay := max(decayAims*b.aim.Seconds(), decayGaps*b.gap.mean)
+	return math.Exp(-(b.now - h.rttAt).Seconds() / decay)
+}
+
+// sample enters an RTT: above the estimate decayed to now it replaces it, below
+// it is blended in.
+func (b *Balancer) sample(h *host, rtt float64) {
+	if h.fresh {
+		h.rtt, h.fresh = b.seed(h), false
+	}
+	w := b.fade(h)
+	if rtt > h.rtt*w {
+		h.rtt = rtt
+	} else {
+		h.rtt = h.rtt*w + rtt*(1-w)
+	}
+	b.gap.add((b.now - h.rttAt).Seconds())
+	h.rttAt = b.now
+}
+
+// allows says whether the class rules let the request go to the host now: no
+// effect twice, and a repeated key only where and while repeats are dropped.
+func (b *Balancer) allows(r *request, h *host) bool {
+	first := r.first()
+	switch c := r.class; {
+	case !b.repeatable(c, first):
+		return false
+	case first == nil || c.Effect == Safe:
+		return true
+	case c.Group == GroupZone:
+		return h.Zone == first.host.Zone
+	case c.Group == GroupCell:
+		return h.Cell == first.host.Cell
+	}
+	return true
+}
+
+// repeatable says whether a request of the class may be sent (again) somewhere,
+// given its first attempt that may have run: an unsafe one never, a keyed one only
+// while repeats are sure to be dropped.
+func (b *Balancer) repeatable(c *Class, first *attempt) bool {
+	if first == nil || c.Effect == Safe {
+		return true
+	}
+	return c.Effect == Keyed && b.now-first.sent <= c.Window-answerSteps*b.set.Step
+}
+
+// first is the earliest attempt that may have run or is still out, or nil.
+func (r *request) first() *attempt {
+	for _, a := range r.atts {
+		if !a.ended || a.result.mayHaveRun() {
+			return a
+		}
+	}
+	return nil
+}
+
+func (x Result) mayHaveRun() bool { return x != Full && x != ConnectFailed && x != NotSent }
+
+// ejected says whether a host that failed is out of the draw: until its back-off
+// ends, and then for all but one trial at a time. The trial is a request that may be
+// sent again, while there are such: one that may not would be lost to a failing host.
+func (b *Balancer) ejected(r *request, h *host) bool {
+	return h.fails > 0 && (b.now < h.ejectUntil || h.trialOut ||
+		r.class.Effect == Unsafe && b.now < h.ejectUntil+trialAims*b.aim)
+}
+
+// eject takes a host out of the draw, longer each time in a row.
+func (b *Balancer) eject(h *host, why string) {
+	if h.fails > 0 && b.now < h.ejectUntil {
+		return
+	}
+	d := float64(backoffAims*b.aim) * float64(int(1)<<min(h.fails, backoffMax))
+	h.ejectUntil = b.now + Time(d*(0.75+0.5*b.float()))
+	h.fails++
+	if h.fails == 1 {
+		b.log(logEject, "host %x ejected: %s", h.ID, why)
+	}
+}
+
+// coldHold paces sends to a host that has just started, so that the bank as a
+// whole stays within its budget. It acts while the host is cold: credit for sends
+// grows at this instance's part of the budget, and what is not used within half a
+// Fall (or where it is the only credit of the bank) lapses. Credit that waited would
+// be spent by all instances at once.
+func (b *Balancer) coldHold(h *host) bool {
+	if !h.cold {
+		return false
+	}
+	age := b.now - h.coldAt
+	if age >= b.set.WarmAfter {
+		h.cold = false
+		return false
+	}
+	if dt := b.now - h.creditAt; dt > 0 {
+		rate := b.coldRate(h, age)
+		lapse := max(rate*b.set.Fall.Seconds()/2, 1/max(1, h.sharers))
+		h.credit = math.Mod(h.credit+rate*dt.Seconds(), 1+lapse)
+		h.creditAt = b.now
+	}
+	return h.credit < 1
+}
+
+// atLimit says whether a host holds as much from this instance as it may: one at
+// least, as rests of a limit below one starve hosts where many share them.
+func (b *Balancer) atLimit(h *host) bool {
+	return h.pending > 0 && float64(h.pending+1) > h.limit/b.sharers
+}
+
+// coldRate is this instance's part of a cold host's budget, in sends a second.
+// What a warm host gives the bank is within its capacity, less where its kind is
+// slower; where nothing is known of warm hosts, one request in the shortest aim is,
+// or the aim could not be kept. The bank's sends within a Fall
+// vary by chance and so does their work: their mean stays coldChance deviations
+// (of a count of requests of exponential work: the root of twice the mean, or of the
+// mean alone where one instance paces them evenly) under the budget.
+func (b *Balancer) coldRate(h *host, age Time) float64 {
+	bank, fall := max(1, h.sharers), b.set.Fall.Seconds()
+	share := b.set.ColdFrom + (1-b.set.ColdFrom)*float64(age)/float64(b.set.WarmAfter)
+	capacity := max(b.warmRate()/max(1, b.kinds[h.Kind].mean), 1/b.aim.Seconds())
+	c := coldChance * coldChance / 2 * (1 - 1/(2*bank))
+	root := math.Sqrt(capacity*share*b.set.OverloadFactor*fall+c) - math.Sqrt(c)
+	return root * root / (fall * bank)
+}
+
+// warmRate is the mean rate of good answers of a warm host to the bank: this
+// instance's own, times the instances, over the warm hosts listed when they came. All
+// count, also those that are out: the rate of the rest would pass for any host's. With
+// no warm host listed, what was last learnt stays.
+func (b *Balancer) warmRate() float64 {
+	if b.warm == 0 {
+		return b.served
+	}
+	return b.served * math.Exp(-(b.now-b.servedAt).Seconds()/b.span)
+}
+
+// send starts an attempt.
+func (b *Balancer) send(r *request, h *host) {
+	a := b.newAttempt()
+	a.req, a.host, a.sent = r, h, b.now
+	a.trial = h.fails > 0
+	h.trialOut = h.trialOut || a.trial
+	r.atts = append(r.atts, a)
+	r.out++
+	h.pending++
+	a.link.item = a
+	h.flight.pushBack(&a.link)
+	h.credit = min(h.credit-1, 1) // counts while the host is cold
+	b.act(Action{Kind: Send, Request: r.ID, Host: h.ID})
+	b.outNow++
+	b.sweepSoon()
+}
+
+// observe learns from the end of an attempt.
+func (b *Balancer) observe(a *attempt, rtt float64) {
+	h := a.host
+	if a.trial {
+		h.trialOut = false
+	}
+	switch a.result {
+	case OK:
+		h.good++
+		b.sample(h, rtt)
+		b.lat[a.req.Class].add(rtt)
+		b.all.add(rtt)
+		if m := b.lat[a.req.Class].mean; m > 0 && !h.cold {
+			b.kinds[h.Kind].add(rtt / m)
+		}
+		b.press(a.req.class, rtt)
+		b.crowded(h, a.req.Class, rtt)
+		b.adjust(h, rtt, a.sent)
+		if !h.cold {
+			b.served = b.warmRate() + float64(b.set.Instances)/float64(max(b.warm, 1))/b.span
+			b.servedAt = b.now
+		}
+		b.readmit(h)
+	case Full:
+		// What is full takes no more: its refusals come at once, and a host that
+		// gives nothing else would draw all that waits. Acts on each such refusal.
+		b.adjust(h, max(rtt, b.penalty()), a.sent)
+		b.sample(h, max(rtt, b.penalty()))
+		b.readmit(h)
+	case Failed:
+		b.sample(h, max(rtt, b.penalty()))
+		if h.good < errorGap || b.sharers > shedSharers { // often, or seldom seen, so each counts
+			b.eject(h, "errors")
+		}
+		h.good = 0
+	case TimedOut:
+		b.press(a.req.class, rtt)
+		b.sample(h, rtt)
+		b.adjust(h, rtt, a.sent)
+	case ConnectFailed, Reset:
+		b.sample(h, rtt)
+		b.eject(h, "connections fail")
+		h.down = a.result == ConnectFailed
+	}
+}
+
+// adjust steers a host's in-flight limit so that its mean RTT stays at a share
+// of the shortest aim. It guards against crowding, which wastes the work of
+// requests that come too late and can tip a host into a slow state; it acts
+// when a host's mean RTT passes that share, and then once a round: only an attempt
+// sent after the last cut can tell whether that was enough.
+func (b *Balancer) adjust(h *host, rtt float64, sent Time) {
+	h.lat.addAt(rtt, b.now, recentAims*b.aim.Seconds())
+	target := limitAims * b.aim.Seconds()
+	if h.lat.mean > target {
+		if sent >= h.cutAt {
+			h.limit = max(limitLeast, h.limit*target/h.lat.mean)
+			h.cutAt = b.now
+		}
+	} else if h.pending+1 >= int(h.limit/b.sharers) && b.queued > 0 {
+		h.limit += growth * b.sharers / h.limit
+	}
+}
+
+// readmit ends an ejection: the host has answered.
+func (b *Balancer) readmit(h *host) {
+	h.heard = b.now
+	if h.fails == 0 {
+		return
+	}
+	h.fails, h.down = 0, false
+	b.log(logReturn, "host %x is back", h.ID)
+}
+
+// settle decides what follows the end of an attempt: nothing if the request
+// has its answer, another attempt if class and time allow it, and else
+// the final answer.
+func (b *Balancer) settle(r *request, a *attempt, closed bool) {
+	switch {
+	case r.done:
+		b.release(r)
+	case closed || a.result == OK && r.bound:
+		b.end(r)
+	case r.out > 0 || r.queued:
+	case b.mayRetry(r):
+		b.place(r, true)
+	default:
+		b.answer(r)
+	}
+}
+
+// mayRetry says whether the request gets another attempt. The in-flight limits
+// keep repeats from feeding an overload.
+func (b *Balancer) mayRetry(r *request) bool {
+	if r.bound || len(r.atts) >= b.set.MaxAttempts || b.now+2*answerSteps*b.set.Step >= r.deadline {
+		return false
+	}
+	return b.repeatable(r.class, r.first())
+}
+
+// answer gives the final answer to a request that will not be served: a refusal
+// only where trying again is known to be harmless.
+func (b *Balancer) answer(r *request) {
+	if r.first() == nil || r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll {
+		b.act(Action{Kind: Refuse, Request: r.ID, After: min(b.aim/4, b.set.MaxRetryAfter)})
+	} else {
+		b.act(Action{Kind: Fail, Request: r.ID})
+	}
+	b.end(r)
+}
+
+// end closes a request that has its answer or needs none.
+func (b *Balancer) end(r *request) {
+	if r.done {
+		return
+	}
+	r.done = true
+	b.dequeue(r)
+	b.cancelOthers(r, -1)
+	b.release(r)
+}
+
+// cancelOthers calls off what is in flight for the request but attempt keep.
+func (b *Balancer) cancelOthers(r *request, keep int) {
+	for i, a := range r.atts {
+		if i != keep && !a.ended && b.set.Cancel {
+			b.act(Action{Kind: Cancel, Request: r.ID, Attempt: i})
+		}
+	}
+}
+
+// enqueue lets a request wait in its line, a repeat at the front. It waits a small
+// share of its aim: refused early, a client may yet be served in time elsewhere or
+// later, and what is sent has the rest of its aim left.
+func (b *Balancer) enqueue(r *request, front bool) {
+	r.expires = r.arrived + Time(waitShare*float64(r.class.Aim))
+	b.push(r, front)
+	b.sweepSoon()
+}
+
+// pump turns away what has waited too long and sends what waits, the line worth
+// most first, as far as hosts are ready.
+func (b *Balancer) pump() {
+	for i := range b.bands {
+		for n := b.bands[i].head; n != nil && b.now >= n.item.expires; n = b.bands[i].head {
+			b.log(logRefuse, "refusing: hosts are full, %d requests wait", b.queued)
+			b.answer(n.item)
+		}
+	}
+	for i := range b.bands {
+		if full := b.serve(&b.bands[i]); full {
+			break
+		}
+	}
+	b.sweepSoon()
+}
+
+// serve sends what waits in a line. A repeat bound to its group does not hold up
+// those behind it. It says whether no host is ready for a request sent nowhere yet.
+func (b *Balancer) serve(line *list[request]) (full bool) {
+	for n := line.head; n != nil; {
+		r, next := n.item, n.next
+		if h := b.pick(r); h != nil {
+			b.dequeue(r)
+			b.send(r, h)
+		} else if r.first() == nil {
+			return true
+		}
+		n = next
+	}
+	return false
+}
+
+// patience is how long an attempt may take before its host counts as silent.
+func (b *Balancer) patience(r *request) Time {
+	if l := &b.lat[r.Class]; l.seen {
+		return Time(1e9 * (l.mean + patience*l.dev))
+	}
+	return r.class.Aim / 2
+}
+
+// listen looks for silent hosts: those that have answered nothing since their
+// oldest attempt was sent, longer ago than such a request should take. They are
+// ejected until they answer or a trial does. It guards against hosts that take
+// requests and answer none; a host that is only slow, or has one costly request,
+// answers others meanwhile. What waits there stays: most often it is answered
+// yet, and sending it again costs more than it saves.
+func (b *Balancer) listen() {
+	b.outNow = 0
+	for _, h := range b.hosts {
+		b.outNow += h.pending
+		n := h.flight.head // the oldest
+		if n == nil || n.item.sent < h.heard || b.now-n.item.sent < b.patience(n.item.req) {
+			continue
+		}
+		b.eject(h, "silent")
+	}
+}
+
+// sweepSoon makes sure that waiting requests and hosts are looked at again.
+func (b *Balancer) sweepSoon() {
+	if b.sweepAt == 0 && (b.queued > 0 || b.outNow > 0) {
+		b.sweepAt = b.now + max(b.set.Step, Time(float64(b.aim)*sweepShare))
+		b.wake(b.sweepAt, tokenSweep<<tokenShift)
+	}
+}
+
+// watchIn asks discovery for changes after d.
+func (b *Balancer) watchIn(d Time) {
+	b.watchAt = b.now + d
+	b.wake(b.watchAt, tokenWatch<<tokenShift)
+}
+
+// lostList asks again with a growing, jittered back-off; the old list stands.
+func (b *Balancer) lostList() {
+	if b.watching || b.watchFails == 0 {
+		b.log(logLost, "host list lost, asking again")
+	}
+	b.watching = false
+	if !b.set.Ask {
+		return
+	}
+	d := float64(b.set.AskWithin) / 16 * float64(int(1)<<min(b.watchFails, 3))
+	b.watchFails++
+	b.watchIn(Time(d * (0.5 + b.float())))
+}
+
+func (b *Balancer) foundList() {
+	if b.watchFails > 0 {
+		b.log(logFound, "host list regained")
+	}
+	b.watching, b.watchFails = true, 0
+}
--- /dev/null
+++ b/balancer_test.go
@@ -0,0 +1,1459 @@
+package frostshift
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// basic is a small site with one class of each effect.
+func basic() Settings {
+	return Settings{
+		Instances: 1, Step: ms, MaxAttempts: 4, Cancel: true, MaxRetryAfter: time.Second,
+		Classes: []Class{
+			{Aim: 400 * ms, Deadline: time.Second, Worth: 1},
+			{Aim: 400 * ms, Deadline: time.Second, Worth: 2, Effect: Keyed, Group: GroupCell, Window: 600 * ms},
+			{Aim: 400 * ms, Deadline: time.Second, Worth: 5, Effect: Unsafe},
+		},
+		ColdFrom: 0.3, WarmAfter: 9 * time.Second, OverloadFactor: 2.5, Fall: time.Second,
+	}
+}
+
+// gateway drives a Balancer by hand.
+type gateway struct {
+	*testing.T
+	b    *Balancer
+	now  Time
+	next RequestID
+	acts []Action // of the last event, timers and logs left out
+	logs []string
+	wake []Action
+}
+
+func start(t *testing.T, set Settings, hosts ...Host) *gateway {
+	t.Helper()
+	b, err := New(set, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gateway{T: t, b: b, now: time.Hour}
+	b.Start(g.now)
+	g.list(ListSaved, hosts...)
+	return g
+}
+
+func hosts(n int) []Host {
+	var list []Host
+	for i := range n {
+		list = append(list, Host{ID: HostID(i + 1), Cell: i / 2, Zone: i / 2})
+	}
+	return list
+}
+
+func (g *gateway) drain() {
+	g.acts = g.acts[:0]
+	for _, a := range g.b.Drain(nil) {
+		switch a.Kind {
+		case Log:
+			g.logs = append(g.logs, a.Text)
+		case Wake:
+			g.wake = append(g.wake, a)
+		default:
+			g.acts = append(g.acts, a)
+		}
+	}
+}
+
+func (g *gateway) list(kind ListKind, hosts ...Host) {
+	g.b.Hosts(g.now, kind, hosts)
+	g.drain()
+}
+
+func (g *gateway) request(class int, left time.Duration) RequestID {
+	g.next++
+	g.b.Request(g.now, Request{ID: g.next, Class: class, Left: left})
+	g.drain()
+	return g.next
+}
+
+func (g *gateway) outcome(id RequestID, n int, r Result, took time.Duration) {
+	g.b.Outcome(g.now, Outcome{Request: id, Attempt: n, Result: r, Elapsed: took, Closed: r == OK})
+	g.drain()
+}
+
+// advance moves the clock and rings the timers due, oldest first; it returns
+// what was done at them.
+func (g *gateway) advance(d time.Duration) []Action {
+	var done []Action
+	for end := g.now + d; ; {
+		best := -1
+		for i, w := range g.wake {
+			if w.At <= end && (best < 0 || w.At < g.wake[best].At) {
+				best = i
+			}
+		}
+		if best < 0 {
+			g.now = end
+			return done
+		}
+		w := g.wake[best]
+		g.wake = append(g.wake[:best], g.wake[best+1:]...)
+		g.now = max(g.now, w.At)
+		g.b.Timer(g.now, w.Token)
+		g.drain()
+		done = append(done, g.acts...)
+	}
+}
+
+// sole returns the only action, which must be of the kind.
+func (g *gateway) sole(kind ActionKind) Action {
+	g.Helper()
+	if len(g.acts) != 1 || g.acts[0].Kind != kind {
+		g.Fatalf("actions %v, want one of kind %d", g.acts, kind)
+	}
+	return g.acts[0]
+}
+
+// serve sends n requests, each answered after took, and returns where they went.
+func (g *gateway) serve(n int, class int, took func(HostID) time.Duration) map[HostID]int {
+	g.Helper()
+	got := map[HostID]int{}
+	for range n {
+		id := g.request(class, time.Second)
+		h := g.sole(Send).Host
+		got[h]++
+		d := took(h)
+		g.advance(d)
+		g.outcome(id, 0, OK, d)
+	}
+	return got
+}
+
+// sentTo sends requests until one goes to the host, and returns it; the others are
+// answered after took.
+func (g *gateway) sentTo(host HostID, took time.Duration) RequestID {
+	g.Helper()
+	for {
+		id := g.request(0, time.Second)
+		if g.sole(Send).Host == host {
+			return id
+		}
+		g.outcome(id, 0, OK, took)
+		g.now += ms
+	}
+}
+
+func TestSampleAndEstimate(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	h := g.b.hosts[0]
+	tau := decayAims * g.b.aim.Seconds()
+	steps := []struct {
+		name  string
+		after time.Duration
+		rtt   float64
+		want  float64
+	}{
+		{"above the estimate replaces it", 0, 0.5, 0.5},
+		{"below is blended by the time since", 800 * ms, 0.1, 0.5*math.Exp(-0.8/tau) + 0.1*(1-math.Exp(-0.8/tau))},
+		{"at once leaves the estimate", 0, 0.01, 0.5*math.Exp(-0.8/tau) + 0.1*(1-math.Exp(-0.8/tau))},
+		{"below the old peak but above it decayed replaces it", 100 * time.Second, 0.02, 0.02},
+	}
+	for _, s := range steps {
+		g.b.gap.mean = 0 // samples come often
+		g.b.now += s.after
+		g.b.sample(h, s.rtt)
+		if math.Abs(h.rtt-s.want) > 1e-12 {
+			t.Errorf("%s: estimate %v, want %v", s.name, h.rtt, s.want)
+		}
+	}
+	g.b.gap.mean = 0
+	g.b.now += Time(tau * 1e9)
+	if got, want := g.b.estimate(h), 0.02/math.E; math.Abs(got-want) > 1e-9 {
+		t.Errorf("read one decay later: %v, want %v", got, want)
+	}
+	if h.rtt != 0.02 {
+		t.Errorf("reading changed the estimate to %v", h.rtt)
+	}
+}
+
+// Full-size days: samples of a host lay seconds apart, a decay of a few aims left
+// nothing of one by the next.
+func TestDecayOutlastsTheGapBetweenSamples(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	h := g.b.hosts[0]
+	for range 40 {
+		g.b.now += 5 * time.Second
+		g.b.sample(h, 0.2)
+	}
+	g.b.now += 5 * time.Second
+	if got := g.b.estimate(h); got < 0.15 {
+		t.Errorf("estimate %v a gap of 5 s after samples of 0.2", got)
+	}
+}
+
+// A host without samples is rated as its kind is, and drifts into use all the same.
+func TestUnknownHostIsSeededByItsKind(t *testing.T) {
+	g := start(t, basic(), Host{ID: 1, Kind: 1}, Host{ID: 2, Kind: 2})
+	took := func(h HostID) time.Duration { return time.Duration(h) * 40 * ms }
+	g.serve(200, 0, took)
+	g.list(ListChanges, Host{ID: 3, Kind: 1}, Host{ID: 4, Kind: 2})
+	fast, slow := g.b.estimate(g.b.byID[3]), g.b.estimate(g.b.byID[4])
+	if fast < 0.03 || slow < 1.5*fast {
+		t.Errorf("seeds %v and %v, with kinds at 0.04 and 0.08", fast, slow)
+	}
+	g.b.now += 5 * time.Minute
+	if got := g.b.estimate(g.b.byID[4]); got > slow/2 {
+		t.Errorf("seed still %v after five minutes", got)
+	}
+}
+
+func TestOutcomesEnterTheEstimate(t *testing.T) {
+	tests := []struct {
+		result Result
+		took   time.Duration
+		want   float64 // -1: the seed stays
+	}{
+		{OK, 300 * ms, 0.3},
+		{Failed, 2 * ms, 0.4}, // the base penalty: one aim
+		{Full, 2 * ms, 0.4},
+		{Failed, 700 * ms, 0.7},
+		{TimedOut, 600 * ms, 0.6},
+		{Reset, 500 * ms, 0.5},
+		{ConnectFailed, 250 * ms, 0.25},
+		{Canceled, 900 * ms, -1},
+		{NotSent, 900 * ms, -1},
+	}
+	for _, tt := range tests {
+		g := start(t, basic(), hosts(1)...)
+		h := g.b.hosts[0]
+		seed := 0.0 // none
+		if tt.want < 0 {
+			tt.want = seed
+		}
+		id := g.request(0, time.Second)
+		g.outcome(id, 0, tt.result, tt.took)
+		if math.Abs(h.rtt-tt.want) > 1e-9 {
+			t.Errorf("result %d after %v: estimate %v, want %v", tt.result, tt.took, h.rtt, tt.want)
+		}
+	}
+}
+
+func TestLowerLoadOfTwoWins(t *testing.T) {
+	tests := []struct {
+		name     string
+		rtt      [2]float64
+		pending  [2]int
+		wantHost int
+	}{
+		{"lower estimate", [2]float64{0.1, 0.2}, [2]int{0, 0}, 0},
+		{"fewer pending", [2]float64{0.1, 0.1}, [2]int{1, 0}, 1},
+		{"product decides", [2]float64{0.1, 0.35}, [2]int{2, 0}, 0},
+	}
+	for _, tt := range tests {
+		g := start(t, basic(), hosts(2)...)
+		for i, h := range g.b.hosts {
+			h.fresh, h.rtt, h.rttAt, h.pending, h.limit = false, tt.rtt[i], g.now, tt.pending[i], 10
+		}
+		for range 20 {
+			if got := g.b.pick(&request{class: &g.b.set.Classes[0]}); got != g.b.hosts[tt.wantHost] {
+				t.Errorf("%s: picked host %d", tt.name, got.ID)
+			}
+		}
+	}
+}
+
+// Of many hosts only the two drawn are compared: the second best is drawn
+// without the best often enough to get a share, the worst never wins.
+func TestTwoAreDrawn(t *testing.T) {
+	g := start(t, basic(), hosts(4)...)
+	for i, h := range g.b.hosts {
+		h.fresh, h.rtt, h.rttAt = false, float64(i+1), g.now
+	}
+	got := map[HostID]int{}
+	for range 6000 {
+		got[g.b.pick(&request{class: &g.b.set.Classes[0]}).ID]++
+	}
+	for id, want := range map[HostID]int{1: 3000, 2: 2000, 3: 1000, 4: 0} {
+		if d := got[id] - want; d > 200 || d < -200 {
+			t.Errorf("host %d picked %d times of 6000, want about %d", id, got[id], want)
+		}
+	}
+}
+
+func TestSlowHostGetsLess(t *testing.T) {
+	g := start(t, basic(), hosts(3)...)
+	got := g.serve(300, 0, func(h HostID) time.Duration {
+		if h == 3 {
+			return 120 * ms
+		}
+		return 20 * ms
+	})
+	if got[3] > 60 || got[1] < 60 || got[2] < 60 {
+		t.Errorf("shares %v, want host 3 under a fifth", got)
+	}
+}
+
+func TestNoHostWaitsThenRefuses(t *testing.T) {
+	g := start(t, basic())
+	id := g.request(0, time.Second)
+	if len(g.acts) != 0 {
+		t.Fatalf("actions %v, want the request to wait", g.acts)
+	}
+	done := g.advance(time.Second)
+	if len(done) != 1 || done[0].Kind != Refuse || done[0].Request != id {
+		t.Errorf("done %v, want one refusal", done)
+	}
+}
+
+func TestWaitingRequestGoesToTheFirstHost(t *testing.T) {
+	g := start(t, basic())
+	id := g.request(2, time.Second)
+	g.list(ListFull, hosts(1)...)
+	if a := g.sole(Send); a.Request != id || a.Host != 1 {
+		t.Errorf("sent %v", a)
+	}
+}
+
+// zurich incident ie27dba: a request that comes with no time left was taken to
+// have all of it.
+func TestNoTimeLeftIsAnsweredAtOnce(t *testing.T) {
+	g := start(t, basic(), hosts(2)...)
+	for class := range g.b.set.Classes {
+		g.request(class, 0)
+		g.sole(Refuse)
+	}
+}
+
+// An attempt may still be connecting at the deadline and end only after it.
+func TestInFlightIsAnsweredAheadOfItsDeadline(t *testing.T) {
+	for class, want := range []ActionKind{Refuse, Fail, Fail} {
+		g := start(t, basic(), hosts(2)...)
+		g.request(class, 500*ms)
+		g.sole(Send)
+		done := g.advance(500*ms - g.b.set.Step)
+		if len(done) != 2 || done[0].Kind != want || done[1].Kind != Cancel {
+			t.Errorf("class %d: done %v, want kind %d and a cancel", class, done, want)
+		}
+	}
+}
+
+func TestWhatFollowsAnAttempt(t *testing.T) {
+	again := []ActionKind{Send}
+	tests := []struct {
+		class  int
+		result Result
+		want   []ActionKind
+	}{
+		{0, OK, nil},
+		{0, Failed, again}, {0, TimedOut, again}, {0, Reset, again}, {0, Full, again}, {0, ConnectFailed, again},
+		{1, Failed, again}, {1, ConnectFailed, again},
+		{2, Failed, []ActionKind{Fail}}, {2, TimedOut, []ActionKind{Fail}}, {2, Reset, []ActionKind{Fail}},
+		{2, Canceled, []ActionKind{Fail}},
+		{2, Full, again}, {2, ConnectFailed, again}, {2, NotSent, again},
+	}
+	for _, tt := range tests {
+		g := start(t, basic(), hosts(2)...)
+		id := g.request(tt.class, time.Second)
+		g.advance(20 * ms)
+		g.outcome(id, 0, tt.result, 20*ms)
+		var got []ActionKind
+		for _, a := range g.acts {
+			got = append(got, a.Kind)
+		}
+		if !reflect.DeepEqual(got, tt.want) {
+			t.Errorf("class %d after result %d: actions %v, want %v", tt.class, tt.result, got, tt.want)
+		}
+	}
+}
+
+func TestKeyedStaysInItsGroup(t *testing.T) {
+	for group, same := range map[Group]func(a, b Host) bool{
+		GroupAll:  func(a, b Host) bool { return true },
+		GroupZone: func(a, b Host) bool { return a.Zone == b.Zone },
+		GroupCell: func(a, b Host) bool { return a.Cell == b.Cell },
+	} {
+		set := basic()
+		set.Classes[1].Group = group
+		list := []Host{{ID: 1, Zone: 0, Cell: 0}, {ID: 2, Zone: 0, Cell: 1}, {ID: 3, Zone: 1, Cell: 2},
+			{ID: 4, Zone: 0, Cell: 0}, {ID: 5, Zone: 0, Cell: 1}, {ID: 6, Zone: 1, Cell: 2}}
+		other := 0
+		for range 30 {
+			g := start(t, set, list...)
+			g.b.rng += uint64(other)*977 + 1
+			id := g.request(1, time.Second)
+			first := list[g.sole(Send).Host-1]
+			g.outcome(id, 0, Failed, ms)
+			second := list[g.sole(Send).Host-1]
+			if !same(first, second) {
+				t.Fatalf("group %d: sent to %+v, then to %+v", group, first, second)
+			}
+			other++
+		}
+	}
+}
+
+func TestKeyedIsNotRepeatedAfterItsWindow(t *testing.T) {
+	g := start(t, basic(), hosts(2)...)
+	id := g.request(1, time.Second)
+	g.advance(599 * ms)
+	g.outcome(id, 0, Failed, 599*ms)
+	g.sole(Fail)
+}
+
+func TestKeyedWhoseGroupIsGoneFails(t *testing.T) {
+	g := start(t, basic(), hosts(4)...)
+	id := g.request(1, time.Second)
+	cell := int(g.sole(Send).Host-1) / 2
+	var left []Host
+	for _, h := range hosts(4) {
+		if h.Cell != cell {
+			left = append(left, h)
+		}
+	}
+	g.list(ListFull, left...)
+	g.outcome(id, 0, Reset, ms)
+	acts := append(append([]Action(nil), g.acts...), g.advance(time.Second)...)
+	if len(acts) != 1 || acts[0].Kind != Fail {
+		t.Errorf("actions %v, want one Fail", acts)
+	}
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	set := basic()
+	set.MaxAttempts = 3
+	g := start(t, set, hosts(8)...)
+	id := g.request(2, time.Second)
+	for n := range 3 {
+		g.sole(Send)
+		g.outcome(id, n, Full, ms)
+	}
+	g.sole(Refuse)
+}
+
+func TestDrainingAndRemovedHostsGetNothing(t *testing.T) {
+	for _, state := range []HostState{Draining, Removed} {
+		g := start(t, basic(), hosts(3)...)
+		g.list(ListChanges, Host{ID: 2, State: state})
+		if got := g.serve(50, 0, func(HostID) time.Duration { return ms }); got[2] != 0 {
+			t.Errorf("state %d: %d sends", state, got[2])
+		}
+	}
+	g := start(t, basic(), hosts(3)...)
+	g.list(ListFull, hosts(2)...) // what is not on the whole list is gone
+	if got := g.serve(50, 0, func(HostID) time.Duration { return ms }); got[3] != 0 {
+		t.Errorf("dropped host: %d sends", got[3])
+	}
+	g.list(ListFailed)
+	if len(g.b.hosts) != 2 {
+		t.Errorf("%d hosts after a failed question, want the old list", len(g.b.hosts))
+	}
+}
+
+func TestRemovedHostIsForgottenOnceIdle(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	id := g.request(0, time.Second)
+	g.list(ListChanges, Host{ID: 1, State: Removed})
+	if len(g.b.hosts) != 1 {
+		t.Fatal("forgotten with an attempt in flight")
+	}
+	g.outcome(id, 0, OK, ms)
+	if len(g.b.hosts) != 0 || len(g.b.byID) != 0 || len(g.b.reqs) != 0 {
+		t.Error("host or request kept")
+	}
+}
+
+func TestConnectFailureEjectsAndTrialReadmits(t *testing.T) {
+	g := start(t, basic(), hosts(4)...)
+	fail := func() {
+		id := g.sentTo(1, ms)
+		g.outcome(id, 0, ConnectFailed, ms)
+		g.outcome(id, 1, OK, ms)
+	}
+	fail()
+	first := g.b.hosts[0].ejectUntil - g.now
+	if got := g.serve(100, 0, func(HostID) time.Duration { return ms }); got[1] != 0 {
+		t.Fatalf("%d sends to the ejected host", got[1])
+	}
+	g.now = g.b.hosts[0].ejectUntil
+	fail()
+	if second := g.b.hosts[0].ejectUntil - g.now; second <= first {
+		t.Errorf("back-off %v after %v, want it to grow", second, first)
+	}
+	g.now = g.b.hosts[0].ejectUntil
+	trial := g.sentTo(1, ms)
+	for range 20 {
+		id := g.request(0, time.Second)
+		if g.sole(Send).Host == 1 {
+			t.Fatal("second request while the trial is out")
+		}
+		g.outcome(id, 0, OK, ms)
+	}
+	g.outcome(trial, 0, OK, ms)
+	if h := g.b.hosts[0]; h.fails != 0 {
+		t.Error("still ejected after the trial's answer")
+	}
+}
+
+// passau rough-1: a host that fails most requests within milliseconds was readmitted
+// by its own errors, and each cost a request that must not be repeated.
+func TestErrorsEject(t *testing.T) {
+	g := start(t, basic(), hosts(4)...)
+	id := g.sentTo(1, ms)
+	g.outcome(id, 0, Failed, ms)
+	if g.b.hosts[0].fails > 0 {
+		t.Fatal("ejected for one error in many answers")
+	}
+	g.outcome(id, 1, OK, ms)
+	id = g.sentTo(1, ms)
+	g.outcome(id, 0, Failed, ms)
+	g.outcome(id, 1, OK, ms)
+	if got := g.serve(40, 0, func(HostID) time.Duration { return ms }); got[1] != 0 {
+		t.Errorf("%d sends to a host that has just failed", got[1])
+	}
+	g.now = g.b.hosts[0].ejectUntil
+	for range 40 { // the trial is for one that may be sent again
+		id := g.request(2, time.Second)
+		if g.sole(Send).Host == 1 {
+			t.Fatal("an unsafe request is the trial")
+		}
+		g.outcome(id, 0, OK, ms)
+	}
+	unsafe := &request{class: &g.b.set.Classes[2]}
+	if h := g.b.hosts[0]; !g.b.ejected(unsafe, h) || g.b.ejected(&request{class: &g.b.set.Classes[0]}, h) {
+		t.Error("want the trial kept for a safe request first")
+	}
+	g.b.now += trialAims * g.b.aim
+	if g.b.ejected(unsafe, g.b.hosts[0]) {
+		t.Error("no trial at all where no safe request comes")
+	}
+}
+
+// serra rough-2: a host that takes requests and answers none kept its old
+// estimate until the deadlines.
+func TestSilentHostIsEjectedAndComesBack(t *testing.T) {
+	g := start(t, basic(), hosts(3)...)
+	g.serve(60, 0, func(HostID) time.Duration { return 10 * ms })
+	held := g.sentTo(1, 10*ms)
+	g.advance(200 * ms)
+	if got := g.serve(50, 0, func(HostID) time.Duration { return ms }); got[1] != 0 {
+		t.Fatalf("%d sends to the silent host", got[1])
+	}
+	g.outcome(held, 0, OK, 250*ms) // it only paused
+	if h := g.b.hosts[0]; h.fails != 0 {
+		t.Error("still ejected after its answer")
+	}
+	g.advance(10 * time.Second) // its one long RTT decays
+	if got := g.serve(300, 0, func(h HostID) time.Duration { return 10 * ms }); got[1] == 0 {
+		t.Error("host got nothing after it answered")
+	}
+}
+
+// A host with one costly request that answers others is not silent.
+func TestHostThatAnswersOthersIsNotSilent(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	g.b.hosts[0].limit = 10
+	g.serve(30, 0, func(HostID) time.Duration { return 10 * ms })
+	g.request(0, time.Second)
+	for range 20 {
+		id := g.request(0, time.Second)
+		g.advance(20 * ms)
+		g.outcome(id, 0, OK, 10*ms)
+	}
+	if g.b.hosts[0].fails != 0 {
+		t.Error("ejected")
+	}
+}
+
+func TestFailOpenWhenMostAreOut(t *testing.T) {
+	g := start(t, basic(), hosts(4)...)
+	for _, h := range g.b.hosts[:3] {
+		g.b.eject(h, "test")
+	}
+	got := g.serve(60, 0, func(HostID) time.Duration { return ms })
+	if len(got) < 2 {
+		t.Errorf("sends %v, want the ejected hosts used too", got)
+	}
+}
+
+// passau big-2: during a release most hosts of a subset were gone before the list told,
+// and failing open sent each request to them six times.
+func TestHostsThatTakeNoConnectionDoNotFailOpen(t *testing.T) {
+	g := start(t, basic(), hosts(4)...)
+	for _, h := range g.b.hosts[:3] {
+		b := g.b
+		id := g.sentTo(h.ID, ms)
+		for n := 0; len(g.acts) == 0 || b.hosts[3].ID != g.acts[0].Host; n++ { // until it lands on the last
+			if g.outcome(id, n, ConnectFailed, ms); n > 3 {
+				t.Fatal("never sent to the one host that takes connections")
+			}
+		}
+		g.b.Gone(g.now, id)
+		g.drain()
+	}
+	if got := g.serve(40, 0, func(HostID) time.Duration { return ms }); len(got) != 1 || got[4] != 40 {
+		t.Errorf("sends %v, want all at the one host that takes connections", got)
+	}
+}
+
+// incidents i4dd726, ib2aec1: every host held more than it could serve in time.
+func TestInFlightIsBoundedAndLineIsWorthFirst(t *testing.T) {
+	g := start(t, basic(), hosts(2)...)
+	out := map[RequestID]bool{}
+	for range 30 {
+		g.request(0, time.Second)
+		for _, a := range g.acts {
+			out[a.Request] = true
+		}
+	}
+	if most := 2 * limitStart; len(out) != most {
+		t.Fatalf("%d in flight at two new hosts, want %d", len(out), most)
+	}
+	worth := g.request(2, time.Second)
+	for id := range out {
+		g.now += 10 * ms
+		g.outcome(id, 0, OK, 10*ms)
+		break
+	}
+	if len(g.acts) == 0 || g.acts[0].Request != worth {
+		t.Errorf("actions %v, want the unsafe request, worth most, first", g.acts)
+	}
+}
+
+func TestWaitingTooLongIsRefusedEarly(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	for range 10 {
+		g.request(0, time.Second)
+	}
+	begin := g.now
+	for _, a := range g.advance(450 * ms) {
+		if a.Kind != Refuse {
+			t.Fatalf("action %v", a)
+		}
+		if g.b.reqs[a.Request] != nil {
+			t.Error("refused request kept")
+		}
+	}
+	if g.b.queued != 0 {
+		t.Errorf("%d still wait %v later, past their aim", g.b.queued, g.now-begin)
+	}
+}
+
+// zurich incident i836603: late requests in a line below a full one waited on.
+func TestLateRequestsAreRefusedInEveryLine(t *testing.T) {
+	set := basic()
+	set.Classes[0].Deadline = 2 * time.Second
+	set.Classes[1].Deadline, set.Classes[1].Aim = 2*time.Second, 2*time.Second // worth more
+	g := start(t, set)
+	low := g.request(0, 2*time.Second)
+	high := g.request(1, 2*time.Second)
+	for _, a := range g.advance(200 * ms) {
+		if a.Kind != Refuse || a.Request != low {
+			t.Errorf("action %v, want only the late request of the lower line refused", a)
+		}
+	}
+	if g.b.reqs[low] != nil || g.b.reqs[high] == nil {
+		t.Error("the late request waits on, or the other was refused")
+	}
+}
+
+func TestLimitFollowsRTT(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	h := g.b.hosts[0]
+	for range 40 {
+		g.b.now += 300 * ms
+		g.b.adjust(h, 0.8, g.b.now)
+	}
+	if h.limit != limitLeast {
+		t.Errorf("limit %v after slow answers, want the least", h.limit)
+	}
+	g.b.now += time.Second
+	for range 20 {
+		g.b.now += 300 * ms
+		g.b.adjust(h, 0.01, g.b.now)
+	}
+	if h.limit != limitLeast {
+		t.Errorf("limit %v, want no growth while nothing waits", h.limit)
+	}
+	g.b.queued = 1
+	for range 60 {
+		g.b.now += 300 * ms
+		h.pending = int(h.limit) - 1
+		g.b.adjust(h, 0.01, g.b.now)
+	}
+	if h.limit < 4 {
+		t.Errorf("limit %v, want it to grow while requests wait", h.limit)
+	}
+}
+
+// serra incidents i06a801, ie8003c: small cuts, one an answer, came too late to
+// keep hosts from tipping; many at once would be one too many.
+func TestLimitIsCutOnceARound(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	h := g.b.hosts[0]
+	h.limit = 40
+	target := limitAims * g.b.aim.Seconds()
+	sent := g.b.now
+	g.b.now += 300 * ms
+	for range 5 { // the answers of one round
+		g.b.adjust(h, 2*target, sent)
+	}
+	if math.Abs(h.limit-20) > 1e-9 {
+		t.Fatalf("limit %v after a round at twice the target, want half of 40", h.limit)
+	}
+	g.b.now += 300 * ms
+	g.b.adjust(h, 2*target, g.b.now-300*ms)
+	if math.Abs(h.limit-10) > 1e-9 {
+		t.Errorf("limit %v after the next round, want a quarter of 40", h.limit)
+	}
+}
+
+// serra incident ic8b233: hosts that turned all away at once, while the others
+// were at their limits, drew all that waited.
+func TestFullHostIsGivenLess(t *testing.T) {
+	set := basic()
+	set.Instances = 4
+	g := start(t, set, hosts(1)...)
+	id := g.request(0, time.Second)
+	g.sole(Send)
+	g.now += ms
+	g.outcome(id, 0, Full, ms)
+	if h := g.b.hosts[0]; h.limit >= limitStart {
+		t.Errorf("limit %v, want it cut", h.limit)
+	}
+}
+
+// regensburg big-2: 70 of 100 requests refused while hosts idled, as one long RTT
+// rested a host for seconds at every one of many instances.
+func TestThinViewDoesNotStarveHosts(t *testing.T) {
+	set := basic()
+	set.Instances = 240
+	g := start(t, set, hosts(48)...)
+	g.b.admit = 1
+	for range 40 {
+		id := g.request(0, time.Second)
+		g.sole(Send)
+		g.advance(160 * ms) // over the target of the limit, but in time
+		g.outcome(id, 0, OK, 160*ms)
+	}
+}
+
+// obb overload, big-2: with no limit that holds at size, late answers crowded every
+// host. Requests are shed by worth while answers are late, and taken again after.
+func TestLateAnswersShedTheLeastWorthFirst(t *testing.T) {
+	set := basic()
+	set.Instances = 40
+	g := start(t, set, hosts(20)...)
+	g.b.admit = 1
+	play := func(took time.Duration) (refused [3]int) {
+		for i := range 300 {
+			id := g.request(i%3, time.Second)
+			if a := g.acts[0]; a.Kind == Refuse {
+				refused[i%3]++
+				continue
+			}
+			g.outcome(id, 0, OK, took)
+			g.advance(10 * ms)
+		}
+		return refused
+	}
+	if got := play(150 * ms); got != [3]int{} {
+		t.Errorf("refused %v while answers are in time", got)
+	}
+	if got := play(600 * ms); got[0] < 60 || got[0] < got[2] {
+		t.Errorf("refused %v by class while answers are late, want the first class, worth least, first", got)
+	}
+	for range 4 {
+		play(50 * ms)
+	}
+	if got := play(50 * ms); got != [3]int{} {
+		t.Errorf("refused %v once answers are in time again", got)
+	}
+}
+
+// obb rough-1: hosts so late that attempts were called off at the deadline told
+// nothing, and requests were admitted on.
+func TestOverdueAttemptsCountAsLate(t *testing.T) {
+	set := basic()
+	set.Instances = 40
+	g := start(t, set, hosts(20)...)
+	for range 60 {
+		id := g.request(0, 500*ms)
+		for _, a := range g.advance(500 * ms) {
+			if a.Kind == Cancel {
+				g.outcome(id, a.Attempt, Canceled, 490*ms)
+			}
+		}
+	}
+	if g.b.admit > 0.5 {
+		t.Errorf("%.2f of requests admitted with no answer by any deadline", g.b.admit)
+	}
+	if h := g.b.ring[0]; h.rtt < 0.4 {
+		t.Errorf("estimate %v of a host that answered nothing within 0.49 s", h.rtt)
+	}
+}
+
+func TestOverQuotaWaitsBehind(t *testing.T) {
+	set := basic()
+	set.Tenants = []Tenant{{Quota: 1}, {Quota: 1000}}
+	set.OverQuotaWorth = 0.05
+	g := start(t, set)
+	ask := func(tenant int) RequestID {
+		g.next++
+		g.b.Request(g.now, Request{ID: g.next, Tenant: tenant, Left: time.Second})
+		return g.next
+	}
+	ask(0)
+	over := ask(0)
+	within := ask(1)
+	list := hosts(1)
+	g.b.drainQuiet()
+	g.list(ListFull, list...)
+	order := map[RequestID]int{}
+	for i, a := range g.acts {
+		order[a.Request] = i
+	}
+	if len(order) != 3 || order[within] > order[over] {
+		t.Errorf("order %v, want %d before %d", g.acts, within, over)
+	}
+}
+
+func (b *Balancer) drainQuiet() { b.acts = b.acts[:0] }
+
+func TestRepeatsWaitBehind(t *testing.T) {
+	tests := []struct {
+		name   string
+		repeat Request
+	}{
+		{"marked", Request{Left: time.Second, Repeat: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := start(t, basic(), hosts(1)...)
+			for range limitStart {
+				g.request(0, time.Second)
+			}
+			tt.repeat.ID = 1000
+			g.b.Request(g.now, tt.repeat)
+			first := g.request(0, time.Second)
+			g.now += 10 * ms
+			g.outcome(1, 0, OK, 10*ms)
+			if len(g.acts) == 0 || g.acts[0].Kind != Send || g.acts[0].Request != first {
+				t.Fatalf("actions %v, want the first try %d sent before the repeat", g.acts, first)
+			}
+			g.now += 10 * ms
+			g.outcome(2, 0, OK, 20*ms)
+			if len(g.acts) == 0 || g.acts[0].Kind != Send || g.acts[0].Request != 1000 {
+				t.Fatalf("actions %v, want the repeat sent next", g.acts)
+			}
+		})
+	}
+}
+
+func TestColdHostIsPaced(t *testing.T) {
+	set := basic()
+	g := start(t, set, hosts(3)...)
+	// Two warm hosts at 50 answers a second each, then the third restarts.
+	serve := func(n int) map[HostID]int { return g.serve(n, 0, func(HostID) time.Duration { return 10 * ms }) }
+	serve(600)
+	rate := g.b.warmRate()
+	h := hosts(3)[2]
+	h.Started = g.now
+	g.list(ListChanges, h)
+	got := serve(100) // one second
+	most := rate*set.OverloadFactor*0.4 + 2
+	if n := float64(got[3]); n > most || n == 0 {
+		t.Errorf("%v sends in the first second at a warm rate of %.0f, want 1 to %.0f", n, rate, most)
+	}
+	serve(900)
+	if got := serve(300); got[3] < 60 {
+		t.Errorf("shares %v once warm, want a full share", got)
+	}
+}
+
+func TestColdBudgetCountsRefusedAttempts(t *testing.T) {
+	set := basic()
+	list := hosts(1)
+	list[0].Started = time.Hour - time.Second
+	g := start(t, set, list...)
+	g.advance(5 * time.Second)
+	id := g.request(0, time.Second)
+	g.sole(Send)
+	g.outcome(id, 0, Full, ms)
+	if len(g.acts) != 0 {
+		t.Errorf("sent %v again at once, with nothing learnt of warm hosts", g.acts)
+	}
+}
+
+// Found by fuzzing: a learnt rate decayed to almost nothing turned into a gap
+// below zero, and the cold host was not paced at all.
+func TestColdHostIsPacedAfterALongIdleTime(t *testing.T) {
+	g := start(t, basic(), Host{ID: 1})
+	g.serve(20, 0, func(HostID) time.Duration { return 10 * ms })
+	for _, idle := range []time.Duration{time.Minute, 10 * time.Minute, time.Hour} {
+		g.now += idle
+		g.list(ListFull, Host{ID: 1}, Host{ID: 2, Started: g.now})
+		h := g.b.byID[2]
+		if rate := g.b.coldRate(h, 0); !g.b.coldHold(h) || rate <= 0 || rate > 1 {
+			t.Errorf("cold host is sent %v a second after %v, want a little", rate, idle)
+		}
+		g.list(ListFull, Host{ID: 1})
+	}
+}
+
+// passau big-2: with most hosts out, the few that answered passed for the rate of
+// any host, and cold ones were sent twelve times their part.
+func TestWarmRateCountsHostsThatAreOut(t *testing.T) {
+	g := start(t, basic(), hosts(4)...)
+	for _, h := range g.b.hosts[1:] {
+		g.b.eject(h, "test")
+	}
+	g.b.hosts[0].limit = 1e4
+	for range 400 {
+		id := g.request(0, time.Second)
+		for _, a := range g.acts {
+			g.outcome(a.Request, 0, OK, 10*ms)
+		}
+		_ = id
+		g.advance(10 * ms)
+	}
+	if r := g.b.warmRate(); r > 30 {
+		t.Errorf("rate of a warm host %.0f a second, with 100 a second over four hosts", r)
+	}
+}
+
+// passau big-2: as a release left few warm hosts listed, all that the instance had
+// been served lately passed for the rate of those few.
+func TestWarmRateOutlivesTheListItWasLearntOn(t *testing.T) {
+	g := start(t, basic(), hosts(10)...)
+	g.serve(600, 0, func(HostID) time.Duration { return 10 * ms })
+	before := g.b.warmRate()
+	if before < 5 || before > 15 {
+		t.Errorf("rate of a warm host %.0f a second, with 100 a second over ten", before)
+	}
+	g.list(ListFull, hosts(1)...)
+	if r := g.b.warmRate(); r > before {
+		t.Errorf("rate %.0f once one is left, %.0f before", r, before)
+	}
+	g.list(ListFull, Host{ID: 1, Started: g.now})
+	g.now += 10 * time.Second
+	if r := g.b.warmRate(); r < before*0.9 || r > before {
+		t.Errorf("rate %.0f with no warm host left, want %.0f to stay", r, before)
+	}
+}
+
+// regensburg i8a995e, passau ia19540: every instance sent a cold host one attempt
+// a Fall, whatever their number, so that large banks pushed hosts over.
+func TestColdBudgetHoldsOverTheBank(t *testing.T) {
+	for _, bank := range []int{1, 8, 60, 300} {
+		set := basic()
+		set.Instances = bank
+		// Two warm hosts serve 20 a second each; the third has just started.
+		every := time.Duration(bank) * time.Second / 40
+		var gws []*gateway
+		sends := []Time{}
+		for i := range bank {
+			set.Rank = i
+			g := start(t, set, hosts(3)[:2]...)
+			g.b.rng = uint64(i) * 7919
+			g.b.served, g.b.servedAt = 20, g.now // as after a while of such traffic
+			for _, h := range g.b.hosts {
+				h.limit = 1e4
+			}
+			cold := Host{ID: 3, Started: g.now}
+			g.list(ListChanges, cold)
+			g.b.byID[3].limit = 1e4
+			g.now += every * time.Duration(i) / time.Duration(bank)
+			gws = append(gws, g)
+		}
+		begin := time.Hour
+		for round := 0; time.Duration(round)*every < 8*time.Second; round++ {
+			for _, g := range gws {
+				id := g.request(0, time.Second)
+				for _, a := range g.acts {
+					if a.Kind == Send && a.Host == 3 {
+						sends = append(sends, g.now-begin)
+					}
+				}
+				g.outcome(id, 0, OK, 10*ms)
+				g.advance(every)
+			}
+		}
+		slices.Sort(sends)
+		if len(sends) < 5 {
+			t.Errorf("bank of %d: only %d sends to a cold host in 8 s", bank, len(sends))
+		}
+		for i := range sends {
+			n := 0
+			for _, at := range sends[i:] {
+				if at < sends[i]+set.Fall {
+					n++
+				}
+			}
+			age := sends[i].Seconds() / set.WarmAfter.Seconds()
+			if most := 20 * set.OverloadFactor * (set.ColdFrom + (1-set.ColdFrom)*age); float64(n) > most {
+				t.Fatalf("bank of %d: %d sends in a Fall at %v, budget %.0f", bank, n, sends[i], most)
+			}
+		}
+	}
+}
+
+// Altered sites: a lone host that came back cold got one request a Fall, as no
+// other host was there to learn from.
+func TestLoneColdHostUsesWhatWasLearnt(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	g.serve(300, 0, func(HostID) time.Duration { return 10 * ms })
+	h := hosts(1)[0]
+	g.list(ListFull)
+	h.Started = g.now
+	g.list(ListFull, h)
+	sends := 0
+	for end := g.now + time.Second; g.now < end; {
+		g.request(0, 500*ms)
+		sent := g.acts
+		for _, a := range append(append([]Action(nil), sent...), g.advance(10*ms)...) {
+			if a.Kind == Send {
+				sends++
+				g.outcome(a.Request, 0, OK, 10*ms)
+			}
+		}
+	}
+	// A warm host took 100 a second; the budget is 2.5 x 0.3 of that, half used.
+	if sends < 10 || sends > 50 {
+		t.Errorf("%d sends in the first second", sends)
+	}
+}
+
+// Found by fuzzing: a cold host that left the list and came back had its pacing
+// forgotten.
+func TestColdPacingOutlivesAFlappingList(t *testing.T) {
+	list := hosts(1)
+	list[0].Started = time.Hour - time.Second
+	g := start(t, basic(), list...)
+	g.advance(5 * time.Second)
+	id := g.request(0, time.Second)
+	g.sole(Send)
+	g.outcome(id, 0, OK, ms)
+	g.list(ListFull)
+	g.list(ListFull, list...)
+	if g.request(0, time.Second); len(g.acts) != 0 {
+		t.Errorf("sent %v at once after the host returned", g.acts)
+	}
+}
+
+func TestWatch(t *testing.T) {
+	set := basic()
+	set.Ask, set.Instances, set.Rank, set.AskWithin = true, 4, 2, 8*time.Second
+	g := start(t, set, hosts(1)...)
+	watches := func(d time.Duration) int { return len(g.advance(d)) }
+	if n := watches(999 * ms); n != 0 {
+		t.Errorf("%d watches before its turn by rank", n)
+	}
+	if n := watches(2 * ms); n != 1 {
+		t.Fatalf("%d watches at its turn", n)
+	}
+	g.list(ListFailed)
+	if n := watches(time.Second); n != 1 {
+		t.Errorf("%d watches within a second of a failure", n)
+	}
+	g.list(ListChanges)
+	if n := watches(time.Minute); n != 0 {
+		t.Errorf("%d watches while watching", n)
+	}
+	g.list(ListFailed)
+	gaps := []int{}
+	for range 5 {
+		start := g.now
+		for watches(10*ms) == 0 {
+		}
+		gaps = append(gaps, int((g.now-start)/ms))
+		g.list(ListFailed)
+	}
+	if gaps[4] <= gaps[0] || gaps[4] > 8000 {
+		t.Errorf("gaps %v ms between questions, want them to grow and stay within AskWithin", gaps)
+	}
+	set.Ask = false
+	if g := start(t, set, hosts(1)...); len(g.advance(time.Minute)) != 0 {
+		t.Error("watches where the list is pushed")
+	}
+}
+
+func TestStreamBelongsToItsAttempt(t *testing.T) {
+	g := start(t, basic(), hosts(2)...)
+	id := g.request(0, 500*ms)
+	g.b.Started(g.now, id, 0)
+	if done := g.advance(2 * time.Second); len(done) != 0 {
+		t.Errorf("done %v past the deadline of a stream that has begun", done)
+	}
+	g.b.Outcome(g.now, Outcome{Request: id, Result: Reset, Closed: true})
+	g.drain()
+	if len(g.acts) != 0 || len(g.b.reqs) != 0 {
+		t.Errorf("actions %v after a broken stream, %d requests kept", g.acts, len(g.b.reqs))
+	}
+}
+
+func TestStrayEventsAreHarmless(t *testing.T) {
+	g := start(t, basic(), hosts(2)...)
+	id := g.request(0, time.Second)
+	g.outcome(id+99, 0, OK, ms)
+	g.outcome(id, 7, OK, ms)
+	g.outcome(id, -1, OK, ms)
+	g.b.Gone(g.now, id+99)
+	g.b.Started(g.now, id+99, 0)
+	g.b.Started(g.now, id, 9)
+	g.b.Timer(g.now, math.MaxUint64)
+	g.b.Request(g.now, Request{ID: id, Left: time.Second}) // repeated
+	g.b.Request(g.now, Request{ID: 500, Class: 9})
+	g.b.Request(g.now, Request{ID: 501, Class: -1})
+	g.drain()
+	if len(g.acts) != 0 {
+		t.Errorf("actions %v", g.acts)
+	}
+	g.outcome(id, 0, OK, -ms)
+	g.outcome(id, 0, OK, ms)
+	g.b.Gone(g.now, id)
+	g.drain()
+	if len(g.acts) != 0 || len(g.b.reqs) != 0 || g.b.hosts[0].pending+g.b.hosts[1].pending != 0 {
+		t.Errorf("actions %v, state kept", g.acts)
+	}
+}
+
+func TestGoneCancelsAndForgets(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	id := g.request(0, time.Second)
+	g.b.Gone(g.now, id)
+	g.drain()
+	g.sole(Cancel)
+	g.outcome(id, 0, Canceled, ms)
+	if len(g.b.reqs) != 0 {
+		t.Error("request kept")
+	}
+}
+
+func TestNewRejects(t *testing.T) {
+	bad := map[string]func(*Settings){
+		"instances":        func(s *Settings) { s.Instances = 0 },
+		"rank":             func(s *Settings) { s.Rank = 1 },
+		"no classes":       func(s *Settings) { s.Classes = nil },
+		"fall is negative": func(s *Settings) { s.Fall = -1 },
+		"step is negative": func(s *Settings) { s.Step = -1 },
+		"cross price":      func(s *Settings) { s.CrossPrice = math.NaN() },
+		"zone 2":           func(s *Settings) { s.Zone, s.Zones = 2, 2 },
+		"among -1 zones":   func(s *Settings) { s.Zones = -1 },
+		"attempts":         func(s *Settings) { s.MaxAttempts = -1 },
+		"class 0: times":   func(s *Settings) { s.Classes[0].Deadline = 0 },
+		"class 1: unknown": func(s *Settings) { s.Classes[1].Effect = 9 },
+		"class 2: worth":   func(s *Settings) { s.Classes[2].Worth = math.NaN() },
+		"cold from":        func(s *Settings) { s.ColdFrom = math.Inf(1) },
+		"tenant 0":         func(s *Settings) { s.Tenants = []Tenant{{Quota: -1}} },
+	}
+	for want, spoil := range bad {
+		set := basic()
+		spoil(&set)
+		if b, err := New(set, 1); b != nil || err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v", want, err)
+		}
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	b, err := New(Settings{Instances: 1, Classes: []Class{{Deadline: time.Second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := b.set
+	if s.MaxAttempts != 3 || s.AskWithin != 10*time.Second || s.ColdFrom != 1 || s.Fall != time.Second ||
+		s.Classes[0].Aim != time.Second || s.Classes[0].Worth != 1 {
+		t.Errorf("defaults %+v", s)
+	}
+}
+
+func TestNames(t *testing.T) {
+	for v, want := range map[fmt.Stringer]string{
+		OK: "OK", NotSent: "NotSent", Send: "Send", Log: "Log", ActionKind(200): "200", Result(99): "99",
+	} {
+		if got := v.String(); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
+
+func TestLogLinesAreFew(t *testing.T) {
+	g := start(t, basic(), hosts(40)...)
+	for _, h := range g.b.hosts[:10] {
+		g.b.eject(h, "silent")
+	}
+	g.drain()
+	if len(g.logs) != 1 || g.logs[0] != "host 1 ejected: silent" {
+		t.Fatalf("logs %q, want the first only", g.logs)
+	}
+	g.b.now += logEvery
+	g.b.eject(g.b.hosts[20], "connections fail")
+	g.drain()
+	if want := "host 15 ejected: connections fail (9 more such lines held back)"; g.logs[1] != want {
+		t.Errorf("log %q, want %q", g.logs[1], want)
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() string {
+		var all []Action
+		g := start(t, basic(), hosts(7)...)
+		for i := range 300 {
+			id := g.request(i%3, time.Second)
+			all = append(all, g.acts...)
+			all = append(all, g.advance(3*ms)...)
+			g.outcome(id, 0, Result(i%7), 3*ms)
+			all = append(all, g.acts...)
+		}
+		return fmt.Sprint(all)
+	}
+	if run() != run() {
+		t.Error("two runs differ")
+	}
+}
+
+// running returns a Balancer with twelve hosts, and its time.
+func running(tb testing.TB) (*Balancer, Time) {
+	b, err := New(basic(), 1)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	now := time.Hour
+	b.Start(now)
+	b.Hosts(now, ListSaved, hosts(12))
+	return b, now
+}
+
+func TestSteadyStateAllocatesNothing(t *testing.T) {
+	b, now := running(t)
+	var acts []Action
+	id := RequestID(0)
+	round := func() {
+		id++
+		now += 5 * ms
+		b.Request(now, Request{ID: id, Left: time.Second})
+		acts = b.Drain(acts[:0])
+		b.Outcome(now+4*ms, Outcome{Request: id, Elapsed: 4 * ms, Closed: true})
+		b.Timer(now+4*ms, tokenSweep<<tokenShift)
+		acts = b.Drain(acts[:0])
+	}
+	for range 1000 {
+		round()
+	}
+	if n := testing.AllocsPerRun(1000, round); n != 0 {
+		t.Errorf("%v allocations a request", n)
+	}
+}
+
+func BenchmarkRequest(bm *testing.B) {
+	b, now := running(bm)
+	var acts []Action
+	bm.ReportAllocs()
+	for i := range bm.N {
+		now += 5 * ms
+		b.Request(now, Request{ID: RequestID(i), Left: time.Second})
+		b.Outcome(now+4*ms, Outcome{Request: RequestID(i), Elapsed: 4 * ms, Closed: true})
+		acts = b.Drain(acts[:0])
+	}
+}
+
+// All incidents at size: 97 of 100 attempts got no connection, as each of hundreds
+// of instances drew from the whole list.
+func TestSubsetsAreSmallEvenAndStable(t *testing.T) {
+	set := basic()
+	set.Instances = 240
+	list := hosts(48)
+	meet := map[HostID]int{}
+	moved := 0
+	for rank := range set.Instances {
+		set.Rank = rank
+		g := start(t, set, list...)
+		members := func() map[HostID]bool {
+			g.b.pick(&request{class: &g.b.set.Classes[0]})
+			got := map[HostID]bool{}
+			for _, h := range g.b.ready {
+				got[h.ID] = true
+			}
+			return got
+		}
+		before := members()
+		if len(before) != subsetLeast {
+			t.Fatalf("rank %d draws from %d hosts, want %d", rank, len(before), subsetLeast)
+		}
+		for id := range before {
+			meet[id]++
+		}
+		g.list(ListChanges, Host{ID: 100})
+		for id := range members() {
+			if !before[id] {
+				moved++
+			}
+		}
+	}
+	for _, h := range list {
+		if n := meet[h.ID]; n < 17 || n > 23 { // 20 in the mean
+			t.Errorf("host %d is in %d subsets of %d", h.ID, n, set.Instances)
+		}
+	}
+	if most := set.Instances; moved > most {
+		t.Errorf("%d places moved when a host came, want at most %d", moved, most)
+	}
+}
+
+// obb overload, ide42b5: servers that turn slow when crowded stay so until they are
+// left nearly idle, and where all have, none looks worse than another.
+func TestCrowdedHostRests(t *testing.T) {
+	set := basic()
+	set.Instances = 40
+	g := start(t, set, hosts(8)...)
+	g.b.admit = 1
+	g.serve(100, 0, func(HostID) time.Duration { return 30 * ms })
+	h := g.b.ring[0]
+	for range 4 {
+		g.b.crowded(h, 0, 0.3)
+	}
+	if h.restUntil <= g.b.now {
+		t.Fatal("a host ten times slower than in calmer times does not rest")
+	}
+	g.b.admit = 1
+	if got := g.serve(30, 0, func(HostID) time.Duration { return 30 * ms }); got[h.ID] != 0 {
+		t.Errorf("%d sends to a resting host", got[h.ID])
+	}
+	first := h.restUntil - g.b.now
+	g.b.now = h.restUntil
+	g.b.crowded(h, 0, 0.3)
+	if again := h.restUntil - g.b.now; again <= first {
+		t.Errorf("rests %v after %v, want longer in a row", again, first)
+	}
+	for range 8 {
+		g.b.now = max(g.b.now, h.restUntil)
+		g.b.crowded(h, 0, 0.02)
+	}
+	if h.rests != 0 {
+		t.Error("still counted as crowded after calm answers")
+	}
+}
+
+// obb-like deploy days: with most hosts cold, instances walked past a cold host far
+// more often than they counted.
+func TestFarColdHostsAreLeftToTheirSharers(t *testing.T) {
+	set := basic()
+	set.Instances = 240
+	var list []Host
+	for i := range 40 {
+		list = append(list, Host{ID: HostID(i + 1), Started: time.Hour - time.Second})
+	}
+	g := start(t, set, list...)
+	for _, h := range g.b.hosts {
+		h.credit, h.creditAt = 1, g.b.now // all have credit
+	}
+	g.b.pick(&request{class: &g.b.set.Classes[0]})
+	if n := len(g.b.ready); n > subsetLeast*3/2 {
+		t.Errorf("draws from %d cold hosts, want at most %d", n, subsetLeast*3/2)
+	}
+	if got, want := g.b.hosts[0].sharers, 240.0*subsetLeast*3/2/40; got < want-0.1 || got > want+0.1 {
+		t.Errorf("a cold host counts %v sharers, want %v", got, want)
+	}
+}
+
+// A small bank goes on drawing from the whole list.
+func TestSmallBankDrawsFromAll(t *testing.T) {
+	set := basic()
+	set.Instances = 6
+	g := start(t, set, hosts(20)...)
+	g.b.pick(&request{class: &g.b.set.Classes[0]})
+	if len(g.b.ready) != 20 {
+		t.Errorf("draws from %d hosts of 20", len(g.b.ready))
+	}
+}
+
+// The next hosts of the ring stand in for those of the subset that are out.
+func TestSubsetIsMadeUpWhenHostsAreOut(t *testing.T) {
+	set := basic()
+	set.Instances = 240
+	g := start(t, set, hosts(48)...)
+	g.b.eject(g.b.ring[0], "test")
+	g.b.eject(g.b.ring[3], "test")
+	g.b.pick(&request{class: &g.b.set.Classes[0]})
+	if len(g.b.ready) != subsetLeast {
+		t.Errorf("draws from %d hosts with two out, want %d", len(g.b.ready), subsetLeast)
+	}
+}
+
+// Every line that the balancer can log stands word for word in the on-call page.
+func TestLogLinesAreExplained(t *testing.T) {
+	code, err := os.ReadFile("balancer.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("docs/oncall.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	for _, m := range regexp.MustCompile(`b\.log\(log\w+, "([^"]+)"`).FindAllSubmatch(code, -1) {
+		if line := string(m[1]); line != "host %x ejected: %s" {
+			lines = append(lines, line)
+		}
+	}
+	for _, m := range regexp.MustCompile(`b\.eject\(\S+, "([^"]+)"\)`).FindAllSubmatch(code, -1) {
+		lines = append(lines, "host %x ejected: "+string(m[1]))
+	}
+	if len(lines) < 10 {
+		t.Fatalf("only %d lines found in the code", len(lines))
+	}
+	for _, line := range lines {
+		want := regexp.QuoteMeta(line)
+		for _, verb := range []string{"%x", "%d", `%\.0f`} {
+			want = strings.ReplaceAll(want, verb, "[0-9a-f]+")
+		}
+		want = strings.ReplaceAll(want, "%%", "%")
+		if !regexp.MustCompile("`" + want + "`").Match(page) {
+			t.Errorf("docs/oncall.md does not explain %q", line)
+		}
+	}
+}
+
+// Whoever is on call reads the whole policy at night: all files that the deploy
+// file names as policy, 850 lines in sum.
+func TestPolicyStaysReadable(t *testing.T) {
+	deploy, err := os.ReadFile("deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := regexp.MustCompile(`(?m)^policy = \[(.*)\]$`).FindSubmatch(deploy)
+	if m == nil {
+		t.Fatal("the deploy file names no policy")
+	}
+	lines := 0
+	for _, f := range regexp.MustCompile(`"([^"]+)"`).FindAllSubmatch(m[1], -1) {
+		name := string(f[1])
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, l := range bytes.Split(text, []byte("\n")) {
+			if len(bytes.TrimSpace(l)) > 0 {
+				lines++
+			}
+			if n := len([]rune(strings.ReplaceAll(string(l), "\t", "    "))); n > 110 {
+				t.Errorf("%s:%d has %d characters", name, i+1, n)
+			}
+		}
+		if !strings.Contains(string(text[:min(600, len(text))]), "api.go") {
+			t.Errorf("the head of %s does not name api.go", name)
+		}
+	}
+	if lines == 0 || lines > 850 {
+		t.Errorf("the policy has %d lines that are not blank, want 1 to 850", lines)
+	}
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,333 @@
+package frostshift
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// The state a Balancer keeps and its plumbing: lines, pools, random numbers.
+// Nothing here decides anything; that is all in balancer.go.
+
+// Balancer decides for one gateway. It is not safe for concurrent use.
+type Balancer struct {
+	set  Settings
+	rng  uint64
+	now  Time
+	acts []Action
+
+	hosts   []*host // in order of first listing, so that nothing depends on map order
+	byID    map[HostID]*host
+	reqs    map[RequestID]*request
+	bands   []list[request] // waiting requests, most worth first
+	band    [][4]int
+	arrived []float64 // requests of late by line, decayed by each
+	admit   float64   // share of requests admitted, by worth
+	late    mean      // RTT in aims, weighed by worth
+	worth   mean      // worth of the requests answered
+	queued  int
+	outNow  int // attempts out at the last sweep or sent since
+
+	aim      Time      // shortest aim of any class
+	gap      mean      // seconds between samples of a host
+	lat      []mean    // RTT of good answers by class
+	calm     []float64 // lowest mean of lat, drifting up
+	all      mean      // RTT of good answers
+	kinds    []mean    // RTT of a kind's warm hosts over that of its class at any host
+	warm     int       // warm hosts listed
+	served   float64   // rate of good answers of a warm host to the bank, a second, as of servedAt
+	servedAt Time
+	span     float64 // of served, seconds
+	quota    []bucket
+	sweepAt  Time
+	ring     []*host // ready hosts in the order of this instance's preference
+	subset   int     // how many of them it draws from
+	sharers  float64 // instances that draw from one host
+	ready    []*host // scratch of pick
+	out      []*host // scratch of pick
+	freeReq  []*request
+	freeAtt  []*attempt
+
+	watching   bool
+	watchAt    Time
+	watchFails int
+	lines      [logKinds]logLine
+}
+
+// host is what this instance knows of one host.
+type host struct {
+	Host
+	fresh   bool    // no sample yet
+	place   uint64  // in the ring
+	rtt     float64 // peak EWMA in seconds, as of rttAt
+	rttAt   Time
+	pending int
+	flight  list[attempt] // in the order sent
+	heard   Time          // last answer of any kind
+	limit   float64       // attempts it may hold from all that share it
+	lat     mean          // RTT of answers and time-outs, not decayed
+	cutAt   Time          // last cut of the limit
+
+	fails      int     // ejections since the last good answer
+	down       bool    // it took no connection
+	good       int     // answers since its last error
+	crowd      float64 // own answers of late, in RTTs of calmer times
+	restUntil  Time
+	rests      int // in a row
+	ejectUntil Time
+	trialOut   bool // the one attempt of a host on trial is out
+
+	cold     bool // it started less than WarmAfter ago
+	coldAt   Time
+	credit   float64 // sends that the cold budget allows now, as of creditAt
+	sharers  float64 // instances that may send to it while cold
+	creditAt Time
+}
+
+// request is a client request with its attempts; it is kept until it has its
+// answer and all its attempts have ended.
+type request struct {
+	Request
+	class    *Class
+	arrived  Time
+	deadline Time
+	expires  Time // while it waits: too late to be answered within the aim
+	band     int
+	out      int // attempts in flight
+	done     bool
+	bound    bool // a stream has begun, it is that attempt's now
+	queued   bool
+	link     node[request] // in its line
+	atts     []*attempt
+}
+
+type attempt struct {
+	req    *request
+	host   *host
+	sent   Time
+	ended  bool
+	result Result
+	trial  bool
+	link   node[attempt] // at its host
+}
+
+// mean is a moving average with deviation; the first sample sets it.
+type mean struct {
+	mean, dev float64
+	seen      bool
+	at        Time
+}
+
+// add gives a sample a weight of about one tenth.
+func (m *mean) add(x float64) { m.blend(x, meanWeight) }
+
+// addAt gives a sample more weight the longer ago the last one is, so that the
+// mean is about span old however seldom samples come.
+func (m *mean) addAt(x float64, now Time, span float64) {
+	w := 1 - math.Exp(-(now-m.at).Seconds()/span)
+	m.at = now
+	m.blend(x, max(w, meanWeight))
+}
+
+func (m *mean) blend(x, w float64) {
+	if !m.seen {
+		m.mean, m.dev, m.seen = x, x/2, true
+		return
+	}
+	m.dev += w * (math.Abs(x-m.mean) - m.dev)
+	m.mean += w * (x - m.mean)
+}
+
+// list is a line that its items can leave from anywhere. The items hold their own
+// nodes, so that nothing is allocated.
+type list[T any] struct{ head, tail *node[T] }
+
+type node[T any] struct {
+	item       *T
+	prev, next *node[T]
+}
+
+func (l *list[T]) pushBack(n *node[T]) {
+	if n.prev = l.tail; n.prev != nil {
+		n.prev.next = n
+	} else {
+		l.head = n
+	}
+	l.tail = n
+}
+
+func (l *list[T]) pushFront(n *node[T]) {
+	if n.next = l.head; n.next != nil {
+		n.next.prev = n
+	} else {
+		l.tail = n
+	}
+	l.head = n
+}
+
+func (l *list[T]) remove(n *node[T]) {
+	if n.prev != nil {
+		n.prev.next = n.next
+	} else {
+		l.head = n.next
+	}
+	if n.next != nil {
+		n.next.prev = n.prev
+	} else {
+		l.tail = n.prev
+	}
+	n.prev, n.next = nil, nil
+}
+
+type bucket struct {
+	tokens, rate float64
+	at           Time
+}
+
+// forget drops a removed host once nothing of ours is out there. One that started
+// lately is kept: on a list that flaps it would come back with new credit.
+func (b *Balancer) forget(h *host) {
+	if h.State != Removed || h.pending > 0 || b.byID[h.ID] != h || h.cold && b.now-h.coldAt < b.set.WarmAfter {
+		return
+	}
+	delete(b.byID, h.ID)
+	for i := range b.hosts {
+		if b.hosts[i] == h {
+			b.hosts = append(b.hosts[:i], b.hosts[i+1:]...)
+			return
+		}
+	}
+}
+
+// take uses one request of a tenant's quota; false means the tenant is over it.
+func (t *bucket) take(now Time) bool {
+	if t.rate <= 0 {
+		return true
+	}
+	t.tokens = min(t.tokens+(now-t.at).Seconds()*t.rate, max(1, t.rate*quotaBurst))
+	t.at = now
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// release forgets an ended request once its last attempt has ended.
+func (b *Balancer) release(r *request) {
+	if !r.done || r.out > 0 {
+		return
+	}
+	delete(b.reqs, r.ID)
+	b.freeAtt = append(b.freeAtt, r.atts...)
+	b.freeReq = append(b.freeReq, r)
+}
+
+func (b *Balancer) newRequest() *request {
+	n := len(b.freeReq)
+	if n == 0 {
+		return &request{}
+	}
+	r := b.freeReq[n-1]
+	b.freeReq = b.freeReq[:n-1]
+	*r = request{atts: r.atts[:0]}
+	return r
+}
+
+func (b *Balancer) newAttempt() *attempt {
+	n := len(b.freeAtt)
+	if n == 0 {
+		return &attempt{}
+	}
+	a := b.freeAtt[n-1]
+	b.freeAtt = b.freeAtt[:n-1]
+	*a = attempt{}
+	return a
+}
+
+// push adds a request to its line, at the front or at the back.
+func (b *Balancer) push(r *request, front bool) {
+	r.queued, r.link.item = true, r
+	b.queued++
+	if front {
+		b.bands[r.band].pushFront(&r.link)
+	} else {
+		b.bands[r.band].pushBack(&r.link)
+	}
+}
+
+func (b *Balancer) dequeue(r *request) {
+	if r.queued {
+		b.bands[r.band].remove(&r.link)
+		r.queued = false
+		b.queued--
+	}
+}
+
+// What is logged; each kind is limited by itself.
+const (
+	logEject = iota
+	logReturn
+	logFailOpen
+	logRefuse
+	logShed
+	logRest
+	logLost
+	logFound
+	logKinds
+)
+
+// logEvery is the least time between two lines of a kind.
+const logEvery = 10 * time.Second
+
+type logLine struct {
+	at   Time
+	said bool
+	held int // lines held back since
+}
+
+// log tells those on call, a line of a kind every logEvery at most.
+func (b *Balancer) log(kind int, format string, args ...any) {
+	l := &b.lines[kind]
+	if l.said && b.now-l.at < logEvery {
+		l.held++
+		return
+	}
+	text := fmt.Sprintf(format, args...)
+	if l.held > 0 {
+		text += fmt.Sprintf(" (%d more such lines held back)", l.held)
+	}
+	*l = logLine{at: b.now, said: true}
+	b.act(Action{Kind: Log, Text: text})
+}
+
+// nextRand is splitmix64: small, seeded, and the same everywhere.
+func (b *Balancer) nextRand() uint64 {
+	b.rng += 0x9e3779b97f4a7c15
+	return mix(b.rng)
+}
+
+// mix scatters the values of a number.
+func mix(z uint64) uint64 {
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
+
+func (b *Balancer) rand(n int) int { return int(b.nextRand() >> 33 % uint64(n)) }
+
+func (b *Balancer) float() float64 { return float64(b.nextRand()>>11) / (1 << 53) }
+
+// Drain appends the actions decided since the last call to dst. The balancer
+// keeps no reference to what it returns.
+func (b *Balancer) Drain(dst []Action) []Action {
+	dst = append(dst, b.acts...)
+	b.acts = b.acts[:0]
+	return dst
+}
+
+func (b *Balancer) act(a Action) { b.acts = append(b.acts, a) }
+
+func (b *Balancer) wake(at Time, token uint64) {
+	b.act(Action{Kind: Wake, At: at, Token: token})
+}
