--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1389,13 +1389,13 @@
 	}
 }
 
-// Every line that the balancer can log stands word for word in the on-call page.
+// Every line that the balancer can log stands word for word in the README.
 func TestLogLinesAreExplained(t *testing.T) {
 	code, err := os.ReadFile("balancer.go")
 	if err != nil {
 		t.Fatal(err)
 	}
-	page, err := os.ReadFile("docs/oncall.md")
+	page, err := os.ReadFile("README.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -1418,7 +1418,7 @@
 		}
 		want = strings.ReplaceAll(want, "%%", "%")
 		if !regexp.MustCompile("`" + want + "`").Match(page) {
-			t.Errorf("docs/oncall.md does not explain %q", line)
+			t.Errorf("README.md does not explain %q", line)
 		}
 	}
 }
--- /dev/null
+++ b/cmd/stilespool/main.go
@@ -0,0 +1,49 @@
+// Command stilespool is one gateway: it takes requests from clients and passes
+// them to hosts as a frostshift.Balancer decides. GW_CONFIG names its configuration.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"frostshift/internal/gateway"
+)
+
+// heapShare is the part of the memory limit that the heap may fill before it is
+// collected at any price; the rest is for stacks, sockets and the program.
+const heapShare = 0.6
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintf(os.Stderr, "stilespool: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cfg, err := gateway.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
+	}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(cfg.MemoryMB) * (1 << 20)))
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", cfg.Name)
+	g, err := gateway.New(cfg, log)
+	if err != nil {
+		return err
+	}
+	return g.Run(ctx)
+}
