--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -24,16 +24,17 @@
 
 // discovery follows the host list.
 type discovery struct {
-	loop  *loop
-	log   *slog.Logger
-	index uint64        // of the last list heard
-	ask   chan struct{} // the balancer wants a watch; used where the list must be asked for
-	heard chan struct{} // closed with the first list
-	first bool
+	loop    *loop
+	log     *slog.Logger
+	index   uint64        // of the last list heard
+	ask     chan struct{} // the balancer wants a watch; used where the list must be asked for
+	heard   chan struct{} // closed with the first list
+	first   bool
+	silence time.Duration
 }
 
 func newDiscovery(l *loop) *discovery {
-	d := &discovery{loop: l, log: l.log, ask: make(chan struct{}, 1), heard: make(chan struct{}), first: true}
+	d := &discovery{loop: l, log: l.log, ask: make(chan struct{}, 1), heard: make(chan struct{}), first: true, silence: silence}
 	if k := l.cfg.Known; k != nil {
 		d.index = *k.Index
 	}
@@ -84,7 +85,7 @@
 func (d *discovery) watch(ctx context.Context) (lists int, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	dog := time.AfterFunc(silence, func() { cancel(errors.New("silent for too long")) })
+	dog := time.AfterFunc(d.silence, func() { cancel(errors.New("silent for too long")) })
 	defer dog.Stop()
 	defer func() {
 		if cause := context.Cause(ctx); cause != nil && err != nil {
@@ -109,7 +110,7 @@
 	in := bufio.NewScanner(resp.Body)
 	in.Buffer(nil, maxLine)
 	for in.Scan() {
-		dog.Reset(silence)
+		dog.Reset(d.silence)
 		if len(in.Bytes()) == 0 {
 			continue
 		}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -24,6 +24,10 @@
 	idleShare    = 0.8 // of the hosts' idle time after which we close ours: a late write is a reset
 	leastSockets = 64
 	ownSockets   = 32 // descriptors besides connections: listener, discovery, runtime
+	// Shares of the other descriptors. The rest is for clients beyond their share: they are
+	// accepted and turned away, as one left in the kernel's queue would count as taken.
+	hostShare   = 0.35
+	clientShare = 0.5
 )
 
 // pool knows the hosts and holds the connections to them. Its map belongs to the loop.
@@ -37,7 +41,7 @@
 func newPool(cfg *Config) *pool {
 	p := &pool{hosts: map[frostshift.HostID]*host{}, cfg: cfg, most: 1 << 20}
 	if cfg.Sockets > 0 {
-		p.most = int64(cfg.Sockets-ownSockets) / 2
+		p.most = int64(float64(cfg.Sockets-ownSockets) * hostShare)
 	}
 	return p
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -191,6 +191,16 @@
 	c.answer <- a
 }
 
+// failAll gives up what is still held, at the end of the gateway.
+func (l *loop) failAll(now frostshift.Time) {
+	for _, c := range l.calls {
+		if !c.closed {
+			l.finish(c, answer{})
+			l.b.Gone(now, c.id)
+		}
+	}
+}
+
 // close ends a request: nothing goes out for it from here on.
 func (l *loop) close(c *call) {
 	c.closed = true
