--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -79,7 +79,8 @@
 	srv := &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
 		ReadHeaderTimeout: bodyWithin,
-		ReadTimeout:       bodyWithin + longest, // it also ends the look-out for clients that leave
+		ReadTimeout:       bodyWithin + longest,   // it also ends the look-out for clients that leave
+		WriteTimeout:      2*bodyWithin + longest, // for clients that read nothing
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelWarn),
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	silence    = 5 * time.Second // a watch that says nothing for so long is dead: it has an empty line every 2 s
+	silence    = 4500 * time.Millisecond // a watch that says nothing for so long is dead: it has an empty line every 2 s
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 2 * time.Second
 	maxLine    = 4 << 20
@@ -51,7 +51,7 @@
 // new one by itself; where it must be asked for, the balancer says when.
 func (d *discovery) run(ctx context.Context) {
 	asked := d.loop.cfg.Settings.Ask
-	wait := retryFirst
+	wait, said := retryFirst, ""
 	for ctx.Err() == nil {
 		if asked {
 			select {
@@ -60,18 +60,21 @@
 				return
 			}
 		}
-		before := d.index
-		lines, err := d.watch(ctx)
+		opened := time.Now()
+		err := d.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		d.log.Warn("watch of the host list ended", "err", err, "index", d.index)
+		if text := err.Error(); text != said { // once, not with every try of an outage
+			d.log.Warn("watch of the host list ended", "err", err, "index", d.index)
+			said = text
+		}
 		if asked {
 			d.loop.post(func(now frostshift.Time) { d.loop.b.Hosts(now, frostshift.ListFailed, nil) })
 			continue
 		}
-		if lines > 0 && d.index != before {
-			wait = retryFirst
+		if time.Since(opened) > retryMost { // it worked for a while
+			wait, said = retryFirst, ""
 		}
 		select {
 		case <-time.After(wait/2 + rand.N(wait/2)):
@@ -81,8 +84,8 @@
 	}
 }
 
-// watch holds one watch open and returns why it ended, with the lists it brought.
-func (d *discovery) watch(ctx context.Context) (lists int, err error) {
+// watch holds one watch open and returns why it ended.
+func (d *discovery) watch(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	dog := time.AfterFunc(d.silence, func() { cancel(errors.New("silent for too long")) })
@@ -95,17 +98,17 @@
 	url := fmt.Sprintf("http://%s/v1/endpoints?watch=1&from=%d", d.loop.cfg.Discovery, d.index)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	t := &http.Transport{DialContext: (&net.Dialer{Timeout: silence}).DialContext, DisableKeepAlives: true, DisableCompression: true}
 	defer t.CloseIdleConnections()
 	resp, err := t.RoundTrip(req)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("discovery answered %s", resp.Status)
+		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
 	in := bufio.NewScanner(resp.Body)
 	in.Buffer(nil, maxLine)
@@ -115,14 +118,13 @@
 			continue
 		}
 		if err := d.take(in.Bytes()); err != nil {
-			return lists, fmt.Errorf("malformed line: %w", err)
+			return fmt.Errorf("malformed line: %w", err)
 		}
-		lists++
 	}
 	if err := in.Err(); err != nil {
-		return lists, err
+		return err
 	}
-	return lists, errors.New("discovery ended it")
+	return errors.New("discovery ended it")
 }
 
 // take hands one line to the loop. A list that is not whole is not taken at all:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -844,3 +844,24 @@
 		}
 	}
 }
+
+// A host that switches protocols ends its HTTP there: waiting for the end of such an
+// answer would hold the attempt until the deadline.
+func TestSwitchedProtocolIsAnOutcome(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	addr, _ := rawHost(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")
+		<-release
+		return false
+	})
+	a := newAttempt(t, "lookup", "")
+	ended := make(chan frostshift.Result, 1)
+	go func() {
+		result, _ := a.try(context.Background(), hostAt(a, addr), time.Second)
+		ended <- result
+	}()
+	if result := await(t, ended, "the outcome"); result != frostshift.Failed {
+		t.Errorf("ended as %v, want Failed", result)
+	}
+}
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -20,7 +20,7 @@
 const (
 	maxBody      = 64 << 10 // bytes of a body, either way
 	maxHeader    = 32 << 10
-	idlePerHost  = 64  // kept-alive connections: a new one costs the host a handshake
+	idlePerHost  = 24  // kept-alive connections: a new one costs the host a handshake, and three gateways share its 90
 	idleShare    = 0.8 // of the hosts' idle time after which we close ours: a late write is a reset
 	leastSockets = 64
 	ownSockets   = 32 // descriptors besides connections: listener, discovery, runtime
@@ -242,7 +242,7 @@
 	switch {
 	case errors.Is(err, errNoSockets):
 		return frostshift.NotSent, nil
-	case errors.Is(err, errTooLong):
+	case errors.Is(err, errOdd):
 		return frostshift.Failed, nil
 	// The request's last byte has surely not been written if nothing was or if a
 	// write failed; in all other cases the host may have run it.
@@ -258,18 +258,21 @@
 	return frostshift.Reset, nil
 }
 
-// errTooLong says that a host's answer is longer than any may be.
-var errTooLong = errors.New("answer too long")
+// errOdd says that a host's answer is one that none may give: too long, or not HTTP from there on.
+var errOdd = errors.New("odd answer")
 
 // read takes in the whole answer, so that the client gets all of it or none.
 func read(resp *http.Response) (*served, error) {
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusSwitchingProtocols { // its body would last as long as the connection
+		return nil, errOdd
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	if err != nil {
 		return nil, err
 	}
 	if len(body) > maxBody {
-		return nil, errTooLong
+		return nil, errOdd
 	}
 	return &served{header: resp.Header, body: body}, nil
 }
