Test many requests at once, crowded clients and requests without a time

The tests were checked by putting the fault in: no turning away of clients beyond their share, a broken connection taken for one that never came up, a stop that leaves connections open, leftovers not failed; each is seen.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -865,3 +865,117 @@
 		t.Errorf("ended as %v, want Failed", result)
 	}
 }
+
+// Many at once, at hosts of which one serves, one breaks every connection and one
+// turns everything away: each request gets one answer, and an unsafe one that a host
+// may have run is at no host a second time.
+func TestManyAtOnce(t *testing.T) {
+	var mu sync.Mutex
+	ran := map[string]int{}
+	count := func(r *http.Request) {
+		mu.Lock()
+		ran[r.Header.Get("X-Correlation-Id")]++
+		mu.Unlock()
+	}
+	good, _ := rawHost(t, func(_ int, c net.Conn, r *http.Request) bool {
+		count(r)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	breaks, _ := rawHost(t, func(_ int, c net.Conn, r *http.Request) bool { count(r); return false })
+	full, _ := rawHost(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	g := gatewayFor(t, "good", good, "breaks", breaks, "full", full)
+	kept := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}
+	defer kept.CloseIdleConnections()
+	classes := []string{"lookup", "book", "report"}
+	var all sync.WaitGroup
+	for worker := range 20 {
+		reqs := make([]*http.Request, 15)
+		for i := range reqs {
+			reqs[i] = request(t, g.url, classes[i%3], "x")
+			if i%3 == 0 {
+				reqs[i] = request(t, g.url, "lookup", "")
+			}
+			reqs[i].Header.Set("X-Correlation-Id", fmt.Sprintf("%s-%d-%d", classes[i%3], worker, i))
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for _, r := range reqs {
+				resp, err := kept.Do(r)
+				if err != nil {
+					t.Error(err)
+					continue
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				switch s := resp.StatusCode; {
+				case err != nil:
+					t.Error(err)
+				case s == 200 && string(body) != "ok", s != 200 && s != 502 && s != 503:
+					t.Errorf("answered %d %q", s, body)
+				}
+			}
+		}()
+	}
+	all.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	if len(ran) == 0 {
+		t.Error("nothing ran at all")
+	}
+	for id, n := range ran {
+		if strings.HasPrefix(id, "book") && n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+		if n > 4 {
+			t.Errorf("%s had %d attempts", id, n)
+		}
+	}
+}
+
+// Clients beyond their share of the descriptors are answered, not left waiting in the
+// kernel's queue: what waits there counts as taken.
+func TestCrowdedClientsAreTurnedAway(t *testing.T) {
+	addr, got := serving(t, "a")
+	cfg := parse(t, discover(t).addr(), list(1, true, entry("a", addr, "active")))
+	g := launch(t, cfg, func(g *Gateway) { g.most = 3 })
+	for range 3 {
+		c, err := net.Dial("tcp", g.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "GET /nowhere HTTP/1.1\r\nHost: app.svc\r\n\r\n")
+		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	keeps := &http.Client{Transport: &http.Transport{}}
+	resp, err := keeps.Do(request(t, g.url, "book", "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || !resp.Close || len(got) != 0 {
+		t.Errorf("answered %d, closing: %v, %d requests at the host", resp.StatusCode, resp.Close, len(got))
+	}
+}
+
+// A client that tells no time waits as long as its class allows.
+func TestTimeLeftIsTheClassesWhereNoneIsTold(t *testing.T) {
+	addr, got := serving(t, "a")
+	g := gatewayFor(t, "a", addr)
+	r := request(t, g.url, "book", "x")
+	r.Header.Del("X-Time-Left")
+	if status, _, _ := do(t, r); status != 200 {
+		t.Fatalf("answered %d", status)
+	}
+	s := await(t, got, "the request at the host")
+	if left, err := strconv.Atoi(strings.TrimSuffix(s.left, "u")); err != nil || left <= 0 || left > 60e6 {
+		t.Errorf("host was told %q left", s.left)
+	}
+}
