--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -979,3 +979,29 @@
 		t.Errorf("host was told %q left", s.left)
 	}
 }
+
+// Where the list must be asked for, the balancer says when, also after a watch broke.
+func TestAskedWatchFollowsTheBalancer(t *testing.T) {
+	addr, got := serving(t, "a")
+	d := discover(t)
+	text := strings.Replace(testConfig, `"discovery":"automatic"`, `"discovery":"subscribe"`, 1)
+	cfg, err := ParseConfig([]byte(fmt.Sprintf(text, d.addr(), "null")))
+	if err != nil || !cfg.Settings.Ask {
+		t.Fatalf("asks: %v, %v", cfg, err)
+	}
+	cfg.Settings.AskWithin = 2 * time.Second
+	g := launch(t, cfg)
+	w := await(t, d.watches, "the first watch")
+	w.say(t, list(4, true))
+	close(w.lines)
+	w = await(t, d.watches, "the watch after the break")
+	if w.from != "4" {
+		t.Errorf("watch from %s, want 4", w.from)
+	}
+	w.say(t, list(5, true, entry("a", addr, "active")))
+	for end := time.Now().Add(patience); len(got) == 0; {
+		if do(t, request(t, g.url, "lookup", "")); time.Now().After(end) {
+			t.Fatal("the list asked for was not taken over")
+		}
+	}
+}
