--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -246,7 +246,7 @@
 	}
 }
 
-// tryAt makes one attempt at an address, without a balancer.
+// newAttempt is an attempt that a test makes itself, without a balancer.
 func newAttempt(t *testing.T, class, body string) *attempt {
 	t.Helper()
 	l, err := newLoop(parse(t, "127.0.0.1:1", "null"), slog.New(slog.DiscardHandler))
