Bound what clients hold, read nothing behind a bad request, follow SIGHUP

Ruled out: memory (8 of 48 MB, level by quarters), bodies longer than their length (none in the trace).

--- a/cmd/stilespool/main.go
+++ b/cmd/stilespool/main.go
@@ -28,6 +28,8 @@
 }
 
 func run() error {
+	hup := make(chan os.Signal, 1) // one more while one is waiting asks for the same
+	signal.Notify(hup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	cfg, err := gateway.LoadConfig(os.Getenv)
@@ -45,5 +47,16 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range hup {
+			addr, err := gateway.ReloadDiscovery(os.Getenv)
+			if err != nil {
+				log.Error("new configuration not taken over, the old one stays", "err", err)
+				continue
+			}
+			log.Info("configuration read again; only discovery is taken from it", "discovery", addr)
+			g.MoveDiscovery(addr)
+		}
+	}()
 	return g.Run(ctx)
 }
--- a/cmd/stilespool/main_test.go
+++ b/cmd/stilespool/main_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -94,3 +96,75 @@
 		t.Errorf("ended with %v: %s", err, log)
 	}
 }
+
+// SIGHUP, which ends a Go program that does not catch it, makes the gateway follow the
+// address of discovery in its file, also where the environment names another. A bad
+// file changes nothing.
+func TestHangUpReadsTheConfigurationAgain(t *testing.T) {
+	watched := func() (string, chan struct{}) {
+		watches := make(chan struct{}, 16)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.WriteString(w, `{"index":1,"snapshot":true,"endpoints":[]}`+"\n")
+			w.(http.Flusher).Flush()
+			watches <- struct{}{}
+			<-r.Context().Done()
+		}))
+		t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+		return s.Listener.Addr().String(), watches
+	}
+	await := func(c chan struct{}, what string) {
+		t.Helper()
+		select {
+		case <-c:
+		case <-time.After(30 * time.Second):
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+	first, firstWatches := watched()
+	second, secondWatches := watched()
+	cmd, _ := program(t, config, "GW_LISTEN=127.0.0.1:0", "GW_DISCOVERY="+first)
+	path := ""
+	for _, v := range cmd.Env {
+		if p, ok := strings.CutPrefix(v, "GW_CONFIG="); ok {
+			path = p
+		}
+	}
+	cmd.Stderr = nil
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := make(chan struct{}, 16)
+	go func() {
+		for in := bufio.NewScanner(log); in.Scan(); {
+			if strings.Contains(in.Text(), "the old one stays") {
+				kept <- struct{}{}
+			}
+		}
+	}()
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	await(firstWatches, "the first watch")
+	reload := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	with := func(addr string) string {
+		return strings.Replace(config, `"seed"`, `"discovery":"`+addr+`","seed"`, 1)
+	}
+	reload(with(second))
+	await(secondWatches, "the watch at the second address")
+	for _, bad := range []string{"{", config, with("nowhere")} { // config names no address
+		reload(bad)
+		await(kept, "the word that the old configuration stays")
+	}
+	reload(with(first))
+	await(firstWatches, "the watch at the first address again")
+}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -18,8 +18,12 @@
 )
 
 const (
-	bodyWithin = 10 * time.Second // for a client to send its request
-	readyAfter = 2 * time.Second  // without a list from discovery, we start with the one known
+	// sendWithin is how long a client may take to send its request, head and body, from its
+	// first byte (or the connection's start) on: one that drips holds a connection no longer.
+	sendWithin  = 2500 * time.Millisecond
+	leaveWithin = 300 * time.Millisecond // for a client that sent a bad request to read what is wrong
+	idleWithin  = 5 * time.Second        // for a connection to stay without a request
+	readyAfter  = 2 * time.Second        // without a list from discovery, we start with the one known
 	// lameDuck is how long new connections are taken after the order to stop: the
 	// front goes on dealing them out for 0.4 s. Closing the listener earlier would
 	// reset what waits in the kernel's queue, which counts as accepted.
@@ -32,15 +36,18 @@
 
 // Gateway is one running gateway.
 type Gateway struct {
-	cfg      *Config
-	log      *slog.Logger
-	loop     *loop
-	disc     *discovery
-	listener net.Listener
-	ready    atomic.Bool
-	clients  atomic.Int64 // connections of clients
-	most     int64        // of them
-	linger   func()       // between the order to stop and the close of the listener
+	cfg        *Config
+	log        *slog.Logger
+	loop       *loop
+	disc       *discovery
+	clients    *clientConns
+	ready      atomic.Bool
+	requests   atomic.Int64 // of clients, open
+	most       int64        // of them
+	bodies     atomic.Int64 // bytes of bodies held
+	bodyRoom   int64        // for them
+	sendWithin time.Duration
+	linger     func() // between the order to stop and the close of the listener
 }
 
 // New prepares a gateway and opens its listening socket.
@@ -49,11 +56,16 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{cfg: cfg, log: log, loop: l, disc: newDiscovery(l), most: 1 << 20, linger: func() { time.Sleep(lameDuck) }}
+	g := &Gateway{cfg: cfg, log: log, loop: l, disc: newDiscovery(l), clients: &clientConns{most: 1 << 20},
+		most: 1 << 20, bodyRoom: 1 << 40, sendWithin: sendWithin, linger: func() { time.Sleep(lameDuck) }}
 	if cfg.Sockets > 0 {
-		g.most = int64(float64(cfg.Sockets-ownSockets) * clientShare)
+		g.most = int64(float64(cfg.Sockets) * requestShare)
+		g.clients.most = int(float64(cfg.Sockets-ownSockets) * clientShare)
 	}
-	if g.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+	if cfg.MemoryMB > 0 {
+		g.bodyRoom = int64(cfg.MemoryMB) << 20 / bodyPart
+	}
+	if g.clients.Listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, err
 	}
 	return g, nil
@@ -78,23 +90,16 @@
 	}
 	srv := &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
-		ReadHeaderTimeout: bodyWithin,
-		ReadTimeout:       bodyWithin + longest,   // it also ends the look-out for clients that leave
-		WriteTimeout:      2*bodyWithin + longest, // for clients that read nothing
-		IdleTimeout:       2 * time.Minute,
+		ReadHeaderTimeout: g.sendWithin,
+		ReadTimeout:       g.sendWithin,         // taken back once a request has come whole
+		WriteTimeout:      sendWithin + longest, // for clients that read nothing
+		IdleTimeout:       idleWithin,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelWarn),
-		ConnState: func(_ net.Conn, s http.ConnState) {
-			switch s {
-			case http.StateNew:
-				g.clients.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				g.clients.Add(-1)
-			}
-		},
+		ConnState:         g.clients.state,
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(g.listener) }()
+	go func() { failed <- srv.Serve(g.clients) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve clients: %w", err)
@@ -121,11 +126,20 @@
 	return nil
 }
 
+// MoveDiscovery makes the gateway follow the host list at another address.
+func (g *Gateway) MoveDiscovery(addr string) {
+	select {
+	case g.disc.move <- addr:
+	case <-g.loop.done:
+	}
+}
+
 // inbound is a client's request as the gateway took it.
 type inbound struct {
 	class, tenant int
 	repeat        bool
 	left          time.Duration
+	id            string
 	method, host  string
 	path, query   string
 	forceQuery    bool
@@ -143,10 +157,6 @@
 
 // serve answers one request of a client.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	crowded := g.clients.Load() > g.most
-	if crowded {
-		w.Header().Set("Connection", "close")
-	}
 	if r.URL.Path == "/ready" {
 		g.serveReady(w, r)
 		return
@@ -155,13 +165,24 @@
 	if err != nil {
 		bad := &badRequest{http.StatusBadRequest, err.Error()}
 		errors.As(err, &bad)
+		// What follows a malformed request may be a part of it.
+		w.Header().Set("Connection", "close")
 		http.Error(w, bad.text, bad.status)
+		// What is still coming of it is thrown away for so long, or the close would take
+		// the answer with it.
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(leaveWithin))
 		return
 	}
-	if crowded { // out of descriptors: nothing was sent, so a refusal is true
-		refuse(w, 0)
+	defer g.bodies.Add(-int64(len(in.body)))
+	defer g.requests.Add(-1)
+	if g.requests.Add(1) > g.most { // nothing was sent, so a refusal is true
+		w.Header().Set("Connection", "close")
+		refuse(w, g.loop.advice)
 		return
 	}
+	// The request has come whole: the read that is under way from here on looks out for
+	// a client that leaves, for as long as the request is open.
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	c := &call{in: *in, deadline: g.loop.clock.now() + in.left, answer: make(chan answer, 1)}
 	g.loop.post(func(now frostshift.Time) { g.loop.accept(now, c) })
 	select {
@@ -175,6 +196,9 @@
 			w.Write(a.served.body) // a client that is gone by now is its own loss
 		case a.refuse:
 			refuse(w, a.after)
+		case a.taken:
+			w.Header().Set("Connection", "close")
+			http.Error(w, "a request with this X-Correlation-Id is open", http.StatusConflict)
 		default:
 			http.Error(w, "failed", http.StatusBadGateway)
 		}
@@ -223,11 +247,22 @@
 	case r.Header.Get("X-Correlation-Id") == "":
 		return nil, errors.New("X-Correlation-Id is missing")
 	}
+	switch {
+	case !r.ProtoAtLeast(1, 1): // its Transfer-Encoding would go unread
+		return nil, &badRequest{http.StatusHTTPVersionNotSupported, "this version of HTTP is not spoken here"}
+	case r.TransferEncoding != nil:
+		// A Content-Length beside it has been dropped by now; those who go by it would
+		// find another request in this body.
+		return nil, &badRequest{http.StatusLengthRequired, "Content-Length is needed, and no Transfer-Encoding"}
+	}
 	spec := &g.cfg.Settings.Classes[class]
 	method := http.MethodPost
 	if spec.Effect == frostshift.Safe {
 		method = http.MethodGet
 	}
+	if method == http.MethodGet && r.ContentLength > 0 {
+		return nil, errors.New("class " + name + " takes no body")
+	}
 	if r.Method != method {
 		w.Header().Set("Allow", method)
 		return nil, &badRequest{http.StatusMethodNotAllowed, "class " + name + " takes " + method}
@@ -236,7 +271,7 @@
 		return nil, errors.New("Idempotency-Key is missing")
 	}
 	in := &inbound{class: class, tenant: -1, repeat: r.Header.Get("X-Repeat") == "1", left: spec.Deadline,
-		method: r.Method, host: r.Host, path: r.URL.EscapedPath(), query: r.URL.RawQuery,
+		id: r.Header.Get("X-Correlation-Id"), method: r.Method, host: r.Host, path: r.URL.EscapedPath(), query: r.URL.RawQuery,
 		forceQuery: r.URL.ForceQuery, header: r.Header}
 	if strings.HasPrefix(r.RequestURI, "/") { // as it came, however it is escaped
 		in.path, _, _ = strings.Cut(r.RequestURI, "?")
@@ -244,36 +279,61 @@
 	if t, ok := g.cfg.tenants[r.Header.Get("X-Account")]; ok {
 		in.tenant = t
 	}
-	if text := r.Header.Get("X-Time-Left"); text != "" {
+	if text := r.Header.Values("X-Time-Left"); len(text) > 0 {
 		var err error
-		if in.left, err = parseLeft(text); err != nil {
+		if in.left, err = parseLeft(text[0]); err != nil {
 			return nil, err
 		}
 	}
 	var err error
-	if in.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody)); err != nil {
-		var long *http.MaxBytesError
-		if errors.As(err, &long) {
-			return nil, &badRequest{http.StatusRequestEntityTooLarge, "body too large"}
-		}
-		return nil, fmt.Errorf("body: %w", err)
+	if in.body, err = g.readBody(r); err != nil {
+		return nil, err
 	}
 	return in, nil
 }
 
+// readBody takes in a body whose length is told. It holds what has come, not what is
+// announced, and all bodies together have a bound.
+func (g *Gateway) readBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength > maxBody {
+		return nil, &badRequest{http.StatusRequestEntityTooLarge, "body too large"}
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body := make([]byte, 0, min(r.ContentLength, 2<<10))
+	for int64(len(body)) < r.ContentLength {
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, min(4*int64(len(body)), r.ContentLength)), body...)
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		full := g.bodies.Add(int64(n)) > g.bodyRoom
+		switch done := int64(len(body)) == r.ContentLength; {
+		case full:
+			err = &badRequest{http.StatusServiceUnavailable, "busy"}
+		case err == nil || done:
+			continue
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			err = &badRequest{http.StatusRequestTimeout, "the body is slow"}
+		default:
+			err = fmt.Errorf("body: %w", err)
+		}
+		g.bodies.Add(-int64(len(body)))
+		return nil, err
+	}
+	return body, nil
+}
+
 // parseLeft reads a number with the unit m (milliseconds) or u (microseconds).
 func parseLeft(text string) (time.Duration, error) {
-	number, unit := text[:len(text)-1], time.Millisecond
-	switch text[len(text)-1] {
-	case 'm':
-	case 'u':
-		unit = time.Microsecond
-	default:
-		return 0, fmt.Errorf("X-Time-Left %q has no known unit", text)
+	unit, number := time.Millisecond, strings.TrimSuffix(text, "m")
+	if number == text {
+		unit, number = time.Microsecond, strings.TrimSuffix(text, "u")
 	}
 	v, err := strconv.ParseFloat(number, 64)
-	if err != nil || !(v >= 0) || math.IsInf(v, 0) {
-		return 0, fmt.Errorf("X-Time-Left %q is not a time", text)
+	if number == text || err != nil || strings.Trim(number, "0123456789.") != "" {
+		return 0, fmt.Errorf("X-Time-Left %.40q is not a time", text)
 	}
 	return time.Duration(min(v*float64(unit), float64(24*time.Hour))), nil
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -80,6 +80,22 @@
 	return cfg, nil
 }
 
+// ReloadDiscovery reads discovery's address from the file that the environment names
+// once more. The file must be a good configuration as a whole; here its address wins,
+// as GW_DISCOVERY is what the gateway was told at its start.
+func ReloadDiscovery(getenv func(string) string) (string, error) {
+	cfg, err := LoadConfig(func(name string) string {
+		if name == "GW_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+	if err != nil {
+		return "", err
+	}
+	return cfg.Discovery, nil
+}
+
 // ParseConfig reads the text of a configuration file.
 func ParseConfig(text []byte) (*Config, error) {
 	var in struct {
--- /dev/null
+++ b/internal/gateway/conns.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"container/list"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// quietFirst is how long a new connection may say nothing before it is closed ahead
+	// of idle ones, where descriptors are short.
+	quietFirst = 200 * time.Millisecond
+	// idleFirst is how long a connection without an open request is safe from that: its
+	// client may be about to use it.
+	idleFirst = 2 * time.Second
+	fullWait  = 5 * time.Millisecond // between looks for a descriptor, where there is none
+)
+
+// clientConns is the listener for clients. It bounds the connections that they hold,
+// apart from the requests that come over them: silent and idle ones cost a descriptor
+// each and make room when all are in use, those that ask are never closed for others.
+type clientConns struct {
+	net.Listener
+	most int // connections; one more makes room first
+
+	mu    sync.Mutex
+	open  int
+	quiet [3]list.List // without an open request, longest first, by kind
+}
+
+// The kinds of quiet connections.
+const (
+	ending = iota // answered for good, kept for a moment so that the answer is read
+	silent        // nothing has come yet
+	idle          // between requests
+)
+
+// clientConn is one of them. Its fields belong to the listener's lock.
+type clientConn struct {
+	net.Conn
+	all    *clientConns
+	kind   int
+	since  time.Time
+	at     *list.Element // in the list of its kind, nil while a request is open
+	closed bool
+}
+
+// Accept takes the next connection. It survives running out of descriptors.
+func (l *clientConns) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			if !l.shed() {
+				time.Sleep(fullWait)
+			}
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		for l.crowded() && l.shed() {
+		}
+		cc := &clientConn{Conn: c, all: l}
+		l.mu.Lock()
+		l.open++
+		cc.rest(silent)
+		l.mu.Unlock()
+		return cc, nil
+	}
+}
+
+// crowded says whether clients hold as many connections as they may.
+func (l *clientConns) crowded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open >= l.most
+}
+
+// shed closes the connection that is missed least, and says whether there was one.
+func (l *clientConns) shed() bool {
+	now := time.Now()
+	l.mu.Lock()
+	var c *clientConn
+	for _, look := range [...]struct {
+		kind int
+		age  time.Duration
+	}{{ending, 0}, {silent, quietFirst}, {idle, idleFirst}, {silent, 0}, {idle, 0}} {
+		if e := l.quiet[look.kind].Front(); e != nil && now.Sub(e.Value.(*clientConn).since) >= look.age {
+			c = e.Value.(*clientConn)
+			c.busy()
+			break
+		}
+	}
+	l.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
+// rest notes that no request is open on the connection; busy that one is.
+func (c *clientConn) rest(kind int) {
+	c.busy()
+	c.kind, c.since = kind, time.Now()
+	if !c.closed {
+		c.at = c.all.quiet[kind].PushBack(c)
+	}
+}
+
+func (c *clientConn) busy() {
+	if c.at != nil {
+		c.all.quiet[c.kind].Remove(c.at)
+		c.at = nil
+	}
+}
+
+// Close may come from the server or from the listener, which makes room.
+func (c *clientConn) Close() error {
+	c.all.mu.Lock()
+	c.busy()
+	if !c.closed {
+		c.closed = true
+		c.all.open--
+	}
+	c.all.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the answer; the server then waits for the client to have read it.
+func (c *clientConn) CloseWrite() error {
+	c.all.mu.Lock()
+	c.rest(ending)
+	c.all.mu.Unlock()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// state is the server's hook.
+func (l *clientConns) state(c net.Conn, s http.ConnState) {
+	cc, ok := c.(*clientConn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch s {
+	case http.StateActive:
+		cc.busy()
+	case http.StateIdle:
+		cc.rest(idle)
+	}
+}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"frostshift"
@@ -26,18 +27,18 @@
 type discovery struct {
 	loop    *loop
 	log     *slog.Logger
-	index   uint64        // of the last list heard
 	ask     chan struct{} // the balancer wants a watch; used where the list must be asked for
+	move    chan string   // another address of discovery
 	heard   chan struct{} // closed with the first list
-	first   bool
+	first   sync.Once
 	silence time.Duration
+
+	mu     sync.Mutex
+	latest int // the turn of the last follower that has said something
 }
 
 func newDiscovery(l *loop) *discovery {
-	d := &discovery{loop: l, log: l.log, ask: make(chan struct{}, 1), heard: make(chan struct{}), first: true, silence: silence}
-	if k := l.cfg.Known; k != nil {
-		d.index = *k.Index
-	}
+	d := &discovery{loop: l, log: l.log, ask: make(chan struct{}, 1), move: make(chan string), heard: make(chan struct{}), silence: silence}
 	l.watch = func() {
 		select {
 		case d.ask <- struct{}{}:
@@ -47,30 +48,86 @@
 	return d
 }
 
+// follower keeps a watch open at one address of discovery.
+type follower struct {
+	*discovery
+	addr  string
+	turn  int           // they count up
+	index uint64        // of the last list heard; 0: the whole list is asked for
+	said  chan struct{} // closed with its first list
+	once  sync.Once
+	end   context.CancelFunc
+}
+
+// run follows the list until the context ends. Where discovery moves, what the old
+// address says counts until the new one has said something: a list that is a little
+// old is better than none.
+func (d *discovery) run(ctx context.Context) {
+	turn := 0
+	start := func(addr string, index uint64) *follower {
+		own, end := context.WithCancel(ctx)
+		f := &follower{discovery: d, addr: addr, turn: turn, index: index, said: make(chan struct{}), end: end}
+		turn++
+		go f.run(own)
+		return f
+	}
+	var index uint64
+	if k := d.loop.cfg.Known; k != nil {
+		index = *k.Index
+	}
+	now := start(d.loop.cfg.Discovery, index)
+	var next *follower
+	for {
+		var said chan struct{}
+		if next != nil {
+			said = next.said
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case addr := <-d.move:
+			if next != nil && next.addr == addr || next == nil && now.addr == addr {
+				continue
+			}
+			if next != nil {
+				next.end()
+				next = nil
+			}
+			if addr != now.addr {
+				next = start(addr, 0) // versions of one address say nothing at another
+			}
+		case <-said:
+			now.end()
+			now, next = next, nil
+			d.log.Info("following the host list at a new address", "discovery", now.addr)
+		}
+	}
+}
+
 // run keeps a watch open until the context ends. Where the list is pushed it opens a
 // new one by itself; where it must be asked for, the balancer says when.
-func (d *discovery) run(ctx context.Context) {
-	asked := d.loop.cfg.Settings.Ask
+func (f *follower) run(ctx context.Context) {
+	asked := f.loop.cfg.Settings.Ask
 	wait, said := retryFirst, ""
-	for ctx.Err() == nil {
-		if asked {
+	for first := true; ctx.Err() == nil; first = false {
+		if asked && (!first || f.turn == 0) {
 			select {
-			case <-d.ask:
+			case <-f.ask:
 			case <-ctx.Done():
 				return
 			}
 		}
 		opened := time.Now()
-		err := d.watch(ctx)
+		err := f.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if text := err.Error(); text != said { // once, not with every try of an outage
-			d.log.Warn("watch of the host list ended", "err", err, "index", d.index)
+			f.log.Warn("watch of the host list ended", "err", err, "discovery", f.addr, "index", f.index)
 			said = text
 		}
 		if asked {
-			d.loop.post(func(now frostshift.Time) { d.loop.b.Hosts(now, frostshift.ListFailed, nil) })
+			f.loop.post(func(now frostshift.Time) { f.loop.b.Hosts(now, frostshift.ListFailed, nil) })
 			continue
 		}
 		if time.Since(opened) > retryMost { // it worked for a while
@@ -85,17 +142,17 @@
 }
 
 // watch holds one watch open and returns why it ended.
-func (d *discovery) watch(ctx context.Context) (err error) {
+func (f *follower) watch(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	dog := time.AfterFunc(d.silence, func() { cancel(errors.New("silent for too long")) })
+	dog := time.AfterFunc(f.silence, func() { cancel(errors.New("silent for too long")) })
 	defer dog.Stop()
 	defer func() {
 		if cause := context.Cause(ctx); cause != nil && err != nil {
 			err = cause
 		}
 	}()
-	url := fmt.Sprintf("http://%s/v1/endpoints?watch=1&from=%d", d.loop.cfg.Discovery, d.index)
+	url := fmt.Sprintf("http://%s/v1/endpoints?watch=1&from=%d", f.addr, f.index)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -113,11 +170,11 @@
 	in := bufio.NewScanner(resp.Body)
 	in.Buffer(nil, maxLine)
 	for in.Scan() {
-		dog.Reset(d.silence)
+		dog.Reset(f.silence)
 		if len(in.Bytes()) == 0 {
 			continue
 		}
-		if err := d.take(in.Bytes()); err != nil {
+		if err := f.take(in.Bytes()); err != nil {
 			return fmt.Errorf("malformed line: %w", err)
 		}
 	}
@@ -129,23 +186,26 @@
 
 // take hands one line to the loop. A list that is not whole is not taken at all:
 // the old one stands.
-func (d *discovery) take(line []byte) error {
+func (f *follower) take(line []byte) error {
 	var list hostList
 	if err := json.Unmarshal(line, &list); err != nil {
 		return err
 	}
-	if _, err := d.loop.cfg.hosts(&list); err != nil {
+	if _, err := f.loop.cfg.hosts(&list); err != nil {
 		return err
 	}
 	kind := frostshift.ListChanges
 	if list.Snapshot {
 		kind = frostshift.ListFull
 	}
-	d.index = *list.Index
-	d.loop.post(func(now frostshift.Time) { d.loop.hosts(now, kind, &list) })
-	if d.first {
-		d.first = false
-		close(d.heard)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.turn < f.latest { // it may be older than what the new address has said
+		return errors.New("discovery has moved")
 	}
+	f.latest, f.index = f.turn, *list.Index
+	f.loop.post(func(now frostshift.Time) { f.loop.hosts(now, kind, &list) })
+	f.first.Do(func() { close(f.heard) })
+	f.once.Do(func() { close(f.said) })
 	return nil
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,15 +4,18 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,7 +50,7 @@
 	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"std","group":1,"status":%q,"weight":1,"since_ms":0}`, name, address, status)
 }
 
-func list(index int, whole bool, entries ...string) string {
+func listOf(index int, whole bool, entries ...string) string {
 	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, whole, strings.Join(entries, ","))
 }
 
@@ -132,7 +135,7 @@
 		f(g)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{g, "http://" + g.listener.Addr().String(), stop, make(chan error, 1)}
+	r := &running{g, "http://" + g.clients.Addr().String(), stop, make(chan error, 1)}
 	go func() { r.end <- g.Run(ctx) }()
 	t.Cleanup(func() { stop() })
 	return r
@@ -146,11 +149,13 @@
 	for i := 0; i < len(hosts); i += 2 {
 		entries = append(entries, entry(hosts[i], hosts[i+1], "active"))
 	}
-	return launch(t, parse(t, d.addr(), list(1, true, entries...)))
+	return launch(t, parse(t, d.addr(), listOf(1, true, entries...)))
 }
 
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
+var lastID atomic.Int64 // of requests made
+
 // request is a well-formed request of a class.
 func request(t *testing.T, url, class, body string) *http.Request {
 	t.Helper()
@@ -162,7 +167,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Header.Set("X-Correlation-Id", "id-1")
+	r.Header.Set("X-Correlation-Id", fmt.Sprintf("id-%d", lastID.Add(1)))
 	r.Header.Set("X-Service-Class", class)
 	r.Header.Set("X-Time-Left", "30000m")
 	if class == "report" {
@@ -278,7 +283,7 @@
 			t.Fatalf("%s: answered %d %q", class, status, answer)
 		}
 		s := await(t, got, "the request at the host")
-		want := seen{r.Method, "/" + class + "/a%2Fb/%7e?obj=7f&x=%41+b", "id-1", r.Header.Get("Idempotency-Key"), s.left, body}
+		want := seen{r.Method, "/" + class + "/a%2Fb/%7e?obj=7f&x=%41+b", r.Header.Get("X-Correlation-Id"), r.Header.Get("Idempotency-Key"), s.left, body}
 		if s != want {
 			t.Errorf("host saw %.200v, want %.200v", s, want)
 		}
@@ -547,7 +552,7 @@
 	}
 	body := func(s string) func(*http.Request) {
 		return func(r *http.Request) {
-			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(s)), -1
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(s)), int64(len(s))
 		}
 	}
 	for _, c := range []struct {
@@ -562,6 +567,12 @@
 		{"no key", "report", set("Idempotency-Key", ""), 400},
 		{"time without unit", "book", set("X-Time-Left", "480"), 400},
 		{"time without number", "book", set("X-Time-Left", "m"), 400},
+		{"empty time", "book", set("X-Time-Left", ""), 400},
+		{"time in hexadecimal", "book", set("X-Time-Left", "0x1Fm"), 400},
+		{"body where none belongs", "lookup", body("x"), 400},
+		{"body of no told length", "book", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader("x")), -1
+		}, 411},
 		{"negative time", "book", set("X-Time-Left", "-1m"), 400},
 		{"no time at all", "book", set("X-Time-Left", "NaNm"), 400},
 		{"method", "book", func(r *http.Request) { r.Method = "PUT" }, 405},
@@ -588,7 +599,7 @@
 	d := discover(t)
 	g := launch(t, parse(t, d.addr(), "null"))
 	w := await(t, d.watches, "a watch")
-	w.say(t, list(1, true))
+	w.say(t, listOf(1, true))
 	for end := time.Now().Add(patience); ; {
 		r, _ := http.NewRequest("GET", g.url+"/ready", nil)
 		status, _, _ := do(t, r)
@@ -607,12 +618,12 @@
 	a, gotA := serving(t, "a")
 	b, gotB := serving(t, "b")
 	d := discover(t)
-	g := launch(t, parse(t, d.addr(), list(1, true, entry("a", a, "active"))))
+	g := launch(t, parse(t, d.addr(), listOf(1, true, entry("a", a, "active"))))
 	if _, body, _ := do(t, request(t, g.url, "lookup", "")); body != "a" {
 		t.Fatalf("answered %q", body)
 	}
 	w := await(t, d.watches, "a watch")
-	w.say(t, list(2, false, entry("a", a, "leaving"), entry("b", b, "active")))
+	w.say(t, listOf(2, false, entry("a", a, "leaving"), entry("b", b, "active")))
 	for end := time.Now().Add(patience); len(gotB) == 0; {
 		if do(t, request(t, g.url, "lookup", "")); time.Now().After(end) {
 			t.Fatal("the new host gets nothing")
@@ -633,18 +644,18 @@
 	a, _ := serving(t, "a")
 	b, gotB := serving(t, "b")
 	d := discover(t)
-	g := launch(t, parse(t, d.addr(), list(7, true, entry("a", a, "active"))))
+	g := launch(t, parse(t, d.addr(), listOf(7, true, entry("a", a, "active"))))
 	w := await(t, d.watches, "a watch")
 	if w.from != "7" {
 		t.Errorf("first watch from %s, want 7", w.from)
 	}
-	w.say(t, list(8, false))
+	w.say(t, listOf(8, false))
 	close(w.lines)
 	for _, bad := range []string{
 		`{"index":9,"snap`, `[]`, `{"endpoints":[]}`,
-		list(9, true, entry("c", "127.0.0.1:1", "asleep")),
-		list(9, true, entry("c", "nowhere", "active")),
-		list(9, true, entry("", "127.0.0.1:1", "active")),
+		listOf(9, true, entry("c", "127.0.0.1:1", "asleep")),
+		listOf(9, true, entry("c", "nowhere", "active")),
+		listOf(9, true, entry("", "127.0.0.1:1", "active")),
 	} {
 		w = await(t, d.watches, "the next watch")
 		if w.from != "8" {
@@ -656,7 +667,7 @@
 	if status, body, _ := do(t, request(t, g.url, "lookup", "")); status != 200 || body != "a" {
 		t.Errorf("old list does not stand: answered %d %q", status, body)
 	}
-	w.say(t, list(9, true, entry("b", b, "active")))
+	w.say(t, listOf(9, true, entry("b", b, "active")))
 	for end := time.Now().Add(patience); len(gotB) == 0; {
 		if do(t, request(t, g.url, "lookup", "")); time.Now().After(end) {
 			t.Fatal("the list of the last watch was not taken over")
@@ -677,7 +688,7 @@
 		return true
 	})
 	closing := make(chan struct{})
-	g := launch(t, parse(t, discover(t).addr(), list(1, true, entry("a", addr, "active"))),
+	g := launch(t, parse(t, discover(t).addr(), listOf(1, true, entry("a", addr, "active"))),
 		func(g *Gateway) { g.linger = func() { <-closing } })
 	type result struct {
 		status int
@@ -837,7 +848,7 @@
 // Discovery's machine may vanish: its connection then stays open and says nothing.
 func TestSilentWatchIsOpenedAgain(t *testing.T) {
 	d := discover(t)
-	launch(t, parse(t, d.addr(), list(3, true)), func(g *Gateway) { g.disc.silence = 100 * time.Millisecond })
+	launch(t, parse(t, d.addr(), listOf(3, true)), func(g *Gateway) { g.disc.silence = 100 * time.Millisecond })
 	for range 3 {
 		if w := await(t, d.watches, "a watch"); w.from != "3" {
 			t.Errorf("watch from %s, want 3", w.from)
@@ -937,31 +948,208 @@
 	}
 }
 
-// Clients beyond their share of the descriptors are answered, not left waiting in the
-// kernel's queue: what waits there counts as taken.
-func TestCrowdedClientsAreTurnedAway(t *testing.T) {
+// talk writes text on a new connection to the gateway and returns what comes back
+// until the gateway closes it.
+func talk(t *testing.T, g *running, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", g.clients.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, text)
+	got, err := io.ReadAll(c)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("the gateway does not close after %.80q", text)
+	}
+	return string(got)
+}
+
+// plain is a well-formed request of class book as text; more stands in its head.
+func plain(more, body string) string {
+	return fmt.Sprintf("POST /book HTTP/1.1\r\nHost: app.svc\r\nX-Service-Class: book\r\nX-Correlation-Id: id-%d\r\n%s\r\n%s",
+		lastID.Add(1), more, body)
+}
+
+// A request that stands in the body of another, found by those who go by one of two
+// lengths and missed by those who go by the other, must not be taken for a request.
+// Nor may what follows on a malformed one, which may be a part of it.
+func TestNothingBehindAMalformedRequestIsRead(t *testing.T) {
+	addr, got := serving(t, "a")
+	g := gatewayFor(t, "a", addr)
+	hidden := plain("Content-Length: 0\r\n", "")
+	for _, c := range []struct{ name, text, status string }{
+		{"two lengths", plain(fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n", len(hidden)+5), "0\r\n\r\n"+hidden), "411"},
+		{"chunked", plain("Transfer-Encoding: chunked\r\n", "0\r\n\r\n"+hidden), "411"},
+		{"old protocol", strings.Replace(plain("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "x"+hidden), "1.1", "1.0", 1), "505"},
+		{"no time", plain("X-Time-Left: soon\r\nContent-Length: 0\r\n", hidden), "400"},
+		{"negative length", plain("Content-Length: -4\r\n", hidden), "400"},
+		{"unknown path", strings.Replace(plain("Content-Length: 0\r\n", hidden), "/book", "/books", 1), "404"},
+		{"too long", plain(fmt.Sprintf("Content-Length: %d\r\n", maxBody+1), hidden), "413"},
+	} {
+		answer := talk(t, g, c.text)
+		if len(answer) < 12 || answer[9:12] != c.status || strings.Count(answer, "HTTP/1.") != 1 {
+			t.Errorf("%s: answered %.200q", c.name, answer)
+		}
+	}
+	if len(got) != 0 {
+		t.Errorf("%d of them reached a host", len(got))
+	}
+}
+
+// A client that drips its head or its body, or says nothing, must not hold a connection.
+func TestSlowSendersAreClosed(t *testing.T) {
 	addr, got := serving(t, "a")
-	cfg := parse(t, discover(t).addr(), list(1, true, entry("a", addr, "active")))
-	g := launch(t, cfg, func(g *Gateway) { g.most = 3 })
-	for range 3 {
-		c, err := net.Dial("tcp", g.listener.Addr().String())
+	d := discover(t)
+	g := launch(t, parse(t, d.addr(), listOf(1, true, entry("a", addr, "active"))),
+		func(g *Gateway) { g.sendWithin = 100 * time.Millisecond })
+	for _, text := range []string{"", "POST /book HT", plain("Content-Length: 9\r\n", "half")} {
+		if answer := talk(t, g, text); answer != "" && !strings.HasPrefix(answer, "HTTP/1.1 4") {
+			t.Errorf("%.20q: answered %.200q", text, answer)
+		}
+	}
+	if len(got) != 0 {
+		t.Errorf("%d of them reached a host", len(got))
+	}
+	// A whole request may take longer than that to be answered, and its client is not gone.
+	slow, _ := rawHost(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		time.Sleep(300 * time.Millisecond)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	g = launch(t, parse(t, d.addr(), listOf(1, true, entry("a", slow, "active"))),
+		func(g *Gateway) { g.sendWithin = 100 * time.Millisecond })
+	for _, class := range []string{"lookup", "book"} {
+		if status, body, _ := do(t, request(t, g.url, class, map[string]string{"book": "x"}[class])); status != 200 {
+			t.Errorf("%s at a slow host: answered %d %q", class, status, body)
+		}
+	}
+}
+
+// Two requests of one id would be one to the hosts.
+func TestOpenIDIsTakenOnce(t *testing.T) {
+	taken, release := make(chan struct{}, 8), make(chan struct{})
+	addr, count := rawHost(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		taken <- struct{}{}
+		<-release
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	g := gatewayFor(t, "a", addr)
+	first := request(t, g.url, "book", "x")
+	ended := make(chan int, 1)
+	go func() {
+		resp, err := client.Do(first)
+		if err != nil {
+			ended <- 0
+			return
+		}
+		resp.Body.Close()
+		ended <- resp.StatusCode
+	}()
+	await(t, taken, "the request at the host")
+	second := request(t, g.url, "lookup", "")
+	second.Header.Set("X-Correlation-Id", first.Header.Get("X-Correlation-Id"))
+	if status, _, _ := do(t, second); status != http.StatusConflict {
+		t.Errorf("the second request of an open id: answered %d", status)
+	}
+	if n := count(); n != 1 {
+		t.Errorf("host got %d requests, want 1", n)
+	}
+	close(release)
+	if status := await(t, ended, "the first answer"); status != 200 {
+		t.Errorf("the first request: answered %d", status)
+	}
+	if status, _, _ := do(t, second); status != 200 { // it is not kept in mind
+		t.Errorf("an id that is open no more: answered %d", status)
+	}
+}
+
+// Requests beyond their share of the descriptors are refused with advice, not left
+// waiting in the kernel's queue: what waits there counts as taken.
+func TestRequestsBeyondTheirShareAreRefused(t *testing.T) {
+	addr, got := serving(t, "a")
+	cfg := parse(t, discover(t).addr(), listOf(1, true, entry("a", addr, "active")))
+	g := launch(t, cfg, func(g *Gateway) { g.most = 0 })
+	status, _, h := do(t, request(t, g.url, "book", "x"))
+	if after, err := strconv.ParseFloat(h.Get("Retry-After"), 64); status != 503 || err != nil || after <= 0 || len(got) != 0 {
+		t.Errorf("answered %d, Retry-After %q, %d requests at the host", status, h.Get("Retry-After"), len(got))
+	}
+}
+
+// Connections that say nothing, or have asked once and stay, must not keep those out
+// that ask: they make room, the silent ones first.
+func TestQuietConnectionsMakeRoom(t *testing.T) {
+	addr, _ := serving(t, "a")
+	cfg := parse(t, discover(t).addr(), listOf(1, true, entry("a", addr, "active")))
+	const most = 6
+	g := launch(t, cfg, func(g *Gateway) { g.clients.most = most; g.sendWithin = time.Hour })
+	var quiet []net.Conn
+	for i := range 2 * most {
+		c, err := net.Dial("tcp", g.clients.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer c.Close()
-		io.WriteString(c, "GET /nowhere HTTP/1.1\r\nHost: app.svc\r\n\r\n")
-		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
-			t.Fatal(err)
+		quiet = append(quiet, c)
+		if i%2 == 0 { // asks once and stays
+			io.WriteString(c, plain("Content-Length: 0\r\n", ""))
+			c.SetReadDeadline(time.Now().Add(patience))
+			if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+				t.Fatalf("request %d: %v, %+v", i, err, resp)
+			}
 		}
 	}
-	keeps := &http.Client{Transport: &http.Transport{}}
-	resp, err := keeps.Do(request(t, g.url, "book", "x"))
-	if err != nil {
-		t.Fatal(err)
+	if status, _, _ := do(t, request(t, g.url, "book", "x")); status != 200 {
+		t.Errorf("answered %d", status)
+	}
+	closed := 0
+	for _, c := range quiet {
+		c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			closed++
+		}
+	}
+	if closed < most {
+		t.Errorf("%d of %d quiet connections were closed, want %d at least", closed, len(quiet), most)
+	}
+}
+
+// Where discovery moves, the new watch is open before the old one is dropped, and the
+// old list stands until the new address has said something, however long that takes.
+func TestDiscoveryMoves(t *testing.T) {
+	a, _ := serving(t, "a")
+	b, _ := serving(t, "b")
+	from, to, later := discover(t), discover(t), discover(t)
+	g := launch(t, parse(t, from.addr(), listOf(7, true, entry("a", a, "active"))))
+	old := await(t, from.watches, "the first watch")
+	g.MoveDiscovery(to.addr())
+	g.MoveDiscovery(to.addr()) // the same order again changes nothing
+	w := await(t, to.watches, "the watch at the new address")
+	if w.from != "0" {
+		t.Errorf("watch from version %s of another address", w.from)
+	}
+	old.say(t, listOf(8, false)) // still open
+	if status, body, _ := do(t, request(t, g.url, "lookup", "")); status != 200 || body != "a" {
+		t.Errorf("old list does not stand: answered %d %q", status, body)
+	}
+	w.say(t, listOf(3, true, entry("b", b, "active")))
+	await(t, old.gone, "the end of the old watch")
+	for end := time.Now().Add(patience); ; {
+		if _, body, _ := do(t, request(t, g.url, "lookup", "")); body == "b" {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the new list was not taken over")
+		}
 	}
-	resp.Body.Close()
-	if resp.StatusCode != http.StatusServiceUnavailable || !resp.Close || len(got) != 0 {
-		t.Errorf("answered %d, closing: %v, %d requests at the host", resp.StatusCode, resp.Close, len(got))
+	g.MoveDiscovery("127.0.0.1:1") // nobody is there
+	g.MoveDiscovery(later.addr())  // and again, before that one has said anything
+	await(t, later.watches, "the watch at the last address").say(t, listOf(1, true, entry("a", a, "active")))
+	await(t, w.gone, "the end of the second watch")
+	if len(from.watches)+len(to.watches)+len(later.watches) > 0 {
+		t.Error("a watch was opened twice")
 	}
 }
 
@@ -992,13 +1180,13 @@
 	cfg.Settings.AskWithin = 2 * time.Second
 	g := launch(t, cfg)
 	w := await(t, d.watches, "the first watch")
-	w.say(t, list(4, true))
+	w.say(t, listOf(4, true))
 	close(w.lines)
 	w = await(t, d.watches, "the watch after the break")
 	if w.from != "4" {
 		t.Errorf("watch from %s, want 4", w.from)
 	}
-	w.say(t, list(5, true, entry("a", addr, "active")))
+	w.say(t, listOf(5, true, entry("a", addr, "active")))
 	for end := time.Now().Add(patience); len(got) == 0; {
 		if do(t, request(t, g.url, "lookup", "")); time.Now().After(end) {
 			t.Fatal("the list asked for was not taken over")
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -19,15 +19,17 @@
 
 const (
 	maxBody      = 64 << 10 // bytes of a body, either way
-	maxHeader    = 32 << 10
+	maxHeader    = 16 << 10
 	idlePerHost  = 24  // kept-alive connections: a new one costs the host a handshake, and three gateways share its 90
 	idleShare    = 0.8 // of the hosts' idle time after which we close ours: a late write is a reset
 	leastSockets = 64
 	ownSockets   = 32 // descriptors besides connections: listener, discovery, runtime
-	// Shares of the other descriptors. The rest is for clients beyond their share: they are
-	// accepted and turned away, as one left in the kernel's queue would count as taken.
-	hostShare   = 0.35
-	clientShare = 0.5
+	// Shares of the other descriptors. The rest is for connections that come while all of
+	// the clients' ask something: one left in the kernel's queue would count as taken.
+	hostShare    = 0.35
+	clientShare  = 0.55
+	requestShare = 1.0 / 3 // of all descriptors: requests of clients that are open at once
+	bodyPart     = 8       // one part in so many of the memory limit may hold bodies of clients
 )
 
 // pool knows the hosts and holds the connections to them. Its map belongs to the loop.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -41,6 +41,7 @@
 type answer struct {
 	served *served // the host's answer, or nil
 	refuse bool
+	taken  bool          // not accepted: its id is that of an open request
 	after  time.Duration // advice with a refusal; 0: none
 }
 
@@ -57,6 +58,8 @@
 	done   chan struct{}
 
 	calls  map[frostshift.RequestID]*call
+	open   map[string]*call // those that are owed an answer, by X-Correlation-Id
+	advice time.Duration    // when to come back where the gateway itself is full; 0: none
 	lastID frostshift.RequestID
 	timers timers
 	acts   []frostshift.Action
@@ -69,7 +72,10 @@
 	}
 	l := &loop{cfg: cfg, log: log, clock: clock{time.Now()}, b: b, pool: newPool(cfg), watch: func() {},
 		events: make(chan func(frostshift.Time), 1024), done: make(chan struct{}),
-		calls: map[frostshift.RequestID]*call{}}
+		calls: map[frostshift.RequestID]*call{}, open: map[string]*call{}, advice: cfg.Settings.MaxRetryAfter}
+	for _, c := range cfg.Settings.Classes {
+		l.advice = min(l.advice, c.Aim/2)
+	}
 	return l, nil
 }
 
@@ -138,6 +144,13 @@
 
 // accept takes over a client's request.
 func (l *loop) accept(now frostshift.Time, c *call) {
+	if l.open[c.in.id] != nil {
+		// Two requests of one id would be one to the hosts, which run it once.
+		c.closed = true
+		c.answer <- answer{taken: true}
+		return
+	}
+	l.open[c.in.id] = c
 	l.lastID++
 	c.id = l.lastID
 	l.calls[c.id] = c
@@ -204,6 +217,7 @@
 // close ends a request: nothing goes out for it from here on.
 func (l *loop) close(c *call) {
 	c.closed = true
+	delete(l.open, c.in.id)
 	for _, t := range c.attempts {
 		t.callOff()
 	}
