--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -77,6 +78,7 @@
 	defer stop()
 	go g.loop.run(work)
 	go g.disc.run(work)
+	go g.loop.pool.sweep(work)
 	go func() {
 		select {
 		case <-g.disc.heard:
@@ -141,9 +143,8 @@
 	left          time.Duration
 	id            string
 	method, host  string
-	path, query   string
-	forceQuery    bool
-	header        http.Header
+	target        string      // path and query, as they came
+	header        http.Header // what goes on to hosts
 	body          []byte
 }
 
@@ -189,9 +190,7 @@
 	case a := <-c.answer:
 		switch {
 		case a.served != nil:
-			for k, v := range endToEnd(a.served.header) {
-				w.Header()[k] = v
-			}
+			maps.Copy(w.Header(), endToEnd(a.served.header))
 			w.Header().Set("Content-Length", strconv.Itoa(len(a.served.body)))
 			w.Write(a.served.body) // a client that is gone by now is its own loss
 		case a.refuse:
@@ -271,10 +270,14 @@
 		return nil, errors.New("Idempotency-Key is missing")
 	}
 	in := &inbound{class: class, tenant: -1, repeat: r.Header.Get("X-Repeat") == "1", left: spec.Deadline,
-		id: r.Header.Get("X-Correlation-Id"), method: r.Method, host: r.Host, path: r.URL.EscapedPath(), query: r.URL.RawQuery,
-		forceQuery: r.URL.ForceQuery, header: r.Header}
-	if strings.HasPrefix(r.RequestURI, "/") { // as it came, however it is escaped
-		in.path, _, _ = strings.Cut(r.RequestURI, "?")
+		id: r.Header.Get("X-Correlation-Id"), method: r.Method, host: r.Host, target: r.RequestURI, header: endToEnd(r.Header)}
+	if !strings.HasPrefix(in.target, "/") {
+		in.target = r.URL.RequestURI()
+	}
+	// These go on whatever Connection says of them: hosts tell repeats by them.
+	in.header.Set("X-Correlation-Id", in.id)
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		in.header.Set("Idempotency-Key", key)
 	}
 	if t, ok := g.cfg.tenants[r.Header.Get("X-Account")]; ok {
 		in.tenant = t
@@ -338,7 +341,7 @@
 	return time.Duration(min(v*float64(unit), float64(24*time.Hour))), nil
 }
 
-// endToEnd copies the headers that are not about one connection.
+// endToEnd copies the headers that are not about one connection or meant for gateways.
 func endToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	for _, v := range h["Connection"] {
@@ -347,7 +350,7 @@
 		}
 	}
 	for _, name := range []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
-		"Transfer-Encoding", "Upgrade", "Expect", "Content-Length"} {
+		"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "X-Time-Left", "X-Backend-Load"} {
 		out.Del(name)
 	}
 	return out
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -179,7 +179,7 @@
 	t := &attempt{loop: l, call: c, n: len(c.attempts), sent: l.clock.now()}
 	c.attempts = append(c.attempts, t)
 	c.out++
-	t.start(l.pool.hosts[a.Host], until)
+	t.start(l.pool.host(a.Host), until)
 }
 
 // outcome is the end of an attempt; s is the host's answer if it served.
