Take answers longer than 64 KiB, within a share of the memory

Answers may have 4 MiB now; those of more than 16 KiB share a quarter of the memory limit, taken as they come and given back once written, and what has begun has half of the time left. A client that reads slowly gets nothing after its deadline.

A connection rests 1 ms instead of 3 ms after an answer: at this rate the rest was the median way to the first attempt.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -190,7 +190,10 @@
 	case a := <-c.answer:
 		switch {
 		case a.served != nil:
+			defer a.served.release()
 			maps.Copy(w.Header(), endToEnd(a.served.header))
+			// A client that reads slowly gets nothing more once its time is up.
+			http.NewResponseController(w).SetWriteDeadline(g.loop.clock.at(c.deadline))
 			w.Header().Set("Content-Length", strconv.Itoa(len(a.served.body)))
 			w.Write(a.served.body) // a client that is gone by now is its own loss
 		case a.refuse:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -333,14 +333,17 @@
 }
 
 func TestOutcomes(t *testing.T) {
-	long := strings.Repeat("x", maxBody+1)
+	long := strings.Repeat("x", maxAnswer+1)
+	hosts := strings.Repeat("x", 325<<10)
 	for _, c := range []struct {
 		name, answer string
 		want         frostshift.Result
 	}{
 		{"served", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", frostshift.OK},
 		{"served, ended by the close", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", frostshift.OK},
-		{"as long as may be", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxBody, long[1:]), frostshift.OK},
+		{"as long as may be", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxAnswer, long[1:]), frostshift.OK},
+		{"longer than agreed", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(hosts), hosts), frostshift.OK},
+		{"longer than agreed, in chunks", fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(hosts), hosts), frostshift.OK},
 		{"error", "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", frostshift.Failed},
 		{"odd status", "HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n", frostshift.Failed},
 		{"turned away", "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", frostshift.Full},
@@ -363,8 +366,38 @@
 		if result != c.want {
 			t.Errorf("%s: ended as %v, want %v", c.name, result, c.want)
 		}
-		if result == frostshift.OK && s == nil {
-			t.Errorf("%s: no answer came with it", c.name)
+		if result == frostshift.OK && (s == nil || !strings.HasSuffix(c.answer, string(s.body)) && !strings.Contains(c.name, "chunks")) {
+			t.Errorf("%s: not its answer came with it", c.name)
+		}
+		if s != nil {
+			s.release()
+		}
+		if n := a.loop.pool.answers.Load(); n != 0 {
+			t.Errorf("%s: %d bytes of answers count as held", c.name, n)
+		}
+	}
+}
+
+// Long answers share a part of the memory, which they give back.
+func TestLongAnswersShareTheRoom(t *testing.T) {
+	long := strings.Repeat("x", 325<<10)
+	addr, _ := rawHost(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long)
+		return true
+	})
+	g := gatewayFor(t, "a", addr)
+	for range 20 {
+		if status, body, _ := do(t, request(t, g.url, "book", "x")); status != 200 || body != long {
+			t.Fatalf("answered %d with %d bytes", status, len(body))
+		}
+	}
+	g.loop.pool.answerRoom = 100 << 10
+	if status, _, _ := do(t, request(t, g.url, "book", "x")); status != http.StatusBadGateway {
+		t.Errorf("without room: answered %d", status)
+	}
+	for end := time.Now().Add(patience); g.loop.pool.answers.Load() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes of answers count as held", g.loop.pool.answers.Load())
 		}
 	}
 }
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -12,6 +12,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,7 +20,8 @@
 )
 
 const (
-	maxBody      = 64 << 10 // bytes of a body, either way
+	maxBody      = 64 << 10 // bytes of a request's body
+	maxAnswer    = 4 << 20  // bytes of an answer's body: hosts send more than the 64 KiB that are agreed
 	maxHeader    = 16 << 10
 	idlePerHost  = 24  // kept-alive connections: a new one costs the host a handshake, and three gateways share its 90
 	idleShare    = 0.8 // of the hosts' idle time after which we close ours: a late write is a reset
@@ -31,14 +33,16 @@
 	clientShare  = 0.55
 	requestShare = 1.0 / 3 // of all descriptors: requests of clients that are open at once
 	bodyPart     = 8       // one part in so many of the memory limit may hold bodies of clients
+	answerPart   = 4       // ... and answers of hosts that are more than firstPart long
+	firstPart    = 16 << 10
 
 	// settle is how long a connection rests after an answer. What a host sends behind its
 	// answer has come by then and shows.
-	settle     = 3 * time.Millisecond
+	settle     = time.Millisecond
 	sweepEvery = time.Second
 	// An answer that has begun comes whole within a part of the time that is left then, and
 	// within restLeast if there is less: what never ends must not be waited for.
-	restPart  = 4
+	restPart  = 2
 	restLeast = 50 * time.Millisecond
 )
 
@@ -48,6 +52,9 @@
 	most int
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+	answers    atomic.Int64 // bytes that long answers hold
+	answerRoom int64
+
 	mu    sync.Mutex // guards what follows and what hosts hold
 	hosts map[frostshift.HostID]*host
 	open  int // connections, open or being opened, to all hosts
@@ -55,10 +62,13 @@
 
 func newPool(cfg *Config) *pool {
 	d := net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1}
-	p := &pool{hosts: map[frostshift.HostID]*host{}, cfg: cfg, most: 1 << 20, dial: d.DialContext}
+	p := &pool{hosts: map[frostshift.HostID]*host{}, cfg: cfg, most: 1 << 20, dial: d.DialContext, answerRoom: 1 << 40}
 	if cfg.Sockets > 0 {
 		p.most = int(float64(cfg.Sockets-ownSockets) * hostShare)
 	}
+	if cfg.MemoryMB > 0 {
+		p.answerRoom = int64(cfg.MemoryMB) << 20 / answerPart
+	}
 	return p
 }
 
@@ -301,6 +311,8 @@
 type served struct {
 	header http.Header
 	body   []byte
+	held   int64 // bytes of room
+	room   *atomic.Int64
 }
 
 // start sends the request in a goroutine that reports the outcome to the loop.
@@ -412,6 +424,9 @@
 	return frostshift.ConnectFailed
 }
 
+// errNoRoom says that long answers hold all the memory they may.
+var errNoRoom = errors.New("no room for the answer")
+
 // errOdd says that a host's answer is one that none may give: it can't be read, is too
 // long or does not end. The request may have run.
 var errOdd = errors.New("odd answer")
@@ -455,25 +470,60 @@
 			return nil, nil, errOdd
 		}
 	}
-	if resp.ContentLength > maxBody {
+	if resp.ContentLength > maxAnswer {
 		return nil, nil, errOdd
 	}
-	c.limit.N = maxBody + maxHeader
-	var body []byte
-	var err error
-	switch {
-	case resp.ContentLength >= 0:
-		body = make([]byte, resp.ContentLength)
-		_, err = io.ReadFull(resp.Body, body)
-	default:
-		if body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1)); len(body) > maxBody {
-			err = errOdd
+	c.limit.N = maxAnswer + maxHeader
+	s := &served{header: resp.Header, room: &c.pool.answers}
+	if err := s.read(resp, c.pool.answerRoom); err != nil {
+		s.release()
+		return nil, nil, err
+	}
+	return resp, s, nil
+}
+
+// read takes in the body. What is announced counts for nothing before a first part has
+// come, and long answers share the room that there is.
+func (s *served) read(resp *http.Response, room int64) error {
+	size := resp.ContentLength
+	if size < 0 {
+		size = maxAnswer + 1
+	}
+	for int64(len(s.body)) < size {
+		if len(s.body) == cap(s.body) {
+			next := min(firstPart, size)
+			if len(s.body) > 0 && resp.ContentLength >= 0 {
+				next = size
+			} else if len(s.body) > 0 {
+				next = min(4*int64(cap(s.body)), size)
+			}
+			if extra := next - int64(cap(s.body)); next > firstPart {
+				s.held += extra
+				if s.room.Add(extra) > room {
+					return errNoRoom
+				}
+			}
+			s.body = append(make([]byte, 0, next), s.body...)
+		}
+		n, err := resp.Body.Read(s.body[len(s.body):cap(s.body)])
+		s.body = s.body[:len(s.body)+n]
+		switch {
+		case errors.Is(err, io.EOF) && (resp.ContentLength < 0 || int64(len(s.body)) == size):
+			return nil
+		case err != nil:
+			return err
 		}
 	}
-	if err != nil {
-		return nil, nil, err
+	if resp.ContentLength < 0 {
+		return errOdd // too long
 	}
-	return resp, &served{header: resp.Header, body: body}, nil
+	return nil
+}
+
+// release gives back the room that the answer held.
+func (s *served) release() {
+	s.room.Add(-s.held)
+	s.held = 0
 }
 
 // classify reads an outcome from a whole answer.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -163,6 +163,14 @@
 	if !c.closed {
 		l.close(c)
 		l.b.Gone(now, c.id)
+		return
+	}
+	select {
+	case a := <-c.answer: // it came too late for this client
+		if a.served != nil {
+			a.served.release()
+		}
+	default:
 	}
 }
 
@@ -187,7 +195,9 @@
 	c := t.call
 	c.out--
 	t.ended = true
-	if result == frostshift.OK {
+	if s != nil && (result != frostshift.OK || c.closed) {
+		s.release() // nobody gets it
+	} else if s != nil {
 		l.finish(c, answer{served: s})
 	}
 	l.b.Outcome(now, frostshift.Outcome{Request: c.id, Attempt: t.n, Result: result, Elapsed: elapsed, Closed: c.closed})
