Keep clients' idle connections under a quarter of the descriptors

The connections that have asked something stay under a quarter of the descriptors while any of them is idle; the ones idle the longest go.

Ruled out: requests open (under 32), restarts (0.0 s), kernel's queue (0 not taken).

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -57,10 +57,11 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{cfg: cfg, log: log, loop: l, disc: newDiscovery(l), clients: &clientConns{most: 1 << 20},
+	g := &Gateway{cfg: cfg, log: log, loop: l, disc: newDiscovery(l), clients: &clientConns{most: 1 << 20, room: 1 << 20},
 		most: 1 << 20, bodyRoom: 1 << 40, sendWithin: sendWithin, linger: func() { time.Sleep(lameDuck) }}
 	if cfg.Sockets > 0 {
 		g.most = int64(float64(cfg.Sockets) * requestShare)
+		g.clients.room = int(float64(cfg.Sockets) * askedShare)
 		g.clients.most = int(float64(cfg.Sockets-ownSockets) * clientShare)
 	}
 	if cfg.MemoryMB > 0 {
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -14,10 +15,7 @@
 	// quietFirst is how long a new connection may say nothing before it is closed ahead
 	// of idle ones, where descriptors are short.
 	quietFirst = 200 * time.Millisecond
-	// idleFirst is how long a connection without an open request is safe from that: its
-	// client may be about to use it.
-	idleFirst = 2 * time.Second
-	fullWait  = 5 * time.Millisecond // between looks for a descriptor, where there is none
+	fullWait   = 5 * time.Millisecond // between looks for a descriptor, where there is none
 )
 
 // clientConns is the listener for clients. It bounds the connections that they hold,
@@ -26,6 +24,10 @@
 type clientConns struct {
 	net.Listener
 	most int // connections; one more makes room first
+	// room is for connections that have asked something. Clients hold a share of the
+	// descriptors at most: where those that ask once and stay fill it, the others find no
+	// connection left, so the ones idle the longest go well before that.
+	room int
 
 	mu    sync.Mutex
 	open  int
@@ -64,6 +66,8 @@
 		}
 		for l.crowded() && l.shed() {
 		}
+		for l.full() && l.shed(idle) {
+		}
 		cc := &clientConn{Conn: c, all: l}
 		l.mu.Lock()
 		l.open++
@@ -80,15 +84,27 @@
 	return l.open >= l.most
 }
 
-// shed closes the connection that is missed least, and says whether there was one.
-func (l *clientConns) shed() bool {
+// full says whether those that have asked something hold as many as they should.
+func (l *clientConns) full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open-l.quiet[silent].Len()-l.quiet[ending].Len() >= l.room
+}
+
+// shed closes the connection that is missed least, of certain kinds if they are named,
+// and says whether there was one. An idle one that its client is about to use is opened
+// anew; a new one that is closed loses the request that may be on its way.
+func (l *clientConns) shed(only ...int) bool {
 	now := time.Now()
 	l.mu.Lock()
 	var c *clientConn
 	for _, look := range [...]struct {
 		kind int
 		age  time.Duration
-	}{{ending, 0}, {silent, quietFirst}, {idle, idleFirst}, {silent, 0}, {idle, 0}} {
+	}{{ending, 0}, {silent, quietFirst}, {idle, 0}, {silent, 0}} {
+		if len(only) > 0 && !slices.Contains(only, look.kind) {
+			continue
+		}
 		if e := l.quiet[look.kind].Front(); e != nil && now.Sub(e.Value.(*clientConn).since) >= look.age {
 			c = e.Value.(*clientConn)
 			c.busy()
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -32,6 +32,7 @@
 	hostShare    = 0.35
 	clientShare  = 0.55
 	requestShare = 1.0 / 3 // of all descriptors: requests of clients that are open at once
+	askedShare   = 1.0 / 4 // ... and connections that have asked something, while any are idle
 	bodyPart     = 8       // one part in so many of the memory limit may hold bodies of clients
 	answerPart   = 4       // ... and answers of hosts that are more than firstPart long
 	firstPart    = 16 << 10
