Give up costly requests past their aim while others wait

Requests that may be repeated and are out past their aim are now given up while others wait: an answer would come too late for its worth. Unsafe ones keep their attempt.

--- a/balancer.go
+++ b/balancer.go
@@ -366,6 +366,7 @@
 		if now >= b.sweepAt {
 			b.sweepAt = 0
 			b.listen()
+			b.relieve()
 			b.pump()
 		}
 	case tokenWatch:
@@ -875,6 +876,25 @@
 	}
 }
 
+// relieve gives up requests that are out past their aim and may be repeated, so that
+// those that wait find room: an answer would come too late. It guards against requests
+// that cost many times the usual, each of which holds a host until its deadline, as does
+// the client's repeat. It acts while requests wait.
+func (b *Balancer) relieve() {
+	if b.queued == 0 || !b.set.Cancel {
+		return
+	}
+	for _, h := range b.hosts {
+		for n := h.flight.head; n != nil; n = n.next {
+			r := n.item.req
+			if !r.done && !r.bound && r.class.Effect != Unsafe && b.now-r.arrived > r.class.Aim {
+				b.overdue(r)
+				b.answer(r)
+			}
+		}
+	}
+}
+
 // sweepSoon makes sure that waiting requests and hosts are looked at again.
 func (b *Balancer) sweepSoon() {
 	if b.sweepAt == 0 && (b.queued > 0 || b.outNow > 0) {
