--- /dev/null
+++ b/internal/upstream/http1/attempt.go
@@ -0,0 +1,193 @@
+package http1
+
+import (
+	"context"
+	"errors"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"frostshift"
+	"frostshift/internal/exchange"
+	"frostshift/internal/message"
+)
+
+// attempt is one try of a request at a host; it is the exchange's handle on it.
+type attempt struct {
+	*exchange.Attempt
+	up *Upstream
+
+	mu      sync.Mutex
+	off     bool               // called off: nothing may be written any more
+	conn    *conn              // while the attempt has it
+	cancel  context.CancelFunc // of the dial; nil: none was begun
+	writing sync.Mutex
+}
+
+// errCalledOff says that the attempt was called off before its dial.
+var errCalledOff = errors.New("called off")
+
+// Start sends the request in a goroutine that reports how it ended.
+func (u *Upstream) Start(a *exchange.Attempt) exchange.Handle {
+	t := &attempt{Attempt: a, up: u}
+	u.mu.Lock()
+	h := u.hosts[a.Host]
+	u.mu.Unlock()
+	go func() {
+		if h == nil {
+			a.End(frostshift.NotSent, nil)
+			return
+		}
+		result, answer := t.try(h)
+		if answer == nil {
+			a.End(result, nil) // a nil *message.Answer would be an answer
+		} else {
+			a.End(result, answer)
+		}
+	}()
+	return t
+}
+
+// CallOff ends the attempt: when it returns, nothing more of it goes out. A connection
+// that comes up later stays unused by it.
+func (t *attempt) CallOff() {
+	t.mu.Lock()
+	t.off = true
+	c, cancel := t.conn, t.cancel
+	t.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	if c != nil {
+		c.Close() // ends a write that is under way
+	}
+	t.writing.Lock()
+	t.writing.Unlock() //lint:ignore SA2001 waits for that write
+}
+
+// dialing notes how to end the dial, unless it is too late for one.
+func (t *attempt) dialing(cancel context.CancelFunc) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cancel = cancel
+	return !t.off
+}
+
+// hold makes the connection the attempt's, for CallOff to close, unless it is too late.
+func (t *attempt) hold(c *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.off {
+		t.conn = c
+	}
+	return !t.off
+}
+
+// letGo gives the connection up and says whether it was the attempt's to the end.
+func (t *attempt) letGo() bool { return t.hold(nil) }
+
+// write sends the request and says whether its last byte has been written.
+func (t *attempt) write(c *conn, text []byte) bool {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	t.mu.Lock()
+	off := t.off
+	t.mu.Unlock()
+	if off {
+		return false
+	}
+	n, _ := c.Write(text)
+	return n == len(text)
+}
+
+// texts are buffers for requests as they go out.
+var texts = sync.Pool{New: func() any { return new([]byte) }}
+
+const keptText = 8 << 10 // a buffer that has grown larger is not kept
+
+// try sends the request once and says what became of it.
+func (t *attempt) try(h *host) (frostshift.Result, *message.Answer) {
+	c, err := t.up.get(t, h)
+	if errors.Is(err, errNoSockets) {
+		return frostshift.NotSent, nil
+	}
+	if err != nil {
+		return t.unsent(), nil
+	}
+	if !t.hold(c) { // nothing has gone out on it
+		t.up.put(c)
+		return frostshift.NotSent, nil
+	}
+	c.SetDeadline(t.Until)
+	req := t.Message.(*message.Request)
+	text := texts.Get().(*[]byte)
+	*text = appendRequest((*text)[:0], req, t.Left)
+	written := t.write(c, *text)
+	if cap(*text) <= keptText {
+		texts.Put(text)
+	}
+	if !written {
+		c.Close()
+		return t.unsent(), nil
+	}
+	resp, answer, err := c.read(req.Method, t.Until)
+	if err != nil {
+		c.Close()
+		switch {
+		case !t.letGo():
+			return frostshift.Canceled, nil
+		case errors.Is(err, errOdd):
+			return frostshift.Failed, nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return frostshift.TimedOut, nil
+		}
+		return frostshift.Reset, nil
+	}
+	if t.letGo() && !resp.Close && c.in.Buffered() == 0 {
+		t.up.put(c)
+	} else {
+		c.Close()
+	}
+	return classify(resp), answer
+}
+
+// unsent is the result where the request's last byte has surely not been written: the
+// host can't have run it, and it is at fault unless the attempt was called off.
+func (t *attempt) unsent() frostshift.Result {
+	if !t.letGo() {
+		return frostshift.NotSent
+	}
+	return frostshift.ConnectFailed
+}
+
+// appendRequest is the request as it goes to a host.
+func appendRequest(b []byte, r *message.Request, left time.Duration) []byte {
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Authority...)
+	b = append(b, "\r\nX-Time-Left: "...)
+	b = strconv.AppendInt(b, max(0, left.Microseconds()), 10)
+	b = append(b, "u\r\n"...)
+	if r.Method != "GET" || len(r.Body) > 0 {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	for name, values := range r.Header {
+		for _, v := range values {
+			if strings.ContainsAny(v, "\r\n\x00") {
+				continue // it would begin another header, or another request
+			}
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	b = append(b, "\r\n"...)
+	return append(b, r.Body...)
+}
--- /dev/null
+++ b/internal/upstream/http1/conn.go
@@ -0,0 +1,70 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+)
+
+// conn is a connection to a host. It belongs to one attempt or is idle.
+type conn struct {
+	net.Conn
+	up     *Upstream
+	host   *host
+	raw    syscall.RawConn
+	in     *bufio.Reader
+	limit  io.LimitedReader // what may yet be read of an answer
+	freed  time.Time        // when its last answer was whole
+	closed bool             // under the upstream's lock
+}
+
+func newConn(nc net.Conn, u *Upstream, h *host) *conn {
+	c := &conn{Conn: nc, up: u, host: h}
+	c.limit.R = nc
+	c.in = bufio.NewReader(&c.limit)
+	if s, ok := nc.(syscall.Conn); ok {
+		c.raw, _ = s.SyscallConn()
+	}
+	return c
+}
+
+// quiet says whether an idle connection is open and nothing has come on it. Answers do
+// not name their request: one that comes unasked, or the rest of one, would be taken
+// for the answer to the next request.
+func (c *conn) quiet() bool {
+	if c.in.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	var n int
+	var err error
+	var one [1]byte
+	// Control, unlike Read, does not mind that the last answer's deadline has passed.
+	if e := c.raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); e != nil {
+		return false
+	}
+	return n <= 0 && errors.Is(err, syscall.EAGAIN)
+}
+
+// Close closes the connection; close does with the upstream's lock held.
+func (c *conn) Close() error {
+	c.up.mu.Lock()
+	defer c.up.mu.Unlock()
+	return c.close()
+}
+
+func (c *conn) close() error {
+	if c.closed {
+		return nil
+	}
+	c.closed = true
+	c.up.lose(c.host)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/upstream/http1/upstream.go
@@ -0,0 +1,276 @@
+// Package http1 makes attempts at hosts over HTTP/1.1 (RFC 9112), one at a time on a
+// connection. It says honestly how each attempt ended, and above all whether the
+// request's last byte was written. It sends nothing by itself a second time, and it knows
+// nothing of clients, of other attempts or of why a host was chosen.
+//
+// upstream.go keeps hosts and their connections, conn.go is one connection, attempt.go
+// one attempt, answer.go reads what comes back.
+package http1
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"frostshift"
+	"frostshift/internal/exchange"
+)
+
+const (
+	maxHeader   = 16 << 10 // bytes of an answer's head
+	maxAnswer   = 4 << 20  // bytes of an answer's body: hosts send more than the 64 KiB that are agreed
+	connsToHost = 24       // connections to one host that are kept: three gateways share its 90
+	idleShare   = 0.8      // of the hosts' idle time after which we close ours: a late write is a reset
+	sweepEvery  = time.Second
+
+	// settle is how long a connection rests after an answer. What a host sends behind its
+	// answer has come by then and shows: it must not be taken for the next answer.
+	settle = time.Millisecond
+	// A request that finds none but resting connections waits for one: a new one costs a
+	// handshake and the host much more than a millisecond. Where that happens often, a
+	// further connection is cheaper: after waitsToOpen waits, each of which counts half
+	// waitsHalve later.
+	waitsToOpen = 8
+	waitsHalve  = 100 * time.Millisecond
+)
+
+// Config bounds what an Upstream holds.
+type Config struct {
+	DialTimeout time.Duration // a connection that is not up by then has failed
+	ConnIdle    time.Duration // hosts close a connection that was idle for so long
+	Conns       exchange.Room // connections to all hosts; nil: not bounded
+	Bytes       exchange.Room // of long answers; nil: not bounded
+}
+
+// Upstream is the hosts of one pool with the connections to them. It is safe for
+// concurrent use.
+type Upstream struct {
+	cfg  Config
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	mu    sync.Mutex // guards what follows and what hosts hold
+	hosts map[frostshift.HostID]*host
+	open  int // connections, open or being opened, to all hosts
+}
+
+// Endpoint is where a host is.
+type Endpoint struct {
+	ID      frostshift.HostID
+	Address string          // host:port
+	Started frostshift.Time // when it last started
+	Gone    bool            // it is on the list no more
+}
+
+// host is one host with its kept-alive connections.
+type host struct {
+	address string
+	started frostshift.Time
+	gone    bool    // its connections are of no more use
+	idle    []*conn // the one used last at the end
+	open    int     // connections, idle or not
+
+	waits   float64 // for resting connections, of late
+	waitsAt time.Time
+}
+
+// New returns an Upstream without hosts.
+func New(cfg Config) *Upstream {
+	if cfg.Conns == nil {
+		cfg.Conns = exchange.Unbounded{}
+	}
+	if cfg.Bytes == nil {
+		cfg.Bytes = exchange.Unbounded{}
+	}
+	d := net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1}
+	return &Upstream{cfg: cfg, dial: d.DialContext, hosts: map[frostshift.HostID]*host{}}
+}
+
+// Update takes over a list, the whole one or changes. Connections to a host that left,
+// moved or started anew are of no more use: a write on one would end as a reset.
+func (u *Upstream) Update(whole bool, list []Endpoint) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	listed := make(map[frostshift.HostID]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = !e.Gone
+		h := u.hosts[e.ID]
+		if h != nil && (e.Gone || h.address != e.Address || h.started != e.Started) {
+			u.drop(e.ID)
+			h = nil
+		}
+		if h == nil && !e.Gone {
+			u.hosts[e.ID] = &host{address: e.Address, started: e.Started}
+		}
+	}
+	if whole {
+		for id := range u.hosts {
+			if !listed[id] {
+				u.drop(id)
+			}
+		}
+	}
+}
+
+// drop forgets a host. The lock is held.
+func (u *Upstream) drop(id frostshift.HostID) {
+	h := u.hosts[id]
+	h.gone = true
+	for len(h.idle) > 0 {
+		h.remove(0).close()
+	}
+	delete(u.hosts, id)
+}
+
+// Open is how many connections there are.
+func (u *Upstream) Open() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.open
+}
+
+// errNoSockets says that this gateway has no descriptor left for a connection.
+var errNoSockets = errors.New("no sockets left")
+
+// get returns a connection to the attempt's host, a kept-alive one if one is fit for use.
+func (u *Upstream) get(t *attempt, h *host) (*conn, error) {
+	for {
+		u.mu.Lock()
+		c, wait := h.take(time.Now())
+		if c == nil {
+			break
+		}
+		u.mu.Unlock()
+		if wait > 0 {
+			time.Sleep(wait)
+		}
+		if c.quiet() {
+			return c, nil
+		}
+		c.Close()
+	}
+	room := u.cfg.Conns.Take(1)
+	for !room && u.shed() {
+		room = u.cfg.Conns.Take(1)
+	}
+	if room {
+		u.open++
+		h.open++
+	}
+	u.mu.Unlock()
+	if !room {
+		return nil, errNoSockets
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), t.Until)
+	defer cancel()
+	var nc net.Conn
+	err := errCalledOff
+	if t.dialing(cancel) {
+		nc, err = u.dial(ctx, "tcp", h.address)
+	}
+	if err != nil {
+		u.mu.Lock()
+		u.lose(h)
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			u.shed() // room for the next
+			err = errNoSockets
+		}
+		u.mu.Unlock()
+		return nil, err
+	}
+	return newConn(nc, u, h), nil
+}
+
+// lose counts a connection as gone. The lock is held.
+func (u *Upstream) lose(h *host) {
+	u.open--
+	h.open--
+	u.cfg.Conns.Give(1)
+}
+
+// shed closes the connection that has been idle the longest, whatever its host, and
+// says whether there was one. The lock is held.
+func (u *Upstream) shed() bool {
+	var oldest *host
+	for _, h := range u.hosts {
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].freed.Before(oldest.idle[0].freed)) {
+			oldest = h
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.remove(0).close()
+	return true
+}
+
+// put keeps a connection whose answer has come whole for another request.
+func (u *Upstream) put(c *conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if c.host.gone || len(c.host.idle) >= connsToHost {
+		c.close()
+		return
+	}
+	c.freed = time.Now()
+	c.host.idle = append(c.host.idle, c)
+}
+
+// Run closes idle connections that are old, that hosts have closed or that have brought
+// what nobody asked for, until the context ends; then it closes all that are idle, and
+// none is kept any more.
+func (u *Upstream) Run(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			u.Update(true, nil)
+			return
+		case <-tick.C:
+		}
+		old := time.Now().Add(-time.Duration(idleShare * float64(u.cfg.ConnIdle)))
+		u.mu.Lock()
+		for _, h := range u.hosts {
+			for i := len(h.idle) - 1; i >= 0; i-- {
+				if c := h.idle[i]; c.freed.Before(old) || !c.quiet() {
+					h.remove(i).close()
+				}
+			}
+		}
+		u.mu.Unlock()
+	}
+}
+
+// take takes the connection used last among those that have settled: the others are left
+// to grow old. Where all rest, it is the one nearest to its end, with the time to wait, or
+// nil if a further connection is worth more. The lock is held.
+func (h *host) take(now time.Time) (*conn, time.Duration) {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		if now.Sub(h.idle[i].freed) >= settle {
+			return h.remove(i), 0
+		}
+	}
+	if len(h.idle) == 0 {
+		return nil, 0
+	}
+	h.waits = h.waits*math.Exp2(-float64(now.Sub(h.waitsAt))/float64(waitsHalve)) + 1
+	h.waitsAt = now
+	if h.waits > waitsToOpen && h.open < connsToHost {
+		h.waits = 0
+		return nil, 0
+	}
+	c := h.remove(0)
+	return c, settle - now.Sub(c.freed)
+}
+
+func (h *host) remove(i int) *conn {
+	c := h.idle[i]
+	copy(h.idle[i:], h.idle[i+1:])
+	h.idle[len(h.idle)-1] = nil
+	h.idle = h.idle[:len(h.idle)-1]
+	return c
+}
