--- /dev/null
+++ b/cmd/stilespool/commands_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"frostshift/internal/standin"
+)
+
+const example = "../../deploy/example.toml"
+
+func TestCommands(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	if err := os.WriteFile(bad, []byte("[limits]\ncores = \"two\"\ncpus = 2\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args      string
+		status    int
+		out, errs []string // what must be said
+	}{
+		{"help", 0, []string{"stilespool run", "stilespool check F", "stilespool route", "stilespool demo", "stilespool version", "SIGHUP"}, nil},
+		{"-h", 0, []string{"stilespool run"}, nil},
+		{"version", 0, []string{"stilespool ", "go1."}, nil},
+		{"serve", exitUsage, nil, []string{`no command "serve"`}},
+		{"check", exitUsage, nil, []string{"usage: stilespool check F"}},
+		{"check " + example, 0, []string{"is good: 1 listeners, 3 classes, 4 pools, 4 routes"}, nil},
+		{"check " + bad, exitFailed, nil, []string{"bad.toml:2: limits.cores: want a number", "bad.toml:3: limits.cpus: unknown key", "class: there is none", "wrong"}},
+		{"check nowhere.toml", exitFailed, nil, []string{"nowhere.toml"}},
+		{"run -config " + bad, exitFailed, nil, []string{"bad.toml:2: limits.cores"}},
+		{"run -verbose", exitUsage, nil, []string{"-verbose"}},
+		{"route /x", exitUsage, nil, []string{"-config"}},
+		{"route -config " + bad + " /x", exitFailed, nil, []string{"limits.cores"}},
+		{"route -config " + example + " http://gw/rota/today?household=7", 0, []string{
+			"not rota-preview", "X-Preview is missing or differs", "route rota (", "class    lookup (safe, deadline 2s)",
+			"stable by query household", "fallback spare", "path     /rota/today"}, nil},
+		{"route -config " + example + " -H X-Preview:1 http://gw/rota/today", 0, []string{"route rota-preview", "pool     rota-next"}, nil},
+		{"route -config " + example + " -X POST http://leeds.council.test/api/bookings/7?x=1", 0, []string{"route bookings", "path     /bookings/7 (rewritten)"}, nil},
+		{"route -config " + example + " -X POST http://leeds.council.test/council/leeds/missed/42", 0, []string{"route missed", "path     /missed/42/of/leeds (rewritten)"}, nil},
+		{"route -config " + example + " http://leeds.council.test/api/bookings/7", exitNoMatch, []string{"not bookings", "the method differs", "no route matches"}, nil},
+		{"route -config " + example + " /rota/../api", exitNoMatch, []string{"answered 400"}, nil},
+		{"route -config " + example + " -H nonsense /rota", exitUsage, nil, []string{"Name: value"}},
+		{"demo -for 1ms", exitUsage, nil, []string{"from 1s to 1h"}},
+		{"demo -for 1s", 0, []string{"requests", "served", "pool", "rota-next"}, nil},
+	} {
+		var out, errs bytes.Buffer
+		status := dispatch(strings.Fields(c.args), &out, &errs)
+		if status != c.status {
+			t.Errorf("%s: ended with %d, want %d: %s%s", c.args, status, c.status, &out, &errs)
+		}
+		for _, want := range c.out {
+			if !strings.Contains(out.String(), want) {
+				t.Errorf("%s: printed %q, want %q in it", c.args, &out, want)
+			}
+		}
+		for _, want := range c.errs {
+			if !strings.Contains(errs.String(), want) {
+				t.Errorf("%s: said %q, want %q in it", c.args, &errs, want)
+			}
+		}
+	}
+}
+
+// The example runs: each of its routes serves at the hosts that it names. A SIGHUP takes
+// a changed file over, and leaves all as it was for a bad one.
+func TestExampleRuns(t *testing.T) {
+	text, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := string(text)
+	hosts := map[int]*standin.Host{}
+	for port := 9001; port <= 9007; port++ {
+		h, err := standin.Scripted(standin.Always(standin.Serve(fmt.Sprint(port))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer h.Close()
+		hosts[port] = h
+		config = strings.ReplaceAll(config, fmt.Sprintf("127.0.0.1:%d", port), h.Addr())
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free port, given back for the program
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	config = strings.ReplaceAll(config, "127.0.0.1:8080", addr)
+	path := filepath.Join(t.TempDir(), "gw.toml")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(config)
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self, "run", "-config", path)
+	cmd.Env = append(os.Environ(), "STILESPOOL_TEST_RUN=1")
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	lines := make(chan string, 100)
+	go func() {
+		defer close(lines)
+		for in := bufio.NewScanner(log); in.Scan(); {
+			lines <- in.Text()
+		}
+	}()
+	said := func(what string) {
+		t.Helper()
+		late := time.After(30 * time.Second)
+		for {
+			select {
+			case l, more := <-lines:
+				if strings.Contains(l, what) {
+					return
+				}
+				if !more {
+					t.Fatalf("it ended without %q", what)
+				}
+			case <-late:
+				t.Fatalf("it does not say %q", what)
+			}
+		}
+	}
+	ask := func(method, host, target string, headers ...string) (int, string) {
+		t.Helper()
+		var last error
+		for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			c, err := net.Dial("tcp", addr)
+			if err != nil { // not up yet
+				last = err
+				continue
+			}
+			c.SetDeadline(time.Now().Add(30 * time.Second))
+			fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: 0\r\n%s\r\n", method, target, host, strings.Join(append(headers, ""), "\r\n"))
+			client := standin.Over(c)
+			status, body, _, err := client.Receive()
+			c.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+			return status, body
+		}
+		t.Fatal(last)
+		return 0, ""
+	}
+	for _, c := range []struct {
+		method, host, target, header string
+		want                         []string
+	}{
+		{"GET", "gw", "/rota/x", "X-Preview: 1", []string{"9004"}},
+		{"GET", "gw", "/rota/x", "X-Other: 1", []string{"9001", "9002", "9003", "9004"}},
+		{"POST", "a.council.test", "/api/bookings", "X-Other: 1", []string{"9005", "9006"}},
+		{"POST", "gw", "/council/leeds/missed/42", "Idempotency-Key: k", []string{"9005", "9006"}},
+	} {
+		status, body := ask(c.method, c.host, c.target, c.header)
+		if status != 200 || !strings.Contains(strings.Join(c.want, " "), body) {
+			t.Errorf("%s %s: answered %d %q, want one of %v", c.method, c.target, status, body, c.want)
+		}
+	}
+	if status, _ := ask("POST", "gw", "/council/leeds/missed/42"); status != 400 {
+		t.Errorf("a keyed request without a key: answered %d", status)
+	}
+	hangUp := func(text string) {
+		write(text)
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hangUp(strings.Replace(config, `effect = "safe"`, `effect = "saf"`, 1))
+	said("the old one stays")
+	if status, _ := ask("GET", "gw", "/rota/x"); status != 200 {
+		t.Errorf("after a bad file: answered %d", status)
+	}
+	hangUp(strings.ReplaceAll(config, `prefix = "/rota"`, `prefix = "/days"`))
+	said("configuration read again")
+	if status, _ := ask("GET", "gw", "/rota/x"); status != 404 {
+		t.Errorf("a route that is gone: answered %d", status)
+	}
+	if status, _ := ask("GET", "gw", "/days/x"); status != 200 {
+		t.Errorf("a route that has come: answered %d", status)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for range lines {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -49,11 +49,12 @@
 // start runs the pool until it is drained and its last request has ended.
 func (p *pool) start(g *Gateway) {
 	ctx, end := context.WithCancel(context.Background())
+	def := p.def // a reload may change it from here on
 	var parts sync.WaitGroup
 	parts.Go(func() { p.up.Run(ctx) })
-	parts.Go(func() { p.follower.Run(ctx, p.def.Source) })
+	parts.Go(func() { p.follower.Run(ctx, def.Source) })
 	g.running.Go(func() {
-		if known := p.def.Known; known != nil {
+		if known := def.Known; known != nil {
 			p.ex.Run(p.names.Hosts(known.Endpoints), func() { p.addresses(known) })
 		} else {
 			p.ex.Run(nil, nil)
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,84 @@
+// Package rig holds measurements that are too long for CI: whole programs over loopback,
+// with load and stand-ins of their own. Each prints a table and ends with a line that
+// says whether its aim was met. It is used by cmd/rig alone.
+package rig
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+)
+
+// Rig is one measurement.
+type Rig struct {
+	Name, What string
+	// Run prints its table and returns the figure, in words, and whether it meets the aim.
+	Run func(out io.Writer) (figure string, ok bool, err error)
+}
+
+// All are the rigs by name.
+var All = []Rig{
+	{"proxy", "throughput and CPU a request through the whole program, beside httputil.ReverseProxy", runProxy},
+	{"pools", "throughput of two pools on two cores, beside one pool", runPools},
+}
+
+// children are programs that a rig starts as processes of their own.
+var children = map[string]func() error{
+	"gateway": gatewayChild,
+	"reverse": reverseChild,
+}
+
+// childVariable names, in its environment, what a child process is.
+const childVariable = "STILESPOOL_RIG_CHILD"
+
+// Main runs the rig that the arguments name and returns the exit status: 0 where it meets
+// its aim, 1 where not.
+func Main(args []string, out io.Writer) int {
+	if name := os.Getenv(childVariable); name != "" {
+		if err := children[name](); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		return 0
+	}
+	if len(args) != 1 || args[0] == "list" || args[0] == "help" {
+		for _, r := range All {
+			fmt.Fprintf(out, "rig %-8s %s\n", r.Name, r.What)
+		}
+		if len(args) == 1 {
+			return 0
+		}
+		return 64
+	}
+	for _, r := range All {
+		if r.Name != args[0] {
+			continue
+		}
+		figure, ok, err := r.Run(out)
+		if err != nil {
+			fmt.Fprintf(out, "%s: short (%v)\n", r.Name, err)
+			return 1
+		}
+		word := "short"
+		if ok {
+			word = "ok"
+		}
+		fmt.Fprintf(out, "%s: %s (%s)\n", r.Name, word, figure)
+		if ok {
+			return 0
+		}
+		return 1
+	}
+	fmt.Fprintf(out, "there is no rig %q; rig list names them\n", args[0])
+	return 64
+}
+
+// median is the middle one of an odd number of figures.
+func median(list []float64) float64 {
+	list = slices.Sorted(slices.Values(list))
+	return list[len(list)/2]
+}
+
+func quoted(list []string) string { return `"` + strings.Join(list, `", "`) + `"` }
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -25,9 +25,12 @@
 		return nil, err
 	}
 	c.SetDeadline(time.Now().Add(within))
-	return &Client{Conn: c, in: bufio.NewReader(c)}, nil
+	return Over(c), nil
 }
 
+// Over is a client on a connection that is there.
+func Over(c net.Conn) *Client { return &Client{Conn: c, in: bufio.NewReader(c)} }
+
 // Send writes a request; each header is a whole line.
 func (c *Client) Send(method, target, body string, headers ...string) error {
 	var b strings.Builder
