--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1429,7 +1429,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	page, err := os.ReadFile("README.md")
+	page, err := os.ReadFile("docs/platform.md")
 	if err != nil {
 		t.Fatal(err)
 	}
