--- a/balancer.go
+++ b/balancer.go
@@ -599,6 +599,18 @@
 	return slices.ContainsFunc(b.hosts, func(h *host) bool { return h.State == Ready && !b.ejected(&r, h) })
 }
 
+// Capacity is how many attempts this instance may have out, as hosts are now: the sum of
+// the limits of those that are in use.
+func (b *Balancer) Capacity(now Time) (n float64) {
+	b.now = now
+	for _, h := range b.hosts {
+		if h.State == Ready && !(h.fails > 0 && now < h.ejectUntil) && now >= h.restUntil {
+			n += max(1, h.limit/b.sharers)
+		}
+	}
+	return n
+}
+
 // eject takes a host out of the draw, longer each time in a row.
 func (b *Balancer) eject(h *host, why string) {
 	if h.fails > 0 && b.now < h.ejectUntil {
--- a/cmd/stilespool/commands_test.go
+++ b/cmd/stilespool/commands_test.go
@@ -49,6 +49,10 @@
 		{"route -config " + example + " http://leeds.council.test/api/bookings/7", exitNoMatch, []string{"not bookings", "the method differs", "no route matches"}, nil},
 		{"route -config " + example + " /rota/../api", exitNoMatch, []string{"answered 400"}, nil},
 		{"route -config " + example + " -H nonsense /rota", exitUsage, nil, []string{"Name: value"}},
+		{"contracts", exitUsage, nil, []string{"-config"}},
+		{"contracts -config " + example, exitFailed, nil, []string{"names no contracts"}},
+		{"contracts -config ../../deploy/teams.toml", 0, []string{"bins", "booking, lookup", "of 16 attempts at once 12.8 are guaranteed: fits"}, nil},
+		{"contracts -config ../../deploy/teams.toml -capacity 4", 0, []string{"OVERSOLD", "payments         2.00"}, []string{"each gets less"}},
 		{"demo -for 1ms", exitUsage, nil, []string{"from 1s to 1h"}},
 		{"demo -for 1s", 0, []string{"requests", "served", "pool", "rota-next"}, nil},
 	} {
--- a/cmd/stilespool/main.go
+++ b/cmd/stilespool/main.go
@@ -35,6 +35,7 @@
 		{"run", "-config F", "run a gateway; without -config as the platform says in GW_CONFIG", runGateway},
 		{"check", "F", "say all that is wrong with a configuration file, by line and key", runCheck},
 		{"route", "-config F [-X METHOD] [-H 'Name: v']... URL", "say which route gets a request, and why the better ones do not", runRoute},
+		{"contracts", "-config F [-capacity N]", "list the teams, what they are guaranteed and whether it fits", runContracts},
 		{"demo", "[-for 20s]", "run a gateway between stand-in clients and hosts, some of which fail", runDemo},
 		{"version", "", "say which build this is", runVersion},
 		{"help", "", "say this", runHelp},
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -237,6 +237,63 @@
 	}
 }
 
+// Contracts are files of their own, and their errors name them, with all others at once.
+func TestContracts(t *testing.T) {
+	dir := t.TempDir()
+	text := strings.Replace(good, "[limits]", "[contracts]\ndir = \"teams\"\n\n[limits]", 1)
+	parse := func(files map[string]string) (*Model, Errors, error) {
+		t.Helper()
+		os.RemoveAll(filepath.Join(dir, "teams"))
+		if files != nil {
+			os.Mkdir(filepath.Join(dir, "teams"), 0o700)
+		}
+		for name, text := range files {
+			if err := os.WriteFile(filepath.Join(dir, "teams", name), []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return Parse(filepath.Join(dir, "gw.toml"), []byte(text))
+	}
+	const one = "team = \"bins\"\naccount = \"bins\"\nshare = 0.6\nvalid_until = 2999-01-01T00:00:00Z\n[[class]]\nname = \"lookup\"\npriority = 2\n"
+	two := strings.NewReplacer("bins", "rotas", "0.6", "0.7").Replace(one)
+	m, warnings, err := parse(map[string]string{"a.toml": one, "b.toml": two, "notes.txt": "no contract"})
+	if err != nil || len(m.Contracts.Terms()) != 2 || len(warnings) != 1 || !strings.Contains(warnings.Error(), "add up to 1.3") {
+		t.Fatal(m, warnings, err)
+	}
+	bins := m.Contracts.Team("bins")
+	if bins.Share != 0.6 || bins.Classes["lookup"].Priority != 2 || bins.Until.Year() != 2999 || bins.File != "a.toml" || bins.RetryRatio != 0.2 {
+		t.Errorf("%+v", bins)
+	}
+	for _, c := range []struct{ from, to, want string }{
+		{`account = "bins"`, `tokens = ["secret"]`, "a.toml:2: tokens[0]: want sha256:"},
+		{`account = "bins"`, `tokens = ["sha256:12"]`, "a.toml:2: tokens[0]: want 64"},
+		{`account = "bins"`, `addresses = ["10.0.0.1"]`, "a.toml:2: addresses[0]: \"10.0.0.1\" is no range"},
+		{`account = "bins"`, `account = "rotas"`, "b.toml:2: account: account rotas names team bins too"},
+		{`account = "bins"`, ``, "nothing tells who is this team"},
+		{`share = 0.6`, `share = 60`, "a.toml:3: share: 60 is not from 0 to 1"},
+		{`share = 0.6`, `repeats = ["all"]`, "a.toml:3: repeats[0]: \"all\" is none of"},
+		{`share = 0.6`, `shares = 0.6`, "a.toml:3: shares: unknown key"},
+		{`share = 0.6`, `largest_body = -1`, "a.toml:3: largest_body: -1 is negative"},
+		{`2999-01-01T00:00:00Z`, `"soon"`, "a.toml:4: valid_until: want a date"},
+		{`name = "lookup"`, `name = "nothing"`, "a.toml:6: class[0].name: there is no class"},
+		{`team = "bins"`, `team = "rotas"`, "b.toml:1: team: team rotas has another contract at a.toml:1"},
+		{`team = "bins"`, `team = `, "a.toml:1"},
+	} {
+		bad := strings.Replace(one, c.from, c.to, 1)
+		if bad == one {
+			t.Fatalf("%q is not in the contract", c.from)
+		}
+		if _, _, err := parse(map[string]string{"a.toml": bad, "b.toml": two}); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error %v does not say %q", c.to, err, c.want)
+		}
+	}
+	for _, files := range []map[string]string{nil, {}, {"notes.txt": ""}} {
+		if _, _, err := parse(files); err == nil || !strings.Contains(err.Error(), "contracts.dir") {
+			t.Errorf("without contracts: %v", err)
+		}
+	}
+}
+
 // Whatever stands in a file: an error or a model, and every error has a place in it.
 func FuzzParse(f *testing.F) {
 	f.Add(good)
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -35,6 +35,9 @@
 		Instances *int `toml:"instances"`
 		Rank      int  `toml:"rank"`
 	} `toml:"bank"`
+	Contracts struct {
+		Dir string `toml:"dir"`
+	} `toml:"contracts"`
 	Listeners []struct {
 		Name    string `toml:"name"`
 		Address string `toml:"address"`
@@ -153,11 +156,15 @@
 	if m.Name == "" {
 		m.Name = "stilespool"
 	}
+	if m.Instances = 1; f.Bank.Instances != nil {
+		m.Instances = *f.Bank.Instances
+	}
 	d.limits(&f, m)
 	d.listeners(&f, m)
 	d.classes(&f, m)
 	d.pools(&f, m)
 	warnings := d.routes(&f, m)
+	warnings = append(warnings, d.contracts(f.Contracts.Dir, m)...)
 	if len(d.errs) > 0 {
 		slices.SortStableFunc(d.errs, byLine)
 		return nil, nil, d.errs
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"frostshift"
+	"frostshift/internal/contract"
 	"frostshift/internal/membership"
 	"frostshift/internal/route"
 )
@@ -32,6 +33,8 @@
 	Tenants   map[string]int // indices by name
 	Pools     []*Pool
 	Table     *route.Table
+	Contracts *contract.Book // nil: anybody may ask for anything
+	Instances int            // gateways that share the contracts' absolute figures; 0: 1
 	// Platform says that clients speak the platform's protocol: they must name class and
 	// id in headers, and the method follows from the class.
 	Platform bool
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -94,6 +94,7 @@
 
 var (
 	durationType = reflect.TypeFor[time.Duration]()
+	timeType     = reflect.TypeFor[time.Time]()
 	regexpType   = reflect.TypeFor[*regexp.Regexp]()
 )
 
@@ -113,6 +114,13 @@
 		default:
 			to.SetInt(int64(span))
 		}
+	case t == timeType:
+		at, ok := v.(time.Time)
+		if !ok {
+			wrong("a date with time and offset, like 2027-01-31T00:00:00Z")
+			return
+		}
+		to.Set(reflect.ValueOf(at))
 	case t == regexpType:
 		s, ok := v.(string)
 		if !ok {
--- /dev/null
+++ b/internal/contract/book.go
@@ -0,0 +1,193 @@
+package contract
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+	"strings"
+)
+
+// Book is the contracts of all teams. It does not change, and any number of goroutines
+// may use it.
+type Book struct {
+	terms    []*Terms
+	byTeam   map[string]*Terms
+	tokens   map[[8]byte][]tokenOf // by the digest's first bytes
+	accounts map[string]*Terms
+	ranges   []rangeOf // the narrower first
+}
+
+type tokenOf struct {
+	digest Digest
+	terms  *Terms
+}
+
+type rangeOf struct {
+	prefix netip.Prefix
+	terms  *Terms
+}
+
+// Problem is something wrong with a contract beside others.
+type Problem struct {
+	Terms   *Terms
+	Key     string
+	Text    string
+	Warning bool
+}
+
+// NewBook checks contracts against one another and binds them to a book, which is nil if
+// any problem is not a warning.
+func NewBook(list []*Terms) (*Book, []Problem) {
+	b := &Book{terms: list, byTeam: map[string]*Terms{}, tokens: map[[8]byte][]tokenOf{}, accounts: map[string]*Terms{}}
+	var bad []Problem
+	say := func(t *Terms, key, format string, args ...any) {
+		bad = append(bad, Problem{Terms: t, Key: key, Text: fmt.Sprintf(format, args...)})
+	}
+	shares := 0.0
+	for _, t := range list {
+		if other := b.byTeam[t.Team]; t.Team == "" {
+			say(t, "team", "a contract needs a team")
+		} else if other != nil {
+			say(t, "team", "team %s has another contract at %s", t.Team, other.at("team"))
+		}
+		b.byTeam[t.Team] = t
+		if len(t.Classes) == 0 {
+			say(t, "class", "a contract names the classes that may be called")
+		}
+		if len(t.Tokens) == 0 && len(t.Addresses) == 0 && t.Account == "" {
+			say(t, "team", "nothing tells who is this team: tokens, addresses or account")
+		}
+		for _, d := range t.Tokens {
+			if other := b.token(d); other != nil {
+				say(t, "tokens", "a token names team %s too", other.Team)
+			}
+			key := [8]byte(d[:8])
+			b.tokens[key] = append(b.tokens[key], tokenOf{d, t})
+		}
+		for _, p := range t.Addresses {
+			b.ranges = append(b.ranges, rangeOf{p.Masked(), t})
+		}
+		if t.Account != "" {
+			if other := b.accounts[t.Account]; other != nil {
+				say(t, "account", "account %s names team %s too", t.Account, other.Team)
+			}
+			b.accounts[t.Account] = t
+		}
+		for _, f := range []struct {
+			key       string
+			v, lo, hi float64
+		}{{"share", t.Share, 0, 1}, {"ceiling", t.Ceiling, 0, 1}, {"rate", t.Rate, 0, 1e6}, {"concurrency", t.Concurrency, 0, 1e6}, {"retry_ratio", t.RetryRatio, 0, 10}} {
+			if !(f.v >= f.lo && f.v <= f.hi) {
+				say(t, f.key, "%v is not from %v to %v", f.v, f.lo, f.hi)
+			}
+		}
+		if t.Ceiling > 0 && t.Share > t.Ceiling {
+			say(t, "ceiling", "%v is under the share that is guaranteed, %v", t.Ceiling, t.Share)
+		}
+		if !t.From.IsZero() && !t.Until.IsZero() && !t.From.Before(t.Until) {
+			say(t, "valid_until", "the contract ends before it begins")
+		}
+		shares += t.Share
+	}
+	slices.SortStableFunc(b.ranges, func(x, y rangeOf) int { return y.prefix.Bits() - x.prefix.Bits() })
+	for i, r := range b.ranges {
+		for _, s := range b.ranges[:i] {
+			if s.prefix == r.prefix && s.terms != r.terms {
+				say(r.terms, "addresses", "%v names team %s too", r.prefix, s.terms.Team)
+			}
+		}
+	}
+	if len(bad) > 0 {
+		return nil, bad
+	}
+	if shares > 1+1e-9 {
+		bad = append(bad, Problem{Terms: list[len(list)-1], Key: "share", Warning: true,
+			Text: fmt.Sprintf("the shares of all teams add up to %.3g: where all want theirs at once each gets 1/%.3g of it", shares, shares)})
+	}
+	return b, bad
+}
+
+// Terms are all contracts, in the order in which they were given.
+func (b *Book) Terms() []*Terms { return b.terms }
+
+// Team finds a contract by its team; nil: there is none.
+func (b *Book) Team(name string) *Terms { return b.byTeam[name] }
+
+// token finds whose token has a digest. Digests are found by a part of them: what time
+// that takes tells of a digest, never of a token. The rest is compared in constant time.
+func (b *Book) token(d Digest) *Terms {
+	var found *Terms
+	for _, t := range b.tokens[[8]byte(d[:8])] {
+		if subtle.ConstantTimeCompare(t.digest[:], d[:]) == 1 {
+			found = t.terms
+		}
+	}
+	return found
+}
+
+// Caller is what a client says and shows of itself.
+type Caller struct {
+	Authorization string // the header, or ""
+	Account       string // X-Account, or ""
+	Address       netip.Addr
+}
+
+// Identify says whose request it is, or that nobody knows: 401, at no team's cost. A
+// token counts before an account, an account before the address; one that is shown and
+// is wrong is not made good by another.
+func (b *Book) Identify(c *Caller) (*Terms, *Violation) {
+	unknown := func(title, detail string) *Violation {
+		return &Violation{Status: 401, Title: title, Detail: detail}
+	}
+	if c.Authorization != "" && len(b.tokens) > 0 {
+		scheme, token, _ := strings.Cut(c.Authorization, " ")
+		if !strings.EqualFold(scheme, "Bearer") || token == "" || len(token) > 4096 {
+			return nil, unknown("no team named", "the Authorization header is no bearer token")
+		}
+		if t := b.token(sha256.Sum256([]byte(strings.TrimSpace(token)))); t != nil {
+			return t, nil
+		}
+		return nil, unknown("unknown token", "the bearer token names no team")
+	}
+	if c.Account != "" && len(b.accounts) > 0 {
+		if t := b.accounts[c.Account]; t != nil {
+			return t, nil
+		}
+		return nil, unknown("unknown account", "the account names no team")
+	}
+	if c.Address.IsValid() {
+		addr := c.Address.Unmap()
+		for _, r := range b.ranges {
+			if r.prefix.Contains(addr) {
+				return r.terms, nil
+			}
+		}
+	}
+	return nil, unknown("no team named", "nothing in the request names a team")
+}
+
+// Fit says how the guarantees of all teams fit a pool of so many attempts at once: the
+// part of it that is guaranteed. Above 1 it is oversold.
+func (b *Book) Fit(capacity float64) (sum float64) {
+	for _, t := range b.terms {
+		w := t.weight(capacity, 1)
+		if w > leastWeight {
+			sum += w
+		}
+	}
+	if math.IsNaN(sum) {
+		return 0
+	}
+	return sum
+}
+
+// Guarantee is a team's part of a pool of so many attempts at once.
+func (t *Terms) Guarantee(capacity float64) float64 {
+	if w := t.weight(capacity, 1); w > leastWeight {
+		return w
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/contract/scheduler.go
@@ -0,0 +1,386 @@
+package contract
+
+import (
+	"math"
+	"time"
+)
+
+// Item is one request in a Scheduler. The caller fills in the first fields and keeps the
+// item until the request has ended; the rest is the scheduler's.
+type Item struct {
+	Terms    *Terms
+	Account  *Account
+	Class    int
+	Name     string // of the class
+	Key      uint64 // of what it is about; 0: none
+	Deadline Time   // the client has its answer by then
+	Owner    any    // for the caller
+
+	line     *line
+	cost     float64 // seconds, estimated
+	priority int
+	latest   Time // to be sent by
+	seq      uint64
+	state    itemState
+	inLine   int // place in its line's heap
+	inTime   int // place in the heap of latest times
+	lent     bool
+}
+
+type itemState uint8
+
+const (
+	itemNew itemState = iota
+	itemWaits
+	itemOut
+	itemEnded
+)
+
+// Turn is what becomes of a request on its arrival.
+type Turn uint8
+
+// Turns.
+const (
+	Go     Turn = iota // send it now
+	Wait               // Next or Expired will name it
+	Refuse             // it could not be answered in time
+)
+
+// Scheduler shares one pool's capacity out among teams by start-time fair queueing
+// (Goyal, Vin and Cheng 1996) over work. A team's tags advance by what its requests cost,
+// divided by its guarantee; the lowest tag goes next. So each team that has requests
+// waiting gets at least its guarantee, whatever the others do, and what some do not use
+// goes to the others in proportion. A team that was idle starts at the present time less
+// its burst: it has nothing saved up beyond that.
+//
+// A Scheduler is not safe for concurrent use; it lives in its pool's loop.
+type Scheduler struct {
+	now      Time
+	capacity float64 // attempts that the pool may have out, as its balancer learns it
+	part     float64 // this gateway's part of what contracts state for all
+	v        float64 // virtual time, in seconds of a guarantee
+	out      int
+	seq      uint64
+	lines    map[string]*line
+	ready    lineHeap // lines with requests that wait and may go
+	held     []*line  // lines with requests that wait, at their ceiling
+	waiting  timeHeap // all requests that wait, by the latest time to send them
+	weights  float64  // of the lines that have requests waiting
+	classes  []guess
+	keys     []keyCell
+	sweep    int
+	names    []string // of lines, in turn of being looked at for forgetting
+}
+
+// line is one team in a scheduler.
+type line struct {
+	team    string
+	terms   *Terms
+	weight  float64
+	finish  float64 // tag of its last request's end
+	start   float64 // tag of the request that is next, while some wait
+	turn    uint64  // of its first request; settles tags that are level
+	items   itemHeap
+	waits   float64 // seconds of work that wait
+	out     int
+	classes []guess
+	inReady int // place in the heap of lines; -1: not there
+	isHeld  bool
+}
+
+// headroom is how much more than its capacity a pool is given: its balancer learns that
+// hosts can take more only while something waits there.
+const headroom = 0.125
+
+// mostDebt bounds how long a team pays for what cost more than was thought, in seconds of
+// its guarantee.
+const mostDebt = 30
+
+// NewScheduler returns a scheduler for a pool. part is this gateway's part of the figures
+// that contracts state for all gateways together, from 0 to 1; see Part.
+func NewScheduler(part float64) *Scheduler {
+	return &Scheduler{capacity: 1, part: part, lines: map[string]*line{}}
+}
+
+// SetPart changes this gateway's part.
+func (s *Scheduler) SetPart(part float64) { s.part = part }
+
+// SetCapacity says how many attempts the pool may have out. A team's weight follows with
+// its next request.
+func (s *Scheduler) SetCapacity(now Time, capacity float64) {
+	s.tick(now)
+	grown := capacity > s.capacity
+	s.capacity = max(capacity, 1)
+	if grown {
+		s.release()
+	}
+}
+
+func (s *Scheduler) tick(now Time) { s.now = max(s.now, now) }
+
+// room says whether the pool takes another request.
+func (s *Scheduler) room() bool {
+	return float64(s.out) < s.capacity+max(1, s.capacity*headroom)
+}
+
+// atCeiling says whether a team has as much out as it may: its part of the capacity, in
+// whole attempts, of which a part counts as one.
+func (s *Scheduler) atCeiling(l *line) bool {
+	c := l.terms.ceiling()
+	return c < 1 && float64(l.out) >= math.Ceil(c*s.capacity-1e-9)
+}
+
+// Arrive takes a request in. With Refuse it says when to come back.
+func (s *Scheduler) Arrive(now Time, it *Item) (Turn, time.Duration) {
+	s.tick(now)
+	l := s.line(it.Terms)
+	it.line = l
+	s.weigh(l)
+	it.priority = it.Terms.Classes[it.Name].Priority
+	it.cost = s.estimate(l, it)
+	it.latest = it.Deadline - seconds(it.cost)
+	s.seq++
+	it.seq = s.seq
+	if it.latest < s.now {
+		it.state = itemEnded
+		return Refuse, s.backIn(l)
+	}
+	if len(l.items.list) == 0 && s.room() && !s.atCeiling(l) && len(s.ready.list) == 0 {
+		s.begin(l)
+		s.dispatch(l, it)
+		return Go, 0
+	}
+	// What waits ahead of it goes at the team's present share, or its place is hopeless.
+	if wait := s.wait(l); s.now+seconds(wait) > it.latest {
+		it.state = itemEnded
+		return Refuse, min(seconds(wait), mostAfter)
+	}
+	it.state = itemWaits
+	if len(l.items.list) == 0 {
+		s.begin(l)
+		s.weights += l.weight
+		l.items.push(it)
+		s.enter(l)
+	} else {
+		l.items.push(it)
+	}
+	l.waits += it.cost
+	s.waiting.push(it)
+	return Wait, 0
+}
+
+const (
+	mostAfter  = 10 * time.Second
+	leastAfter = 50 * time.Millisecond
+)
+
+// wait is how long what a team has waiting will take at its present share of the pool.
+func (s *Scheduler) wait(l *line) float64 {
+	all := s.weights
+	if len(l.items.list) == 0 {
+		all += l.weight
+	}
+	rate := min(s.capacity*l.weight/max(all, l.weight), l.terms.ceiling()*s.capacity)
+	return l.waits / max(rate, 1e-3)
+}
+
+// backIn is when a team's waiting requests will have gone.
+func (s *Scheduler) backIn(l *line) time.Duration {
+	return min(max(seconds(s.wait(l)), leastAfter), mostAfter)
+}
+
+// weigh gives a line its weight, as its contract and the capacity are now.
+func (s *Scheduler) weigh(l *line) {
+	w := l.terms.weight(s.capacity, s.part)
+	if len(l.items.list) > 0 {
+		s.weights += w - l.weight
+	}
+	l.weight = w
+}
+
+// begin gives a line that had nothing waiting its tag.
+func (s *Scheduler) begin(l *line) {
+	l.start = max(s.v-l.terms.Burst.Seconds(), l.finish)
+}
+
+// dispatch counts a request as out.
+func (s *Scheduler) dispatch(l *line, it *Item) {
+	s.v = max(s.v, l.start)
+	l.finish = l.start + it.cost/l.weight
+	l.start = l.finish
+	it.state = itemOut
+	l.out++
+	s.out++
+	it.lent = float64(l.out) > max(l.weight*s.capacity, 1)
+}
+
+// enter puts a line with waiting requests where Next finds it, or aside.
+func (s *Scheduler) enter(l *line) {
+	if s.atCeiling(l) {
+		if !l.isHeld {
+			l.isHeld = true
+			s.held = append(s.held, l)
+		}
+		return
+	}
+	s.queue(l)
+}
+
+// queue puts a line where Next finds it.
+func (s *Scheduler) queue(l *line) {
+	if l.inReady < 0 {
+		l.turn = l.items.list[0].seq
+		s.ready.push(l)
+	}
+}
+
+// release looks again at lines that were at their ceiling.
+func (s *Scheduler) release() {
+	rest := s.held[:0]
+	for _, l := range s.held {
+		switch {
+		case len(l.items.list) == 0:
+			l.isHeld = false
+		case s.atCeiling(l):
+			rest = append(rest, l)
+		default:
+			l.isHeld = false
+			s.queue(l)
+		}
+	}
+	clear(s.held[len(rest):])
+	s.held = rest
+}
+
+// Next is the request whose turn it is, or nil if none waits that may go now.
+func (s *Scheduler) Next(now Time) *Item {
+	s.tick(now)
+	if !s.room() || len(s.ready.list) == 0 {
+		return nil
+	}
+	l := s.ready.list[0]
+	s.ready.remove(l)
+	it := l.items.list[0]
+	s.take(l, it)
+	s.dispatch(l, it)
+	if len(l.items.list) > 0 {
+		s.enter(l)
+	}
+	return it
+}
+
+// take takes a waiting request out of its line and of the heap of times. Its line must
+// not be in the heap of lines, or stay right there.
+func (s *Scheduler) take(l *line, it *Item) {
+	l.items.remove(it)
+	s.waiting.remove(it)
+	l.waits = max(0, l.waits-it.cost)
+	if len(l.items.list) == 0 {
+		l.waits = 0
+		s.weights -= l.weight
+		if len(s.waiting.list) == 0 {
+			s.weights = 0 // no rounding is carried on
+		}
+		if l.inReady >= 0 {
+			s.ready.remove(l)
+		}
+	}
+}
+
+// Expired is a waiting request that can't be answered in time any more, with advice when
+// to come back, or nil.
+func (s *Scheduler) Expired(now Time) (*Item, time.Duration) {
+	s.tick(now)
+	if len(s.waiting.list) == 0 || s.waiting.list[0].latest >= s.now {
+		return nil, 0
+	}
+	it := s.waiting.list[0]
+	after := s.backIn(it.line)
+	s.take(it.line, it)
+	it.state = itemEnded
+	return it, after
+}
+
+// Due is when Expired is to be asked, or 0 if nothing waits.
+func (s *Scheduler) Due() Time {
+	if len(s.waiting.list) == 0 {
+		return 0
+	}
+	return s.waiting.list[0].latest + 1
+}
+
+// Done ends a request, wherever it is; work is the seconds that its attempts took at
+// hosts. It may be called more than once.
+func (s *Scheduler) Done(now Time, it *Item, work time.Duration) {
+	s.tick(now)
+	l := it.line
+	switch it.state {
+	case itemWaits:
+		s.take(l, it)
+	case itemOut:
+		l.out--
+		s.out--
+		s.settle(l, it, max(work.Seconds(), 0))
+		if l.isHeld {
+			s.release()
+		}
+		s.forget()
+	}
+	it.state = itemEnded
+}
+
+// settle charges what a request has cost in place of what it was thought to.
+func (s *Scheduler) settle(l *line, it *Item, work float64) {
+	diff := (max(work, leastCost) - it.cost) / l.weight
+	l.finish = min(l.finish+diff, max(s.v+mostDebt, l.finish))
+	if len(l.items.list) > 0 {
+		l.start = min(l.start+diff, max(s.v+mostDebt, l.start))
+		if l.inReady >= 0 {
+			s.ready.fix(l)
+		}
+	}
+	s.learn(l, it, work)
+	if it.Account != nil {
+		it.Account.Work.Add(int64(seconds(work)))
+		if it.lent {
+			it.Account.Lent.Add(int64(seconds(work)))
+		}
+	}
+}
+
+// line finds or makes a team's line. One that was forgotten had nothing saved up that a
+// new one has not, and owed nothing.
+func (s *Scheduler) line(t *Terms) *line {
+	l := s.lines[t.Team]
+	if l == nil {
+		l = &line{team: t.Team, inReady: -1, finish: math.Inf(-1)}
+		s.lines[t.Team] = l
+		s.names = append(s.names, t.Team)
+	}
+	l.terms = t // requests that wait are served under the newer terms
+	return l
+}
+
+// forget looks at one or two lines and drops those that are idle and owe nothing: their
+// tag would be set to the present time less their burst, as a new one's is.
+func (s *Scheduler) forget() {
+	for range min(2, len(s.names)) {
+		s.sweep %= len(s.names)
+		name := s.names[s.sweep]
+		if l := s.lines[name]; l.out == 0 && len(l.items.list) == 0 && !l.isHeld && l.finish <= s.v-l.terms.Burst.Seconds() {
+			delete(s.lines, name)
+			s.names[s.sweep] = s.names[len(s.names)-1]
+			s.names = s.names[:len(s.names)-1]
+			if len(s.names) == 0 {
+				return
+			}
+			continue
+		}
+		s.sweep++
+	}
+}
+
+// Counts are how many requests are out and wait, and how many teams are kept in mind.
+func (s *Scheduler) Counts() (out, waiting, teams int) {
+	return s.out, len(s.waiting.list), len(s.lines)
+}
--- /dev/null
+++ b/internal/contract/scheduler_test.go
@@ -0,0 +1,465 @@
+package contract
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// pool simulates a pool under a scheduler: what is sent runs for its true work and ends.
+// Time is simulated.
+type pool struct {
+	s     *Scheduler
+	now   Time
+	ends  endHeap
+	teams map[string]*teamSim
+	check func(*pool) // after each step
+}
+
+// teamSim is a team that asks.
+type teamSim struct {
+	terms    *Terms
+	backlog  int           // requests that it keeps waiting; 0: it asks by gap
+	gap      time.Duration // between requests
+	work     func() time.Duration
+	deadline time.Duration
+	from, to Time // when it asks
+	waiting  int
+	nextAt   Time
+	done     []ended // in order
+	refused  int
+	started  []time.Duration // how long each waited
+}
+
+type ended struct {
+	at   Time
+	work time.Duration
+}
+
+type running struct {
+	at   Time
+	it   *Item
+	work time.Duration
+	team *teamSim
+	from Time
+}
+
+type endHeap []*running
+
+func (h endHeap) Len() int           { return len(h) }
+func (h endHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *endHeap) Push(x any)        { *h = append(*h, x.(*running)) }
+func (h *endHeap) Pop() any          { old := *h; x := old[len(old)-1]; *h = old[:len(old)-1]; return x }
+
+func newSim(capacity float64, teams ...*teamSim) *pool {
+	p := &pool{s: NewScheduler(1), now: Time(time.Hour), teams: map[string]*teamSim{}}
+	p.s.SetCapacity(p.now, capacity)
+	for _, t := range teams {
+		if t.deadline == 0 {
+			t.deadline = time.Hour
+		}
+		p.teams[t.terms.Team] = t
+	}
+	return p
+}
+
+type owner struct {
+	team *teamSim
+	at   Time
+}
+
+func (p *pool) start(it *Item) {
+	o := it.Owner.(*owner)
+	o.team.started = append(o.team.started, p.now-o.at)
+	w := o.team.work()
+	heap.Push(&p.ends, &running{p.now + w, it, w, o.team, p.now})
+}
+
+func (p *pool) arrive(t *teamSim) {
+	it := &Item{Terms: t.terms, Name: "c", Deadline: p.now + t.deadline, Owner: &owner{t, p.now}}
+	switch turn, _ := p.s.Arrive(p.now, it); turn {
+	case Go:
+		p.start(it)
+	case Wait:
+		t.waiting++
+	case Refuse:
+		t.refused++
+	}
+}
+
+// run plays until an instant.
+func (p *pool) run(until Time, order []*teamSim) {
+	for p.now < until {
+		for _, t := range order {
+			active := p.now >= t.from && (t.to == 0 || p.now < t.to)
+			for tries := 0; active && t.backlog > 0 && t.waiting < t.backlog && tries < 2*t.backlog; tries++ {
+				p.arrive(t)
+			}
+			for active && t.backlog == 0 && t.gap > 0 && t.nextAt <= p.now {
+				t.nextAt = max(t.nextAt, t.from) + t.gap
+				if t.nextAt < p.now {
+					t.nextAt = p.now + t.gap
+				}
+				p.arrive(t)
+			}
+		}
+		p.pump()
+		if p.check != nil {
+			p.check(p)
+		}
+		next := p.now + Time(time.Millisecond)
+		if len(p.ends) > 0 {
+			next = min(next, p.ends[0].at)
+		}
+		p.now = max(next, p.now+1)
+		for len(p.ends) > 0 && p.ends[0].at <= p.now {
+			e := heap.Pop(&p.ends).(*running)
+			e.team.done = append(e.team.done, ended{p.now, e.work})
+			p.s.Done(p.now, e.it, e.work)
+		}
+	}
+}
+
+func (p *pool) pump() {
+	for it := p.s.Next(p.now); it != nil; it = p.s.Next(p.now) {
+		it.Owner.(*owner).team.waiting--
+		p.start(it)
+	}
+	for it, _ := p.s.Expired(p.now); it != nil; it, _ = p.s.Expired(p.now) {
+		t := it.Owner.(*owner).team
+		t.waiting--
+		t.refused++
+	}
+}
+
+// got is the work of a team that ended in a window.
+func (t *teamSim) got(from, to Time) (sum time.Duration) {
+	for _, d := range t.done {
+		if d.at >= from && d.at < to {
+			sum += d.work
+		}
+	}
+	return sum
+}
+
+func terms(team string, share float64) *Terms {
+	return &Terms{Team: team, Share: share, Classes: map[string]ClassTerms{"c": {}}}
+}
+
+func fixed(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
+// spread is work that varies by chance around a mean.
+func spread(rng *rand.Rand, mean time.Duration) func() time.Duration {
+	return func() time.Duration {
+		return time.Duration(float64(mean) * (0.25 + 0.75*rng.ExpFloat64()))
+	}
+}
+
+// The guarantees hold over any window longer than a stated time, whatever each request
+// costs and however wrong the first estimates are; nothing that may run waits beside free
+// room; no team is over its ceiling; and in the end nothing is left.
+func TestGuaranteesCeilingsAndWorkConservation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := float64(rapid.IntRange(4, 24).Draw(t, "capacity"))
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		n := rapid.IntRange(2, 5).Draw(t, "teams")
+		left := 1.0
+		var order []*teamSim
+		var longest time.Duration
+		for i := range n {
+			share := float64(rapid.IntRange(5, 40).Draw(t, "share")) / 100
+			share = min(share, left)
+			left -= share
+			tm := terms(fmt.Sprint("team", i), share)
+			if rapid.IntRange(0, 2).Draw(t, "has a ceiling") == 0 {
+				tm.Ceiling = min(1, max(share, 0.05)+float64(rapid.IntRange(0, 50).Draw(t, "ceiling"))/100)
+			}
+			tm.Burst = time.Duration(rapid.IntRange(0, 500).Draw(t, "burst")) * time.Millisecond
+			mean := time.Duration(rapid.SampledFrom([]int{1, 5, 20}).Draw(t, "work")) * time.Millisecond
+			longest = max(longest, mean)
+			order = append(order, &teamSim{terms: tm, backlog: 40, work: spread(rng, mean), from: 0})
+		}
+		p := newSim(capacity, order...)
+		p.check = func(p *pool) {
+			for _, o := range order {
+				if l := p.s.lines[o.terms.Team]; l != nil && o.terms.Ceiling > 0 && o.terms.Ceiling < 1 && float64(l.out) >= o.terms.ceiling()*capacity+1 {
+					t.Fatalf("%s has %d of %v out, over its ceiling of %v", o.terms.Team, l.out, capacity, o.terms.ceiling())
+				}
+			}
+			if float64(p.s.out) < capacity && len(p.s.ready.list) > 0 {
+				t.Fatalf("%d of %v are out and a team that may go on waits", p.s.out, capacity)
+			}
+			if len(p.s.waiting.list) > 40*n {
+				t.Fatalf("%d wait", len(p.s.waiting.list))
+			}
+		}
+		start := p.now
+		// The stated time: what the largest requests of all teams take, some forty times over.
+		window := 40 * longest
+		p.run(start+3*window, order)
+		for _, o := range order {
+			for from := start + window; from+window <= start+3*window; from += window / 4 {
+				want := min(o.terms.Share, o.terms.ceiling()) * capacity * window.Seconds()
+				if got := o.got(from, from+window).Seconds(); got < 0.8*want-6*longest.Seconds() {
+					t.Fatalf("%s with a share of %v of %v got %.3f of %.3f s of work in %v", o.terms.Team, o.terms.Share, capacity, got, want, window)
+				}
+			}
+		}
+		for _, o := range order {
+			o.to = p.now
+		}
+		p.run(p.now+Time(time.Hour/100), order)
+		if out, waiting, _ := p.s.Counts(); out != 0 || waiting != 0 || p.s.weights != 0 {
+			t.Fatalf("%d out, %d wait, weights of %v in the end", out, waiting, p.s.weights)
+		}
+	})
+}
+
+// A flood of one team costs another, that asks for less than its share, next to no time:
+// whatever the flood's requests cost. The bound is one of the flood's requests.
+func TestQuietTeamIsNotDelayed(t *testing.T) {
+	for _, flood := range []time.Duration{time.Millisecond, 10 * time.Millisecond, 100 * time.Millisecond} {
+		rng := rand.New(rand.NewPCG(1, uint64(flood)))
+		quiet := &teamSim{terms: terms("quiet", 0.4), gap: 10 * time.Millisecond, work: spread(rng, 10*time.Millisecond)}
+		flooder := &teamSim{terms: terms("flood", 0.2), backlog: 500, work: spread(rng, flood)}
+		order := []*teamSim{flooder, quiet}
+		p := newSim(8, order...)
+		p.run(p.now+Time(20*time.Second), order)
+		var worst, sum time.Duration
+		for _, w := range quiet.started {
+			worst, sum = max(worst, w), sum+w
+		}
+		mean := sum / time.Duration(len(quiet.started))
+		if quiet.refused > 0 || mean > flood/2+2*time.Millisecond || worst > 3*flood+20*time.Millisecond {
+			t.Errorf("beside requests of %v: waited %v, at worst %v; %d refused", flood, mean, worst, quiet.refused)
+		}
+		// And the flood gets all the rest: it is work-conserving.
+		if got := flooder.got(p.now-Time(10*time.Second), p.now).Seconds(); got < 0.75*8*10 {
+			t.Errorf("the flood of %v got %.1f of 80 s of work", flood, got)
+		}
+	}
+}
+
+// A low class of one team does not delay a high class of another: priorities count only
+// within a team.
+func TestPriorityCountsWithinATeam(t *testing.T) {
+	low, high := terms("low", 0.5), terms("high", 0.5)
+	low.Classes = map[string]ClassTerms{"c": {Priority: 100}}
+	a := &teamSim{terms: low, backlog: 100, work: fixed(20 * time.Millisecond)}
+	b := &teamSim{terms: high, gap: 50 * time.Millisecond, work: fixed(20 * time.Millisecond)}
+	order := []*teamSim{a, b}
+	p := newSim(4, order...)
+	p.run(p.now+Time(10*time.Second), order)
+	for _, w := range b.started {
+		if w > 25*time.Millisecond {
+			t.Fatalf("waited %v for another team's class of priority 100", w)
+		}
+	}
+	// Within a team the higher priority goes first, then the sooner deadline.
+	s := NewScheduler(1)
+	s.SetCapacity(0, 1)
+	tm := &Terms{Team: "t", Classes: map[string]ClassTerms{"hi": {Priority: 1}, "lo": {}}}
+	var items []*Item
+	for _, c := range []struct {
+		name string
+		in   time.Duration
+	}{{"lo", time.Minute}, {"lo", time.Minute}, {"lo", time.Minute}, {"lo", time.Second * 30}, {"hi", time.Minute}} {
+		it := &Item{Terms: tm, Name: c.name, Deadline: Time(c.in)}
+		s.Arrive(0, it)
+		items = append(items, it)
+	}
+	s.Done(0, items[0], time.Millisecond)
+	s.Done(0, items[1], time.Millisecond)
+	var got []int
+	for it := s.Next(0); it != nil; it = s.Next(0) {
+		for i := range items {
+			if items[i] == it {
+				got = append(got, i)
+			}
+		}
+		s.Done(0, it, time.Millisecond)
+	}
+	if fmt.Sprint(got) != "[4 3 2]" {
+		t.Errorf("went in the order %v, want the high class, then the sooner deadline", got)
+	}
+}
+
+// A team that has been idle gains its burst by it and nothing more.
+func TestIdlingGainsNoMoreThanTheBurst(t *testing.T) {
+	for _, burst := range []time.Duration{0, time.Second} {
+		idle := terms("idle", 0.5)
+		idle.Burst = burst
+		a := &teamSim{terms: terms("steady", 0.5), backlog: 50, work: fixed(10 * time.Millisecond)}
+		b := &teamSim{terms: idle, backlog: 50, work: fixed(10 * time.Millisecond)}
+		p := newSim(8, a, b)
+		b.from = p.now + Time(time.Minute)
+		order := []*teamSim{a, b}
+		p.run(b.from+Time(5*time.Second), order)
+		all := (a.got(b.from, p.now) + b.got(b.from, p.now)).Seconds()
+		// Its half of five seconds, and the other half of what it saved up: both advance.
+		want := all/2 + 8*0.5*burst.Seconds()/2
+		if got := b.got(b.from, p.now).Seconds(); got > want*1.1+0.2 || got < want*0.85 {
+			t.Errorf("burst of %v: got %.2f s of %.2f after a minute's rest, want about %.2f", burst, got, all, want)
+		}
+	}
+}
+
+// A request that can't be answered in time is refused when that is sure, not at its turn.
+func TestTooLateIsRefusedAtOnce(t *testing.T) {
+	a := &teamSim{terms: terms("a", 1), backlog: 300, work: fixed(10 * time.Millisecond), deadline: 200 * time.Millisecond}
+	p := newSim(4, a)
+	p.run(p.now+Time(5*time.Second), []*teamSim{a})
+	for _, w := range a.started {
+		if w > 200*time.Millisecond {
+			t.Fatalf("sent after %v, with a deadline of 200 ms", w)
+		}
+	}
+	// 5 slots for 5 s at 10 ms: the refusals cost no work.
+	if got := a.got(0, p.now).Seconds(); got < 0.9*4*5 || a.refused == 0 {
+		t.Errorf("%.1f s of work, %d refused", got, a.refused)
+	}
+	it := &Item{Terms: a.terms, Name: "c", Deadline: p.now - 1}
+	if turn, after := p.s.Arrive(p.now, it); turn != Refuse || after <= 0 {
+		t.Errorf("past its deadline: %v, back in %v", turn, after)
+	}
+	p.s.Done(p.now, it, 0)
+}
+
+// Estimates that are badly wrong at first are paid for: a team whose requests cost fifty
+// times what was thought gets its share and no more.
+func TestWrongEstimatesAreSettled(t *testing.T) {
+	a := &teamSim{terms: terms("costly", 0.5), backlog: 50, work: fixed(time.Second)}
+	b := &teamSim{terms: terms("cheap", 0.5), backlog: 50, work: fixed(time.Millisecond)}
+	order := []*teamSim{a, b}
+	p := newSim(8, order...)
+	start := p.now
+	p.run(start+Time(60*time.Second), order)
+	x, y := a.got(start+Time(10*time.Second), p.now).Seconds(), b.got(start+Time(10*time.Second), p.now).Seconds()
+	if ratio := x / (x + y); ratio < 0.4 || ratio > 0.6 {
+		t.Errorf("the costly team got %.2f of the work, want about half", ratio)
+	}
+}
+
+// A contract that changes counts for what comes from then on; what waits stays.
+func TestContractChangesUnderLoad(t *testing.T) {
+	a := &teamSim{terms: terms("a", 0.2), backlog: 50, work: fixed(10 * time.Millisecond)}
+	b := &teamSim{terms: terms("b", 0.8), backlog: 50, work: fixed(10 * time.Millisecond)}
+	order := []*teamSim{a, b}
+	p := newSim(8, order...)
+	p.run(p.now+Time(5*time.Second), order)
+	a.terms, b.terms = terms("a", 0.8), terms("b", 0.2)
+	at := p.now + Time(time.Second)
+	p.run(at+Time(5*time.Second), order)
+	x, y := a.got(at, p.now).Seconds(), b.got(at, p.now).Seconds()
+	if ratio := x / (x + y); ratio < 0.7 || ratio > 0.9 {
+		t.Errorf("with a new share of 0.8 it got %.2f", ratio)
+	}
+}
+
+// A clock that steps back stands still; one that jumps ahead expires what waits and
+// gives nobody anything.
+func TestClockSteps(t *testing.T) {
+	s := NewScheduler(1)
+	s.SetCapacity(Time(time.Hour), 1)
+	tm := terms("t", 1)
+	var items []*Item
+	for i := range 4 {
+		it := &Item{Terms: tm, Name: "c", Deadline: Time(time.Hour + time.Minute)}
+		s.Arrive(Time(time.Hour)-Time(i)*Time(time.Minute), it)
+		items = append(items, it)
+	}
+	if s.now != Time(time.Hour) {
+		t.Errorf("the clock went back to %v", s.now)
+	}
+	if it, _ := s.Expired(0); it != nil {
+		t.Error("something expired at an earlier time")
+	}
+	n := 0
+	for it, _ := s.Expired(Time(24 * time.Hour)); it != nil; it, _ = s.Expired(0) {
+		n++
+	}
+	for _, it := range items {
+		s.Done(0, it, 0)
+		s.Done(0, it, 0)
+	}
+	if out, waiting, _ := s.Counts(); n != 2 || out != 0 || waiting != 0 {
+		t.Errorf("%d expired, %d out and %d waiting in the end", n, out, waiting)
+	}
+}
+
+// Ten thousand teams that ask once each are forgotten as others go on, and one that was
+// forgotten has gained nothing: it has its share and its burst, as if it had been kept.
+func TestSilentTeamsAreForgotten(t *testing.T) {
+	s := NewScheduler(1)
+	s.SetCapacity(0, 8)
+	now := Time(0)
+	ask := func(tm *Terms) {
+		now += Time(time.Millisecond)
+		it := &Item{Terms: tm, Name: "c", Deadline: now + Time(time.Hour)}
+		if turn, _ := s.Arrive(now, it); turn == Go {
+			s.Done(now, it, time.Millisecond)
+		}
+	}
+	for i := range 10_000 {
+		ask(terms(fmt.Sprint("once", i), 0.0001))
+	}
+	busy := terms("busy", 0.5)
+	for range 30_000 {
+		ask(busy)
+	}
+	if _, _, teams := s.Counts(); teams > 100 {
+		t.Errorf("%d teams are kept in mind", teams)
+	}
+}
+
+func BenchmarkAdmission(b *testing.B) {
+	for _, n := range []int{3, 1000, 10_000} {
+		var list []*Terms
+		for i := range n {
+			list = append(list, terms(fmt.Sprint("team", i), 1/float64(n)))
+		}
+		b.Run(fmt.Sprintf("idle/%d", n), func(b *testing.B) {
+			s := NewScheduler(1)
+			s.SetCapacity(0, 64)
+			it := &Item{Name: "c"}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := Time(i) * 1000
+				*it = Item{Terms: list[i*7919%n], Name: "c", Deadline: now + Time(time.Second), Key: uint64(i%512 + 1)}
+				s.Arrive(now, it)
+				s.Done(now, it, time.Millisecond)
+			}
+		})
+		b.Run(fmt.Sprintf("queued/%d", n), func(b *testing.B) {
+			s := NewScheduler(1)
+			s.SetCapacity(0, 64)
+			items := make([]Item, 2*n+128)
+			for i := range items {
+				items[i] = Item{Terms: list[i%n], Name: "c", Deadline: Time(time.Hour * 1000)}
+				s.Arrive(0, &items[i])
+			}
+			var out []*Item
+			for i := range items {
+				if items[i].state == itemOut {
+					out = append(out, &items[i])
+				}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := Time(i) * 1000
+				it := out[i%len(out)]
+				s.Done(now, it, 20*time.Millisecond)
+				*it = Item{Terms: list[i*7919%n], Name: "c", Deadline: now + Time(time.Hour*1000)}
+				s.Arrive(now, it)
+				if out[i%len(out)] = s.Next(now); out[i%len(out)] == nil {
+					b.Fatal("nothing goes")
+				}
+			}
+		})
+	}
+}
--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"frostshift"
+	"frostshift/internal/contract"
 )
 
 // Call is a request that is owed one final answer. But for Reply, Gone and what is said
@@ -17,11 +19,13 @@
 	pool     atomic.Pointer[Pool] // changed only by the loop that it leaves
 	fallback *Pool                // nil: none, or it has been handed on
 	id       frostshift.RequestID
-	attempts []*Attempt // at this pool
-	out      int        // attempts without an outcome yet
-	spent    int        // attempts at the pool before
-	mayRan   bool       // an attempt that has ended may have run
-	closed   bool       // it has its answer, or nobody waits for one
+	attempts []*Attempt    // at this pool
+	out      int           // attempts without an outcome yet
+	spent    int           // attempts at the pool before
+	mayRan   bool          // an attempt that has ended may have run
+	admitted bool          // the balancer has it
+	work     time.Duration // of attempts that have ended, at this pool
+	closed   bool          // it has its answer, or nobody waits for one
 }
 
 // Gone says that the client has left. A reply that has come by then must still be
@@ -31,6 +35,11 @@
 // turnAway answers a call that no pool has taken.
 func (c *Call) turnAway(r Reply) {
 	c.closed = true
+	if c.Item != nil && r.Verdict == Refused {
+		c.Item.Account.Refused[contract.OpenBound].Add(1)
+	} else if c.Item != nil {
+		c.Item.Account.Failed.Add(1)
+	}
 	c.letGo()
 	c.Reply <- r
 }
@@ -49,6 +58,14 @@
 	if c.fallback != nil && !p.b.Usable(now, c.Class) && p.handOn(c) {
 		return
 	}
+	if c.Item == nil || p.sched == nil || p.turn(now, c) {
+		p.admit(now, c)
+	}
+}
+
+// admit gives the request to the balancer.
+func (p *Pool) admit(now frostshift.Time, c *Call) {
+	c.admitted = true
 	p.b.Request(now, frostshift.Request{ID: c.id, Class: c.Class, Tenant: c.Tenant,
 		Left: max(0, c.Deadline-now), Repeat: c.Repeat, Spent: c.spent})
 }
@@ -64,6 +81,8 @@
 		return false
 	}
 	delete(p.calls, c.id)
+	p.settle(c)
+	c.admitted = false
 	p.room.Give(1)
 	p.counts.HandedOn.Add(1)
 	c.spent += len(c.attempts)
@@ -86,8 +105,11 @@
 	}
 	if !c.closed {
 		p.counts.Left.Add(1)
+		if c.Item != nil {
+			c.Item.Account.Left.Add(1)
+		}
 		p.close(c)
-		p.b.Gone(now, c.id)
+		p.forget(now, c)
 		return
 	}
 	select {
@@ -110,6 +132,9 @@
 		until = min(until, act.At)
 	}
 	now := p.clock.Now()
+	if !p.mayRepeat(now, c) {
+		return
+	}
 	a := &Attempt{Host: act.Host, Message: c.Message, Until: p.clock.At(until), Left: until - now,
 		pool: p, call: c, n: len(c.attempts), sent: now}
 	c.attempts = append(c.attempts, a)
@@ -123,6 +148,7 @@
 	c, a := e.call, e.attempt
 	c.out--
 	a.ended = true
+	c.work += e.elapsed
 	switch e.result {
 	case frostshift.Full, frostshift.ConnectFailed, frostshift.NotSent:
 	default:
@@ -152,6 +178,7 @@
 		p.counts.Failed.Add(1)
 	}
 	r.Pool, r.Tries = p.name, c.spent+len(c.attempts)
+	c.account(&r)
 	p.close(c)
 	c.Reply <- r
 }
@@ -164,10 +191,18 @@
 	for _, a := range c.attempts {
 		a.callOff()
 	}
+	p.settle(c)
 	p.release(c)
 	c.letGo()
 }
 
+// forget tells the balancer that nobody waits for a request any more.
+func (p *Pool) forget(now frostshift.Time, c *Call) {
+	if c.admitted {
+		p.b.Gone(now, c.id)
+	}
+}
+
 // release forgets a closed request once its attempts have ended.
 func (p *Pool) release(c *Call) {
 	if c.closed && c.out == 0 {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"frostshift"
+	"frostshift/internal/contract"
 )
 
 // Exchange takes requests for all pools. It is safe for concurrent use.
@@ -83,6 +84,8 @@
 	Repeat   bool   // the client marks it as a repeat
 	Deadline frostshift.Time
 	Message  any // for the upstream, unread here
+	// Item is the request in the pool's scheduler; nil: no contract is about it.
+	Item *contract.Item
 	// Hold is let go once, when the request has its answer or nobody waits for one: what
 	// it needs from outside, above all its pools, stays until then. nil: nothing.
 	Hold interface{ Release() }
@@ -107,6 +110,8 @@
 	Pool    string        // that answered
 	Tries   int           // attempts that were started for it, over all pools
 	Full    bool          // with Refused: for want of room, not by a balancer
+	// Violation says what of the team's budget has run out, if that is why it was refused.
+	Violation *contract.Violation
 }
 
 // Answer is a host's answer, unread here. Release gives back what it holds; it is
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"frostshift"
+	"frostshift/internal/contract"
 	"pgregory.net/rapid"
 )
 
@@ -90,14 +91,20 @@
 
 // newPool runs a pool with so many hosts that are ready.
 func newPool(t testing.TB, x *Exchange, name string, u Upstream, hosts int, room Room) *Pool {
+	p := stillPool(t, x, name, u, room)
+	go p.Run(nil, nil)
+	p.News(frostshift.ListFull, hostsOf(hosts), nil)
+	return p
+}
+
+// stillPool is a pool that does not run yet.
+func stillPool(t testing.TB, x *Exchange, name string, u Upstream, room Room) *Pool {
 	p, err := x.NewPool(PoolConfig{Name: name, Seed: 1, Log: slog.New(slog.DiscardHandler), Upstream: u, Room: room,
 		Settings: frostshift.Settings{Instances: 1, Classes: classes, MaxAttempts: 4, Cancel: true,
 			Step: 5 * time.Millisecond, MaxRetryAfter: time.Second}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	go p.Run(nil, nil)
-	p.News(frostshift.ListFull, hostsOf(hosts), nil)
 	return p
 }
 
@@ -321,6 +328,7 @@
 		spans := rapid.SliceOfN(rapid.SampledFrom([]time.Duration{0, time.Millisecond, 30 * time.Millisecond, 400 * time.Millisecond, time.Hour}), 1, 40).Draw(rt, "spans")
 		hosts := [2]int{rapid.IntRange(0, 3).Draw(rt, "hosts a"), rapid.IntRange(0, 3).Draw(rt, "hosts b")}
 		limit := int64(rapid.IntRange(1, 30).Draw(rt, "room"))
+		contracts := rapid.Bool().Draw(rt, "contracts")
 		synctest.Test(t, func(t *testing.T) {
 			x := New(NewClock())
 			var mu sync.Mutex
@@ -337,8 +345,16 @@
 				return r, d
 			})
 			rooms := [2]*room{{most: limit}, {most: limit}}
-			pools := [2]*Pool{newPool(t, x, "a", u, hosts[0], rooms[0]), newPool(t, x, "b", u, hosts[1], rooms[1])}
+			pools := [2]*Pool{stillPool(t, x, "a", u, rooms[0]), stillPool(t, x, "b", u, rooms[1])}
 			holds := make([]hold, len(plans))
+			door := contract.NewDoor(20, 1)
+			for _, p := range pools {
+				p.sched, p.part, p.door = contract.NewScheduler(1), contract.NewPart(1), door
+			}
+			for i, p := range pools {
+				go p.Run(nil, nil)
+				p.News(frostshift.ListFull, hostsOf(hosts[i]), nil)
+			}
 			var all sync.WaitGroup
 			for i, p := range plans {
 				all.Go(func() {
@@ -349,7 +365,18 @@
 					}
 					id := fmt.Sprint(i)
 					deadline := x.clock.Now() + time.Second
-					c := x.Submit(Request{ID: id, Class: p.class, Tenant: -1, Deadline: deadline, Message: id, Hold: &holds[i]}, pools[p.to], fallback)
+					r := Request{ID: id, Class: p.class, Tenant: -1, Deadline: deadline, Message: id, Hold: &holds[i]}
+					if contracts {
+						tm := teams[i%len(teams)]
+						account, v := door.Enter(tm, 0, false, x.clock.Now())
+						if v != nil {
+							holds[i].Release()
+							return
+						}
+						defer door.Leave(account, 0)
+						r.Item = &contract.Item{Terms: tm, Account: account, Class: p.class, Name: "c", Deadline: deadline, Key: uint64(i%3 + 1)}
+					}
+					c := x.Submit(r, pools[p.to], fallback)
 					var gone <-chan time.Time
 					if p.goneAt > 0 {
 						gone = time.After(p.goneAt - p.at)
@@ -378,6 +405,12 @@
 			for _, p := range pools {
 				p.Drain()
 				<-p.Done()
+				if out, waiting, _ := p.sched.Counts(); out != 0 || waiting != 0 {
+					t.Errorf("%d are out and %d wait in a scheduler", out, waiting)
+				}
+			}
+			if open, _ := door.Open(); open != 0 {
+				t.Errorf("%d are inside the door", open)
 			}
 			for i, p := range plans {
 				id := fmt.Sprint(i)
@@ -398,6 +431,108 @@
 	})
 }
 
+var teams = []*contract.Terms{
+	{Team: "a", Share: 0.5, Classes: map[string]contract.ClassTerms{"c": {}}, RetryRatio: 0.5},
+	{Team: "b", Share: 0.2, Ceiling: 0.5, Classes: map[string]contract.ClassTerms{"c": {}}},
+}
+
+// A budget that is used up in the middle of a request's attempts: there is no further
+// one, and the answer is honest about what may have run.
+func TestRetryBudgetEndsARequest(t *testing.T) {
+	for _, c := range []struct {
+		class  int
+		result frostshift.Result
+		want   Verdict
+	}{
+		{0, frostshift.Reset, Refused}, {1, frostshift.ConnectFailed, Refused}, {2, frostshift.ConnectFailed, Refused},
+		{2, frostshift.Reset, Failed}, // a key's attempt that may have run
+		{1, frostshift.Reset, Failed}, // has no further attempt in any case
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			x := New(NewClock())
+			u := newUpstream(always(c.result, time.Millisecond))
+			p := stillPool(t, x, "a", u, nil)
+			p.sched, p.part, p.door = contract.NewScheduler(1), contract.NewPart(1), contract.NewDoor(100, 100)
+			go p.Run(nil, nil)
+			p.News(frostshift.ListFull, hostsOf(6), nil)
+			poor := &contract.Terms{Team: "poor", Share: 1, Classes: map[string]contract.ClassTerms{"c": {}}}
+			ask := func(id string) Reply {
+				account, v := p.door.Enter(poor, 0, false, x.clock.Now())
+				if v != nil {
+					t.Fatal(v)
+				}
+				defer p.door.Leave(account, 0)
+				deadline := x.clock.Now() + time.Second
+				return <-x.Submit(Request{ID: id, Class: c.class, Tenant: -1, Deadline: deadline, Message: id,
+					Item: &contract.Item{Terms: poor, Account: account, Class: c.class, Name: "c", Deadline: deadline}}, p, nil).Reply
+			}
+			first, second := ask("first"), ask("second")
+			if c.class == 0 && first.Tries != 2 { // the one repeat that any team has
+				t.Errorf("class %d, %v: the first had %d attempts", c.class, c.result, first.Tries)
+			}
+			if second.Verdict != c.want || second.Tries != 1 || u.tries["second"] != 1 {
+				t.Errorf("class %d, %v: %+v after %d attempts", c.class, c.result, second, u.tries["second"])
+			}
+			if (second.Violation != nil) != (c.want == Refused) || second.Violation != nil && second.Violation.Status != 429 {
+				t.Errorf("class %d, %v: violation %+v", c.class, c.result, second.Violation)
+			}
+			synctest.Wait()
+			p.Drain()
+			<-p.Done()
+			if out, waiting, _ := p.sched.Counts(); out+waiting > 0 || x.Open() > 0 {
+				t.Errorf("%d out, %d wait, %d open", out, waiting, x.Open())
+			}
+		})
+	}
+}
+
+// Requests that can't have their turn in time are refused with a time to come back, while
+// another team's have theirs.
+func TestFloodIsRefusedOthersAreServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := New(NewClock())
+		u := newUpstream(always(frostshift.OK, 50*time.Millisecond))
+		p := stillPool(t, x, "a", u, nil)
+		p.sched, p.part, p.door = contract.NewScheduler(1), contract.NewPart(1), contract.NewDoor(10_000, 100)
+		go p.Run(nil, nil)
+		p.News(frostshift.ListFull, hostsOf(2), nil)
+		send := func(tm *contract.Terms, id string) *Call {
+			deadline := x.clock.Now() + time.Second
+			return x.Submit(Request{ID: id, Class: 0, Tenant: -1, Deadline: deadline, Message: id,
+				Item: &contract.Item{Terms: tm, Account: &contract.Account{}, Name: "c", Deadline: deadline}}, p, nil)
+		}
+		var flood, quiet []*Call
+		for i := range 40 {
+			for j := range 50 {
+				flood = append(flood, send(teams[1], fmt.Sprintf("flood %d %d", i, j)))
+			}
+			quiet = append(quiet, send(teams[0], fmt.Sprint("quiet", i)))
+			time.Sleep(50 * time.Millisecond)
+		}
+		for _, c := range quiet {
+			if r := <-c.Reply; r.Verdict != Served {
+				t.Errorf("the quiet team: %+v, %+v", r, r.Violation)
+			}
+		}
+		served, refused := 0, 0
+		for _, c := range flood {
+			switch r := <-c.Reply; {
+			case r.Verdict == Served:
+				served++
+			case r.Verdict == Refused && (r.Violation == nil || r.Violation.Status == 429 && r.After > 0):
+				refused++
+			default:
+				t.Errorf("the flood: %+v, %+v", r, r.Violation)
+			}
+		}
+		if served < 40 || refused < 1000 {
+			t.Errorf("the flood: %d served, %d refused", served, refused)
+		}
+		p.Drain()
+		<-p.Done()
+	})
+}
+
 // A host's start is on the balancers' clock, on which 0 means long ago.
 func TestStartIsOnTheClock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"frostshift"
+	"frostshift/internal/contract"
 )
 
 // PoolConfig is what a pool is made of.
@@ -18,6 +19,10 @@
 	Upstream Upstream
 	Room     Room   // for open requests; nil: not bounded
 	Watch    func() // the balancer asks for the host list; nil: nobody is asked
+	// Scheduler, Part and Door share the pool out among teams; all or none.
+	Scheduler *contract.Scheduler
+	Part      *contract.Part
+	Door      *contract.Door
 }
 
 // Pool is a set of hosts with a balancer of its own in an event loop of its own. Hosts,
@@ -34,6 +39,12 @@
 	watch    func()
 	advice   time.Duration // when to come back where the pool itself is full; 0: none
 
+	sched    *contract.Scheduler // nil: no contracts
+	part     *contract.Part
+	door     *contract.Door
+	lookedAt frostshift.Time // when the scheduler was told of the capacity
+	pumpAt   frostshift.Time // when it is to be asked again; 0: with the next event
+
 	events chan event
 	quit   chan struct{} // closed: the loop ends once nothing is open
 	done   chan struct{} // closed: it has ended
@@ -78,7 +89,7 @@
 		return nil, err
 	}
 	p := &Pool{name: c.Name, set: c.Settings, log: c.Log, clock: x.clock, x: x, b: b, upstream: c.Upstream,
-		room: c.Room, watch: c.Watch, advice: c.Settings.MaxRetryAfter,
+		room: c.Room, watch: c.Watch, sched: c.Scheduler, part: c.Part, door: c.Door, advice: c.Settings.MaxRetryAfter,
 		events: make(chan event, 1024), quit: make(chan struct{}), done: make(chan struct{}),
 		calls: map[frostshift.RequestID]*Call{}}
 	if p.room == nil {
@@ -139,7 +150,7 @@
 		for _, c := range p.calls {
 			if !c.closed {
 				p.finish(c, Reply{Verdict: Failed})
-				p.b.Gone(now, c.id)
+				p.forget(now, c)
 			}
 		}
 	}})
@@ -171,13 +182,19 @@
 		case e := <-p.events:
 			p.handle(p.clock.Now(), &e)
 			p.carryOut()
+			p.pump()
 		case <-timer.C:
 			armed = 0
 		}
 		for len(p.timers) > 0 && p.timers[0].at <= p.clock.Now() {
 			t := heap.Pop(&p.timers).(wake)
-			p.b.Timer(p.clock.Now(), t.token)
-			p.carryOut()
+			if t.token == tokenPump {
+				p.pumpAt = 0
+			} else {
+				p.b.Timer(p.clock.Now(), t.token)
+				p.carryOut()
+			}
+			p.pump()
 		}
 	}
 }
@@ -195,9 +212,14 @@
 	}
 }
 
-// carryOut does what the balancer asks for.
+// carryOut does what the balancer asks for, also what it asks for meanwhile.
 func (p *Pool) carryOut() {
-	p.acts = p.b.Drain(p.acts[:0])
+	for p.acts = p.b.Drain(p.acts[:0]); len(p.acts) > 0; p.acts = p.b.Drain(p.acts[:0]) {
+		p.carryOutAll()
+	}
+}
+
+func (p *Pool) carryOutAll() {
 	for i := range p.acts {
 		a := &p.acts[i]
 		switch a.Kind {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -14,11 +14,13 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
 	"frostshift/internal/front"
 	"frostshift/internal/message"
@@ -104,7 +106,11 @@
 		}
 		// What follows a malformed request may be a part of it.
 		w.Header().Set("Connection", "close")
-		http.Error(w, bad.Text, bad.Status)
+		if bad.Violation != nil {
+			problem(w, bad.Violation)
+		} else {
+			http.Error(w, bad.Text, bad.Status)
+		}
 		// What is still coming of it is thrown away for so long, or the close would take
 		// the answer with it.
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(leaveWithin))
@@ -116,7 +122,7 @@
 	call, deadline := ticket.Submit()
 	select {
 	case a := <-call.Reply:
-		s.answer(w, a, deadline)
+		s.answer(w, a, deadline, ticket.Platform)
 	case <-r.Context().Done():
 		call.Gone()
 		// One that closed only its sending side still reads: an empty 200 would be no host's answer.
@@ -126,7 +132,7 @@
 }
 
 // answer writes the one final answer.
-func (s *Server) answer(w http.ResponseWriter, a exchange.Reply, deadline time.Time) {
+func (s *Server) answer(w http.ResponseWriter, a exchange.Reply, deadline time.Time, platform bool) {
 	switch a.Verdict {
 	case exchange.Served:
 		answer := a.Answer.(*message.Answer)
@@ -137,8 +143,12 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 		w.Write(answer.Body) // a client that is gone by now is its own loss
 	case exchange.Refused:
+		if a.Violation != nil {
+			problem(w, a.Violation)
+			return
+		}
 		if a.After > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.After.Seconds(), 'f', -1, 64))
+			w.Header().Set("Retry-After", front.RetryAfter(a.After, platform))
 		}
 		if a.Full {
 			w.Header().Set("Connection", "close")
@@ -152,6 +162,15 @@
 	}
 }
 
+// problem answers a violation of a contract.
+func problem(w http.ResponseWriter, v *contract.Violation) {
+	body, header := front.ProblemOf(v)
+	maps.Copy(w.Header(), header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(v.Status)
+	w.Write(body)
+}
+
 func (s *Server) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead:
@@ -171,7 +190,7 @@
 	}
 	path, query, _ := strings.Cut(target, "?")
 	t, err := s.cfg.Intake.Take(&front.Head{Method: r.Method, Authority: r.Host, Path: path, Query: query,
-		Header: r.Header, HasBody: r.ContentLength > 0})
+		Header: r.Header, Body: max(r.ContentLength, 0), Address: addressOf(r.RemoteAddr)})
 	if err != nil {
 		return nil, err
 	}
@@ -192,6 +211,11 @@
 	return t, nil
 }
 
+func addressOf(remote string) netip.Addr {
+	a, _ := netip.ParseAddrPort(remote) // what is none belongs to no range
+	return a.Addr()
+}
+
 // readBody takes in a body whose length is told. It holds what has come, not what is
 // announced, and all bodies together have a bound.
 func readBody(t *front.Ticket, r *http.Request) error {
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 
 	"frostshift"
 	"frostshift/internal/config"
+	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
 	"frostshift/internal/message"
 	"frostshift/internal/route"
@@ -27,7 +29,8 @@
 	Method, Authority string
 	Path, Query       string // as they came
 	Header            http.Header
-	HasBody           bool
+	Body              int64 // bytes that are announced
+	Address           netip.Addr
 }
 
 // Error is what is wrong with a request; nothing of it has been sent on.
@@ -35,6 +38,8 @@
 	Status int
 	Text   string
 	Allow  string // methods, with 405
+	// Violation is what of a contract stands in the way; nil: nothing.
+	Violation *contract.Violation
 }
 
 func (e *Error) Error() string { return e.Text }
@@ -87,6 +92,7 @@
 // Intake takes requests under the present configuration. It is safe for concurrent use.
 type Intake struct {
 	exchange *exchange.Exchange
+	door     *contract.Door
 	now      atomic.Pointer[Snapshot]
 	ready    atomic.Bool
 	ids      atomic.Uint64
@@ -94,8 +100,8 @@
 }
 
 // NewIntake returns an intake without a configuration; Use gives it one.
-func NewIntake(x *exchange.Exchange) *Intake {
-	in := &Intake{exchange: x}
+func NewIntake(x *exchange.Exchange, door *contract.Door) *Intake {
+	in := &Intake{exchange: x, door: door}
 	for i, v := 0, rand.Uint64(); i < len(in.idBase); i++ {
 		in.idBase[i] = byte(v >> (8 * i))
 	}
@@ -136,6 +142,7 @@
 type Ticket struct {
 	Message  *message.Request
 	Bodies   exchange.Room
+	Platform bool // the client speaks the platform's protocol
 	request  exchange.Request
 	to       *exchange.Pool
 	fallback *exchange.Pool
@@ -143,6 +150,9 @@
 	snapshot *Snapshot
 	x        *exchange.Exchange
 	held     int64 // bytes of Bodies
+	item     contract.Item
+	door     *contract.Door // that the request has entered; nil: there is no contract
+	body     int64          // bytes that it announced there
 }
 
 // Hold notes that the body holds n more bytes of room and says whether there are any.
@@ -160,6 +170,10 @@
 		t.Bodies.Give(t.held)
 		t.held = 0
 	}
+	if t.door != nil {
+		t.door.Leave(t.item.Account, t.body)
+		t.door = nil
+	}
 	t.snapshot.Release()
 }
 
@@ -170,6 +184,10 @@
 	t.request.Deadline = clock.Now() + t.left
 	t.request.Message = t.Message
 	t.request.Hold = t
+	if t.door != nil {
+		t.item.Deadline = t.request.Deadline
+		t.request.Item = &t.item
+	}
 	return t.x.Submit(t.request, t.to, t.fallback), clock.At(t.request.Deadline)
 }
 
@@ -189,6 +207,14 @@
 
 func (in *Intake) take(s *Snapshot, h *Head) (*Ticket, error) {
 	m := s.model
+	var terms *contract.Terms
+	if m.Contracts != nil {
+		var v *contract.Violation
+		if terms, v = m.Contracts.Identify(&contract.Caller{Authorization: h.Header.Get("Authorization"),
+			Account: h.Header.Get("X-Account"), Address: h.Address}); v != nil {
+			return nil, violated(v)
+		}
+	}
 	if name := h.Header.Get("X-Service-Class"); m.Platform && name != "" && m.ClassIndex(name) < 0 {
 		return nil, bad("unknown class %.80q", name)
 	}
@@ -219,6 +245,17 @@
 		}
 		left = min(left, asked)
 	}
+	repeat := h.Header.Get("X-Repeat") == "1"
+	var account *contract.Account
+	if terms != nil {
+		var v *contract.Violation
+		if account, v = in.enter(terms, class, h, left, repeat); v != nil {
+			return nil, violated(v)
+		}
+		if terms.LongestDeadline > 0 {
+			left = min(left, terms.LongestDeadline)
+		}
+	}
 	if id == "" {
 		id = in.newID()
 	}
@@ -240,15 +277,48 @@
 		tenant = -1
 	}
 	to := s.targets[r.Index][match.Pool]
-	t := &Ticket{Bodies: to.Bodies, to: to.Pool, left: left, snapshot: s, x: in.exchange,
+	t := &Ticket{Platform: m.Platform, Bodies: to.Bodies, to: to.Pool, left: left, snapshot: s, x: in.exchange,
 		Message: &message.Request{ID: id, Method: h.Method, Authority: h.Authority, Target: target, Header: header},
-		request: exchange.Request{ID: id, Class: s.classes[r.Index], Tenant: tenant, Repeat: h.Header.Get("X-Repeat") == "1"}}
+		request: exchange.Request{ID: id, Class: s.classes[r.Index], Tenant: tenant, Repeat: repeat}}
+	if terms != nil {
+		header.Del("Authorization") // a token is between the team and the gateway
+		t.door, t.body = in.door, h.Body
+		t.item = contract.Item{Terms: terms, Account: account, Class: s.classes[r.Index], Name: class.Name, Key: keyOf(h)}
+	}
 	if f := s.fallbacks[r.Index]; f != nil {
 		t.fallback = f.Pool
 	}
 	return t, nil
 }
 
+// enter holds a request against its team's contract and lets it in, or not.
+func (in *Intake) enter(terms *contract.Terms, class *config.Class, h *Head, left time.Duration, repeat bool) (*contract.Account, *contract.Violation) {
+	now := in.exchange.Clock().Now()
+	ask := contract.Ask{Class: class.Name, Effect: class.Effect, Body: h.Body, Repeat: repeat}
+	if h.Header.Get("X-Time-Left") != "" {
+		ask.Deadline = left
+	}
+	if v := terms.Check(&ask, now); v != nil {
+		in.door.Outside(terms, v.Cause, now)
+		return nil, v
+	}
+	return in.door.Enter(terms, h.Body, repeat, now)
+}
+
+// keyOf is what a request is about, as far as its cost goes: its path and, where it names
+// an object, that.
+func keyOf(h *Head) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211 // FNV-1a
+	sum := uint64(offset)
+	for _, s := range [...]string{h.Path, h.Query} {
+		for i := 0; i < len(s); i++ {
+			sum = (sum ^ uint64(s[i])) * prime
+		}
+		sum = (sum ^ 0xff) * prime
+	}
+	return max(sum, 1)
+}
+
 // checkPlatform asks for what the platform's protocol promises of its clients.
 func checkPlatform(h *Head, class *config.Class, id string) error {
 	method := http.MethodPost
@@ -262,7 +332,7 @@
 		return bad("X-Service-Class %q and path differ", name)
 	case id == "":
 		return bad("X-Correlation-Id is missing")
-	case method == http.MethodGet && h.HasBody:
+	case method == http.MethodGet && h.Body > 0:
 		return bad("class %s takes no body", name)
 	case h.Method != method:
 		return &Error{Status: http.StatusMethodNotAllowed, Text: "class " + name + " takes " + method, Allow: method}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"frostshift/internal/config"
+	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
 	"frostshift/internal/front"
 	"frostshift/internal/front/http1"
@@ -66,13 +67,16 @@
 	intake   *front.Intake
 	conns    *http1.Conns
 	budgets  budgets
+	door     *contract.Door
 
-	mu      sync.Mutex // guards what follows; held for the whole of a reload
-	model   *config.Model
-	pools   map[string]*pool // of the present configuration
-	servers map[config.Listener]*server
-	serving bool // Run has begun
-	stopped bool
+	mu    sync.Mutex // guards what follows; held for the whole of a reload
+	model *config.Model
+	// instances are the gateways that share what contracts state for all, this one included.
+	instances int
+	pools     map[string]*pool // of the present configuration
+	servers   map[config.Listener]*server
+	serving   bool // Run has begun
+	stopped   bool
 
 	halt    chan struct{}  // closed at the order to stop: a reload waits for nothing any more
 	running sync.WaitGroup // whatever was started and must end
@@ -92,7 +96,7 @@
 		opt.Linger = func() { time.Sleep(lameDuck) }
 	}
 	x := exchange.New(exchange.NewClock())
-	g := &Gateway{log: log, opt: opt, exchange: x, intake: front.NewIntake(x), conns: opt.Conns,
+	g := &Gateway{log: log, opt: opt, exchange: x, conns: opt.Conns,
 		pools: map[string]*pool{}, servers: map[config.Listener]*server{}, failed: make(chan error, 1), halt: make(chan struct{})}
 	requests, conns, clients, asked := int64(1<<20), int64(1<<20), 1<<20, 1<<20
 	if n := m.Limits.Descriptors; n > 0 {
@@ -105,10 +109,13 @@
 	if n := int64(m.Limits.MemoryMB) << 20; n > 0 {
 		bodies, answers = n/bodyPart, n/answerPart
 	}
+	g.door = contract.NewDoor(requests, bodies)
+	g.intake = front.NewIntake(x, g.door)
 	if g.conns == nil {
 		g.conns = http1.NewConns(clients, asked)
 	}
 	g.budgets = budgets{share.New(requests), share.New(conns), share.New(bodies), share.New(answers)}
+	g.instances = m.Instances
 	if err := g.apply(m, 0); err != nil {
 		return nil, err
 	}
@@ -164,6 +171,7 @@
 		}
 		g.intake.SetReady()
 	})
+	g.running.Go(func() { g.tellAccounts() })
 	var err error
 	select {
 	case err = <-g.failed:
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -8,6 +8,7 @@
 
 	"frostshift"
 	"frostshift/internal/config"
+	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
 	"frostshift/internal/membership"
 	"frostshift/internal/share"
@@ -30,7 +31,7 @@
 }
 
 // newPool makes a pool; start runs it. One that is never started needs no end.
-func (g *Gateway) newPool(def *config.Pool, seed uint64) (*pool, error) {
+func (g *Gateway) newPool(def *config.Pool, m *config.Model) (*pool, error) {
 	p := &pool{def: def, log: g.log.With("pool", def.Name), names: def.Names(), ready: make(chan struct{}),
 		requests: g.budgets.requests.Holder(), conns: g.budgets.conns.Holder(),
 		bodies: g.budgets.bodies.Holder(), answers: g.budgets.answers.Holder()}
@@ -41,8 +42,12 @@
 	}
 	p.follower = membership.NewFollower(cfg)
 	var err error
-	p.ex, err = g.exchange.NewPool(exchange.PoolConfig{Name: def.Name, Settings: def.Settings,
-		Seed: seed ^ uint64(membership.HostID(def.Name)), Log: p.log, Upstream: p.up, Room: p.requests, Watch: p.follower.Ask})
+	pc := exchange.PoolConfig{Name: def.Name, Settings: def.Settings, Seed: m.Seed ^ uint64(membership.HostID(def.Name)),
+		Log: p.log, Upstream: p.up, Room: p.requests, Watch: p.follower.Ask}
+	if !m.Platform { // there are no contracts there; elsewhere a reload may bring some
+		pc.Scheduler, pc.Part, pc.Door = contract.NewScheduler(1), contract.NewPart(g.instances), g.door
+	}
+	p.ex, err = g.exchange.NewPool(pc)
 	return p, err
 }
 
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -49,7 +49,7 @@
 			next[def.Name] = old
 			continue
 		}
-		p, err := g.newPool(def, m.Seed)
+		p, err := g.newPool(def, m)
 		if err != nil {
 			closeAll()
 			return fmt.Errorf("pool %q: %w", def.Name, err)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -21,6 +21,7 @@
 // All are the rigs by name.
 var All = []Rig{
 	{"proxy", "throughput and CPU a request through the whole program, beside httputil.ReverseProxy", runProxy},
+	{"teams", "what two quiet teams keep beside each kind of flood of a third", runTeams},
 	{"pools", "throughput of two pools on two cores, beside one pool", runPools},
 }
 
