--- a/internal/config/contracts.go
+++ b/internal/config/contracts.go
@@ -45,9 +45,7 @@
 	if dir == "" {
 		return nil
 	}
-	if !filepath.IsAbs(dir) {
-		dir = filepath.Join(filepath.Dir(d.file), dir)
-	}
+	dir = d.beside(dir)
 	paths, err := filepath.Glob(filepath.Join(dir, "*.toml"))
 	if _, serr := os.Stat(dir); serr != nil {
 		err = serr
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -41,6 +42,12 @@
 	Listeners []struct {
 		Name    string `toml:"name"`
 		Address string `toml:"address"`
+		// http1 or http2; with TLS both, and this is left out
+		Protocol string `toml:"protocol"`
+		TLS      struct {
+			Certificate string `toml:"certificate"`
+			Key         string `toml:"key"`
+		} `toml:"tls"`
 	} `toml:"listener"`
 	Classes []struct {
 		Name     string        `toml:"name"`
@@ -61,6 +68,7 @@
 	Host           []fileHost    `toml:"host"`
 	File           string        `toml:"file"`
 	Discovery      string        `toml:"discovery"`
+	Protocol       string        `toml:"protocol"`
 	Guarantee      float64       `toml:"guarantee"`
 	Zone           string        `toml:"zone"`
 	Zones          []string      `toml:"zones"`
@@ -247,10 +255,39 @@
 			d.fail(key+".address", "another listener has %s", l.Address)
 		}
 		names[l.Name], addresses[l.Address] = true, true
-		m.Listeners = append(m.Listeners, Listener{Name: l.Name, Address: l.Address})
+		out := Listener{Name: l.Name, Address: l.Address, Protocol: d.protocol(key+".protocol", l.Protocol)}
+		if l.TLS.Certificate != "" || l.TLS.Key != "" {
+			if l.Protocol != "" {
+				d.fail(key+".protocol", "with tls clients choose: leave it out")
+			}
+			out.Certificate, out.Key = d.beside(l.TLS.Certificate), d.beside(l.TLS.Key)
+			if _, err := tls.LoadX509KeyPair(out.Certificate, out.Key); err != nil {
+				d.fail(key+".tls", "%v", err)
+			}
+		}
+		m.Listeners = append(m.Listeners, out)
 	}
 }
 
+// protocols by their names in the file.
+var protocols = map[string]Protocol{"": HTTP1, "http1": HTTP1, "http2": HTTP2}
+
+func (d *doc) protocol(key, name string) Protocol {
+	p, ok := protocols[name]
+	if !ok {
+		d.fail(key, "%q is neither http1 nor http2", name)
+	}
+	return p
+}
+
+// beside is a path that a file names, seen from that file.
+func (d *doc) beside(path string) string {
+	if path == "" || filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(filepath.Dir(d.file), path)
+}
+
 func (d *doc) classes(f *file, m *Model) {
 	if len(f.Classes) == 0 {
 		d.fail("class", "there is none: routes need one")
@@ -308,7 +345,7 @@
 			d.fail(key+".name", "there is another pool %q", in.Name)
 		}
 		p := &Pool{Name: in.Name, Zones: in.Zones, Kinds: in.Kinds, DialTimeout: in.ConnectTimeout,
-			ConnIdle: in.IdleTimeout, Guarantee: in.Guarantee}
+			ConnIdle: in.IdleTimeout, Guarantee: in.Guarantee, Protocol: d.protocol(key+".protocol", in.Protocol)}
 		p.Source = d.source(key, in)
 		p.Settings = frostshift.Settings{Instances: instances, Rank: f.Bank.Rank, Zones: len(in.Zones),
 			Step: defaultStep, MaxAttempts: mostAttempts, Cancel: true, MaxRetryAfter: in.RetryAfter,
@@ -371,10 +408,7 @@
 		return s
 	}
 	if in.File != "" {
-		s.File = in.File
-		if !filepath.IsAbs(s.File) {
-			s.File = filepath.Join(filepath.Dir(d.file), s.File)
-		}
+		s.File = d.beside(in.File)
 		return s
 	}
 	for _, a := range in.Hosts {
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -59,8 +59,20 @@
 // Listener is a place where clients connect.
 type Listener struct {
 	Name, Address string // host:port
+	// Protocol is what clients speak there; with TLS they choose between both.
+	Protocol         Protocol
+	Certificate, Key string // files; "": no TLS
 }
 
+// Protocol is what is spoken over a connection.
+type Protocol uint8
+
+// Protocols.
+const (
+	HTTP1 Protocol = iota
+	HTTP2          // with prior knowledge
+)
+
 // Class is a kind of request.
 type Class struct {
 	Name string
@@ -77,6 +89,7 @@
 	Kinds       []string
 	DialTimeout time.Duration // a connection that is not up by then has failed
 	ConnIdle    time.Duration // hosts close a connection that was idle for so long
+	Protocol    Protocol      // that its hosts speak
 	Guarantee   float64       // part of the limits that is this pool's alone
 }
 
--- a/internal/front/http1/conns.go
+++ b/internal/front/conns.go
@@ -1,4 +1,4 @@
-package http1
+package front
 
 import (
 	"container/list"
@@ -44,6 +44,9 @@
 	return l.open, l.open - l.quiet[silent].Len() - l.quiet[ending].Len()
 }
 
+// Listen makes a listener's connections count among all. What it accepts is a *Conn.
+func (l *Conns) Listen(ln net.Listener) net.Listener { return &listener{ln, l} }
+
 // listener takes clients' connections within the bounds of all.
 type listener struct {
 	net.Listener
@@ -57,8 +60,8 @@
 	idle          // between requests
 )
 
-// clientConn is one of them. Its fields belong to the listener's lock.
-type clientConn struct {
+// Conn is one of them. Its fields belong to the lock of all.
+type Conn struct {
 	net.Conn
 	all    *Conns
 	kind   int
@@ -85,7 +88,7 @@
 		}
 		for l.full() && l.shed(idle) {
 		}
-		cc := &clientConn{Conn: c, all: l}
+		cc := &Conn{Conn: c, all: l}
 		l.mu.Lock()
 		l.open++
 		cc.rest(silent)
@@ -112,7 +115,7 @@
 func (l *Conns) shed(only ...int) bool {
 	now := time.Now()
 	l.mu.Lock()
-	var c *clientConn
+	var c *Conn
 	for _, look := range [...]struct {
 		kind int
 		age  time.Duration
@@ -120,8 +123,8 @@
 		if len(only) > 0 && !slices.Contains(only, look.kind) {
 			continue
 		}
-		if e := l.quiet[look.kind].Front(); e != nil && now.Sub(e.Value.(*clientConn).since) >= look.age {
-			c = e.Value.(*clientConn)
+		if e := l.quiet[look.kind].Front(); e != nil && now.Sub(e.Value.(*Conn).since) >= look.age {
+			c = e.Value.(*Conn)
 			c.busy()
 			break
 		}
@@ -135,7 +138,7 @@
 }
 
 // rest notes that no request is open on the connection; busy that one is.
-func (c *clientConn) rest(kind int) {
+func (c *Conn) rest(kind int) {
 	c.busy()
 	c.kind, c.since = kind, time.Now()
 	if !c.closed {
@@ -143,7 +146,7 @@
 	}
 }
 
-func (c *clientConn) busy() {
+func (c *Conn) busy() {
 	if c.at != nil {
 		c.all.quiet[c.kind].Remove(c.at)
 		c.at = nil
@@ -151,7 +154,7 @@
 }
 
 // Close may come from the server or from the listener, which makes room.
-func (c *clientConn) Close() error {
+func (c *Conn) Close() error {
 	c.all.mu.Lock()
 	c.busy()
 	if !c.closed {
@@ -163,7 +166,7 @@
 }
 
 // CloseWrite ends the answer; the server then waits for the client to have read it.
-func (c *clientConn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	c.all.mu.Lock()
 	c.rest(ending)
 	c.all.mu.Unlock()
@@ -173,9 +176,26 @@
 	return nil
 }
 
-// state is the server's hook.
-func (l *Conns) state(c net.Conn, s http.ConnState) {
-	cc, ok := c.(*clientConn)
+// Active notes that a request is open on the connection; Idle that none is.
+func (c *Conn) Active() {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	c.busy()
+}
+
+// Idle notes that no request is open on the connection.
+func (c *Conn) Idle() {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	c.rest(idle)
+}
+
+// State is the hook of an http.Server.
+func (l *Conns) State(c net.Conn, s http.ConnState) {
+	cc, ok := c.(*Conn)
+	if t, secure := c.(*Secure); secure {
+		cc, ok = t.Under, true
+	}
 	if !ok {
 		return
 	}
@@ -188,3 +208,26 @@
 		cc.rest(idle)
 	}
 }
+
+// Secure is a connection of all with a protocol that encrypts it on top.
+type Secure struct {
+	net.Conn
+	Under *Conn
+}
+
+// Active notes that a request is open on the connection; Idle that none is.
+func (s *Secure) Active() { s.Under.Active() }
+
+// Idle notes that no request is open on the connection.
+func (s *Secure) Idle() { s.Under.Idle() }
+
+// CloseWrite ends the answer.
+func (s *Secure) CloseWrite() error {
+	s.Under.all.mu.Lock()
+	s.Under.rest(ending)
+	s.Under.all.mu.Unlock()
+	if half, ok := s.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -1,8 +1,6 @@
 // Package http1 takes requests from clients over HTTP/1.1 (RFC 9112) and gives each its
 // one final answer. It parses and frames; where a request goes is for package front, what
 // becomes of it for package exchange. It knows nothing of pools or hosts.
-//
-// server.go serves requests, conns.go bounds the connections that clients hold.
 package http1
 
 import (
@@ -39,7 +37,7 @@
 // Config is what a Server needs.
 type Config struct {
 	Intake     *front.Intake
-	Conns      *Conns
+	Conns      *front.Conns
 	Log        *slog.Logger
 	SendWithin time.Duration // 0: SendWithin
 	Longest    time.Duration // longest deadline of any class
@@ -57,7 +55,7 @@
 	if cfg.SendWithin == 0 {
 		cfg.SendWithin = SendWithin
 	}
-	s := &Server{cfg: cfg, ln: &listener{ln, cfg.Conns}}
+	s := &Server{cfg: cfg, ln: cfg.Conns.Listen(ln)}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: cfg.SendWithin,
@@ -66,7 +64,7 @@
 		IdleTimeout:       idleWithin,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(cfg.Log.Handler(), slog.LevelWarn),
-		ConnState:         cfg.Conns.state,
+		ConnState:         cfg.Conns.State,
 	}
 	return s
 }
--- /dev/null
+++ b/internal/front/http2/conn.go
@@ -0,0 +1,338 @@
+package http2
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http2"
+
+	"frostshift/internal/h2"
+)
+
+// Bounds of what a client may do besides asking, a connection.
+var (
+	// Streams that end before their answer, by the client's reset (CVE-2023-44487) or by
+	// one that the client provokes (CVE-2025-8671).
+	resets = h2.Bucket{Rate: 50, Burst: 200}
+	// Frames that carry nothing: settings, pings, priorities, empty data, unknown ones.
+	empties = h2.Bucket{Rate: 100, Burst: 500}
+	// Window updates, which a reader of long answers sends by rights.
+	updates = h2.Bucket{Rate: 20_000, Burst: 20_000}
+)
+
+// conn is one client's connection.
+type conn struct {
+	s      *Server
+	nc     net.Conn
+	all    counted // in the bounds of all connections; nil: not counted there
+	link   *h2.Link
+	remote net.Addr
+
+	resets, empties, updates h2.Bucket // of the reader
+
+	mu       sync.Mutex
+	running  int    // streams whose goroutine has not ended
+	last     uint32 // highest stream that the client has opened
+	refuse   uint32 // streams above this one are not taken; set once the drain's second step is done
+	leaving  bool
+	gone     chan struct{} // closed when the connection has ended
+	settled  bool          // the client's first settings have come
+	held     int64         // bytes of bodies of open requests
+	streams  sync.WaitGroup
+	goneOnce sync.Once
+}
+
+const allStreams = 1<<31 - 1
+
+// counted is a connection that counts among all: see front.Conns.
+type counted interface {
+	Active()
+	Idle()
+}
+
+func newConn(s *Server, nc net.Conn) *conn {
+	c := &conn{s: s, nc: nc, remote: nc.RemoteAddr(), resets: resets, empties: empties, updates: updates,
+		refuse: allStreams, gone: make(chan struct{})}
+	c.all, _ = nc.(counted)
+	c.link = h2.New(nc, h2.Config{StreamWindow: maxBody + 1, ConnWindow: connWindow, MaxStreams: s.streams})
+	return c
+}
+
+// open is how many streams are being served.
+func (c *conn) open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running
+}
+
+// run reads frames until the connection ends, and then waits for its streams.
+func (c *conn) run() {
+	c.nc.SetReadDeadline(time.Now().Add(c.s.cfg.SendWithin))
+	err := c.link.ReadPreface()
+	for err == nil {
+		var f http2.Frame
+		f, err = c.link.ReadFrame()
+		if err == nil {
+			err = c.take(f)
+		}
+		var stream http2.StreamError
+		if errors.As(err, &stream) {
+			err = c.endStream(stream)
+		}
+	}
+	code, tell := http2.ErrCodeNo, false
+	var broken http2.ConnectionError
+	if errors.As(err, &broken) {
+		code, tell = http2.ErrCode(broken), true
+	} else if errors.Is(err, os.ErrDeadlineExceeded) {
+		tell = c.settled // it was idle for too long
+	}
+	if tell {
+		c.link.GoAway(c.lastID(), code)
+		c.link.CloseWritten()
+	}
+	c.link.Close()
+	close(c.gone)
+	c.streams.Wait()
+	<-c.link.Ended()
+}
+
+var calm = http2.ConnectionError(http2.ErrCodeEnhanceYourCalm)
+
+// take handles a frame.
+func (c *conn) take(f http2.Frame) error {
+	now := time.Now()
+	if !c.settled {
+		if _, ok := f.(*http2.SettingsFrame); !ok {
+			return http2.ConnectionError(http2.ErrCodeProtocol) // section 3.4
+		}
+		c.settled = true
+		if c.open() == 0 {
+			c.rest()
+		}
+	}
+	switch f := f.(type) {
+	case *http2.MetaHeadersFrame:
+		return c.headers(f)
+	case *http2.DataFrame:
+		return c.data(f, now)
+	case *http2.RSTStreamFrame:
+		if f.StreamID > c.lastID() {
+			return http2.ConnectionError(http2.ErrCodeProtocol)
+		}
+		if st := c.link.Stream(f.StreamID); st != nil {
+			c.link.Forget(st)
+			st.Owner.(*stream).end()
+			if !c.resets.Take(now) {
+				return calm
+			}
+		} else if !c.empties.Take(now) {
+			return calm
+		}
+	case *http2.SettingsFrame:
+		if !c.empties.Take(now) {
+			return calm
+		}
+		return c.link.Settings(f)
+	case *http2.PingFrame:
+		if f.IsAck() {
+			if f.Data == drainPing {
+				c.leaveNow()
+			}
+			return nil
+		}
+		if !c.empties.Take(now) {
+			return calm
+		}
+		data := f.Data
+		c.link.Control(func(fr *http2.Framer) error { return fr.WritePing(true, data) })
+	case *http2.WindowUpdateFrame:
+		if !c.updates.Take(now) {
+			return calm
+		}
+		if f.StreamID > c.lastID() {
+			return http2.ConnectionError(http2.ErrCodeProtocol)
+		}
+		return c.link.WindowUpdate(f)
+	case *http2.GoAwayFrame:
+		return nil // the client opens no more streams; those that are open are served
+	case *http2.PushPromiseFrame:
+		return http2.ConnectionError(http2.ErrCodeProtocol)
+	default:
+		if !c.empties.Take(now) {
+			return calm
+		}
+	}
+	return nil
+}
+
+func (c *conn) lastID() uint32 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
+// endStream ends a stream for a fault of the client's.
+func (c *conn) endStream(e http2.StreamError) error {
+	if !c.resets.Take(time.Now()) {
+		return calm
+	}
+	c.mu.Lock()
+	if e.StreamID > c.last && e.StreamID%2 == 1 { // a head that was malformed opened it
+		c.last = e.StreamID
+	}
+	c.mu.Unlock()
+	if st := c.link.Stream(e.StreamID); st != nil {
+		c.link.Reset(st, e.Code)
+		st.Owner.(*stream).end()
+		return nil
+	}
+	c.link.Control(func(f *http2.Framer) error { return f.WriteRSTStream(e.StreamID, e.Code) })
+	return nil
+}
+
+// headers takes the head of a request, or trailers.
+func (c *conn) headers(f *http2.MetaHeadersFrame) error {
+	if st := c.link.Stream(f.StreamID); st != nil {
+		s := st.Owner.(*stream)
+		if !f.StreamEnded() || s.whole || !h2.Trailers(f.Fields) {
+			return http2.StreamError{StreamID: f.StreamID, Code: http2.ErrCodeProtocol}
+		}
+		return s.lastByte()
+	}
+	if f.StreamID%2 == 0 {
+		return http2.ConnectionError(http2.ErrCodeProtocol)
+	}
+	c.mu.Lock()
+	if f.StreamID <= c.last { // it was closed
+		c.mu.Unlock()
+		return http2.ConnectionError(http2.ErrCodeStreamClosed)
+	}
+	if f.StreamID > c.refuse { // after the drain's last word: provably not taken
+		c.mu.Unlock()
+		return nil
+	}
+	c.last = f.StreamID
+	full := c.running >= int(c.s.streams)
+	if !full {
+		c.running++
+		c.streams.Add(1)
+		if c.running == 1 {
+			if c.all != nil {
+				c.all.Active()
+			}
+			c.nc.SetReadDeadline(time.Time{}) // streams have deadlines of their own
+		}
+	}
+	c.mu.Unlock()
+	if full {
+		if !c.resets.Take(time.Now()) {
+			return calm
+		}
+		id := f.StreamID
+		c.link.Control(func(fr *http2.Framer) error { return fr.WriteRSTStream(id, http2.ErrCodeRefusedStream) })
+		return nil
+	}
+	s := &stream{c: c, gone: make(chan struct{}), complete: make(chan struct{})}
+	s.h2 = c.link.Open(f.StreamID, s)
+	return s.begin(f)
+}
+
+// data takes a part of a body.
+func (c *conn) data(f *http2.DataFrame, now time.Time) error {
+	size := int(f.Length) // with padding: it counts
+	if size == 0 && !f.StreamEnded() && !c.empties.Take(now) {
+		return calm
+	}
+	if f.StreamID > c.lastID() {
+		return http2.ConnectionError(http2.ErrCodeProtocol)
+	}
+	st := c.link.Stream(f.StreamID)
+	if err := c.link.Received(st, size); err != nil {
+		return err
+	}
+	if st == nil { // it has ended: what was under way comes still
+		c.link.Credit(nil, size)
+		if !c.updates.Take(now) {
+			return calm
+		}
+		return nil
+	}
+	return st.Owner.(*stream).data(f, size)
+}
+
+// rest notes that no stream is open: the connection may be closed for others, or after a
+// while.
+func (c *conn) rest() {
+	if c.all != nil {
+		c.all.Idle()
+	}
+	c.nc.SetReadDeadline(time.Now().Add(c.s.cfg.IdleWithin))
+}
+
+// done ends a stream's part in the connection.
+func (c *conn) done() {
+	c.mu.Lock()
+	c.running--
+	if c.running == 0 {
+		select {
+		case <-c.gone:
+		default:
+			c.rest()
+		}
+	}
+	end := c.running == 0 && c.refuse != allStreams
+	c.mu.Unlock()
+	if end {
+		c.closeSoon()
+	}
+	c.streams.Done()
+}
+
+// drainPing is answered once the client has read the first notice of a drain.
+var drainPing = [8]byte{'d', 'r', 'a', 'i', 'n'}
+
+// leave begins the drain of the connection.
+func (c *conn) leave() {
+	c.mu.Lock()
+	already := c.leaving
+	c.leaving = true
+	c.mu.Unlock()
+	if already {
+		return
+	}
+	c.link.GoAway(allStreams, http2.ErrCodeNo)
+	c.link.Control(func(f *http2.Framer) error { return f.WritePing(false, drainPing) })
+	late := time.AfterFunc(c.s.cfg.RoundTrip, c.leaveNow)
+	go func() {
+		<-c.gone
+		late.Stop()
+	}()
+}
+
+// leaveNow is the drain's second step: what the client has opened by now is taken, and
+// nothing later.
+func (c *conn) leaveNow() {
+	c.mu.Lock()
+	if !c.leaving || c.refuse != allStreams {
+		c.mu.Unlock()
+		return
+	}
+	c.refuse = c.last
+	last, idle := c.last, c.running == 0
+	c.mu.Unlock()
+	c.link.GoAway(last, http2.ErrCodeNo)
+	if idle {
+		c.closeSoon()
+	}
+}
+
+// closeSoon ends the connection once what is written has been.
+func (c *conn) closeSoon() {
+	c.goneOnce.Do(func() {
+		go c.link.CloseWritten()
+	})
+}
--- /dev/null
+++ b/internal/front/http2/stream.go
@@ -0,0 +1,296 @@
+package http2
+
+import (
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"frostshift/internal/exchange"
+	"frostshift/internal/front"
+	"frostshift/internal/h2"
+	"frostshift/internal/message"
+)
+
+// stream is one request. The reader fills it, a goroutine of its own sees it to its end.
+type stream struct {
+	c      *conn
+	h2     *h2.Stream
+	ticket *front.Ticket
+
+	// Of the reader:
+	length int64 // told; -1: none
+	whole  bool  // its last byte has come, or nobody waits for it any more
+	ended  bool  // the client has sent END_STREAM
+
+	// Of the connection's lock:
+	body    []byte
+	held    int64 // bytes of it that count as held by the connection
+	owed    int   // bytes that the client has had no credit for
+	stopped bool  // the goroutine waits for no more of the body
+	noRoom  bool  // there was none for the body
+
+	complete chan struct{} // closed: the request has come whole
+	gone     chan struct{} // closed: the client has reset it
+}
+
+// begin takes the head of a request.
+func (s *stream) begin(f *http2.MetaHeadersFrame) error {
+	if f.Truncated {
+		s.reject(&front.Error{Status: http.StatusRequestHeaderFieldsTooLarge, Text: "the head is too long"})
+		return nil
+	}
+	r, err := h2.ReadRequest(f.Fields)
+	if err != nil {
+		s.c.link.Reset(s.h2, http2.ErrCodeProtocol)
+		s.whole = true
+		go s.finish()
+		if !s.c.resets.Take(time.Now()) {
+			return calm
+		}
+		return nil
+	}
+	if r.Path == "/ready" && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+		s.ready(f.StreamEnded())
+		return nil
+	}
+	path, query, _ := strings.Cut(r.Path, "?")
+	s.length = r.Length
+	head := &front.Head{Method: r.Method, Authority: r.Authority, Path: path, Query: query, Header: r.Header, Body: max(r.Length, 0)}
+	if r.Length < 0 && !f.StreamEnded() {
+		head.Body = 1 // there is one, of no told length
+	}
+	if a, err := netip.ParseAddrPort(s.c.remote.String()); err == nil {
+		head.Address = a.Addr()
+	}
+	if r.Length > maxBody {
+		s.reject(&front.Error{Status: http.StatusRequestEntityTooLarge, Text: "body too large"})
+		return nil
+	}
+	if s.ticket, err = s.c.s.cfg.Intake.Take(head); err != nil {
+		s.reject(front.AsError(err))
+		return nil
+	}
+	if f.StreamEnded() {
+		err = s.lastByte()
+	} else if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		s.c.link.Interim(s.h2, &h2.Out{Fields: []hpack.HeaderField{{Name: ":status", Value: "100"}}})
+	}
+	go s.run()
+	return err
+}
+
+// data takes a part of the body. Room comes back at once, unless the connection holds much
+// already: then as its requests end.
+func (s *stream) data(f *http2.DataFrame, size int) error {
+	if s.whole {
+		s.c.link.Credit(nil, size)
+		if s.ended { // after END_STREAM
+			return http2.StreamError{StreamID: f.StreamID, Code: http2.ErrCodeStreamClosed}
+		}
+		if f.StreamEnded() {
+			s.ended = true
+		}
+		return nil // it has its answer already
+	}
+	part := f.Data()
+	c := s.c
+	c.mu.Lock()
+	if s.stopped {
+		c.mu.Unlock()
+		c.link.Credit(nil, size)
+		return nil
+	}
+	if int64(len(s.body)+len(part)) > maxBody || s.length >= 0 && int64(len(s.body)+len(part)) > s.length {
+		c.mu.Unlock()
+		c.link.Credit(nil, size)
+		return http2.StreamError{StreamID: f.StreamID, Code: http2.ErrCodeProtocol}
+	}
+	if !s.ticket.Hold(int64(len(part))) {
+		s.noRoom, s.whole = true, true
+		c.mu.Unlock()
+		c.link.Credit(nil, size)
+		close(s.complete)
+		return nil
+	}
+	s.body = append(s.body, part...)
+	s.held += int64(len(part))
+	c.held += int64(len(part))
+	credit := size
+	if c.held > heldBodies {
+		credit -= len(part) // that comes with the end of the stream
+		s.owed += len(part)
+	}
+	c.mu.Unlock()
+	c.link.Credit(nil, credit)
+	if f.StreamEnded() {
+		return s.lastByte()
+	}
+	return nil
+}
+
+// lastByte notes that the request has come whole.
+func (s *stream) lastByte() error {
+	s.ended, s.whole = true, true
+	s.c.mu.Lock()
+	body := s.body
+	s.c.mu.Unlock()
+	if s.length >= 0 && int64(len(body)) != s.length {
+		return http2.StreamError{StreamID: s.h2.ID, Code: http2.ErrCodeProtocol} // section 8.1.1
+	}
+	s.ticket.Message.Body = body
+	close(s.complete)
+	return nil
+}
+
+// end says that the client has ended the stream, or has lost it by a fault. It is called
+// by the reader, once the link has forgotten the stream.
+func (s *stream) end() {
+	s.whole = true
+	close(s.gone)
+}
+
+// run sees the request to its end.
+func (s *stream) run() {
+	defer s.finish()
+	late := time.NewTimer(s.c.s.cfg.SendWithin)
+	defer late.Stop()
+	select {
+	case <-s.complete:
+	case <-s.gone:
+		s.ticket.Release()
+		return
+	case <-s.c.gone:
+		s.ticket.Release()
+		return
+	case <-late.C:
+		s.c.mu.Lock()
+		s.stopped = true
+		s.c.mu.Unlock()
+		s.ticket.Release()
+		s.answer(problemOf(&front.Error{Status: http.StatusRequestTimeout, Text: "the body is slow"}), time.Now().Add(sendWithin), true)
+		return
+	}
+	if s.noRoom {
+		s.ticket.Release()
+		s.answer(problemOf(&front.Error{Status: http.StatusServiceUnavailable, Text: "busy"}), time.Now().Add(sendWithin), true)
+		return
+	}
+	call, deadline := s.ticket.Submit()
+	select {
+	case r := <-call.Reply:
+		s.reply(r, deadline)
+	case <-s.gone:
+		call.Gone()
+	case <-s.c.gone:
+		call.Gone()
+	}
+}
+
+// finish ends the stream's part in the connection.
+func (s *stream) finish() {
+	s.c.mu.Lock()
+	s.c.held -= s.held
+	owed := s.owed
+	s.held, s.owed = 0, 0
+	s.c.mu.Unlock()
+	s.c.link.Credit(nil, owed)
+	s.c.done()
+}
+
+// reply gives the one final answer.
+func (s *stream) reply(r exchange.Reply, deadline time.Time) {
+	switch r.Verdict {
+	case exchange.Served:
+		a := r.Answer.(*message.Answer)
+		defer a.Release()
+		o := &h2.Out{Body: a.Body, Fields: make([]hpack.HeaderField, 0, len(a.Header)+2)}
+		o.Fields = append(o.Fields, hpack.HeaderField{Name: ":status", Value: "200"}, hpack.HeaderField{Name: "content-length", Value: strconv.Itoa(len(a.Body))})
+		o.Fields = h2.AppendFields(o.Fields, a.Header)
+		s.answer(o, deadline, false)
+	case exchange.Refused:
+		if r.Violation != nil {
+			s.answer(problemOf(&front.Error{Status: r.Violation.Status, Violation: r.Violation}), deadline, false)
+			return
+		}
+		o := problemOf(&front.Error{Status: http.StatusServiceUnavailable, Text: "busy"})
+		if r.After > 0 {
+			o.Fields = append(o.Fields, hpack.HeaderField{Name: "retry-after", Value: front.RetryAfter(r.After, s.ticket.Platform)})
+		}
+		s.answer(o, deadline, false)
+	case exchange.Duplicate:
+		s.answer(problemOf(&front.Error{Status: http.StatusConflict, Text: "a request with this X-Correlation-Id is open"}), deadline, false)
+	default:
+		s.answer(problemOf(&front.Error{Status: http.StatusBadGateway, Text: "failed"}), deadline, false)
+	}
+}
+
+// answer sends an answer and waits until it has gone out, the client has left, or its time
+// is up: a client that reads slowly gets nothing more then. early says that the request
+// has not come whole and need not: it is reset behind the answer (RFC 9113 section 8.1).
+func (s *stream) answer(o *h2.Out, deadline time.Time, early bool) {
+	sent := make(chan struct{})
+	o.Done = func() { close(sent) }
+	s.c.link.Send(s.h2, o)
+	late := time.NewTimer(time.Until(deadline))
+	defer late.Stop()
+	select {
+	case <-sent:
+		if early {
+			s.c.link.Reset(s.h2, http2.ErrCodeNo)
+		} else {
+			s.c.link.Forget(s.h2)
+		}
+	case <-late.C:
+		s.c.link.Reset(s.h2, http2.ErrCodeCancel)
+	case <-s.gone:
+	case <-s.c.gone:
+	case <-s.c.link.Ended():
+	}
+}
+
+// reject answers a request that is not taken.
+func (s *stream) reject(e *front.Error) {
+	early := !s.whole
+	s.whole = true
+	go func() {
+		defer s.finish()
+		s.answer(problemOf(e), time.Now().Add(sendWithin), early)
+	}()
+}
+
+// ready answers whether the gateway is.
+func (s *stream) ready(whole bool) {
+	s.whole, s.ended = true, whole
+	status, text := http.StatusOK, "ready\n"
+	if !s.c.s.cfg.Intake.Ready() {
+		status, text = http.StatusServiceUnavailable, "starting\n"
+	}
+	go func() {
+		defer s.finish()
+		s.answer(plainOf(status, text), time.Now().Add(sendWithin), !whole)
+	}()
+}
+
+func plainOf(status int, text string) *h2.Out {
+	return &h2.Out{Body: []byte(text), Fields: []hpack.HeaderField{{Name: ":status", Value: strconv.Itoa(status)},
+		{Name: "content-type", Value: "text/plain; charset=utf-8"}, {Name: "content-length", Value: strconv.Itoa(len(text))}}}
+}
+
+// problemOf is what is wrong, as an answer.
+func problemOf(e *front.Error) *h2.Out {
+	if e.Violation == nil {
+		o := plainOf(e.Status, e.Text+"\n")
+		if e.Allow != "" {
+			o.Fields = append(o.Fields, hpack.HeaderField{Name: "allow", Value: e.Allow})
+		}
+		return o
+	}
+	body, header := front.ProblemOf(e.Violation)
+	fields := []hpack.HeaderField{{Name: ":status", Value: strconv.Itoa(e.Status)}, {Name: "content-length", Value: strconv.Itoa(len(body))}}
+	return &h2.Out{Body: body, Fields: h2.AppendFields(fields, header)}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,12 +3,12 @@
 // configuration. It starts, reloads and stops them, and makes no decision about any
 // request.
 //
-// gateway.go runs the whole, reload.go takes over a configuration, pool.go runs one pool.
+// gateway.go runs the whole, listen.go is listeners, reload.go takes over a configuration,
+// pool.go runs one pool, accounts.go tells of teams.
 package gateway
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"sync"
@@ -18,7 +18,6 @@
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
 	"frostshift/internal/front"
-	"frostshift/internal/front/http1"
 	"frostshift/internal/share"
 )
 
@@ -50,8 +49,9 @@
 	Linger     func()        // between the order to stop and the close of the listeners
 	Silence    time.Duration // of discovery
 	LookEvery  time.Duration // at files of hosts
+	RoundTrip  time.Duration // for the first notice of an HTTP/2 drain to be answered
 	// Conns bounds the connections of clients, where the limits do not.
-	Conns *http1.Conns
+	Conns *front.Conns
 }
 
 // budgets are what the pools share out among them.
@@ -65,7 +65,7 @@
 	opt      Options
 	exchange *exchange.Exchange
 	intake   *front.Intake
-	conns    *http1.Conns
+	conns    *front.Conns
 	budgets  budgets
 	door     *contract.Door
 
@@ -83,12 +83,6 @@
 	failed  chan error     // a listener that failed
 }
 
-// server is a front at one listener.
-type server struct {
-	*http1.Server
-	config.Listener
-}
-
 // New prepares a gateway for the configuration: its listeners are open and its pools run
 // when it returns, but clients are served only by Run.
 func New(m *config.Model, log *slog.Logger, opt Options) (*Gateway, error) {
@@ -112,7 +106,7 @@
 	g.door = contract.NewDoor(requests, bodies)
 	g.intake = front.NewIntake(x, g.door)
 	if g.conns == nil {
-		g.conns = http1.NewConns(clients, asked)
+		g.conns = front.NewConns(clients, asked)
 	}
 	g.budgets = budgets{share.New(requests), share.New(conns), share.New(bodies), share.New(answers)}
 	g.instances = m.Instances
@@ -243,26 +237,3 @@
 	}
 	return true
 }
-
-// listen opens the sockets of a configuration that are not open yet. The lock is held.
-func (g *Gateway) listen(m *config.Model) (opened []*server, err error) {
-	var longest time.Duration
-	for i := range m.Classes {
-		longest = max(longest, m.Classes[i].Deadline)
-	}
-	for _, l := range m.Listeners {
-		if g.servers[l] != nil {
-			continue
-		}
-		ln, err := net.Listen("tcp", l.Address)
-		if err != nil {
-			for _, s := range opened {
-				s.Close()
-			}
-			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
-		}
-		opened = append(opened, &server{http1.New(ln, http1.Config{Intake: g.intake, Conns: g.conns, Log: g.log,
-			SendWithin: g.opt.SendWithin, Longest: longest}), l})
-	}
-	return opened, nil
-}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,7 +19,7 @@
 	"time"
 
 	"frostshift/internal/config"
-	"frostshift/internal/front/http1"
+	"frostshift/internal/front"
 	"frostshift/internal/membership"
 	"frostshift/internal/standin"
 )
@@ -766,7 +766,7 @@
 		{6, 1 << 20}, // all connections
 		{1 << 20, 3}, // those that have asked
 	} {
-		conns := http1.NewConns(bound[0], bound[1])
+		conns := front.NewConns(bound[0], bound[1])
 		g := launch(t, cfg, func(o *Options) { o.Conns, o.SendWithin = conns, time.Hour })
 		var quiet []net.Conn
 		for i := range 12 {
--- /dev/null
+++ b/internal/gateway/listen.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"frostshift/internal/config"
+	"frostshift/internal/front"
+	"frostshift/internal/front/http1"
+	"frostshift/internal/front/http2"
+)
+
+// server is a listener with the fronts that serve its connections.
+type server struct {
+	config.Listener
+	ln          net.Listener
+	one         *http1.Server // nil: not spoken here
+	two         *http2.Server // nil: not spoken here
+	certificate atomic.Pointer[tls.Certificate]
+	handshakes  sync.WaitGroup
+	sendWithin  time.Duration
+	shaken      chan net.Conn // with TLS: connections that speak HTTP/1.1
+	closed      chan struct{}
+	closeOnce   sync.Once
+}
+
+// listen opens the sockets of a configuration that are not open yet. The lock is held.
+func (g *Gateway) listen(m *config.Model) (opened []*server, err error) {
+	var longest time.Duration
+	for i := range m.Classes {
+		longest = max(longest, m.Classes[i].Deadline)
+	}
+	for _, l := range m.Listeners {
+		if g.servers[l] != nil {
+			continue
+		}
+		s, err := g.open(l, longest)
+		if err != nil {
+			for _, s := range opened {
+				s.Close()
+			}
+			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
+		}
+		opened = append(opened, s)
+	}
+	return opened, nil
+}
+
+func (g *Gateway) open(l config.Listener, longest time.Duration) (*server, error) {
+	s := &server{Listener: l, closed: make(chan struct{}), sendWithin: g.opt.SendWithin}
+	if s.sendWithin == 0 {
+		s.sendWithin = http1.SendWithin
+	}
+	if l.Certificate != "" {
+		c, err := tls.LoadX509KeyPair(l.Certificate, l.Key)
+		if err != nil {
+			return nil, err
+		}
+		s.certificate.Store(&c)
+	}
+	ln, err := net.Listen("tcp", l.Address)
+	if err != nil {
+		return nil, err
+	}
+	s.ln = g.conns.Listen(ln)
+	if l.Protocol == config.HTTP2 || l.Certificate != "" {
+		s.two = http2.New(http2.Config{Intake: g.intake, Log: g.log, SendWithin: g.opt.SendWithin,
+			MostOpen: g.budgets.requests.Total(), RoundTrip: g.opt.RoundTrip})
+	}
+	if l.Protocol == config.HTTP1 {
+		under := s.ln
+		if l.Certificate != "" {
+			s.shaken = make(chan net.Conn)
+			under = shakenListener{s}
+		}
+		s.one = http1.New(under, http1.Config{Intake: g.intake, Conns: g.conns, Log: g.log, SendWithin: g.opt.SendWithin, Longest: longest})
+	}
+	return s, nil
+}
+
+// renew loads the certificates of listeners that stay open once more.
+func (g *Gateway) renew(m *config.Model) (map[*server]*tls.Certificate, error) {
+	out := map[*server]*tls.Certificate{}
+	for _, l := range m.Listeners {
+		if s := g.servers[l]; s != nil && l.Certificate != "" {
+			c, err := tls.LoadX509KeyPair(l.Certificate, l.Key)
+			if err != nil {
+				return nil, fmt.Errorf("listener %q: %w", l.Name, err)
+			}
+			out[s] = &c
+		}
+	}
+	return out, nil
+}
+
+// Addr is where clients connect.
+func (s *server) Addr() net.Addr { return s.ln.Addr() }
+
+// Serve serves until Shutdown or Close, and then returns nil.
+func (s *server) Serve() error {
+	switch {
+	case s.shaken != nil:
+		served := make(chan error, 1)
+		go func() { served <- s.one.Serve() }()
+		err := s.handshake()
+		s.handshakes.Wait()
+		return errors.Join(err, <-served)
+	case s.two != nil:
+		return s.two.Serve(s.ln)
+	}
+	return s.one.Serve()
+}
+
+// handshake takes connections with TLS and passes them on by what they agree to speak
+// (RFC 7301).
+func (s *server) handshake() error {
+	cfg := &tls.Config{MinVersion: tls.VersionTLS12, NextProtos: []string{"h2", "http/1.1"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.certificate.Load(), nil }}
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return err
+		}
+		s.handshakes.Go(func() {
+			t := tls.Server(c, cfg)
+			ctx, cancel := context.WithTimeout(context.Background(), s.sendWithin)
+			defer cancel()
+			if err := t.HandshakeContext(ctx); err != nil {
+				c.Close()
+				return
+			}
+			under, _ := c.(*front.Conn)
+			secure := &front.Secure{Conn: t, Under: under}
+			if t.ConnectionState().NegotiatedProtocol == "h2" {
+				go s.two.ServeConn(secure)
+				return
+			}
+			select {
+			case s.shaken <- secure:
+			case <-s.closed:
+				c.Close()
+			}
+		})
+	}
+}
+
+// shakenListener gives the HTTP/1.1 front the connections that have agreed on it.
+type shakenListener struct{ s *server }
+
+func (l shakenListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.s.shaken:
+		return c, nil
+	case <-l.s.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l shakenListener) Close() error   { l.s.end(); return nil }
+func (l shakenListener) Addr() net.Addr { return l.s.ln.Addr() }
+
+func (s *server) end() {
+	s.closeOnce.Do(func() {
+		close(s.closed)
+		s.ln.Close()
+	})
+}
+
+// Leave tells clients that have connected to leave, while the listener is still open.
+func (s *server) Leave() {
+	if s.one != nil {
+		s.one.Leave()
+	}
+	if s.two != nil {
+		s.two.Leave()
+	}
+}
+
+// Shutdown closes the listener and waits for the open requests, until the context ends.
+func (s *server) Shutdown(ctx context.Context) error {
+	var err error
+	if s.one != nil {
+		err = s.one.Shutdown(ctx)
+	}
+	s.end()
+	if s.two != nil {
+		err = errors.Join(err, s.two.Shutdown(ctx))
+	}
+	return err
+}
+
+// Close ends what is left at once.
+func (s *server) Close() {
+	s.end()
+	if s.one != nil {
+		s.one.Close()
+	}
+	if s.two != nil {
+		s.two.Close()
+	}
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -12,16 +12,26 @@
 	"frostshift/internal/exchange"
 	"frostshift/internal/membership"
 	"frostshift/internal/share"
+	"frostshift/internal/upstream"
 	"frostshift/internal/upstream/http1"
+	"frostshift/internal/upstream/http2"
 )
 
+// hosts is an upstream with what it is told of its hosts.
+type hosts interface {
+	exchange.Upstream
+	Update(whole bool, list []upstream.Endpoint)
+	Run(context.Context)
+	Open() int
+}
+
 // pool is a running pool: its loop, its connections and the follower of its hosts.
 type pool struct {
 	def      *config.Pool
 	log      *slog.Logger
 	names    membership.Names
 	ex       *exchange.Pool
-	up       *http1.Upstream
+	up       hosts
 	follower *membership.Follower
 	ready    chan struct{} // closed behind the first list
 	first    sync.Once
@@ -35,7 +45,13 @@
 	p := &pool{def: def, log: g.log.With("pool", def.Name), names: def.Names(), ready: make(chan struct{}),
 		requests: g.budgets.requests.Holder(), conns: g.budgets.conns.Holder(),
 		bodies: g.budgets.bodies.Holder(), answers: g.budgets.answers.Holder()}
-	p.up = http1.New(http1.Config{DialTimeout: def.DialTimeout, ConnIdle: def.ConnIdle, Conns: p.conns, Bytes: p.answers})
+	bounds := upstream.Config{DialTimeout: def.DialTimeout, ConnIdle: def.ConnIdle, Conns: p.conns, Bytes: p.answers}
+	switch def.Protocol {
+	case config.HTTP2:
+		p.up = http2.New(bounds)
+	default:
+		p.up = http1.New(bounds)
+	}
 	cfg := membership.Config{Sink: sink{p}, Log: p.log, Asked: def.Settings.Ask, Silence: g.opt.Silence, Every: g.opt.LookEvery}
 	if def.Known != nil {
 		cfg.Index = *def.Known.Index
@@ -81,9 +97,9 @@
 
 // addresses tells the upstream where hosts are.
 func (p *pool) addresses(l *membership.List) {
-	list := make([]http1.Endpoint, 0, len(l.Endpoints))
+	list := make([]upstream.Endpoint, 0, len(l.Endpoints))
 	for i, h := range p.names.Hosts(l.Endpoints) {
-		list = append(list, http1.Endpoint{ID: h.ID, Address: l.Endpoints[i].Address, Started: h.Started,
+		list = append(list, upstream.Endpoint{ID: h.ID, Address: l.Endpoints[i].Address, Started: h.Started,
 			Gone: h.State == frostshift.Removed})
 	}
 	p.up.Update(l.Snapshot, list)
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -32,6 +32,10 @@
 	if g.model != nil && g.model.Limits != m.Limits {
 		g.log.Warn("limits have changed; that wants a restart, the old ones stay")
 	}
+	certificates, err := g.renew(m)
+	if err != nil {
+		return err
+	}
 	opened, err := g.listen(m)
 	if err != nil {
 		return err
@@ -62,6 +66,9 @@
 		return err
 	}
 	// From here on nothing fails.
+	for s, c := range certificates {
+		s.certificate.Store(c)
+	}
 	for _, def := range m.Pools {
 		if p := next[def.Name]; !p.def.Source.Equal(def.Source) {
 			p.follower.Move(def.Source)
--- /dev/null
+++ b/internal/h2/fields.go
@@ -0,0 +1,170 @@
+package h2
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"golang.org/x/net/http2/hpack"
+)
+
+// Request is the head of a request as its fields say.
+type Request struct {
+	Method, Scheme, Authority, Path string
+	Header                          http.Header
+	Length                          int64 // Content-Length; -1: none is told
+}
+
+// Errors of a head that is malformed (RFC 9113 section 8.1.1). They end the stream.
+var (
+	errPseudo     = errors.New("a pseudo-header field is missing, empty or out of place")
+	errConnection = errors.New("a header field that is about one connection")
+	errAuthority  = errors.New("Host and :authority differ")
+	errLength     = errors.New("Content-Length is malformed")
+)
+
+// connectionFields must not stand in a message (RFC 9113 section 8.2.2).
+var connectionFields = map[string]bool{"connection": true, "proxy-connection": true, "keep-alive": true, "transfer-encoding": true, "upgrade": true}
+
+// ReadRequest reads the fields of a request, which a Framer has decoded and found in
+// order. CONNECT has no path, and none of the other methods goes without.
+func ReadRequest(fields []hpack.HeaderField) (*Request, error) {
+	r := &Request{Header: make(http.Header, len(fields)), Length: -1}
+	host := ""
+	var hosts, lengths int
+	for _, f := range fields {
+		if strings.HasPrefix(f.Name, ":") {
+			var to *string
+			switch f.Name {
+			case ":method":
+				to = &r.Method
+			case ":scheme":
+				to = &r.Scheme
+			case ":authority":
+				to = &r.Authority
+			case ":path":
+				to = &r.Path
+			default:
+				return nil, errPseudo
+			}
+			if *to != "" || f.Value == "" {
+				return nil, errPseudo
+			}
+			*to = f.Value
+			continue
+		}
+		switch {
+		case connectionFields[f.Name], f.Name == "te" && f.Value != "trailers":
+			return nil, errConnection
+		case f.Name == "host":
+			host = f.Value
+			hosts++
+			continue
+		case f.Name == "content-length":
+			n, err := strconv.ParseUint(f.Value, 10, 62)
+			if err != nil || strings.Trim(f.Value, "0123456789") != "" || lengths > 0 && int64(n) != r.Length {
+				return nil, errLength
+			}
+			r.Length = int64(n)
+			lengths++
+			continue
+		case f.Name == "cookie": // may be split for compression (section 8.2.3)
+			if old := r.Header["Cookie"]; len(old) > 0 {
+				old[0] += "; " + f.Value
+				continue
+			}
+		}
+		name := http.CanonicalHeaderKey(f.Name)
+		r.Header[name] = append(r.Header[name], f.Value)
+	}
+	switch {
+	case r.Method == "" || r.Method == http.MethodConnect || r.Scheme != "http" && r.Scheme != "https" || r.Path == "":
+		return nil, errPseudo
+	case !strings.HasPrefix(r.Path, "/") && !(r.Path == "*" && r.Method == http.MethodOptions):
+		return nil, errPseudo
+	case strings.ContainsAny(r.Path, " \t\r\n\x00#"), !token(r.Method):
+		return nil, errPseudo
+	case hosts > 1 || hosts == 1 && r.Authority != "" && host != r.Authority:
+		return nil, errAuthority
+	}
+	if r.Authority == "" {
+		r.Authority = host
+	}
+	if strings.ContainsAny(r.Authority, "/@ \t\r\n\x00") {
+		return nil, errAuthority
+	}
+	return r, nil
+}
+
+// token says whether a method is one (RFC 9110 section 5.6.2).
+func token(s string) bool {
+	for i := 0; i < len(s); i++ {
+		c := s[i]
+		if !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// Trailers says whether fields may be trailers: none of them is a pseudo-header.
+func Trailers(fields []hpack.HeaderField) bool {
+	for _, f := range fields {
+		if strings.HasPrefix(f.Name, ":") || connectionFields[f.Name] {
+			return false
+		}
+	}
+	return true
+}
+
+// ReadResponse reads the fields of a response. length is -1 where none is told.
+func ReadResponse(fields []hpack.HeaderField) (status int, header http.Header, length int64, err error) {
+	header, length = make(http.Header, len(fields)), -1
+	for _, f := range fields {
+		switch {
+		case f.Name == ":status":
+			if status != 0 || len(f.Value) != 3 {
+				return 0, nil, 0, errPseudo
+			}
+			if status, err = strconv.Atoi(f.Value); err != nil || status < 100 {
+				return 0, nil, 0, errPseudo
+			}
+		case strings.HasPrefix(f.Name, ":"):
+			return 0, nil, 0, errPseudo
+		case connectionFields[f.Name]:
+			return 0, nil, 0, errConnection
+		case f.Name == "content-length":
+			n, err := strconv.ParseUint(f.Value, 10, 62)
+			if err != nil || length >= 0 && int64(n) != length {
+				return 0, nil, 0, errLength
+			}
+			length = int64(n)
+		default:
+			name := http.CanonicalHeaderKey(f.Name)
+			header[name] = append(header[name], f.Value)
+		}
+	}
+	if status == 0 {
+		return 0, nil, 0, errPseudo
+	}
+	return status, header, length, nil
+}
+
+// AppendFields appends the fields of end-to-end headers. What could not stand in HTTP/2
+// or would mean something else there is left out.
+func AppendFields(fields []hpack.HeaderField, header http.Header) []hpack.HeaderField {
+	for name, values := range header {
+		lower := strings.ToLower(name)
+		if connectionFields[lower] || lower == "host" || lower == "content-length" || lower == "te" || !token(lower) {
+			continue
+		}
+		for _, v := range values {
+			if strings.ContainsAny(v, "\r\n\x00") {
+				continue
+			}
+			fields = append(fields, hpack.HeaderField{Name: lower, Value: v, Sensitive: lower == "authorization" || lower == "cookie"})
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/h2/flow.go
@@ -0,0 +1,118 @@
+package h2
+
+import (
+	"golang.org/x/net/http2"
+)
+
+// Settings takes in the peer's settings and acknowledges them.
+func (l *Link) Settings(f *http2.SettingsFrame) error {
+	if f.IsAck() {
+		return nil
+	}
+	if f.NumSettings() > 100 {
+		return http2.ConnectionError(http2.ErrCodeEnhanceYourCalm)
+	}
+	l.mu.Lock()
+	err := f.ForeachSetting(func(s http2.Setting) error {
+		if err := s.Valid(); err != nil {
+			return err
+		}
+		switch s.ID {
+		case http2.SettingInitialWindowSize:
+			diff := int64(s.Val) - l.peerInitial
+			l.peerInitial = int64(s.Val)
+			for _, st := range l.streams {
+				if st.sendWindow += diff; st.sendWindow > maxWindow {
+					return http2.ConnectionError(http2.ErrCodeFlowControl)
+				}
+				l.ready.push(st)
+			}
+		case http2.SettingMaxConcurrentStreams:
+			if l.cfg.Client {
+				l.peerStreams = s.Val
+			}
+		case http2.SettingMaxFrameSize:
+			l.peerFrame = min(int(s.Val), MaxFrame)
+		case http2.SettingHeaderTableSize:
+			l.control = append(l.control, func(*http2.Framer) error {
+				l.encoder.SetMaxDynamicTableSize(min(s.Val, 4096))
+				return nil
+			})
+		}
+		return nil
+	})
+	l.wake.Signal()
+	l.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	l.Control(func(f *http2.Framer) error { return f.WriteSettingsAck() })
+	return nil
+}
+
+// WindowUpdate takes in more room from the peer.
+func (l *Link) WindowUpdate(f *http2.WindowUpdateFrame) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f.StreamID == 0 {
+		if l.sendWindow += int64(f.Increment); l.sendWindow > maxWindow {
+			return http2.ConnectionError(http2.ErrCodeFlowControl)
+		}
+		for _, s := range l.streams {
+			if s.out != nil && s.sendWindow > 0 {
+				l.ready.push(s)
+			}
+		}
+	} else if s := l.streams[f.StreamID]; s != nil {
+		if s.sendWindow += int64(f.Increment); s.sendWindow > maxWindow {
+			return http2.StreamError{StreamID: f.StreamID, Code: http2.ErrCodeFlowControl}
+		}
+		l.ready.push(s)
+	}
+	l.wake.Signal()
+	return nil
+}
+
+// Received counts bytes of a DATA frame, padding included, against the windows that the
+// peer was given. s is nil for a stream that is no more.
+func (l *Link) Received(s *Stream, n int) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.recvWindow -= int64(n); l.recvWindow < 0 {
+		return http2.ConnectionError(http2.ErrCodeFlowControl)
+	}
+	if s != nil {
+		if s.recvWindow -= int64(n); s.recvWindow < 0 {
+			return http2.StreamError{StreamID: s.ID, Code: http2.ErrCodeFlowControl}
+		}
+	}
+	return nil
+}
+
+// Credit gives the peer back room that was taken by bytes of a DATA frame: on the whole
+// connection, and on the stream unless it is nil. Small amounts are gathered.
+func (l *Link) Credit(s *Stream, n int) {
+	if n <= 0 {
+		return
+	}
+	l.mu.Lock()
+	var conn, stream int64
+	if l.consumed += int64(n); l.consumed >= int64(l.cfg.ConnWindow)/4 || l.recvWindow < int64(l.cfg.ConnWindow)/4 {
+		conn, l.consumed = l.consumed, 0
+		l.recvWindow += conn
+	}
+	if s != nil && !s.forgotten {
+		if s.consumed += int64(n); s.consumed >= int64(l.cfg.StreamWindow)/4 {
+			stream, s.consumed = s.consumed, 0
+			s.recvWindow += stream
+		}
+	}
+	l.mu.Unlock()
+	if conn > 0 {
+		l.Control(func(f *http2.Framer) error { return f.WriteWindowUpdate(0, uint32(conn)) })
+	}
+	if stream > 0 {
+		id := s.ID
+		l.Control(func(f *http2.Framer) error { return f.WriteWindowUpdate(id, uint32(stream)) })
+	}
+}
--- /dev/null
+++ b/internal/h2/link.go
@@ -0,0 +1,272 @@
+// Package h2 is what both ends of an HTTP/2 connection (RFC 9113) share: reading and
+// writing frames, flow control both ways, limits against floods, and messages to and from
+// header fields. It knows nothing of requests' meaning, of pools or of hosts; who uses it
+// decides which streams there are.
+//
+// link.go is the connection, writer.go sends, flow.go counts windows, fields.go reads
+// header fields, limits.go bounds what a peer may do.
+package h2
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+// Sizes of a link.
+const (
+	MaxFrame    = 16 << 10 // bytes of a frame's payload, both ways
+	MaxHeader   = 16 << 10 // bytes of a header list, counted as RFC 9113 section 10.5.1 says
+	FirstWindow = 65535    // of each stream and connection before any settings
+	maxWindow   = 1<<31 - 1
+	mostControl = 1000 // control frames that wait to be written
+	// mostRead bounds the bytes of one frame with all CONTINUATION frames that belong to it:
+	// frames without end, however small, must not keep a reader busy (CVE-2024-27316).
+	mostRead = 4 * MaxHeader
+	// WriteWithin is how long the peer may take to take in what is written.
+	WriteWithin = 5 * time.Second
+)
+
+// Config says what a link offers its peer.
+type Config struct {
+	// StreamWindow is the window offered for each stream, ConnWindow the one for the whole
+	// connection: what the peer may send before it is given credit.
+	StreamWindow, ConnWindow uint32
+	MaxStreams               uint32 // that the peer may open at once
+	Client                   bool   // this end opens the streams
+}
+
+// Link is one HTTP/2 connection. Its methods are safe for concurrent use, but ReadFrame
+// belongs to one goroutine.
+type Link struct {
+	Conn   net.Conn
+	cfg    Config
+	framer *http2.Framer
+	in     *bufio.Reader
+	limit  io.LimitedReader
+
+	out     *bufio.Writer
+	encoder *hpack.Encoder
+	encoded headerBuffer
+
+	mu          sync.Mutex
+	wake        *sync.Cond // the writer's
+	control     []func(*http2.Framer) error
+	ready       streamList // streams that may have something to send
+	streams     map[uint32]*Stream
+	sendWindow  int64
+	recvWindow  int64
+	consumed    int64 // received, not yet given credit for
+	peerInitial int64
+	peerStreams uint32 // that the peer lets this end open
+	peerFrame   int
+	written     uint64        // turns that streams have had
+	flushed     uint64        // of them, those whose frames have been handed to the connection
+	flushing    chan struct{} // closed and replaced with each flush
+	closed      bool
+	ended       chan struct{} // closed: the writer has ended
+	err         error
+}
+
+// headerBuffer collects one encoded header block.
+type headerBuffer struct{ b []byte }
+
+func (h *headerBuffer) Write(p []byte) (int, error) {
+	h.b = append(h.b, p...)
+	return len(p), nil
+}
+
+// Stream is one stream of a link.
+type Stream struct {
+	ID    uint32
+	Owner any // for the caller
+
+	link       *Link
+	sendWindow int64
+	recvWindow int64
+	consumed   int64
+	out        *Out
+	inReady    bool
+	next       *Stream // in the list of those ready
+	forgotten  bool
+	turn       uint64 // its last one
+}
+
+// Out is what one stream sends: header fields and a body, to its end.
+type Out struct {
+	Fields []hpack.HeaderField
+	Body   []byte
+	// Done is called once the last byte has been handed to the connection, by the writer
+	// and with no lock held. It must not block. It is not called for what never gets there.
+	Done func()
+
+	headSent bool
+	sent     int
+	whole    bool // its last byte has been given to the writer: it may be on its way
+}
+
+// New returns a link over a connection; Start begins it.
+func New(c net.Conn, cfg Config) *Link {
+	l := &Link{Conn: c, cfg: cfg, streams: map[uint32]*Stream{}, sendWindow: FirstWindow, recvWindow: FirstWindow,
+		peerInitial: FirstWindow, peerStreams: 100, peerFrame: MaxFrame, ended: make(chan struct{}), flushing: make(chan struct{})}
+	if !cfg.Client {
+		l.peerStreams = 0
+	}
+	l.wake = sync.NewCond(&l.mu)
+	l.limit.R = c
+	l.in = bufio.NewReaderSize(&l.limit, 4<<10)
+	l.out = bufio.NewWriterSize(c, 8<<10)
+	l.framer = http2.NewFramer(l.out, l.in)
+	l.framer.SetReuseFrames()
+	l.framer.SetMaxReadFrameSize(MaxFrame)
+	l.framer.MaxHeaderListSize = MaxHeader
+	l.framer.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	l.encoder = hpack.NewEncoder(&l.encoded)
+	return l
+}
+
+// Start writes this end's preface and settings and begins to write what is sent.
+func (l *Link) Start() {
+	l.Control(func(f *http2.Framer) error {
+		if l.cfg.Client {
+			if _, err := l.out.WriteString(http2.ClientPreface); err != nil {
+				return err
+			}
+		}
+		settings := []http2.Setting{{ID: http2.SettingInitialWindowSize, Val: l.cfg.StreamWindow},
+			{ID: http2.SettingMaxHeaderListSize, Val: MaxHeader}, {ID: http2.SettingMaxFrameSize, Val: MaxFrame}}
+		if l.cfg.Client {
+			settings = append(settings, http2.Setting{ID: http2.SettingEnablePush, Val: 0})
+		} else {
+			settings = append(settings, http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: l.cfg.MaxStreams})
+		}
+		return f.WriteSettings(settings...)
+	})
+	if more := int64(l.cfg.ConnWindow) - FirstWindow; more > 0 {
+		l.mu.Lock()
+		l.recvWindow += more
+		l.mu.Unlock()
+		l.Control(func(f *http2.Framer) error { return f.WriteWindowUpdate(0, uint32(more)) })
+	}
+	go l.write()
+}
+
+// ErrPreface says that what comes does not begin as HTTP/2 does.
+var ErrPreface = errors.New("h2: no client preface")
+
+// ReadPreface reads the client's preface (RFC 9113 section 3.4).
+func (l *Link) ReadPreface() error {
+	l.limit.N = int64(len(http2.ClientPreface)) + mostRead
+	buf := make([]byte, len(http2.ClientPreface))
+	if _, err := io.ReadFull(l.in, buf); err != nil {
+		return err
+	}
+	if string(buf) != http2.ClientPreface {
+		return ErrPreface
+	}
+	return nil
+}
+
+// ReadFrame reads the next frame; header blocks come whole and decoded. The frame is
+// valid until the next call. An error of type http2.StreamError leaves the link usable.
+func (l *Link) ReadFrame() (http2.Frame, error) {
+	l.limit.N = mostRead
+	return l.framer.ReadFrame()
+}
+
+// Open makes a stream that the peer or this end opens.
+func (l *Link) Open(id uint32, owner any) *Stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := &Stream{ID: id, Owner: owner, link: l, sendWindow: l.peerInitial, recvWindow: int64(l.cfg.StreamWindow)}
+	l.streams[id] = s
+	return s
+}
+
+// Stream finds an open stream; nil: there is none of this id.
+func (l *Link) Stream(id uint32) *Stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.streams[id]
+}
+
+// Streams is how many streams are open, and how many the peer lets this end open.
+func (l *Link) Streams() (open int, most uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.streams), l.peerStreams
+}
+
+// Each calls f for every open stream. It holds no lock meanwhile.
+func (l *Link) Each(f func(*Stream)) {
+	l.mu.Lock()
+	list := make([]*Stream, 0, len(l.streams))
+	for _, s := range l.streams {
+		list = append(list, s)
+	}
+	l.mu.Unlock()
+	for _, s := range list {
+		f(s)
+	}
+}
+
+// flushWait is how long Forget waits for what is being written: microseconds, unless the
+// peer takes nothing in.
+const flushWait = 2 * time.Millisecond
+
+// Forget ends this end's memory of a stream. When it returns, nothing more of it goes out:
+// if a frame of a request is under way to a peer that takes nothing in, the connection is
+// closed. It says whether the stream's last byte may have gone out.
+func (l *Link) Forget(s *Stream) (whole bool) {
+	l.mu.Lock()
+	s.forgotten = true
+	delete(l.streams, s.ID)
+	if !l.cfg.Client || s.turn <= l.flushed || l.closed {
+		defer l.mu.Unlock()
+		return s.out != nil && s.out.whole
+	}
+	late := time.NewTimer(flushWait)
+	defer late.Stop()
+	for s.turn > l.flushed && !l.closed {
+		flushing := l.flushing
+		l.mu.Unlock()
+		select {
+		case <-flushing:
+			l.mu.Lock()
+		case <-late.C:
+			l.Close()
+			l.mu.Lock()
+		}
+	}
+	defer l.mu.Unlock()
+	return s.out != nil && s.out.whole
+}
+
+// Close ends the connection at once.
+func (l *Link) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.wake.Broadcast()
+	l.mu.Unlock()
+	l.Conn.Close()
+}
+
+// CloseWritten ends the connection once what waits to be written has been, or could not
+// be.
+func (l *Link) CloseWritten() {
+	l.mu.Lock()
+	l.closed = true
+	l.wake.Broadcast()
+	l.mu.Unlock()
+	<-l.ended
+	l.Conn.Close()
+}
+
+// Ended is closed when nothing is written any more.
+func (l *Link) Ended() <-chan struct{} { return l.ended }
--- /dev/null
+++ b/internal/h2/writer.go
@@ -0,0 +1,239 @@
+package h2
+
+import (
+	"time"
+
+	"golang.org/x/net/http2"
+)
+
+// streamList is a queue of streams: each has its turn, a frame at a time.
+type streamList struct{ head, tail *Stream }
+
+func (q *streamList) push(s *Stream) {
+	if s.inReady {
+		return
+	}
+	s.inReady, s.next = true, nil
+	if q.tail != nil {
+		q.tail.next = s
+	} else {
+		q.head = s
+	}
+	q.tail = s
+}
+
+func (q *streamList) pop() *Stream {
+	s := q.head
+	if s == nil {
+		return nil
+	}
+	if q.head = s.next; q.head == nil {
+		q.tail = nil
+	}
+	s.inReady, s.next = false, nil
+	return s
+}
+
+// Control queues a control frame. A peer that makes this end owe it a thousand of them
+// and takes none is closed.
+func (l *Link) Control(frame func(*http2.Framer) error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.control) >= mostControl {
+		l.closed = true
+		l.Conn.Close()
+	} else {
+		l.control = append(l.control, frame)
+	}
+	l.wake.Signal()
+}
+
+// Send sends what a stream has to say, in its turn and as windows allow.
+func (l *Link) Send(s *Stream, o *Out) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.forgotten {
+		return
+	}
+	s.out = o
+	l.ready.push(s)
+	l.wake.Signal()
+}
+
+// Reset forgets a stream, as Forget does, and tells the peer, if it can know of it.
+func (l *Link) Reset(s *Stream, code http2.ErrCode) (whole bool) {
+	whole = l.Forget(s)
+	if l.cfg.Client && s.turn == 0 { // its head has never been written
+		return whole
+	}
+	id := s.ID
+	l.Control(func(f *http2.Framer) error { return f.WriteRSTStream(id, code) })
+	return whole
+}
+
+// GoAway tells the peer to go away; streams above last are not taken.
+func (l *Link) GoAway(last uint32, code http2.ErrCode) {
+	l.Control(func(f *http2.Framer) error { return f.WriteGoAway(last, code, nil) })
+}
+
+// Whole says whether the last byte of what a stream sends may have gone out.
+func (s *Stream) Whole() bool {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	return s.out != nil && s.out.whole
+}
+
+// write is the writer: it alone writes, control frames first.
+func (l *Link) write() {
+	defer close(l.ended)
+	defer l.Conn.Close()
+	var done []func()
+	for {
+		l.mu.Lock()
+		for len(l.control) == 0 && l.ready.head == nil && !l.closed {
+			if l.out.Buffered() > 0 || len(done) > 0 {
+				break
+			}
+			l.wake.Wait()
+		}
+		var frames []func(*http2.Framer) error
+		var s *Stream
+		var part []byte
+		var fields, last bool
+		switch {
+		case len(l.control) > 0:
+			frames, l.control = l.control, nil
+		case l.closed:
+			l.mu.Unlock()
+			l.flush(&done)
+			return
+		default:
+			s, part, fields, last = l.turn()
+		}
+		l.mu.Unlock()
+		var err error
+		if l.out.Buffered() == 0 && (len(frames) > 0 || s != nil) {
+			l.Conn.SetWriteDeadline(time.Now().Add(WriteWithin))
+		}
+		for _, frame := range frames {
+			if err == nil {
+				err = frame(l.framer)
+			}
+		}
+		switch {
+		case s != nil:
+			o := s.out
+			if fields {
+				err = l.writeFields(s.ID, o, last)
+			}
+			if err == nil && (len(part) > 0 || !fields) {
+				err = l.framer.WriteData(s.ID, last, part)
+			}
+			if last && err == nil && o.Done != nil {
+				done = append(done, o.Done)
+			}
+		case len(frames) == 0: // nothing more is ready
+			err = l.flush(&done)
+		}
+		if err != nil {
+			l.mu.Lock()
+			l.closed, l.control = true, nil
+			l.ready = streamList{}
+			close(l.flushing)
+			l.flushing = make(chan struct{})
+			l.mu.Unlock()
+			return
+		}
+	}
+}
+
+// flush hands over what is buffered and then calls those that wait for it.
+func (l *Link) flush(done *[]func()) error {
+	l.mu.Lock()
+	upTo := l.written
+	l.mu.Unlock()
+	err := l.out.Flush()
+	if err == nil {
+		l.mu.Lock()
+		l.flushed = upTo
+		close(l.flushing)
+		l.flushing = make(chan struct{})
+		l.mu.Unlock()
+		for _, f := range *done {
+			f()
+		}
+	}
+	*done = (*done)[:0]
+	return err
+}
+
+// turn takes the next stream that may send something now, and what it sends: its fields,
+// a part of its body, or both; last says that nothing follows. The lock is held.
+func (l *Link) turn() (s *Stream, part []byte, fields, last bool) {
+	for s = l.ready.pop(); s != nil; s = l.ready.pop() {
+		o := s.out
+		if s.forgotten || o == nil || o.headSent && o.sent == len(o.Body) {
+			continue
+		}
+		room := min(int64(l.peerFrame), s.sendWindow, l.sendWindow, int64(len(o.Body)-o.sent))
+		if o.headSent && room <= 0 {
+			continue // a window update brings it back
+		}
+		fields = !o.headSent
+		o.headSent = true
+		if room > 0 {
+			part = o.Body[o.sent : o.sent+int(room)]
+			o.sent += int(room)
+			s.sendWindow -= room
+			l.sendWindow -= room
+		}
+		last = o.sent == len(o.Body)
+		l.written++
+		s.turn = l.written
+		if o.whole = last; !last {
+			l.ready.push(s)
+		}
+		return s, part, fields, last
+	}
+	return nil, nil, false, false
+}
+
+// writeFields writes a header block, in as many frames as it needs.
+func (l *Link) writeFields(id uint32, o *Out, last bool) error {
+	l.encoded.b = l.encoded.b[:0]
+	for _, f := range o.Fields {
+		if err := l.encoder.WriteField(f); err != nil {
+			return err
+		}
+	}
+	block := l.encoded.b
+	for first := true; first || len(block) > 0; first = false {
+		n := min(len(block), MaxFrame)
+		part := block[:n]
+		block = block[n:]
+		var err error
+		if first {
+			err = l.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: part,
+				EndStream: last && len(o.Body) == 0, EndHeaders: len(block) == 0})
+		} else {
+			err = l.framer.WriteContinuation(id, len(block) == 0, part)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Interim sends an informational response ahead of the answer (RFC 9110 section 15.2).
+func (l *Link) Interim(s *Stream, o *Out) {
+	l.Control(func(*http2.Framer) error {
+		l.mu.Lock()
+		gone := s.forgotten || s.out != nil
+		l.mu.Unlock()
+		if gone {
+			return nil
+		}
+		return l.writeFields(s.ID, o, false)
+	})
+}
--- a/internal/upstream/http1/answer.go
+++ b/internal/upstream/http1/answer.go
@@ -9,7 +9,6 @@
 	"os"
 	"time"
 
-	"frostshift"
 	"frostshift/internal/exchange"
 	"frostshift/internal/message"
 )
@@ -123,16 +122,3 @@
 	}
 	return body, held, nil
 }
-
-// classify reads an outcome from a whole answer.
-func classify(resp *http.Response) frostshift.Result {
-	switch resp.StatusCode {
-	case http.StatusOK:
-		return frostshift.OK
-	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get("X-Unprocessed") == "1" {
-			return frostshift.Full
-		}
-	}
-	return frostshift.Failed
-}
--- a/internal/upstream/http1/attempt.go
+++ b/internal/upstream/http1/attempt.go
@@ -12,6 +12,7 @@
 	"frostshift"
 	"frostshift/internal/exchange"
 	"frostshift/internal/message"
+	"frostshift/internal/upstream"
 )
 
 // attempt is one try of a request at a host; it is the exchange's handle on it.
@@ -150,7 +151,7 @@
 	} else {
 		c.Close()
 	}
-	return classify(resp), answer
+	return upstream.Classify(resp.StatusCode, resp.Header), answer
 }
 
 // unsent is the result where the request's last byte has surely not been written: the
--- a/internal/upstream/http1/http1_test.go
+++ b/internal/upstream/http1/http1_test.go
@@ -16,6 +16,7 @@
 	"frostshift/internal/message"
 	"frostshift/internal/share"
 	"frostshift/internal/standin"
+	"frostshift/internal/upstream"
 )
 
 // patience is how long a test waits for an event that must come. Nothing is
@@ -34,7 +35,7 @@
 		method = http.MethodGet
 	}
 	id := fmt.Sprintf("id-%d", lastID.Add(1))
-	return &attempt{up: New(Config{DialTimeout: time.Second, ConnIdle: time.Minute}),
+	return &attempt{up: New(upstream.Config{DialTimeout: time.Second, ConnIdle: time.Minute}),
 		Attempt: &exchange.Attempt{Message: &message.Request{ID: id, Method: method, Authority: "app.svc",
 			Target: "/" + class + "?obj=7f", Header: http.Header{"X-Correlation-Id": {id}}, Body: []byte(body)}}}
 }
@@ -273,9 +274,9 @@
 	}
 	l := newAttempt(t, "book", "x").up
 	l.cfg.Conns = holder(t, 2)
-	var hosts []Endpoint
+	var hosts []upstream.Endpoint
 	for i, addr := range addrs {
-		hosts = append(hosts, Endpoint{ID: frostshift.HostID(i), Address: addr})
+		hosts = append(hosts, upstream.Endpoint{ID: frostshift.HostID(i), Address: addr})
 	}
 	l.Update(true, hosts)
 	for round := range 3 {
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"frostshift"
-	"frostshift/internal/exchange"
+	"frostshift/internal/upstream"
 )
 
 const (
@@ -38,18 +38,10 @@
 	waitsHalve  = 100 * time.Millisecond
 )
 
-// Config bounds what an Upstream holds.
-type Config struct {
-	DialTimeout time.Duration // a connection that is not up by then has failed
-	ConnIdle    time.Duration // hosts close a connection that was idle for so long
-	Conns       exchange.Room // connections to all hosts; nil: not bounded
-	Bytes       exchange.Room // of long answers; nil: not bounded
-}
-
 // Upstream is the hosts of one pool with the connections to them. It is safe for
 // concurrent use.
 type Upstream struct {
-	cfg  Config
+	cfg  upstream.Config
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu    sync.Mutex // guards what follows and what hosts hold
@@ -57,14 +49,6 @@
 	open  int // connections, open or being opened, to all hosts
 }
 
-// Endpoint is where a host is.
-type Endpoint struct {
-	ID      frostshift.HostID
-	Address string          // host:port
-	Started frostshift.Time // when it last started
-	Gone    bool            // it is on the list no more
-}
-
 // host is one host with its kept-alive connections.
 type host struct {
 	address string
@@ -78,20 +62,15 @@
 }
 
 // New returns an Upstream without hosts.
-func New(cfg Config) *Upstream {
-	if cfg.Conns == nil {
-		cfg.Conns = exchange.Unbounded{}
-	}
-	if cfg.Bytes == nil {
-		cfg.Bytes = exchange.Unbounded{}
-	}
+func New(cfg upstream.Config) *Upstream {
+	cfg.Default()
 	d := net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1}
 	return &Upstream{cfg: cfg, dial: d.DialContext, hosts: map[frostshift.HostID]*host{}}
 }
 
 // Update takes over a list, the whole one or changes. Connections to a host that left,
 // moved or started anew are of no more use: a write on one would end as a reset.
-func (u *Upstream) Update(whole bool, list []Endpoint) {
+func (u *Upstream) Update(whole bool, list []upstream.Endpoint) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	listed := make(map[frostshift.HostID]bool, len(list))
--- /dev/null
+++ b/internal/upstream/http2/attempt.go
@@ -0,0 +1,306 @@
+package http2
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"frostshift"
+	"frostshift/internal/exchange"
+	"frostshift/internal/h2"
+	"frostshift/internal/message"
+	"frostshift/internal/upstream"
+)
+
+// attempt is one try of a request at a host; it is the exchange's handle on it.
+type attempt struct {
+	*exchange.Attempt
+	u   *Upstream
+	off chan struct{} // closed: called off
+
+	mu     sync.Mutex
+	isOff  bool
+	stream *h2.Stream
+	conn   *conn
+	timer  *time.Timer
+	ended  bool
+	body   []byte // of the answer
+	held   int64  // bytes of room for it
+
+	// Of the connection's reader:
+	status int
+	header http.Header
+	length int64
+	over   bool // the answer is whole
+}
+
+// Start sends the request in a goroutine that reports what could not be sent; what was
+// sent is reported by the connection's reader.
+func (u *Upstream) Start(a *exchange.Attempt) exchange.Handle {
+	t := &attempt{Attempt: a, u: u, off: make(chan struct{}), length: -1}
+	u.mu.Lock()
+	h := u.hosts[a.Host]
+	u.mu.Unlock()
+	go t.run(h)
+	return t
+}
+
+func (t *attempt) run(h *host) {
+	if h == nil {
+		t.end(frostshift.NotSent, nil)
+		return
+	}
+	for {
+		c, err := t.u.get(t, h)
+		switch {
+		case errors.Is(err, errNoSockets) || errors.Is(err, errCalledOff):
+			t.end(frostshift.NotSent, nil)
+			return
+		case err != nil:
+			t.mu.Lock()
+			off := t.isOff
+			t.mu.Unlock()
+			if off {
+				t.end(frostshift.NotSent, nil)
+			} else {
+				t.end(frostshift.ConnectFailed, nil)
+			}
+			return
+		}
+		t.mu.Lock()
+		t.conn = c
+		t.mu.Unlock()
+		if c.open(t, t.out()) {
+			t.mu.Lock()
+			if !t.ended {
+				t.timer = time.AfterFunc(time.Until(t.Until), t.late)
+			}
+			t.mu.Unlock()
+			return
+		}
+		// The connection takes no more streams, or the attempt is off: nothing has been sent.
+		t.mu.Lock()
+		off := t.isOff
+		t.conn = nil
+		t.mu.Unlock()
+		c.leave()
+		c.give()
+		if off {
+			t.end(frostshift.NotSent, nil)
+			return
+		}
+	}
+}
+
+// out is the request as it goes to the host.
+func (t *attempt) out() *h2.Out {
+	r := t.Message.(*message.Request)
+	o := &h2.Out{Body: r.Body, Fields: make([]hpack.HeaderField, 0, len(r.Header)+6)}
+	o.Fields = append(o.Fields, hpack.HeaderField{Name: ":method", Value: r.Method}, hpack.HeaderField{Name: ":scheme", Value: "http"},
+		hpack.HeaderField{Name: ":authority", Value: r.Authority}, hpack.HeaderField{Name: ":path", Value: r.Target},
+		hpack.HeaderField{Name: "x-time-left", Value: strconv.FormatInt(max(0, t.Left.Microseconds()), 10) + "u"})
+	if len(r.Body) > 0 {
+		o.Fields = append(o.Fields, hpack.HeaderField{Name: "content-length", Value: strconv.Itoa(len(r.Body))})
+	}
+	o.Fields = h2.AppendFields(o.Fields, r.Header)
+	return o
+}
+
+// CallOff ends the attempt: when it returns, nothing more of it goes out but the word to
+// stop. See h2.Link.Forget for hosts that take nothing in.
+func (t *attempt) CallOff() {
+	t.mu.Lock()
+	if t.isOff {
+		t.mu.Unlock()
+		return
+	}
+	t.isOff = true
+	close(t.off)
+	s, c := t.stream, t.conn
+	t.mu.Unlock()
+	if s == nil {
+		return // no stream will be opened
+	}
+	if c.link.Reset(s, http2.ErrCodeCancel) {
+		t.end(frostshift.Canceled, nil)
+	} else {
+		t.end(frostshift.NotSent, nil)
+	}
+}
+
+// late gives the attempt up when its time is over.
+func (t *attempt) late() {
+	t.mu.Lock()
+	s, c := t.stream, t.conn
+	t.mu.Unlock()
+	if c.link.Reset(s, http2.ErrCodeCancel) {
+		t.end(frostshift.TimedOut, nil)
+	} else {
+		t.end(frostshift.ConnectFailed, nil)
+	}
+}
+
+// end reports how the attempt ended, once.
+func (t *attempt) end(result frostshift.Result, answer *message.Answer) {
+	t.mu.Lock()
+	if t.ended {
+		t.mu.Unlock()
+		if answer != nil {
+			answer.Release()
+		}
+		return
+	}
+	t.ended = true
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	c, held := t.conn, t.held
+	t.held, t.body = 0, nil
+	t.mu.Unlock()
+	if c != nil {
+		c.give()
+	}
+	if held > 0 {
+		t.u.cfg.Bytes.Give(held)
+	}
+	if answer == nil {
+		go t.End(result, nil) // may be called from the pool's loop, by CallOff
+		return
+	}
+	t.End(result, answer)
+}
+
+// broken is the end of the connection under the attempt.
+func (t *attempt) broken(s *h2.Stream) {
+	if s.Whole() {
+		t.end(frostshift.Reset, nil)
+	} else {
+		t.end(frostshift.ConnectFailed, nil)
+	}
+}
+
+// headers takes the head of an answer, or its trailers.
+func (t *attempt) headers(f *http2.MetaHeadersFrame) {
+	if f.Truncated {
+		t.odd()
+		return
+	}
+	if t.status >= 200 { // trailers: nothing of them goes on
+		if !f.StreamEnded() || !h2.Trailers(f.Fields) {
+			t.odd()
+			return
+		}
+		t.last()
+		return
+	}
+	status, header, length, err := h2.ReadResponse(f.Fields)
+	if err != nil || status == http.StatusSwitchingProtocols || status < 200 && f.StreamEnded() {
+		t.odd()
+		return
+	}
+	if status < 200 { // an answer ahead
+		return
+	}
+	t.status, t.header, t.length = status, header, length
+	if length > maxAnswer {
+		t.odd()
+		return
+	}
+	if f.StreamEnded() {
+		t.last()
+	}
+}
+
+// data takes a part of the answer's body.
+func (t *attempt) data(f *http2.DataFrame) {
+	part := f.Data()
+	defer t.conn.link.Credit(t.stream, int(f.Length))
+	if t.status < 200 || t.over {
+		t.odd()
+		return
+	}
+	if !t.hold(part) {
+		t.odd()
+		return
+	}
+	if f.StreamEnded() {
+		t.last()
+	}
+}
+
+// hold takes in a part of the body, and says whether it may be as long as that.
+func (t *attempt) hold(part []byte) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended { // nobody gets it
+		return true
+	}
+	n := int64(len(t.body) + len(part))
+	if n > maxAnswer || t.length >= 0 && n > t.length {
+		return false
+	}
+	if n > firstPart && n > t.held {
+		more := max(n-t.held, firstPart)
+		if !t.u.cfg.Bytes.Take(more) {
+			return false
+		}
+		t.held += more
+	}
+	t.body = append(t.body, part...)
+	return true
+}
+
+// last ends the attempt with the answer, which is whole.
+func (t *attempt) last() {
+	t.mu.Lock()
+	n, ended := int64(len(t.body)), t.ended
+	t.mu.Unlock()
+	if ended {
+		return
+	}
+	if t.length >= 0 && n != t.length && !(n == 0 && t.Message.(*message.Request).Method == http.MethodHead) {
+		t.odd()
+		return
+	}
+	t.over = true
+	t.finish()
+}
+
+func (t *attempt) answered() bool { return t.over }
+
+// finish hands the whole answer on.
+func (t *attempt) finish() {
+	s := t.stream
+	if s.Whole() {
+		t.conn.link.Forget(s)
+	} else { // it answered before the request was whole: the rest is not sent
+		t.conn.link.Reset(s, http2.ErrCodeNo)
+	}
+	t.mu.Lock()
+	answer := &message.Answer{Status: t.status, Header: message.EndToEnd(t.header), Body: t.body}
+	held := t.held
+	t.held = 0
+	t.mu.Unlock()
+	if held > 0 {
+		room := t.u.cfg.Bytes
+		answer.Free = func() { room.Give(held) }
+	}
+	result := upstream.Classify(t.status, t.header)
+	if result != frostshift.OK {
+		answer.Release()
+		t.end(result, nil)
+		return
+	}
+	t.end(result, answer)
+}
+
+// odd ends the attempt for an answer that none may give. The request may have run.
+func (t *attempt) odd() {
+	t.conn.link.Reset(t.stream, http2.ErrCodeProtocol)
+	t.end(frostshift.Failed, nil)
+}
