--- a/internal/contract/book.go
+++ b/internal/contract/book.go
@@ -47,7 +47,8 @@
 		bad = append(bad, Problem{Terms: t, Key: key, Text: fmt.Sprintf(format, args...)})
 	}
 	shares := 0.0
-	for _, t := range list {
+	for i, t := range list {
+		t.place = i
 		if other := b.byTeam[t.Team]; t.Team == "" {
 			say(t, "team", "a contract needs a team")
 		} else if other != nil {
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -50,6 +50,7 @@
 	Ceiling     float64       // part of a pool's capacity that it never goes beyond; 0: 1
 	RetryRatio  float64       // repeats and further attempts for each first request
 
+	place int            // in its book
 	Lines map[string]int // where keys stand, by name: "class", "share", ...
 }
 
@@ -115,8 +116,7 @@
 		return &Violation{Status: 403, Title: title, Detail: fmt.Sprintf("team "+t.Team+" "+format, args...), Team: t.Team, At: t.at(key), Cause: OutsideContract}
 	}
 	wall := time.Unix(0, int64(now))
-	class, known := t.Classes[a.Class]
-	_ = class
+	_, known := t.Classes[a.Class]
 	switch {
 	case !t.From.IsZero() && wall.Before(t.From):
 		return refuse("valid_from", "contract not valid yet", "has a contract from %s on", t.From.UTC().Format(time.RFC3339))
--- a/internal/contract/heaps.go
+++ b/internal/contract/heaps.go
@@ -76,8 +76,8 @@
 func (h *itemHeap) less(i, j int) bool {
 	x, y := h.list[i], h.list[j]
 	switch {
-	case x.priority != y.priority:
-		return x.priority > y.priority
+	case x.Priority != y.Priority:
+		return x.Priority > y.Priority
 	case x.latest != y.latest:
 		return x.latest < y.latest
 	}
--- a/internal/contract/scheduler.go
+++ b/internal/contract/scheduler.go
@@ -11,20 +11,20 @@
 	Terms    *Terms
 	Account  *Account
 	Class    int
-	Name     string // of the class
+	Priority int    // within the team, see ClassTerms
 	Key      uint64 // of what it is about; 0: none
 	Deadline Time   // the client has its answer by then
+	Aim      Time   // an answer after it is worth little; 0: the deadline
 	Owner    any    // for the caller
 
-	line     *line
-	cost     float64 // seconds, estimated
-	priority int
-	latest   Time // to be sent by
-	seq      uint64
-	state    itemState
-	inLine   int // place in its line's heap
-	inTime   int // place in the heap of latest times
-	lent     bool
+	line   *line
+	cost   float64 // seconds, estimated
+	latest Time    // to be sent by
+	seq    uint64
+	state  itemState
+	inLine int // place in its line's heap
+	inTime int // place in the heap of latest times
+	lent   bool
 }
 
 type itemState uint8
@@ -56,17 +56,22 @@
 // A Scheduler is not safe for concurrent use; it lives in its pool's loop.
 type Scheduler struct {
 	now      Time
-	capacity float64 // attempts that the pool may have out, as its balancer learns it
+	capacity float64 // attempts that are given to the pool at once
+	learnt   float64 // ... that it may have out, as its balancer learns it
+	queues   queueing
 	part     float64 // this gateway's part of what contracts state for all
 	v        float64 // virtual time, in seconds of a guarantee
 	out      int
 	seq      uint64
 	lines    map[string]*line
+	placed   []*line  // the same, by place in the book
 	ready    lineHeap // lines with requests that wait and may go
 	held     []*line  // lines with requests that wait, at their ceiling
 	waiting  timeHeap // all requests that wait, by the latest time to send them
 	weights  float64  // of the lines that have requests waiting
 	classes  []guess
+	tried    float64 // answers of late, of all teams
+	failed   float64
 	keys     []keyCell
 	sweep    int
 	names    []string // of lines, in turn of being looked at for forgetting
@@ -84,8 +89,11 @@
 	waits   float64 // seconds of work that wait
 	out     int
 	classes []guess
-	inReady int // place in the heap of lines; -1: not there
+	tried   float64 // answers of late
+	failed  float64 // of them, errors
+	inReady int     // place in the heap of lines; -1: not there
 	isHeld  bool
+	touched Time
 }
 
 // headroom is how much more than its capacity a pool is given: its balancer learns that
@@ -109,9 +117,10 @@
 // its next request.
 func (s *Scheduler) SetCapacity(now Time, capacity float64) {
 	s.tick(now)
-	grown := capacity > s.capacity
-	s.capacity = max(capacity, 1)
-	if grown {
+	s.learnt = max(capacity, 1)
+	old := s.capacity
+	s.capacity = max(1, s.learnt*s.queues.part(s.now))
+	if s.capacity > old {
 		s.release()
 	}
 }
@@ -136,15 +145,21 @@
 	l := s.line(it.Terms)
 	it.line = l
 	s.weigh(l)
-	it.priority = it.Terms.Classes[it.Name].Priority
 	it.cost = s.estimate(l, it)
-	it.latest = it.Deadline - seconds(it.cost)
+	it.latest = it.Deadline
+	if it.Aim > 0 {
+		it.latest = min(it.latest, it.Aim)
+	}
+	it.latest -= seconds(it.cost * costMargin)
 	s.seq++
 	it.seq = s.seq
-	if it.latest < s.now {
+	if it.latest < s.now && (l.out > 0 || it.Deadline < s.now) {
+		// An estimate alone must not shut a team out: while it has nothing at the hosts, one
+		// request goes and tells what such requests cost now.
 		it.state = itemEnded
 		return Refuse, s.backIn(l)
 	}
+	it.latest = max(it.latest, s.now)
 	if len(l.items.list) == 0 && s.room() && !s.atCeiling(l) && len(s.ready.list) == 0 {
 		s.begin(l)
 		s.dispatch(l, it)
@@ -170,6 +185,9 @@
 }
 
 const (
+	// costMargin is how many times its estimated cost a request must have left when it is
+	// sent: one that is cut short at a host has cost the host as much, for nothing.
+	costMargin = 2
 	mostAfter  = 10 * time.Second
 	leastAfter = 50 * time.Millisecond
 )
@@ -309,9 +327,10 @@
 	return s.waiting.list[0].latest + 1
 }
 
-// Done ends a request, wherever it is; work is the seconds that its attempts took at
-// hosts. It may be called more than once.
-func (s *Scheduler) Done(now Time, it *Item, work time.Duration) {
+// Done ends a request, wherever it is; work is the time that its attempts took at hosts.
+// cut says that an attempt was called off or timed out: what it would have cost is not
+// known, only that it is no less. It may be called more than once.
+func (s *Scheduler) Done(now Time, it *Item, work time.Duration, cut bool) {
 	s.tick(now)
 	l := it.line
 	switch it.state {
@@ -320,7 +339,7 @@
 	case itemOut:
 		l.out--
 		s.out--
-		s.settle(l, it, max(work.Seconds(), 0))
+		s.settle(l, it, max(work.Seconds(), 0), cut)
 		if l.isHeld {
 			s.release()
 		}
@@ -330,7 +349,7 @@
 }
 
 // settle charges what a request has cost in place of what it was thought to.
-func (s *Scheduler) settle(l *line, it *Item, work float64) {
+func (s *Scheduler) settle(l *line, it *Item, work float64, cut bool) {
 	diff := (max(work, leastCost) - it.cost) / l.weight
 	l.finish = min(l.finish+diff, max(s.v+mostDebt, l.finish))
 	if len(l.items.list) > 0 {
@@ -339,7 +358,9 @@
 			s.ready.fix(l)
 		}
 	}
-	s.learn(l, it, work)
+	if !cut || work > it.cost {
+		s.learn(l, it, work)
+	}
 	if it.Account != nil {
 		it.Account.Work.Add(int64(seconds(work)))
 		if it.lent {
@@ -351,24 +372,40 @@
 // line finds or makes a team's line. One that was forgotten had nothing saved up that a
 // new one has not, and owed nothing.
 func (s *Scheduler) line(t *Terms) *line {
+	if t.place < len(s.placed) {
+		if l := s.placed[t.place]; l != nil && l.terms == t {
+			l.touched = s.now
+			return l
+		}
+	}
 	l := s.lines[t.Team]
 	if l == nil {
 		l = &line{team: t.Team, inReady: -1, finish: math.Inf(-1)}
 		s.lines[t.Team] = l
 		s.names = append(s.names, t.Team)
 	}
-	l.terms = t // requests that wait are served under the newer terms
+	l.terms, l.touched = t, s.now // requests that wait are served under the newer terms
+	for len(s.placed) <= t.place {
+		s.placed = append(s.placed, nil)
+	}
+	s.placed[t.place] = l
 	return l
 }
 
-// forget looks at one or two lines and drops those that are idle and owe nothing: their
-// tag would be set to the present time less their burst, as a new one's is.
+// keptIdle is how long a line is kept that nothing came for.
+const keptIdle = Time(10 * time.Second)
+
+// forget looks at one or two lines and drops those that have been idle for a while and owe
+// nothing: their tag would be set to the present time less their burst, as a new one's is.
 func (s *Scheduler) forget() {
 	for range min(2, len(s.names)) {
 		s.sweep %= len(s.names)
 		name := s.names[s.sweep]
-		if l := s.lines[name]; l.out == 0 && len(l.items.list) == 0 && !l.isHeld && l.finish <= s.v-l.terms.Burst.Seconds() {
+		if l := s.lines[name]; s.now-l.touched > keptIdle && l.out == 0 && len(l.items.list) == 0 && !l.isHeld && l.finish <= s.v-l.terms.Burst.Seconds() {
 			delete(s.lines, name)
+			if s.placed[l.terms.place] == l {
+				s.placed[l.terms.place] = nil
+			}
 			s.names[s.sweep] = s.names[len(s.names)-1]
 			s.names = s.names[:len(s.names)-1]
 			if len(s.names) == 0 {
--- a/internal/contract/scheduler_test.go
+++ b/internal/contract/scheduler_test.go
@@ -81,7 +81,7 @@
 }
 
 func (p *pool) arrive(t *teamSim) {
-	it := &Item{Terms: t.terms, Name: "c", Deadline: p.now + t.deadline, Owner: &owner{t, p.now}}
+	it := &Item{Terms: t.terms, Priority: t.terms.Classes["c"].Priority, Deadline: p.now + t.deadline, Owner: &owner{t, p.now}}
 	switch turn, _ := p.s.Arrive(p.now, it); turn {
 	case Go:
 		p.start(it)
@@ -120,7 +120,7 @@
 		for len(p.ends) > 0 && p.ends[0].at <= p.now {
 			e := heap.Pop(&p.ends).(*running)
 			e.team.done = append(e.team.done, ended{p.now, e.work})
-			p.s.Done(p.now, e.it, e.work)
+			p.s.Done(p.now, e.it, e.work, false)
 		}
 	}
 }
@@ -269,12 +269,12 @@
 		name string
 		in   time.Duration
 	}{{"lo", time.Minute}, {"lo", time.Minute}, {"lo", time.Minute}, {"lo", time.Second * 30}, {"hi", time.Minute}} {
-		it := &Item{Terms: tm, Name: c.name, Deadline: Time(c.in)}
+		it := &Item{Terms: tm, Priority: tm.Classes[c.name].Priority, Deadline: Time(c.in)}
 		s.Arrive(0, it)
 		items = append(items, it)
 	}
-	s.Done(0, items[0], time.Millisecond)
-	s.Done(0, items[1], time.Millisecond)
+	s.Done(0, items[0], time.Millisecond, false)
+	s.Done(0, items[1], time.Millisecond, false)
 	var got []int
 	for it := s.Next(0); it != nil; it = s.Next(0) {
 		for i := range items {
@@ -282,7 +282,7 @@
 				got = append(got, i)
 			}
 		}
-		s.Done(0, it, time.Millisecond)
+		s.Done(0, it, time.Millisecond, false)
 	}
 	if fmt.Sprint(got) != "[4 3 2]" {
 		t.Errorf("went in the order %v, want the high class, then the sooner deadline", got)
@@ -323,11 +323,11 @@
 	if got := a.got(0, p.now).Seconds(); got < 0.9*4*5 || a.refused == 0 {
 		t.Errorf("%.1f s of work, %d refused", got, a.refused)
 	}
-	it := &Item{Terms: a.terms, Name: "c", Deadline: p.now - 1}
+	it := &Item{Terms: a.terms, Deadline: p.now - 1}
 	if turn, after := p.s.Arrive(p.now, it); turn != Refuse || after <= 0 {
 		t.Errorf("past its deadline: %v, back in %v", turn, after)
 	}
-	p.s.Done(p.now, it, 0)
+	p.s.Done(p.now, it, 0, false)
 }
 
 // Estimates that are badly wrong at first are paid for: a team whose requests cost fifty
@@ -369,7 +369,7 @@
 	tm := terms("t", 1)
 	var items []*Item
 	for i := range 4 {
-		it := &Item{Terms: tm, Name: "c", Deadline: Time(time.Hour + time.Minute)}
+		it := &Item{Terms: tm, Deadline: Time(time.Hour + time.Minute)}
 		s.Arrive(Time(time.Hour)-Time(i)*Time(time.Minute), it)
 		items = append(items, it)
 	}
@@ -384,8 +384,8 @@
 		n++
 	}
 	for _, it := range items {
-		s.Done(0, it, 0)
-		s.Done(0, it, 0)
+		s.Done(0, it, 0, false)
+		s.Done(0, it, 0, false)
 	}
 	if out, waiting, _ := s.Counts(); n != 2 || out != 0 || waiting != 0 {
 		t.Errorf("%d expired, %d out and %d waiting in the end", n, out, waiting)
@@ -400,15 +400,18 @@
 	now := Time(0)
 	ask := func(tm *Terms) {
 		now += Time(time.Millisecond)
-		it := &Item{Terms: tm, Name: "c", Deadline: now + Time(time.Hour)}
+		it := &Item{Terms: tm, Deadline: now + Time(time.Hour)}
 		if turn, _ := s.Arrive(now, it); turn == Go {
-			s.Done(now, it, time.Millisecond)
+			s.Done(now, it, time.Millisecond, false)
 		}
 	}
 	for i := range 10_000 {
-		ask(terms(fmt.Sprint("once", i), 0.0001))
+		tm := terms(fmt.Sprint("once", i), 0.0001)
+		tm.place = i
+		ask(tm)
 	}
 	busy := terms("busy", 0.5)
+	busy.place = 10_000
 	for range 30_000 {
 		ask(busy)
 	}
@@ -422,17 +425,18 @@
 		var list []*Terms
 		for i := range n {
 			list = append(list, terms(fmt.Sprint("team", i), 1/float64(n)))
+			list[i].place = i
 		}
 		b.Run(fmt.Sprintf("idle/%d", n), func(b *testing.B) {
 			s := NewScheduler(1)
 			s.SetCapacity(0, 64)
-			it := &Item{Name: "c"}
+			it := &Item{}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now := Time(i) * 1000
-				*it = Item{Terms: list[i*7919%n], Name: "c", Deadline: now + Time(time.Second), Key: uint64(i%512 + 1)}
+				*it = Item{Terms: list[i*7919%n], Deadline: now + Time(time.Second), Key: uint64(i%512 + 1)}
 				s.Arrive(now, it)
-				s.Done(now, it, time.Millisecond)
+				s.Done(now, it, time.Millisecond, false)
 			}
 		})
 		b.Run(fmt.Sprintf("queued/%d", n), func(b *testing.B) {
@@ -440,7 +444,7 @@
 			s.SetCapacity(0, 64)
 			items := make([]Item, 2*n+128)
 			for i := range items {
-				items[i] = Item{Terms: list[i%n], Name: "c", Deadline: Time(time.Hour * 1000)}
+				items[i] = Item{Terms: list[i%n], Deadline: Time(time.Hour * 1000)}
 				s.Arrive(0, &items[i])
 			}
 			var out []*Item
@@ -453,8 +457,8 @@
 			for i := 0; b.Loop(); i++ {
 				now := Time(i) * 1000
 				it := out[i%len(out)]
-				s.Done(now, it, 20*time.Millisecond)
-				*it = Item{Terms: list[i*7919%n], Name: "c", Deadline: now + Time(time.Hour*1000)}
+				s.Done(now, it, 20*time.Millisecond, false)
+				*it = Item{Terms: list[i*7919%n], Deadline: now + Time(time.Hour*1000)}
 				s.Arrive(now, it)
 				if out[i%len(out)] = s.Next(now); out[i%len(out)] == nil {
 					b.Fatal("nothing goes")
--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -25,6 +25,7 @@
 	mayRan   bool          // an attempt that has ended may have run
 	admitted bool          // the balancer has it
 	work     time.Duration // of attempts that have ended, at this pool
+	cut      bool          // one of them was cut short
 	closed   bool          // it has its answer, or nobody waits for one
 }
 
@@ -149,6 +150,7 @@
 	c.out--
 	a.ended = true
 	c.work += e.elapsed
+	c.cut = c.cut || e.result == frostshift.TimedOut || e.result == frostshift.Canceled
 	switch e.result {
 	case frostshift.Full, frostshift.ConnectFailed, frostshift.NotSent:
 	default:
@@ -159,7 +161,7 @@
 	} else if e.answer != nil {
 		p.finish(c, Reply{Verdict: Served, Answer: e.answer})
 	}
-	p.b.Outcome(now, frostshift.Outcome{Request: c.id, Attempt: a.n, Result: e.result, Elapsed: e.elapsed, Closed: c.closed})
+	p.b.Outcome(now, frostshift.Outcome{Request: c.id, Attempt: a.n, Result: p.evidence(c, e.result), Elapsed: e.elapsed, Closed: c.closed})
 	p.release(c)
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -374,7 +374,7 @@
 							return
 						}
 						defer door.Leave(account, 0)
-						r.Item = &contract.Item{Terms: tm, Account: account, Class: p.class, Name: "c", Deadline: deadline, Key: uint64(i%3 + 1)}
+						r.Item = &contract.Item{Terms: tm, Account: account, Class: p.class, Deadline: deadline, Key: uint64(i%3 + 1)}
 					}
 					c := x.Submit(r, pools[p.to], fallback)
 					var gone <-chan time.Time
@@ -464,7 +464,7 @@
 				defer p.door.Leave(account, 0)
 				deadline := x.clock.Now() + time.Second
 				return <-x.Submit(Request{ID: id, Class: c.class, Tenant: -1, Deadline: deadline, Message: id,
-					Item: &contract.Item{Terms: poor, Account: account, Class: c.class, Name: "c", Deadline: deadline}}, p, nil).Reply
+					Item: &contract.Item{Terms: poor, Account: account, Class: c.class, Deadline: deadline}}, p, nil).Reply
 			}
 			first, second := ask("first"), ask("second")
 			if c.class == 0 && first.Tries != 2 { // the one repeat that any team has
@@ -499,7 +499,7 @@
 		send := func(tm *contract.Terms, id string) *Call {
 			deadline := x.clock.Now() + time.Second
 			return x.Submit(Request{ID: id, Class: 0, Tenant: -1, Deadline: deadline, Message: id,
-				Item: &contract.Item{Terms: tm, Account: &contract.Account{}, Name: "c", Deadline: deadline}}, p, nil)
+				Item: &contract.Item{Terms: tm, Account: &contract.Account{}, Deadline: deadline}}, p, nil)
 		}
 		var flood, quiet []*Call
 		for i := range 40 {
--- a/internal/exchange/fair.go
+++ b/internal/exchange/fair.go
@@ -82,14 +82,15 @@
 		return
 	}
 	now := p.clock.Now()
-	work := c.work
+	work, cut := c.work, c.cut
 	for _, a := range c.attempts {
 		if !a.ended {
 			work += now - a.sent
+			cut = true
 		}
 	}
-	c.work = 0
-	p.sched.Done(now, c.Item, work)
+	c.work, c.cut = 0, false
+	p.sched.Done(now, c.Item, work, cut)
 }
 
 // mayRepeat says whether the balancer's next attempt is within the budget of the team. If
@@ -110,6 +111,19 @@
 	return false
 }
 
+// evidence is a result as the balancer is told of it. An error that is the request's own
+// fault tells nothing of the host; called off, an attempt may have run all the same.
+func (p *Pool) evidence(c *Call, r frostshift.Result) frostshift.Result {
+	if c.Item == nil || p.sched == nil || r != frostshift.OK && r != frostshift.Failed {
+		return r
+	}
+	p.sched.Result(c.Item, r == frostshift.Failed)
+	if r == frostshift.Failed && !p.sched.Blame(c.Item) {
+		return frostshift.Canceled
+	}
+	return r
+}
+
 // account counts the end of a request for its team.
 func (c *Call) account(r *Reply) {
 	if c.Item == nil {
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -147,6 +147,7 @@
 	to       *exchange.Pool
 	fallback *exchange.Pool
 	left     time.Duration
+	aim      time.Duration // of its class; 0: none
 	snapshot *Snapshot
 	x        *exchange.Exchange
 	held     int64 // bytes of Bodies
@@ -186,6 +187,9 @@
 	t.request.Hold = t
 	if t.door != nil {
 		t.item.Deadline = t.request.Deadline
+		if t.aim > 0 {
+			t.item.Aim = t.request.Deadline - t.left + t.aim
+		}
 		t.request.Item = &t.item
 	}
 	return t.x.Submit(t.request, t.to, t.fallback), clock.At(t.request.Deadline)
@@ -277,13 +281,13 @@
 		tenant = -1
 	}
 	to := s.targets[r.Index][match.Pool]
-	t := &Ticket{Platform: m.Platform, Bodies: to.Bodies, to: to.Pool, left: left, snapshot: s, x: in.exchange,
+	t := &Ticket{Platform: m.Platform, Bodies: to.Bodies, to: to.Pool, left: left, aim: class.Aim, snapshot: s, x: in.exchange,
 		Message: &message.Request{ID: id, Method: h.Method, Authority: h.Authority, Target: target, Header: header},
 		request: exchange.Request{ID: id, Class: s.classes[r.Index], Tenant: tenant, Repeat: repeat}}
 	if terms != nil {
 		header.Del("Authorization") // a token is between the team and the gateway
 		t.door, t.body = in.door, h.Body
-		t.item = contract.Item{Terms: terms, Account: account, Class: s.classes[r.Index], Name: class.Name, Key: keyOf(h)}
+		t.item = contract.Item{Terms: terms, Account: account, Class: s.classes[r.Index], Priority: terms.Classes[class.Name].Priority, Key: keyOf(h)}
 	}
 	if f := s.fallbacks[r.Index]; f != nil {
 		t.fallback = f.Pool
--- a/internal/rig/teams.go
+++ b/internal/rig/teams.go
@@ -28,8 +28,9 @@
 	teamWork     = 10 * time.Millisecond // of a quiet team's request
 	teamGap      = 12 * time.Millisecond // between the requests of a quiet team
 	teamAim      = 500 * time.Millisecond
-	teamShare    = 0.3 // of each team
-	floodClients = 100 // connections of the flood
+	teamShare    = 0.3                    // of each team
+	teamWarm     = 700 * time.Millisecond // quiet, before the flood begins
+	floodClients = 100                    // connections of the flood
 	leastKept    = 0.95
 )
 
@@ -181,8 +182,20 @@
 }
 
 // RunTeams measures two quiet teams beside each kind of flood of a third, and first
-// without one, each for the time.
+// without one, each for the time and with a gateway of its own. The flood begins while the
+// quiet teams are at it; its beginning counts.
 func RunTeams(length time.Duration, kinds []FloodKind) (rows []TeamRow, err error) {
+	for _, k := range append([]FloodKind{{Name: "none"}}, kinds...) {
+		list, err := runFlood(length, k)
+		if err != nil {
+			return nil, fmt.Errorf("flood %q: %w", k.Name, err)
+		}
+		rows = append(rows, list...)
+	}
+	return rows, nil
+}
+
+func runFlood(length time.Duration, k FloodKind) (rows []TeamRow, err error) {
 	dir, err := os.MkdirTemp("", "teams")
 	if err != nil {
 		return nil, err
@@ -211,44 +224,38 @@
 		}
 	}()
 	addr := g.Addr("clients").String()
-	for _, k := range append([]FloodKind{{Name: "none"}}, kinds...) {
-		load, stop := context.WithCancel(ctx)
-		var flood sync.WaitGroup
-		var asked, inTime, other atomic.Int64
-		if k.path != "" {
-			for range floodClients {
-				flood.Go(func() { k.flood(load, addr, &asked, &inTime, &other) })
-			}
+	quiet := func(length time.Duration) []TeamRow {
+		var list [2]TeamRow
+		var all sync.WaitGroup
+		for i, team := range []string{"a", "b"} {
+			all.Go(func() { list[i] = quietTeam(addr, team, length) })
 		}
-		quiet := func(length time.Duration) []TeamRow {
-			var list [2]TeamRow
-			var all sync.WaitGroup
-			for i, team := range []string{"a", "b"} {
-				all.Go(func() { list[i] = quietTeam(addr, team, length) })
-			}
-			all.Wait()
-			return list[:]
-		}
-		quiet(length / 4) // while the flood begins
-		w.take()
-		asked.Store(0)
-		inTime.Store(0)
-		other.Store(0)
-		began := time.Now()
-		list := quiet(length)
-		took := time.Since(began).Seconds()
-		busy := w.take()
-		stop()
-		flood.Wait()
-		if k.path != "" {
-			list = append(list, TeamRow{Team: "flood", Asked: asked.Load(), InTime: inTime.Load(), Other: other.Load()})
-		}
-		for _, r := range list {
-			r.Flood, r.Work = k.Name, busy[r.Team].Seconds()/took
-			r.Share = float64(r.InTime) / float64(max(r.Asked, 1))
-			rows = append(rows, r)
+		all.Wait()
+		return list[:]
+	}
+	quiet(teamWarm)
+	w.take()
+	var flood sync.WaitGroup
+	var asked, inTime, other atomic.Int64
+	began := time.Now()
+	if k.path != "" {
+		for range floodClients {
+			flood.Go(func() { k.flood(ctx, addr, &asked, &inTime, &other) })
 		}
 	}
+	rows = quiet(length)
+	took := time.Since(began).Seconds()
+	busy := w.take()
+	end()
+	flood.Wait()
+	if k.path != "" {
+		rows = append(rows, TeamRow{Team: "flood", Asked: asked.Load(), InTime: inTime.Load(), Other: other.Load()})
+	}
+	for i := range rows {
+		r := &rows[i]
+		r.Flood, r.Work = k.Name, busy[r.Team].Seconds()/took
+		r.Share = float64(r.InTime) / float64(max(r.Asked, 1))
+	}
 	return rows, nil
 }
 
