--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -100,7 +100,7 @@
 	if err != nil || len(warnings) > 0 {
 		t.Fatal(err, warnings)
 	}
-	if m.Limits != (Limits{2, 256, 2048}) || !m.Log.JSON || m.Listeners[0] != (Listener{Name: "main", Address: "127.0.0.1:5000"}) {
+	if m.Limits != (Limits{Cores: 2, MemoryMB: 256, Descriptors: 2048}) || !m.Log.JSON || m.Listeners[0] != (Listener{Name: "main", Address: "127.0.0.1:5000"}) {
 		t.Errorf("%+v", m)
 	}
 	if c := m.Classes[1]; c.Effect != frostshift.Keyed || c.Group != frostshift.GroupCell || c.Window != 2*time.Second || c.Worth != 2.5 {
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -27,6 +27,7 @@
 		Cores       float64 `toml:"cores"`
 		MemoryMB    int     `toml:"memory_mb"`
 		Descriptors int     `toml:"descriptors"`
+		Streams     int     `toml:"streams"`
 	} `toml:"limits"`
 	Log struct {
 		Level  string `toml:"level"`
@@ -160,7 +161,7 @@
 		return nil, nil, d.errs
 	}
 	m := &Model{Name: f.Name, Seed: rand.Uint64(),
-		Limits: Limits{Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Descriptors: f.Limits.Descriptors}}
+		Limits: Limits{Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Descriptors: f.Limits.Descriptors, Streams: f.Limits.Streams}}
 	if m.Name == "" {
 		m.Name = "stilespool"
 	}
@@ -211,6 +212,9 @@
 	if n := m.Limits.Descriptors; n < 0 || n > 0 && n < LeastDescriptors {
 		d.fail("limits.descriptors", "%d is out of range: a gateway needs %d at least", n, LeastDescriptors)
 	}
+	if n := m.Limits.Streams; n < 0 || n > 10_000 {
+		d.fail("limits.streams", "%d is not from 1 to 10000", n)
+	}
 	switch f.Log.Level {
 	case "", "info":
 	case "warn":
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -45,6 +45,7 @@
 	Cores       float64
 	MemoryMB    int
 	Descriptors int
+	Streams     int // that an HTTP/2 connection may have open; 0: 250
 }
 
 // LeastDescriptors is the smallest limit a gateway can run with.
--- a/internal/front/http2/server.go
+++ b/internal/front/http2/server.go
@@ -37,6 +37,7 @@
 	SendWithin time.Duration // 0: as for HTTP/1.1
 	IdleWithin time.Duration // 0: a minute
 	MostOpen   int64         // requests that may be open at the gateway; 0: not bounded
+	Streams    int           // that a connection may have open; 0: 250
 	RoundTrip  time.Duration // 0: a second
 }
 
@@ -64,9 +65,12 @@
 	if cfg.RoundTrip == 0 {
 		cfg.RoundTrip = roundTrip
 	}
-	s := &Server{cfg: cfg, streams: mostStreams, conns: map[*conn]struct{}{}, changed: make(chan struct{})}
+	if cfg.Streams == 0 {
+		cfg.Streams = mostStreams
+	}
+	s := &Server{cfg: cfg, streams: uint32(cfg.Streams), conns: map[*conn]struct{}{}, changed: make(chan struct{})}
 	if cfg.MostOpen > 0 {
-		s.streams = uint32(max(1, min(mostStreams, cfg.MostOpen/streamPart)))
+		s.streams = uint32(max(1, min(int64(cfg.Streams), cfg.MostOpen/streamPart)))
 	}
 	return s
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	model *config.Model
 	// instances are the gateways that share what contracts state for all, this one included.
 	instances int
+	streams   int              // that an HTTP/2 connection may have open; 0: the front's default
 	pools     map[string]*pool // of the present configuration
 	servers   map[config.Listener]*server
 	serving   bool // Run has begun
@@ -109,7 +110,7 @@
 		g.conns = front.NewConns(clients, asked)
 	}
 	g.budgets = budgets{share.New(requests), share.New(conns), share.New(bodies), share.New(answers)}
-	g.instances = m.Instances
+	g.instances, g.streams = m.Instances, m.Limits.Streams
 	if err := g.apply(m, 0); err != nil {
 		return nil, err
 	}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -71,7 +71,7 @@
 	s.ln = g.conns.Listen(ln)
 	if l.Protocol == config.HTTP2 || l.Certificate != "" {
 		s.two = http2.New(http2.Config{Intake: g.intake, Log: g.log, SendWithin: g.opt.SendWithin,
-			MostOpen: g.budgets.requests.Total(), RoundTrip: g.opt.RoundTrip})
+			MostOpen: g.budgets.requests.Total(), Streams: g.streams, RoundTrip: g.opt.RoundTrip})
 	}
 	if l.Protocol == config.HTTP1 {
 		under := s.ln
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -96,7 +96,13 @@
 	for i := range clients {
 		request := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: app.svc\r\n\r\n", paths[i%len(paths)])
 		all.Go(func() {
-			if err := client(addr, request, end, &done, &failed); err != nil {
+			err := client(addr, request, end, func(_ time.Duration, ok bool) {
+				done.Add(1)
+				if !ok {
+					failed.Add(1)
+				}
+			})
+			if err != nil {
 				errs <- err
 			}
 		})
@@ -111,14 +117,16 @@
 	}
 }
 
-func client(addr string, request []byte, end time.Time, done, failed *atomic.Int64) error {
+// client asks over one connection, again as soon as it has its answer, and tells how long
+// each request took and whether it was served.
+func client(addr string, request []byte, end time.Time, tell func(took time.Duration, ok bool)) error {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
 	in := bufio.NewReader(c)
-	for time.Now().Before(end) {
+	for began := time.Now(); began.Before(end); began = time.Now() {
 		c.SetDeadline(end.Add(5 * time.Second))
 		if _, err := c.Write(request); err != nil {
 			return err
@@ -127,10 +135,7 @@
 		if err != nil {
 			return err
 		}
-		if !ok {
-			failed.Add(1)
-		}
-		done.Add(1)
+		tell(time.Since(began), ok)
 	}
 	return nil
 }
