Count clients' connections once: busy ones were closed as silent

Connections were counted by the listener twice since listeners moved to the gateway: the inner count never heard of requests, held them for silent and closed them to make room.

--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -50,12 +50,12 @@
 	ln   net.Listener
 }
 
-// New returns a server for the listener; Serve serves.
+// New returns a server for the listener, one of Conns.Listen's; Serve serves.
 func New(ln net.Listener, cfg Config) *Server {
 	if cfg.SendWithin == 0 {
 		cfg.SendWithin = SendWithin
 	}
-	s := &Server{cfg: cfg, ln: cfg.Conns.Listen(ln)}
+	s := &Server{cfg: cfg, ln: ln}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: cfg.SendWithin,
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -216,7 +216,9 @@
 		return nil
 	}
 	c.last = f.StreamID
-	full := c.running >= int(c.s.streams)
+	// The client sees the end of a stream a moment before this end has let go of it, and
+	// may open the next by rights.
+	full := c.running >= int(c.s.streams)+int(c.s.streams)/8+1
 	if !full {
 		c.running++
 		c.streams.Add(1)
