HTTP/2 drains: late frames of streams that were not taken harm nobody

A test of everything at once (clients that reset, a host killed, a drain partway) found two faults. A reset of a stream that the drain had not taken counted as a frame on an idle stream and ended the connection under those that had been. And a connection was closed with the client's frames unread, which can take the last answers with it: now this end's sending is closed first, and what still comes is read for half a second.

Also: windows of a quarter while bodies fill half of their memory, the ten-second line under test, malformed requests towards hosts of either protocol.

--- a/internal/contract/scheduler_test.go
+++ b/internal/contract/scheduler_test.go
@@ -194,6 +194,9 @@
 			if float64(p.s.out) < capacity && len(p.s.ready.list) > 0 {
 				t.Fatalf("%d of %v are out and a team that may go on waits", p.s.out, capacity)
 			}
+			if float64(p.s.out) > capacity+max(1, capacity*headroom)+1 {
+				t.Fatalf("%d are out of %v", p.s.out, capacity)
+			}
 			if len(p.s.waiting.list) > 40*n {
 				t.Fatalf("%d wait", len(p.s.waiting.list))
 			}
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -35,7 +36,9 @@
 
 	mu       sync.Mutex
 	running  int    // streams whose goroutine has not ended
-	last     uint32 // highest stream that the client has opened
+	last     uint32 // highest stream that the client has opened and that was taken
+	seen     uint32 // highest one that it has opened at all
+	over     bool   // nothing is read any more
 	refuse   uint32 // streams above this one are not taken; set once the drain's second step is done
 	leaving  bool
 	gone     chan struct{} // closed when the connection has ended
@@ -88,11 +91,17 @@
 	if errors.As(err, &broken) {
 		code, tell = http2.ErrCode(broken), true
 	} else if errors.Is(err, os.ErrDeadlineExceeded) {
-		tell = c.settled // it was idle for too long
+		tell = c.settled && !c.ending() // it was idle for too long
 	}
+	c.mu.Lock()
+	c.over = true
+	last := c.last
+	c.mu.Unlock()
 	if tell {
-		c.link.GoAway(c.lastID(), code)
-		c.link.CloseWritten()
+		c.link.GoAway(last, code)
+		c.link.Finish()
+		c.nc.SetReadDeadline(time.Now().Add(leaveWithin))
+		io.Copy(io.Discard, c.nc) // what is under way, or the close would take the notice with it
 	}
 	c.link.Close()
 	close(c.gone)
@@ -120,7 +129,7 @@
 	case *http2.DataFrame:
 		return c.data(f, now)
 	case *http2.RSTStreamFrame:
-		if f.StreamID > c.lastID() {
+		if c.idle(f.StreamID) {
 			return http2.ConnectionError(http2.ErrCodeProtocol)
 		}
 		if st := c.link.Stream(f.StreamID); st != nil {
@@ -153,7 +162,7 @@
 		if !c.updates.Take(now) {
 			return calm
 		}
-		if f.StreamID > c.lastID() {
+		if c.idle(f.StreamID) {
 			return http2.ConnectionError(http2.ErrCodeProtocol)
 		}
 		return c.link.WindowUpdate(f)
@@ -169,10 +178,12 @@
 	return nil
 }
 
-func (c *conn) lastID() uint32 {
+// idle says whether a stream has never been opened by the client: a frame on it breaks
+// the protocol (RFC 9113 section 5.1). One that a drain did not take has been.
+func (c *conn) idle(id uint32) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.last
+	return id > c.seen
 }
 
 // endStream ends a stream for a fault of the client's.
@@ -183,6 +194,7 @@
 	c.mu.Lock()
 	if e.StreamID > c.last && e.StreamID%2 == 1 { // a head that was malformed opened it
 		c.last = e.StreamID
+		c.seen = max(c.seen, e.StreamID)
 	}
 	c.mu.Unlock()
 	if st := c.link.Stream(e.StreamID); st != nil {
@@ -211,6 +223,11 @@
 		c.mu.Unlock()
 		return http2.ConnectionError(http2.ErrCodeStreamClosed)
 	}
+	if f.StreamID <= c.seen {
+		c.mu.Unlock()
+		return nil // trailers of one that was not taken
+	}
+	c.seen = f.StreamID
 	if f.StreamID > c.refuse { // after the drain's last word: provably not taken
 		c.mu.Unlock()
 		return nil
@@ -249,7 +266,7 @@
 	if size == 0 && !f.StreamEnded() && !c.empties.Take(now) {
 		return calm
 	}
-	if f.StreamID > c.lastID() {
+	if c.idle(f.StreamID) {
 		return http2.ConnectionError(http2.ErrCodeProtocol)
 	}
 	st := c.link.Stream(f.StreamID)
@@ -279,12 +296,8 @@
 func (c *conn) done() {
 	c.mu.Lock()
 	c.running--
-	if c.running == 0 {
-		select {
-		case <-c.gone:
-		default:
-			c.rest()
-		}
+	if c.running == 0 && !c.over {
+		c.rest()
 	}
 	end := c.running == 0 && c.refuse != allStreams
 	c.mu.Unlock()
@@ -294,6 +307,13 @@
 	c.streams.Done()
 }
 
+// ending says that the drain is over but for the client's close.
+func (c *conn) ending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refuse != allStreams
+}
+
 // drainPing is answered once the client has read the first notice of a drain.
 var drainPing = [8]byte{'d', 'r', 'a', 'i', 'n'}
 
@@ -335,6 +355,9 @@
 // closeSoon ends the connection once what is written has been.
 func (c *conn) closeSoon() {
 	c.goneOnce.Do(func() {
-		go c.link.CloseWritten()
+		go func() {
+			c.link.Finish()
+			c.nc.SetReadDeadline(time.Now().Add(leaveWithin))
+		}()
 	})
 }
--- a/internal/front/http2/server.go
+++ b/internal/front/http2/server.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	maxBody    = 64 << 10 // bytes of a request's body
-	sendWithin = 2500 * time.Millisecond
-	idleWithin = 60 * time.Second // for a connection to stay without a stream
-	roundTrip  = time.Second      // for the first notice of a drain to be answered at the latest
+	maxBody     = 64 << 10 // bytes of a request's body
+	sendWithin  = 2500 * time.Millisecond
+	idleWithin  = 60 * time.Second       // for a connection to stay without a stream
+	leaveWithin = 500 * time.Millisecond // for a client to read the last of a connection and close it
+	roundTrip   = time.Second            // for the first notice of a drain to be answered at the latest
 
 	mostStreams = 250       // of one connection
 	streamPart  = 4         // one part in so many of all open requests is the most for one connection
@@ -39,6 +40,9 @@
 	MostOpen   int64         // requests that may be open at the gateway; 0: not bounded
 	Streams    int           // that a connection may have open; 0: 250
 	RoundTrip  time.Duration // 0: a second
+	// Pressed says that bodies fill most of the memory that they may: connections then have
+	// windows of a quarter. nil: never.
+	Pressed func() bool
 }
 
 // Server serves connections that speak HTTP/2. The listener is the caller's.
@@ -62,6 +66,9 @@
 	if cfg.IdleWithin == 0 {
 		cfg.IdleWithin = idleWithin
 	}
+	if cfg.Pressed == nil {
+		cfg.Pressed = func() bool { return false }
+	}
 	if cfg.RoundTrip == 0 {
 		cfg.RoundTrip = roundTrip
 	}
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -99,6 +99,10 @@
 	}
 	part := f.Data()
 	c := s.c
+	most := int64(heldBodies)
+	if c.s.cfg.Pressed() {
+		most /= 4
+	}
 	c.mu.Lock()
 	if s.stopped {
 		c.mu.Unlock()
@@ -121,7 +125,7 @@
 	s.held += int64(len(part))
 	c.held += int64(len(part))
 	credit := size
-	if c.held > heldBodies {
+	if c.held > most {
 		credit -= len(part) // that comes with the end of the stream
 		s.owed += len(part)
 	}
--- a/internal/gateway/accounts.go
+++ b/internal/gateway/accounts.go
@@ -12,7 +12,11 @@
 // stops. Teams that asked for nothing since are not told of.
 func (g *Gateway) tellAccounts() {
 	told := map[string]int64{} // requests asked, as of the last line; of accounts that are kept
-	tick := time.NewTicker(tellEvery)
+	every := g.opt.TellEvery
+	if every == 0 {
+		every = tellEvery
+	}
+	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/gateway/contracts_test.go
+++ b/internal/gateway/contracts_test.go
@@ -89,7 +89,7 @@
 		"over":  contractOf("over", "valid_until = 2001-01-01T00:00:00Z"),
 	})
 	log := &lockedBuffer{}
-	g, err := New(m, slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})), Options{Linger: func() {}})
+	g, err := New(m, slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})), Options{Linger: func() {}, TellEvery: 5 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -146,6 +146,8 @@
 		t.Errorf("%d requests reached a host, want 3", len(got))
 	}
 	mu.Unlock()
+	const told = "msg=team team=bins asked=6 served=3 failed=0 left=0 refused_hosts=0 refused_outside=2 refused_open=0 refused_retries=1 refused_late=0 work="
+	until(t, "the log tells what the team has had", func() bool { return strings.Contains(log.String(), told) })
 	if strings.Contains(log.String(), "-token") || strings.Contains(log.String(), "-next") {
 		t.Error("a token stands in the log")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	Linger     func()        // between the order to stop and the close of the listeners
 	Silence    time.Duration // of discovery
 	LookEvery  time.Duration // at files of hosts
+	TellEvery  time.Duration // what teams have had
 	RoundTrip  time.Duration // for the first notice of an HTTP/2 drain to be answered
 	// Conns bounds the connections of clients, where the limits do not.
 	Conns *front.Conns
--- a/internal/gateway/h2abuse_test.go
+++ b/internal/gateway/h2abuse_test.go
@@ -106,6 +106,13 @@
 			}
 			return nil
 		}, 0},
+		{"a header bomb", func(c *standin.H2Client, f *http2.Framer) error {
+			b := block(append(append([]string{}, head...), "x-bomb", strings.Repeat("b", 3000))...)
+			for range 10_000 { // the field that is last in the table, a byte each
+				b = append(b, 0x80|62)
+			}
+			return f.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: b, EndStream: true, EndHeaders: true})
+		}, 0},
 		{"settings", func(c *standin.H2Client, f *http2.Framer) error {
 			for range 5000 {
 				if err := f.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 7}); err != nil {
@@ -177,6 +184,9 @@
 		client := h2client(t, g)
 		// The gateway closes in the middle: the rest of the attack then can't be written.
 		go client.Write(func(f *http2.Framer) error { return c.attack(client, f) })
+		if c.name == "a header bomb" { // may be answered 431: it has cost no more than its bytes
+			time.AfterFunc(100*time.Millisecond, func() { client.Close() })
+		}
 		code, told := ends(t, client)
 		if c.code != 0 && told && code != c.code {
 			t.Errorf("%s: told to go away by %v, want %v", c.name, code, c.code)
@@ -211,8 +221,16 @@
 // Malformed requests end their stream and nothing else; none of them reaches a host, and
 // no body is taken for a request.
 func TestMalformedStreams(t *testing.T) {
-	host := h2host(t, nil, nil, echo)
-	g := launch(t, overH2(t, "http2", host.Addr()), func(o *Options) { o.SendWithin = 200 * time.Millisecond })
+	two := h2host(t, nil, nil, echo)
+	one := scripted(t, func(r *standin.Request) standin.Act {
+		return standin.Serve(r.Method + " " + r.Target + " " + string(r.Body))
+	})
+	t.Run("to hosts over HTTP/2", func(t *testing.T) { malformed(t, overH2(t, "http2", two.Addr()), two.Total) })
+	t.Run("to hosts over HTTP/1.1", func(t *testing.T) { malformed(t, overH2(t, "http1", one.Addr()), one.Total) })
+}
+
+func malformed(t *testing.T, m *config.Model, total func() int) {
+	g := launch(t, m, func(o *Options) { o.SendWithin = 200 * time.Millisecond })
 	good := []string{":method", "POST", ":scheme", "http", ":authority", "a", ":path", "/book"}
 	var many []string
 	for i := range 600 { // short on the wire; the list counts 32 bytes more for each
@@ -256,7 +274,7 @@
 		{"unknown path", []string{":method", "POST", ":scheme", "http", ":authority", "a", ":path", "/no"}, "", "404"},
 		{"path of another route", []string{":method", "POST", ":scheme", "http", ":authority", "a", ":path", "/no/../book"}, "", "400"},
 	} {
-		before := host.Total()
+		before := total()
 		client := h2client(t, g)
 		client.Head(1, c.body == "", c.fields...)
 		if c.body != "" {
@@ -271,7 +289,7 @@
 		if c.status == "" && (a.Reset == nil && err == nil || a.Status != "") || c.status != "" && a.Status != c.status {
 			t.Errorf("%s: answered %q, reset %v, %v, want %q", c.name, a.Status, a.Reset, err, c.status)
 		}
-		if reached := host.Total() - before; reached > 0 != (c.status == "200") {
+		if reached := total() - before; reached > 0 != (c.status == "200") {
 			t.Errorf("%s: %d requests reached the host", c.name, reached)
 		}
 		client.Close()
--- a/internal/gateway/http2_test.go
+++ b/internal/gateway/http2_test.go
@@ -445,3 +445,133 @@
 		}
 	}
 }
+
+// All at once: hundreds of streams of several clients, some reset, a host killed, and a
+// drain partway. Each stream that was accepted and not reset has exactly one answer, every
+// other has none, and hosts got each request no more often than its class allows.
+func TestHundredsOfStreamsThroughItAll(t *testing.T) {
+	serve := func(s *standin.H2Stream) {
+		time.Sleep(time.Duration(rand.IntN(8)) * time.Millisecond)
+		echo(s)
+	}
+	var hosts []*standin.H2Host
+	var addresses []string
+	for range 3 {
+		h := h2host(t, []http2.Setting{{ID: http2.SettingMaxConcurrentStreams, Val: 100}}, nil, serve)
+		hosts, addresses = append(hosts, h), append(addresses, h.Addr())
+	}
+	g := launch(t, overH2(t, "http2", addresses...), func(o *Options) { o.Linger = func() {} })
+	const clients, each = 4, 120
+	type outcome struct {
+		answers int
+		reset   bool // by the client
+		refused bool // by the gateway, as never taken
+	}
+	var mu sync.Mutex
+	all := map[string]*outcome{}
+	opened := make(chan struct{}, clients*each)
+	var running sync.WaitGroup
+	for i := range clients {
+		running.Go(func() {
+			c, err := standin.DialH2(g.Addr("clients").String(), patience)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			var own sync.Mutex
+			names := map[uint32]*outcome{}
+			last := uint32(allOpen)
+			read := make(chan struct{})
+			go func() {
+				defer close(read)
+				for {
+					f, err := c.Read()
+					if err != nil {
+						return
+					}
+					own.Lock()
+					o := names[f.Header().StreamID]
+					switch f := f.(type) {
+					case *http2.MetaHeadersFrame:
+						if o != nil {
+							o.answers++
+						}
+					case *http2.RSTStreamFrame:
+						if o != nil && f.ErrCode == http2.ErrCodeRefusedStream {
+							o.refused = true
+						}
+					case *http2.GoAwayFrame:
+						last = f.LastStreamID
+					}
+					own.Unlock()
+				}
+			}()
+			for j := range each {
+				path, name := "/book", fmt.Sprintf("book-%d-%d", i, j)
+				if j%2 == 0 {
+					path, name = "/look", fmt.Sprintf("look-%d-%d", i, j)
+				}
+				o := &outcome{}
+				own.Lock()
+				id := uint32(2*j + 1)
+				names[id] = o
+				own.Unlock()
+				mu.Lock()
+				all[name] = o
+				mu.Unlock()
+				if _, err := c.Open("POST", path, true, "x-correlation-id", name); err != nil {
+					break // the drain is over and the connection with it
+				}
+				opened <- struct{}{}
+				if j%10 == 9 {
+					own.Lock()
+					o.reset = true
+					own.Unlock()
+					c.Write(func(f *http2.Framer) error { return f.WriteRSTStream(id, http2.ErrCodeCancel) })
+				}
+				time.Sleep(time.Duration(rand.IntN(1500)) * time.Microsecond)
+			}
+			<-read
+			own.Lock()
+			defer own.Unlock()
+			for id, o := range names {
+				switch {
+				case o.answers > 1, o.answers > 0 && (id > last || o.refused):
+					t.Errorf("client %d: stream %d, last taken %d: %+v", i, id, last, *o)
+				case o.answers == 0 && id <= last && !o.reset && !o.refused:
+					t.Errorf("client %d: stream %d was taken, last %d, and has no answer", i, id, last)
+				}
+			}
+		})
+	}
+	for n := range clients * each * 3 / 4 {
+		await(t, opened, "a stream")
+		if n == clients*each/3 {
+			hosts[0].Close()
+		}
+	}
+	g.stop()
+	running.Wait()
+	if err := await(t, g.end, "the end"); err != nil {
+		t.Error(err)
+	}
+	tries := map[string]int{}
+	for _, h := range hosts {
+		for id, s := range h.All() {
+			tries[id] += s.Whole
+		}
+	}
+	answered := 0
+	for name, n := range tries {
+		if n > 4 || strings.HasPrefix(name, "book") && n > 1 {
+			t.Errorf("%s came %d times", name, n)
+		}
+	}
+	for _, o := range all {
+		answered += o.answers
+	}
+	if answered < clients*each/2 {
+		t.Errorf("%d answers of %d streams", answered, clients*each)
+	}
+}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -71,7 +71,7 @@
 	s.ln = g.conns.Listen(ln)
 	if l.Protocol == config.HTTP2 || l.Certificate != "" {
 		s.two = http2.New(http2.Config{Intake: g.intake, Log: g.log, SendWithin: g.opt.SendWithin,
-			MostOpen: g.budgets.requests.Total(), Streams: g.streams, RoundTrip: g.opt.RoundTrip})
+			MostOpen: g.budgets.requests.Total(), Streams: g.streams, Pressed: g.pressed, RoundTrip: g.opt.RoundTrip})
 	}
 	if l.Protocol == config.HTTP1 {
 		under := s.ln
@@ -84,6 +84,9 @@
 	return s, nil
 }
 
+// pressed says that bodies hold more than half of what they may.
+func (g *Gateway) pressed() bool { return 2*g.budgets.bodies.Used() > g.budgets.bodies.Total() }
+
 // renew loads the certificates of listeners that stay open once more.
 func (g *Gateway) renew(m *config.Model) (map[*server]*tls.Certificate, error) {
 	out := map[*server]*tls.Certificate{}
--- a/internal/h2/link.go
+++ b/internal/h2/link.go
@@ -70,6 +70,7 @@
 	flushed     uint64        // of them, those whose frames have been handed to the connection
 	flushing    chan struct{} // closed and replaced with each flush
 	closed      bool
+	half        bool          // with closed: only the sending side
 	ended       chan struct{} // closed: the writer has ended
 	err         error
 }
@@ -257,15 +258,15 @@
 	l.Conn.Close()
 }
 
-// CloseWritten ends the connection once what waits to be written has been, or could not
-// be.
-func (l *Link) CloseWritten() {
+// Finish ends this end's sending, once what waits to be written has been or could not be.
+// The connection is still read: were it closed with anything unread, the peer would lose
+// what it has not read of ours (RFC 9112 section 9.6 tells why). Whoever reads closes it.
+func (l *Link) Finish() {
 	l.mu.Lock()
-	l.closed = true
+	l.closed, l.half = true, true
 	l.wake.Broadcast()
 	l.mu.Unlock()
 	<-l.ended
-	l.Conn.Close()
 }
 
 // Ended is closed when nothing is written any more.
--- a/internal/h2/writer.go
+++ b/internal/h2/writer.go
@@ -39,6 +39,9 @@
 func (l *Link) Control(frame func(*http2.Framer) error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
 	if len(l.control) >= mostControl {
 		l.closed = true
 		l.Conn.Close()
@@ -86,7 +89,7 @@
 // write is the writer: it alone writes, control frames first.
 func (l *Link) write() {
 	defer close(l.ended)
-	defer l.Conn.Close()
+	defer l.closeSending()
 	var done []func()
 	for {
 		l.mu.Lock()
@@ -147,6 +150,18 @@
 	}
 }
 
+// closeSending ends the connection, or this end's side of it.
+func (l *Link) closeSending() {
+	l.mu.Lock()
+	half := l.half
+	l.mu.Unlock()
+	if c, ok := l.Conn.(interface{ CloseWrite() error }); ok && half {
+		c.CloseWrite()
+		return
+	}
+	l.Conn.Close()
+}
+
 // flush hands over what is buffered and then calls those that wait for it.
 func (l *Link) flush(done *[]func()) error {
 	l.mu.Lock()
--- a/internal/rig/h2.go
+++ b/internal/rig/h2.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"crypto/tls"
@@ -297,6 +298,74 @@
 	return 0
 }
 
+// attackers are connections that open and reset streams as fast as they can, and connect
+// again when they are told to go away.
+const attackers = 4
+
+// besideAttack measures ten streams of one client, without and beside a rapid reset.
+func besideAttack(out io.Writer, hostAddr string) error {
+	c, err := startChild("gateway2", h2Cores, hostAddr)
+	if err != nil {
+		return err
+	}
+	defer c.end()
+	addr := strings.Fields(c.addr)[0]
+	fmt.Fprintf(out, "%-24s %11s %9s %9s\n", "ten streams", "requests/s", "p99", "memory")
+	for _, attacked := range []bool{false, true} {
+		label := "alone"
+		ctx, stop := context.WithCancel(context.Background())
+		var all sync.WaitGroup
+		if attacked {
+			label = "beside a rapid reset"
+			for range attackers {
+				all.Go(func() {
+					for ctx.Err() == nil {
+						attack(ctx, addr)
+					}
+				})
+			}
+		}
+		r, err := measureH2(c, func(l time.Duration) (load, []time.Duration, error) { return multiplex(addr, 10, l) })
+		stop()
+		all.Wait()
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%-24s %11.0f %9v %6.1f MB\n", label, r.rate(), r.p99.Round(10*time.Microsecond), float64(r.memory)/1024)
+	}
+	return nil
+}
+
+// attack opens and resets streams over one connection until it ends.
+func attack(ctx context.Context, addr string) {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return
+	}
+	defer nc.Close()
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	defer stop()
+	go io.Copy(io.Discard, nc)
+	var block bytes.Buffer
+	enc := hpack.NewEncoder(&block)
+	w := bufio.NewWriterSize(nc, 32<<10)
+	fr := http2.NewFramer(w, nil)
+	w.WriteString(http2.ClientPreface)
+	fr.WriteSettings()
+	for id := uint32(1); ctx.Err() == nil; id += 2 {
+		block.Reset()
+		for _, f := range [][2]string{{":method", "GET"}, {":scheme", "http"}, {":authority", "app.svc"}, {":path", "/p0/x"}} {
+			enc.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
+		}
+		if err := fr.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: block.Bytes(), EndStream: true, EndHeaders: true}); err != nil {
+			return
+		}
+		if err := fr.WriteRSTStream(id, http2.ErrCodeCancel); err != nil {
+			return
+		}
+	}
+}
+
 // runH2 measures both gateways over both protocols.
 func runH2(out io.Writer) (string, bool, error) {
 	host, err := startChild("hosts2", h2Cores)
@@ -341,5 +410,8 @@
 		}
 		worst = max(worst, float64(ours.cpu)/float64(theirs.cpu))
 	}
+	if err := besideAttack(out, host.addr); err != nil {
+		return "", false, err
+	}
 	return fmt.Sprintf("at most %.2f of ReverseProxy's CPU a request over HTTP/2, aim %.1f", worst, mostH2CPU), worst <= mostH2CPU, nil
 }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -16,6 +16,7 @@
 	// claimed is the sum over holders of the larger of what they hold and what they are
 	// guaranteed: what is above it may be lent.
 	claimed int64
+	used    int64 // by all, those that have left included
 	holders map[*Holder]struct{}
 }
 
@@ -102,6 +103,7 @@
 		return false
 	}
 	h.used += n
+	h.b.used += n
 	h.b.claimed += more
 	return true
 }
@@ -112,6 +114,7 @@
 	defer h.b.mu.Unlock()
 	h.b.claimed -= max(h.part, h.used) - max(h.part, h.used-n)
 	h.used -= n
+	h.b.used -= n
 }
 
 // Used is what the holder has now.
@@ -122,12 +125,8 @@
 }
 
 // Used is what all holders have together, those that have left included.
-func (b *Budget) Used() (n int64) {
+func (b *Budget) Used() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	spare := b.claimed
-	for h := range b.holders {
-		spare -= max(h.part-h.used, 0)
-	}
-	return spare
+	return b.used
 }
