--- a/internal/rig/h2.go
+++ b/internal/rig/h2.go
@@ -30,6 +30,7 @@
 )
 
 const (
+	h2Hosts    = 4
 	h2Length   = 3 * time.Second
 	h2Cores    = 4
 	mostH2CPU  = 1.0  // of ReverseProxy's, with HTTP/2 on both sides
@@ -43,29 +44,34 @@
 	All = append(All, Rig{"h2", "1 to 1,000 streams over one connection, beside as many HTTP/1.1 connections and ReverseProxy", runH2})
 }
 
-// hosts2Child is a host that speaks HTTP/2 and answers everything alike. It is a process
-// of its own, as net/http's server is, for both gateways the same.
+// hosts2Child is hosts that speak HTTP/2 and answer everything alike, in a process of
+// their own, for both gateways the same.
 func hosts2Child() error {
 	_, gone := childArgs()
 	body := bytes.Repeat([]byte("x"), answerSize)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
 	srv := &http2.Server{MaxConcurrentStreams: 4096}
-	fmt.Println(ln.Addr())
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go srv.ServeConn(c, &http2.ServeConnOpts{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				w.Header().Set("Content-Type", "text/plain")
-				w.Write(body)
-			})})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		w.Write(body)
+	})
+	var addrs []any
+	for range h2Hosts {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
 		}
-	}()
+		addrs = append(addrs, ln.Addr())
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go srv.ServeConn(c, &http2.ServeConnOpts{Handler: handler})
+			}
+		}()
+	}
+	fmt.Println(addrs...)
 	<-gone
 	return nil
 }
@@ -131,6 +137,14 @@
 	return nil
 }
 
+// lookup encodes the head of a request.
+func lookup(block *bytes.Buffer, enc *hpack.Encoder) {
+	block.Reset()
+	for _, f := range [][2]string{{":method", "GET"}, {":scheme", "http"}, {":authority", "app.svc"}, {":path", "/p0/x"}} {
+		enc.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
+	}
+}
+
 // multiplex drives so many streams over one connection for a time: each asks again as
 // soon as it has its answer. What the server lets be open is kept.
 func multiplex(addr string, streams int, length time.Duration) (l load, times []time.Duration, err error) {
@@ -152,10 +166,7 @@
 	began := map[uint32]time.Time{}
 	next := uint32(1)
 	open := func() {
-		block.Reset()
-		for _, f := range [][2]string{{":method", "GET"}, {":scheme", "http"}, {":authority", "app.svc"}, {":path", "/p0/x"}} {
-			enc.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
-		}
+		lookup(&block, enc)
 		fr.WriteHeaders(http2.HeadersFrameParam{StreamID: next, BlockFragment: block.Bytes(), EndStream: true, EndHeaders: true})
 		began[next] = time.Now()
 		next += 2
@@ -279,7 +290,7 @@
 		r.p99 = times[len(times)*99/100]
 	}
 	r.memory = c.memory()
-	// A balancer that has one host may turn a few away while a thousand come at once.
+	// A balancer may turn a few away while a thousand come at once.
 	if r.failed > r.requests/1000 && err == nil {
 		err = fmt.Errorf("%d of %d requests were not served", r.failed, r.requests)
 	}
@@ -303,8 +314,8 @@
 const attackers = 4
 
 // besideAttack measures ten streams of one client, without and beside a rapid reset.
-func besideAttack(out io.Writer, hostAddr string) error {
-	c, err := startChild("gateway2", h2Cores, hostAddr)
+func besideAttack(out io.Writer, hosts []string) error {
+	c, err := startChild("gateway2", h2Cores, hosts...)
 	if err != nil {
 		return err
 	}
@@ -353,10 +364,7 @@
 	w.WriteString(http2.ClientPreface)
 	fr.WriteSettings()
 	for id := uint32(1); ctx.Err() == nil; id += 2 {
-		block.Reset()
-		for _, f := range [][2]string{{":method", "GET"}, {":scheme", "http"}, {":authority", "app.svc"}, {":path", "/p0/x"}} {
-			enc.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
-		}
+		lookup(&block, enc)
 		if err := fr.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: block.Bytes(), EndStream: true, EndHeaders: true}); err != nil {
 			return
 		}
@@ -373,13 +381,13 @@
 		return "", false, err
 	}
 	defer host.end()
-	fmt.Fprintf(out, "a host over HTTP/2, %d byte answers, %d cores\n", answerSize, h2Cores)
+	fmt.Fprintf(out, "%d hosts over HTTP/2, %d byte answers, %d cores\n", h2Hosts, answerSize, h2Cores)
 	fmt.Fprintf(out, "%-14s %-9s %7s %11s %11s %9s %9s %9s\n", "program", "clients", "at once", "requests/s", "not served", "CPU", "p99", "memory")
 	worst := 0.0
 	for _, n := range []int{1, 100, 1000} {
 		var ours, theirs h2Row
 		for _, name := range []string{"gateway2", "reverse2"} {
-			c, err := startChild(name, h2Cores, host.addr)
+			c, err := startChild(name, h2Cores, strings.Fields(host.addr)...)
 			if err != nil {
 				return "", false, err
 			}
@@ -410,7 +418,7 @@
 		}
 		worst = max(worst, float64(ours.cpu)/float64(theirs.cpu))
 	}
-	if err := besideAttack(out, host.addr); err != nil {
+	if err := besideAttack(out, strings.Fields(host.addr)); err != nil {
 		return "", false, err
 	}
 	return fmt.Sprintf("at most %.2f of ReverseProxy's CPU a request over HTTP/2, aim %.1f", worst, mostH2CPU), worst <= mostH2CPU, nil
