HTTP/2: count a stream as open until its last byte is written

With a thousand streams at once on a busy machine, clients that opened the next one as they read an answer were refused and then sent away: the limit counted until the stream's goroutine had ended.

--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -36,6 +36,7 @@
 
 	mu       sync.Mutex
 	running  int    // streams whose goroutine has not ended
+	onWire   int    // streams that are open as the client sees it
 	last     uint32 // highest stream that the client has opened and that was taken
 	seen     uint32 // highest one that it has opened at all
 	over     bool   // nothing is read any more
@@ -233,11 +234,12 @@
 		return nil
 	}
 	c.last = f.StreamID
-	// The client sees the end of a stream a moment before this end has let go of it, and
-	// may open the next by rights.
-	full := c.running >= int(c.s.streams)+int(c.s.streams)/8+1
+	// Streams that have ended for the client may be a little longer in ending here; those
+	// that it resets in haste must not add up all the same.
+	full := c.onWire >= int(c.s.streams) || c.running >= 2*int(c.s.streams)
 	if !full {
 		c.running++
+		c.onWire++
 		c.streams.Add(1)
 		if c.running == 1 {
 			if c.all != nil {
@@ -292,6 +294,16 @@
 	c.nc.SetReadDeadline(time.Now().Add(c.s.cfg.IdleWithin))
 }
 
+// wireEnd notes that a stream is closed as the client sees it.
+func (c *conn) wireEnd(s *stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !s.offWire {
+		s.offWire = true
+		c.onWire--
+	}
+}
+
 // done ends a stream's part in the connection.
 func (c *conn) done() {
 	c.mu.Lock()
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -33,6 +33,7 @@
 	owed    int   // bytes that the client has had no credit for
 	stopped bool  // the goroutine waits for no more of the body
 	noRoom  bool  // there was none for the body
+	offWire bool  // it is closed as the client sees it
 
 	complete chan struct{} // closed: the request has come whole
 	gone     chan struct{} // closed: the client has reset it
@@ -155,6 +156,7 @@
 // by the reader, once the link has forgotten the stream.
 func (s *stream) end() {
 	s.whole = true
+	s.c.wireEnd(s)
 	close(s.gone)
 }
 
@@ -199,6 +201,10 @@
 func (s *stream) finish() {
 	s.c.mu.Lock()
 	s.c.held -= s.held
+	if !s.offWire {
+		s.offWire = true
+		s.c.onWire--
+	}
 	owed := s.owed
 	s.held, s.owed = 0, 0
 	s.c.mu.Unlock()
@@ -239,6 +245,7 @@
 func (s *stream) answer(o *h2.Out, deadline time.Time, early bool) {
 	sent := make(chan struct{})
 	o.Done = func() { close(sent) }
+	o.Ending = func() { s.c.wireEnd(s) }
 	s.c.link.Send(s.h2, o)
 	late := time.NewTimer(time.Until(deadline))
 	defer late.Stop()
--- a/internal/h2/link.go
+++ b/internal/h2/link.go
@@ -106,6 +106,9 @@
 	// Done is called once the last byte has been handed to the connection, by the writer
 	// and with no lock held. It must not block. It is not called for what never gets there.
 	Done func()
+	// Ending is called once the last byte is in the writer's buffer, before the peer can see
+	// it, in the same way. nil: nobody asks.
+	Ending func()
 
 	headSent bool
 	sent     int
--- a/internal/h2/writer.go
+++ b/internal/h2/writer.go
@@ -132,6 +132,9 @@
 			if err == nil && (len(part) > 0 || !fields) {
 				err = l.framer.WriteData(s.ID, last, part)
 			}
+			if last && err == nil && o.Ending != nil {
+				o.Ending()
+			}
 			if last && err == nil && o.Done != nil {
 				done = append(done, o.Done)
 			}
