--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -50,7 +50,10 @@
 		s.c.link.Reset(s.h2, http2.ErrCodeProtocol)
 		s.whole = true
 		go s.finish()
-		return s.c.tookReset(time.Now())
+		if !s.c.resets.Take(time.Now()) {
+			return calm
+		}
+		return nil
 	}
 	if r.Path == "/ready" && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		s.ready(f.StreamEnded())
--- a/internal/h2/link.go
+++ b/internal/h2/link.go
@@ -12,7 +12,6 @@
 	"errors"
 	"io"
 	"net"
-	"runtime"
 	"sync"
 	"time"
 
@@ -52,7 +51,6 @@
 	in     *bufio.Reader
 	limit  io.LimitedReader
 
-	pen     sync.Mutex // held while frames are written or flushed; before mu
 	out     *bufio.Writer
 	encoder *hpack.Encoder
 	encoded headerBuffer
@@ -68,8 +66,9 @@
 	peerInitial int64
 	peerStreams uint32 // that the peer lets this end open
 	peerFrame   int
-	written     uint64 // turns that streams have had
-	flushed     uint64 // of them, those whose frames have been handed to the connection
+	written     uint64        // turns that streams have had
+	flushed     uint64        // of them, those whose frames have been handed to the connection
+	flushing    chan struct{} // closed and replaced with each flush
 	closed      bool
 	half        bool          // with closed: only the sending side
 	ended       chan struct{} // closed: the writer has ended
@@ -119,7 +118,7 @@
 // New returns a link over a connection; Start begins it.
 func New(c net.Conn, cfg Config) *Link {
 	l := &Link{Conn: c, cfg: cfg, streams: map[uint32]*Stream{}, sendWindow: FirstWindow, recvWindow: FirstWindow,
-		peerInitial: FirstWindow, peerStreams: 100, peerFrame: MaxFrame, ended: make(chan struct{})}
+		peerInitial: FirstWindow, peerStreams: 100, peerFrame: MaxFrame, ended: make(chan struct{}), flushing: make(chan struct{})}
 	if !cfg.Client {
 		l.peerStreams = 0
 	}
@@ -221,8 +220,8 @@
 	}
 }
 
-// flushWait is how long Forget waits for a write that is under way: microseconds, unless
-// the peer takes nothing in.
+// flushWait is how long Forget waits for what is being written: microseconds, unless the
+// peer takes nothing in.
 const flushWait = 2 * time.Millisecond
 
 // Forget ends this end's memory of a stream. When it returns, nothing more of it goes out:
@@ -236,19 +235,21 @@
 		defer l.mu.Unlock()
 		return s.out != nil && s.out.whole
 	}
-	whole = s.out != nil && s.out.whole
-	l.mu.Unlock()
-	// What is in the writer's buffer is sent here and now: waiting for the writer's own turn
-	// would hold up whoever calls an attempt off.
-	for end := time.Now().Add(flushWait); !l.pen.TryLock(); runtime.Gosched() {
-		if time.Now().After(end) {
+	late := time.NewTimer(flushWait)
+	defer late.Stop()
+	for s.turn > l.flushed && !l.closed {
+		flushing := l.flushing
+		l.mu.Unlock()
+		select {
+		case <-flushing:
+			l.mu.Lock()
+		case <-late.C:
 			l.Close()
-			return whole
+			l.mu.Lock()
 		}
 	}
-	l.out.Flush() // an error stays, and is the writer's to find
-	l.pen.Unlock()
-	return whole
+	defer l.mu.Unlock()
+	return s.out != nil && s.out.whole
 }
 
 // Close ends the connection at once.
--- a/internal/h2/writer.go
+++ b/internal/h2/writer.go
@@ -91,11 +91,10 @@
 	defer close(l.ended)
 	defer l.closeSending()
 	var done []func()
-	dirty := false // something has been written since the last flush
 	for {
 		l.mu.Lock()
 		for len(l.control) == 0 && l.ready.head == nil && !l.closed {
-			if dirty {
+			if l.out.Buffered() > 0 || len(done) > 0 {
 				break
 			}
 			l.wake.Wait()
@@ -109,19 +108,12 @@
 			frames, l.control = l.control, nil
 		case l.closed:
 			l.mu.Unlock()
-			l.pen.Lock()
 			l.flush(&done)
-			l.pen.Unlock()
 			return
 		default:
 			s, part, fields, last = l.turn()
 		}
 		l.mu.Unlock()
-		l.pen.Lock()
-		if s != nil && l.droppedMeanwhile(s, part) {
-			l.pen.Unlock()
-			continue
-		}
 		var err error
 		if l.out.Buffered() == 0 && (len(frames) > 0 || s != nil) {
 			l.Conn.SetWriteDeadline(time.Now().Add(WriteWithin))
@@ -149,29 +141,18 @@
 		case len(frames) == 0: // nothing more is ready
 			err = l.flush(&done)
 		}
-		dirty = s != nil || len(frames) > 0
-		l.pen.Unlock()
 		if err != nil {
 			l.mu.Lock()
 			l.closed, l.control = true, nil
 			l.ready = streamList{}
+			close(l.flushing)
+			l.flushing = make(chan struct{})
 			l.mu.Unlock()
 			return
 		}
 	}
 }
 
-// droppedMeanwhile says that a stream was forgotten after its turn had come: its frame must
-// not be written any more. The pen is held.
-func (l *Link) droppedMeanwhile(s *Stream, part []byte) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s.forgotten {
-		l.sendWindow += int64(len(part))
-	}
-	return s.forgotten
-}
-
 // closeSending ends the connection, or this end's side of it.
 func (l *Link) closeSending() {
 	l.mu.Lock()
@@ -192,7 +173,9 @@
 	err := l.out.Flush()
 	if err == nil {
 		l.mu.Lock()
-		l.flushed = max(l.flushed, upTo)
+		l.flushed = upTo
+		close(l.flushing)
+		l.flushing = make(chan struct{})
 		l.mu.Unlock()
 		for _, f := range *done {
 			f()
