Hand on no request that has had its four attempts; call off HTTP/2 without waiting

A request with four attempts that never ran, whose pool then lost its hosts, got a fifth at the fallback: the balancer counts further attempts, not the first. Clients that reset in haste are read slower again.

--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -74,11 +74,12 @@
 // handOn passes a request that this pool does not serve to its fallback and says whether
 // it did. It must not go on where an attempt may have run (the hosts of another pool drop
 // no repeats of this one's), nor while one is out or a host here is ready: then the pool
-// turns it away for its load, and its load must not spill. A request goes on once.
+// turns it away for its load, and its load must not spill. A request goes on once, and
+// only with an attempt left: the balancer it comes to counts further ones, not the first.
 func (p *Pool) handOn(c *Call) bool {
 	to := c.fallback
-	if to == nil || c.closed || c.out > 0 || c.mayRan || p.b.Usable(p.clock.Now(), c.Class) ||
-		!to.room.Take(1) {
+	if to == nil || c.closed || c.out > 0 || c.mayRan || c.spent+len(c.attempts) >= to.set.MaxAttempts ||
+		p.b.Usable(p.clock.Now(), c.Class) || !to.room.Take(1) {
 		return false
 	}
 	delete(p.calls, c.id)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -195,6 +195,33 @@
 	})
 }
 
+// The attempts at both pools together are four at most: what has had them all at the one
+// is not handed on, though its host has gone and nothing ran.
+func TestFallbackGetsNoFifthAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := New(NewClock())
+		var a *Pool
+		n := 0
+		first := newUpstream(func(*Attempt) (frostshift.Result, time.Duration) {
+			if n++; n == 4 { // the list empties while the fourth is out
+				a.News(frostshift.ListFull, nil, nil)
+			}
+			return frostshift.NotSent, 5 * time.Millisecond
+		})
+		second := newUpstream(always(frostshift.OK, 5*time.Millisecond))
+		a = newPool(t, x, "a", first, 3, nil)
+		b := newPool(t, x, "b", second, 1, nil)
+		r := <-x.ask(1, "r", a, b).Reply
+		if first.tries["r"] != 4 || second.tries["r"] != 0 || r.Verdict == Served || r.Tries != 4 {
+			t.Errorf("%d attempts and %d at the fallback: %+v", first.tries["r"], second.tries["r"], r)
+		}
+		a.Drain()
+		b.Drain()
+		<-a.Done()
+		<-b.Done()
+	})
+}
+
 // Two pools that are each other's fallback: a request goes on once and is then refused.
 func TestFallbacksDoNotBounce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -17,7 +17,7 @@
 var (
 	// Streams that end before their answer, by the client's reset (CVE-2023-44487) or by
 	// one that the client provokes (CVE-2025-8671).
-	resets = h2.Bucket{Rate: 50, Burst: 200}
+	resets = h2.Bucket{Rate: 20, Burst: 100}
 	// Frames that carry nothing: settings, pings, priorities, empty data, unknown ones.
 	empties = h2.Bucket{Rate: 100, Burst: 500}
 	// Window updates, which a reader of long answers sends by rights.
@@ -136,9 +136,7 @@
 		if st := c.link.Stream(f.StreamID); st != nil {
 			c.link.Forget(st)
 			st.Owner.(*stream).end()
-			if !c.resets.Take(now) {
-				return calm
-			}
+			return c.tookReset(now)
 		} else if !c.empties.Take(now) {
 			return calm
 		}
@@ -187,10 +185,29 @@
 	return id > c.seen
 }
 
+// A client that resets more streams than this in short order is read the slower for it:
+// its flood then costs it as much time as it costs the others work. One that connects
+// again each time it is sent away is held up in the same way.
+const (
+	hastyResets = 20
+	hastyPause  = 2 * time.Millisecond
+)
+
+// tookReset counts a stream that ended before its answer.
+func (c *conn) tookReset(now time.Time) error {
+	if !c.resets.Take(now) {
+		return calm
+	}
+	if c.resets.Used() > hastyResets {
+		time.Sleep(hastyPause)
+	}
+	return nil
+}
+
 // endStream ends a stream for a fault of the client's.
 func (c *conn) endStream(e http2.StreamError) error {
-	if !c.resets.Take(time.Now()) {
-		return calm
+	if err := c.tookReset(time.Now()); err != nil {
+		return err
 	}
 	c.mu.Lock()
 	if e.StreamID > c.last && e.StreamID%2 == 1 { // a head that was malformed opened it
@@ -250,8 +267,8 @@
 	}
 	c.mu.Unlock()
 	if full {
-		if !c.resets.Take(time.Now()) {
-			return calm
+		if err := c.tookReset(time.Now()); err != nil {
+			return err
 		}
 		id := f.StreamID
 		c.link.Control(func(fr *http2.Framer) error { return fr.WriteRSTStream(id, http2.ErrCodeRefusedStream) })
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -50,10 +50,7 @@
 		s.c.link.Reset(s.h2, http2.ErrCodeProtocol)
 		s.whole = true
 		go s.finish()
-		if !s.c.resets.Take(time.Now()) {
-			return calm
-		}
-		return nil
+		return s.c.tookReset(time.Now())
 	}
 	if r.Path == "/ready" && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		s.ready(f.StreamEnded())
--- a/internal/h2/limits.go
+++ b/internal/h2/limits.go
@@ -10,6 +10,14 @@
 	at          time.Time
 }
 
+// Used is how many of the burst are gone.
+func (b *Bucket) Used() float64 {
+	if b.at.IsZero() {
+		return 0
+	}
+	return b.Burst - b.level
+}
+
 // Take says whether one more is within the bound.
 func (b *Bucket) Take(now time.Time) bool {
 	if b.at.IsZero() {
--- a/internal/h2/link.go
+++ b/internal/h2/link.go
@@ -51,6 +51,9 @@
 	in     *bufio.Reader
 	limit  io.LimitedReader
 
+	// pen is held (it holds one) while frames are chosen, written or flushed; it is taken
+	// before mu. A channel, since Forget takes it only within a time.
+	pen     chan struct{}
 	out     *bufio.Writer
 	encoder *hpack.Encoder
 	encoded headerBuffer
@@ -66,9 +69,8 @@
 	peerInitial int64
 	peerStreams uint32 // that the peer lets this end open
 	peerFrame   int
-	written     uint64        // turns that streams have had
-	flushed     uint64        // of them, those whose frames have been handed to the connection
-	flushing    chan struct{} // closed and replaced with each flush
+	written     uint64 // turns that streams have had
+	flushed     uint64 // of them, those whose frames have been handed to the connection
 	closed      bool
 	half        bool          // with closed: only the sending side
 	ended       chan struct{} // closed: the writer has ended
@@ -118,7 +120,7 @@
 // New returns a link over a connection; Start begins it.
 func New(c net.Conn, cfg Config) *Link {
 	l := &Link{Conn: c, cfg: cfg, streams: map[uint32]*Stream{}, sendWindow: FirstWindow, recvWindow: FirstWindow,
-		peerInitial: FirstWindow, peerStreams: 100, peerFrame: MaxFrame, ended: make(chan struct{}), flushing: make(chan struct{})}
+		peerInitial: FirstWindow, peerStreams: 100, peerFrame: MaxFrame, ended: make(chan struct{}), pen: make(chan struct{}, 1)}
 	if !cfg.Client {
 		l.peerStreams = 0
 	}
@@ -220,36 +222,47 @@
 	}
 }
 
-// flushWait is how long Forget waits for what is being written: microseconds, unless the
-// peer takes nothing in.
+// flushWait is how long Forget waits for a write that is under way: microseconds, unless
+// the peer takes nothing in.
 const flushWait = 2 * time.Millisecond
 
 // Forget ends this end's memory of a stream. When it returns, nothing more of it goes out:
-// if a frame of a request is under way to a peer that takes nothing in, the connection is
-// closed. It says whether the stream's last byte may have gone out.
+// what the writer's buffer holds of a request is sent here and now, and if the peer takes
+// nothing in, the connection is closed. It says whether the stream's last byte may have
+// gone out.
 func (l *Link) Forget(s *Stream) (whole bool) {
 	l.mu.Lock()
 	s.forgotten = true
 	delete(l.streams, s.ID)
-	if !l.cfg.Client || s.turn <= l.flushed || l.closed {
-		defer l.mu.Unlock()
-		return s.out != nil && s.out.whole
+	whole = s.out != nil && s.out.whole
+	buffered := l.cfg.Client && s.turn > l.flushed && !l.closed
+	l.mu.Unlock()
+	if buffered && !l.flushWithin(flushWait) {
+		l.Close()
 	}
-	late := time.NewTimer(flushWait)
-	defer late.Stop()
-	for s.turn > l.flushed && !l.closed {
-		flushing := l.flushing
-		l.mu.Unlock()
+	return whole
+}
+
+// flushWithin hands what is buffered to the connection and says whether that was done in
+// the time. The writer's own turn would come later: it may have much to do.
+func (l *Link) flushWithin(d time.Duration) bool {
+	select {
+	case l.pen <- struct{}{}:
+	default:
+		late := time.NewTimer(d)
+		defer late.Stop()
 		select {
-		case <-flushing:
-			l.mu.Lock()
+		case l.pen <- struct{}{}:
 		case <-late.C:
-			l.Close()
-			l.mu.Lock()
+			return false
 		}
 	}
-	defer l.mu.Unlock()
-	return s.out != nil && s.out.whole
+	defer func() { <-l.pen }()
+	if l.out.Buffered() == 0 {
+		return true
+	}
+	l.Conn.SetWriteDeadline(time.Now().Add(d))
+	return l.flush() == nil
 }
 
 // Close ends the connection at once.
--- a/internal/h2/writer.go
+++ b/internal/h2/writer.go
@@ -86,73 +86,92 @@
 	return s.out != nil && s.out.whole
 }
 
-// write is the writer: it alone writes, control frames first.
+// write is the writer: it alone writes frames, control frames first.
 func (l *Link) write() {
 	defer close(l.ended)
 	defer l.closeSending()
-	var done []func()
-	for {
+	var done []func() // of what has been written since its last flush
+	for unflushed := false; ; {
 		l.mu.Lock()
-		for len(l.control) == 0 && l.ready.head == nil && !l.closed {
-			if l.out.Buffered() > 0 || len(done) > 0 {
-				break
-			}
+		for !unflushed && len(l.control) == 0 && l.ready.head == nil && !l.closed {
 			l.wake.Wait()
 		}
-		var frames []func(*http2.Framer) error
-		var s *Stream
-		var part []byte
-		var fields, last bool
-		switch {
-		case len(l.control) > 0:
-			frames, l.control = l.control, nil
-		case l.closed:
-			l.mu.Unlock()
-			l.flush(&done)
-			return
-		default:
-			s, part, fields, last = l.turn()
-		}
 		l.mu.Unlock()
-		var err error
-		if l.out.Buffered() == 0 && (len(frames) > 0 || s != nil) {
-			l.Conn.SetWriteDeadline(time.Now().Add(WriteWithin))
-		}
-		for _, frame := range frames {
-			if err == nil {
-				err = frame(l.framer)
-			}
-		}
-		switch {
-		case s != nil:
-			o := s.out
-			if fields {
-				err = l.writeFields(s.ID, o, last)
-			}
-			if err == nil && (len(part) > 0 || !fields) {
-				err = l.framer.WriteData(s.ID, last, part)
-			}
-			if last && err == nil && o.Ending != nil {
-				o.Ending()
-			}
-			if last && err == nil && o.Done != nil {
-				done = append(done, o.Done)
-			}
-		case len(frames) == 0: // nothing more is ready
-			err = l.flush(&done)
+		l.pen <- struct{}{}
+		wrote, err := l.writeNext(&done)
+		if !wrote && err == nil {
+			err = l.flush()
 		}
+		<-l.pen
 		if err != nil {
 			l.mu.Lock()
 			l.closed, l.control = true, nil
 			l.ready = streamList{}
-			close(l.flushing)
-			l.flushing = make(chan struct{})
 			l.mu.Unlock()
 			return
 		}
+		if unflushed = wrote; wrote {
+			continue
+		}
+		for _, f := range done {
+			f()
+		}
+		done = done[:0]
+		l.mu.Lock()
+		end := l.closed && len(l.control) == 0
+		l.mu.Unlock()
+		if end {
+			return
+		}
 	}
 }
 
+// writeNext writes the control frames that wait, or else the next stream's frames, into
+// the buffer. False: there is nothing to write now. The pen is held, so that a stream which
+// has had its turn is in the buffer for whoever takes the pen next.
+func (l *Link) writeNext(done *[]func()) (wrote bool, err error) {
+	var frames []func(*http2.Framer) error
+	var s *Stream
+	var part []byte
+	var fields, last bool
+	l.mu.Lock()
+	switch {
+	case len(l.control) > 0:
+		frames, l.control = l.control, nil
+	case !l.closed:
+		s, part, fields, last = l.turn()
+	}
+	l.mu.Unlock()
+	if s == nil && len(frames) == 0 {
+		return false, nil
+	}
+	if l.out.Buffered() == 0 {
+		l.Conn.SetWriteDeadline(time.Now().Add(WriteWithin))
+	}
+	for _, frame := range frames {
+		if err := frame(l.framer); err != nil {
+			return true, err
+		}
+	}
+	if s == nil {
+		return true, nil
+	}
+	o := s.out
+	if fields {
+		err = l.writeFields(s.ID, o, last)
+	}
+	if err == nil && (len(part) > 0 || !fields) {
+		err = l.framer.WriteData(s.ID, last, part)
+	}
+	if last && err == nil && o.Ending != nil {
+		o.Ending()
+	}
+	if last && err == nil && o.Done != nil {
+		*done = append(*done, o.Done)
+	}
+	return true, err
+}
+
 // closeSending ends the connection, or this end's side of it.
 func (l *Link) closeSending() {
 	l.mu.Lock()
@@ -165,8 +184,8 @@
 	l.Conn.Close()
 }
 
-// flush hands over what is buffered and then calls those that wait for it.
-func (l *Link) flush(done *[]func()) error {
+// flush hands what is buffered to the connection. The pen is held.
+func (l *Link) flush() error {
 	l.mu.Lock()
 	upTo := l.written
 	l.mu.Unlock()
@@ -174,14 +193,8 @@
 	if err == nil {
 		l.mu.Lock()
 		l.flushed = upTo
-		close(l.flushing)
-		l.flushing = make(chan struct{})
 		l.mu.Unlock()
-		for _, f := range *done {
-			f()
-		}
 	}
-	*done = (*done)[:0]
 	return err
 }
 
