--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -93,7 +93,7 @@
 	end  chan error
 }
 
-func launch(t *testing.T, m *config.Model, set ...func(*Options)) *running {
+func launch(t testing.TB, m *config.Model, set ...func(*Options)) *running {
 	t.Helper()
 	opt := Options{}
 	for _, f := range set {
--- a/internal/gateway/h2abuse_test.go
+++ b/internal/gateway/h2abuse_test.go
@@ -330,6 +330,14 @@
 	})
 }
 
+// FuzzFrameSequences lets the fuzzer look for the sequences that break TestFrameSequences'
+// promises.
+func FuzzFrameSequences(f *testing.F) {
+	host := h2host(f, []http2.Setting{{ID: http2.SettingMaxConcurrentStreams, Val: 1000}}, nil, echo)
+	g := launch(f, overH2(f, "http2", host.Addr()), func(o *Options) { o.SendWithin = 200 * time.Millisecond })
+	f.Fuzz(rapid.MakeFuzz(func(rt *rapid.T) { frameSequence(rt, g, host) }))
+}
+
 var sequences int
 
 func frameSequence(rt *rapid.T, g *running, host *standin.H2Host) {
--- a/internal/gateway/http2_test.go
+++ b/internal/gateway/http2_test.go
@@ -19,7 +19,7 @@
 )
 
 // overH2 is a gateway whose clients, and whose hosts if so, speak HTTP/2.
-func overH2(t *testing.T, protocol string, hosts ...string) *config.Model {
+func overH2(t testing.TB, protocol string, hosts ...string) *config.Model {
 	t.Helper()
 	m, _, err := config.Parse("gw.toml", fmt.Appendf(nil, strings.Replace(head, `address = "127.0.0.1:0"`, "address = \"127.0.0.1:0\"\nprotocol = \"http2\"", 1)+`
 [[pool]]
@@ -43,7 +43,7 @@
 	return m
 }
 
-func h2host(t *testing.T, settings []http2.Setting, begun, serve func(*standin.H2Stream)) *standin.H2Host {
+func h2host(t testing.TB, settings []http2.Setting, begun, serve func(*standin.H2Stream)) *standin.H2Host {
 	t.Helper()
 	h, err := standin.NewH2Host(settings, begun, serve)
 	if err != nil {
@@ -53,7 +53,7 @@
 	return h
 }
 
-func h2client(t *testing.T, g *running, settings ...http2.Setting) *standin.H2Client {
+func h2client(t testing.TB, g *running, settings ...http2.Setting) *standin.H2Client {
 	t.Helper()
 	c, err := standin.DialH2(g.Addr("clients").String(), patience, settings...)
 	if err != nil {
