--- a/cmd/stilespool/contracts.go
+++ b/cmd/stilespool/contracts.go
@@ -46,8 +46,10 @@
 	oversold := false
 	for _, p := range m.Pools {
 		n := *capacity
-		if n == 0 {
-			n = float64(startPerHost * len(p.Source.Static))
+		for _, s := range p.Sources {
+			if *capacity == 0 {
+				n += float64(startPerHost * len(s.Static))
+			}
 		}
 		if n == 0 {
 			fmt.Fprintf(out, "pool %s: its hosts are not in the file; -capacity tells what it can hold\n", p.Name)
--- a/cmd/stilespool/run.go
+++ b/cmd/stilespool/run.go
@@ -85,7 +85,7 @@
 	if path == "" {
 		m, err := config.ReloadPlatform(old, os.Getenv)
 		if err == nil {
-			log.Info("only discovery is taken over", "discovery", m.Pools[0].Source.Discovery)
+			log.Info("only discovery is taken over", "discovery", m.Pools[0].Sources[0].Discovery)
 		}
 		return m, err
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -120,10 +120,10 @@
 	if s := listed.Settings; s.Instances != 3 || s.Rank != 1 {
 		t.Errorf("%+v", s)
 	}
-	if listed.Source.File != filepath.Join("dir", "hosts.json") {
-		t.Errorf("file %q", listed.Source.File)
+	if listed.Sources[0].File != filepath.Join("dir", "hosts.json") {
+		t.Errorf("file %q", listed.Sources[0].File)
 	}
-	if e := next.Source.Static; len(e) != 2 || e[0].Group != 7 || e[1].Name != "127.0.0.1:6001" || e[1].Status != "leaving" {
+	if e := next.Sources[0].Static; len(e) != 2 || e[0].Group != 7 || e[1].Name != "127.0.0.1:6001" || e[1].Status != "leaving" {
 		t.Errorf("%+v", e)
 	}
 	q := &route.Request{Method: "GET", Host: "x.rota.test", Path: "/rota/today", Query: "v=23&w", Header: map[string][]string{"X-Canary": {"1"}}}
@@ -378,12 +378,12 @@
 	}
 	write(platform)
 	m, err := Platform(func(k string) string { return env[k] })
-	if err != nil || m.Pools[0].Source.Discovery != "127.0.0.1:7" {
+	if err != nil || m.Pools[0].Sources[0].Discovery != "127.0.0.1:7" {
 		t.Fatal(m, err)
 	}
 	write(strings.Replace(strings.Replace(platform, "127.0.0.1:1", "127.0.0.1:2", 1), `"promise":1500000`, `"promise":1`, 1))
 	next, err := ReloadPlatform(m, func(k string) string { return env[k] })
-	if err != nil || next.Pools[0].Source.Discovery != "127.0.0.1:2" || !next.Pools[0].SameBut(m.Pools[0]) || m.Pools[0].Source.Discovery != "127.0.0.1:7" {
+	if err != nil || next.Pools[0].Sources[0].Discovery != "127.0.0.1:2" || !next.Pools[0].SameBut(m.Pools[0]) || m.Pools[0].Sources[0].Discovery != "127.0.0.1:7" {
 		t.Errorf("%+v, %v", next, err)
 	}
 	write(strings.Replace(platform, "127.0.0.1:1", "nowhere", 1))
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -17,6 +17,8 @@
 
 	"frostshift"
 	"frostshift/internal/membership"
+	"frostshift/internal/membership/belief"
+	"frostshift/internal/membership/source"
 	"frostshift/internal/route"
 )
 
@@ -64,11 +66,15 @@
 }
 
 type filePool struct {
-	Name           string        `toml:"name"`
+	Name string `toml:"name"`
+	// the one source, as in fileSource, or several source tables
 	Hosts          []string      `toml:"hosts"`
 	Host           []fileHost    `toml:"host"`
 	File           string        `toml:"file"`
 	Discovery      string        `toml:"discovery"`
+	DNS            *fileDNS      `toml:"dns"`
+	Source         []fileSource  `toml:"source"`
+	Belief         *fileBelief   `toml:"belief"`
 	Protocol       string        `toml:"protocol"`
 	Guarantee      float64       `toml:"guarantee"`
 	Zone           string        `toml:"zone"`
@@ -84,6 +90,33 @@
 	OverloadTime   time.Duration `toml:"overload_time"`
 }
 
+// fileSource is one place where hosts come from.
+type fileSource struct {
+	Hosts     []string   `toml:"hosts"`
+	Host      []fileHost `toml:"host"`
+	File      string     `toml:"file"`
+	Discovery string     `toml:"discovery"`
+	DNS       *fileDNS   `toml:"dns"`
+}
+
+type fileDNS struct {
+	Server string `toml:"server"`
+	Name   string `toml:"name"`
+	Type   string `toml:"type"`
+	Port   int    `toml:"port"`
+}
+
+type fileBelief struct {
+	Off      bool          `toml:"off"`
+	Floor    float64       `toml:"floor"`
+	Window   time.Duration `toml:"window"`
+	Keep     time.Duration `toml:"keep"`
+	Settle   time.Duration `toml:"settle"`
+	HalfLife time.Duration `toml:"half_life"`
+	Suppress float64       `toml:"suppress"`
+	Reuse    float64       `toml:"reuse"`
+}
+
 type fileHost struct {
 	Name    string `toml:"name"`
 	Address string `toml:"address"`
@@ -350,7 +383,7 @@
 		}
 		p := &Pool{Name: in.Name, Zones: in.Zones, Kinds: in.Kinds, DialTimeout: in.ConnectTimeout,
 			ConnIdle: in.IdleTimeout, Guarantee: in.Guarantee, Protocol: d.protocol(key+".protocol", in.Protocol)}
-		p.Source = d.source(key, in)
+		d.sources(key, in, p)
 		p.Settings = frostshift.Settings{Instances: instances, Rank: f.Bank.Rank, Zones: len(in.Zones),
 			Step: defaultStep, MaxAttempts: mostAttempts, Cancel: true, MaxRetryAfter: in.RetryAfter,
 			ColdFrom: in.ColdFrom, WarmAfter: in.WarmAfter, OverloadFactor: in.OverloadFactor, Fall: in.OverloadTime}
@@ -392,16 +425,56 @@
 	}
 }
 
-// source reads where a pool's hosts come from: one way, not several.
-func (d *doc) source(key string, in *filePool) (s membership.Source) {
-	ways := 0
-	for _, set := range []bool{len(in.Hosts) > 0 || len(in.Host) > 0, in.File != "", in.Discovery != ""} {
+// sources reads where a pool's hosts come from, and how far that is believed.
+func (d *doc) sources(key string, in *filePool, p *Pool) {
+	own := fileSource{in.Hosts, in.Host, in.File, in.Discovery, in.DNS}
+	switch inline := own.ways() > 0; {
+	case inline && len(in.Source) > 0:
+		d.fail(key, "pool %q has its hosts from source tables or from keys of its own, not both", in.Name)
+	case inline || len(in.Source) == 0:
+		p.Sources = []source.Spec{d.source(key, in.Name, &own)}
+	}
+	for i := range in.Source {
+		p.Sources = append(p.Sources, d.source(fmt.Sprintf("%s.source[%d]", key, i), in.Name, &in.Source[i]))
+	}
+	if in.Belief == nil {
+		in.Belief = &fileBelief{}
+	}
+	c := belief.Config{Floor: in.Belief.Floor, Window: in.Belief.Window, Keep: in.Belief.Keep, Settle: in.Belief.Settle,
+		HalfLife: in.Belief.HalfLife, Suppress: in.Belief.Suppress, Reuse: in.Belief.Reuse}
+	if field, text := c.Check(); field != "" {
+		d.fail(key+".belief."+field, "%s", text)
+	}
+	static := !slices.ContainsFunc(p.Sources, func(s source.Spec) bool { return s.Static == nil })
+	switch {
+	case in.Belief.Off && len(p.Sources) > 1:
+		d.fail(key+".belief.off", "only a pool with one source can follow it blindly")
+	case !in.Belief.Off && !(static && len(p.Sources) == 1): // nothing of one static list can be wrong
+		p.Belief = &c
+	}
+}
+
+// ways counts the places that are named; there must be one.
+func (s *fileSource) ways() (n int) {
+	for _, set := range []bool{len(s.Hosts) > 0 || len(s.Host) > 0, s.File != "", s.Discovery != "", s.DNS != nil} {
 		if set {
-			ways++
+			n++
 		}
 	}
-	if ways != 1 {
-		d.fail(key, "pool %q needs its hosts from one of hosts (or host tables), file, discovery", in.Name)
+	return n
+}
+
+// source reads one place where hosts come from.
+func (d *doc) source(key, pool string, in *fileSource) (s source.Spec) {
+	if in.ways() != 1 {
+		d.fail(key, "pool %q needs its hosts from one of hosts (or host tables), file, discovery, dns", pool)
+		return s
+	}
+	if in.DNS != nil {
+		s.DNS = &source.DNS{Server: in.DNS.Server, Name: in.DNS.Name, Type: in.DNS.Type, Port: in.DNS.Port}
+		if field, text := s.DNS.Check(); field != "" {
+			d.fail(key+".dns."+field, "%s", text)
+		}
 		return s
 	}
 	if in.Discovery != "" {
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -13,12 +13,15 @@
 	"fmt"
 	"log/slog"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
 	"frostshift"
 	"frostshift/internal/contract"
 	"frostshift/internal/membership"
+	"frostshift/internal/membership/belief"
+	"frostshift/internal/membership/source"
 	"frostshift/internal/route"
 )
 
@@ -82,9 +85,12 @@
 
 // Pool is a set of hosts with what its balancer is told.
 type Pool struct {
-	Name        string
-	Settings    frostshift.Settings
-	Source      membership.Source
+	Name     string
+	Settings frostshift.Settings
+	// Sources say where its hosts are, the first with the highest precedence.
+	Sources []source.Spec
+	// Belief bounds the doubt of lists; nil: the one source is followed as it is.
+	Belief      *belief.Config
 	Known       *membership.List // as of an earlier run
 	Zones       []string
 	Kinds       []string
@@ -97,11 +103,14 @@
 // Names numbers the pool's zones and kinds.
 func (p *Pool) Names() membership.Names { return membership.NewNames(p.Zones, p.Kinds) }
 
-// SameBut says whether a pool of another model differs in its source and guarantee at
-// most: it can go on running under the other's.
+// SameBut says whether a pool of another model differs in where its sources are and in its
+// guarantee at most: it can go on running under the other's.
 func (p *Pool) SameBut(q *Pool) bool {
 	x, y := *p, *q
-	x.Source, y.Source = membership.Source{}, membership.Source{}
+	if len(x.Sources) != len(y.Sources) {
+		return false
+	}
+	x.Sources, y.Sources = nil, nil
 	x.Known, y.Known = nil, nil
 	x.Guarantee, y.Guarantee = 0, 0
 	return reflect.DeepEqual(x, y)
@@ -166,7 +175,7 @@
 	}
 	for i, p := range m.Pools {
 		for j, q := range m.Pools[:i] {
-			if overlap(p.Source, q.Source) {
+			if overlapAny(p.Sources, q.Sources) {
 				to, from := group[j], group[i]
 				for k := range group {
 					if group[k] == from {
@@ -188,9 +197,15 @@
 	}
 }
 
+func overlapAny(xs, ys []source.Spec) bool {
+	return slices.ContainsFunc(xs, func(x source.Spec) bool {
+		return slices.ContainsFunc(ys, func(y source.Spec) bool { return overlap(x, y) })
+	})
+}
+
 // overlap says whether two sources may name the same host.
-func overlap(x, y membership.Source) bool {
-	if x.Discovery != "" && x.Discovery == y.Discovery || x.File != "" && x.File == y.File {
+func overlap(x, y source.Spec) bool {
+	if x.Discovery != "" && x.Discovery == y.Discovery || x.File != "" && x.File == y.File || x.DNS != nil && y.DNS != nil && *x.DNS == *y.DNS {
 		return true
 	}
 	for _, e := range x.Static {
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"frostshift/internal/membership"
+	"frostshift/internal/membership/source"
 	"frostshift/internal/route"
 	"frostshift/internal/wire"
 )
@@ -35,7 +36,7 @@
 	for _, v := range []struct {
 		env, name string
 		to        *string
-	}{{"GW_NAME", "name", &m.Name}, {"GW_LISTEN", "listen", &m.Listeners[0].Address}, {"GW_DISCOVERY", "discovery", &m.Pools[0].Source.Discovery}} {
+	}{{"GW_NAME", "name", &m.Name}, {"GW_LISTEN", "listen", &m.Listeners[0].Address}, {"GW_DISCOVERY", "discovery", &m.Pools[0].Sources[0].Discovery}} {
 		if s := getenv(v.env); s != "" {
 			*v.to = s
 		}
@@ -43,7 +44,7 @@
 			return nil, fmt.Errorf("neither %s nor %q in %s is set", v.env, v.name, path)
 		}
 	}
-	for name, addr := range map[string]string{"listen": m.Listeners[0].Address, "discovery": m.Pools[0].Source.Discovery} {
+	for name, addr := range map[string]string{"listen": m.Listeners[0].Address, "discovery": m.Pools[0].Sources[0].Discovery} {
 		if _, err := netip.ParseAddrPort(addr); err != nil {
 			return nil, fmt.Errorf("%s address: %w", name, err)
 		}
@@ -66,7 +67,7 @@
 		return nil, err
 	}
 	next, pool := *old, *old.Pools[0]
-	pool.Source = m.Pools[0].Source
+	pool.Sources = m.Pools[0].Sources
 	next.Pools = []*Pool{&pool}
 	return &next, nil
 }
@@ -97,7 +98,7 @@
 	if l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0 || l.Sockets > 0 && l.Sockets < LeastDescriptors {
 		return nil, fmt.Errorf("limits: out of range (a gateway needs %d sockets at least)", LeastDescriptors)
 	}
-	p := &Pool{Name: platformPool, Source: membership.Source{Discovery: in.Discovery}, Known: in.Known, Guarantee: 1}
+	p := &Pool{Name: platformPool, Sources: []source.Spec{{Discovery: in.Discovery}}, Known: in.Known, Guarantee: 1}
 	if p.Settings, err = wire.ParseSettings(in.Settings); err != nil {
 		return nil, err
 	}
--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -157,6 +157,12 @@
 	default:
 		c.mayRan = true
 	}
+	switch e.result {
+	case frostshift.OK, frostshift.Failed, frostshift.Full:
+		p.saw(a.Host, true)
+	case frostshift.ConnectFailed:
+		p.saw(a.Host, false)
+	}
 	if e.answer != nil && (e.result != frostshift.OK || c.closed) {
 		e.answer.Release() // nobody gets it
 	} else if e.answer != nil {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -19,6 +19,9 @@
 	Upstream Upstream
 	Room     Room   // for open requests; nil: not bounded
 	Watch    func() // the balancer asks for the host list; nil: nobody is asked
+	// Saw is told of each attempt that shows whether its host is there: it has answered, or
+	// could not be connected to. It is called in the loop; nil: nobody asks.
+	Saw func(id frostshift.HostID, answered bool)
 	// Scheduler, Part and Door share the pool out among teams; all or none.
 	Scheduler *contract.Scheduler
 	Part      *contract.Part
@@ -37,6 +40,7 @@
 	upstream Upstream
 	room     Room
 	watch    func()
+	saw      func(frostshift.HostID, bool)
 	advice   time.Duration // when to come back where the pool itself is full; 0: none
 
 	sched    *contract.Scheduler // nil: no contracts
@@ -89,7 +93,7 @@
 		return nil, err
 	}
 	p := &Pool{name: c.Name, set: c.Settings, log: c.Log, clock: x.clock, x: x, b: b, upstream: c.Upstream,
-		room: c.Room, watch: c.Watch, sched: c.Scheduler, part: c.Part, door: c.Door, advice: c.Settings.MaxRetryAfter,
+		room: c.Room, watch: c.Watch, saw: c.Saw, sched: c.Scheduler, part: c.Part, door: c.Door, advice: c.Settings.MaxRetryAfter,
 		events: make(chan event, 1024), quit: make(chan struct{}), done: make(chan struct{}),
 		calls: map[frostshift.RequestID]*Call{}}
 	if p.room == nil {
@@ -98,6 +102,9 @@
 	if p.watch == nil {
 		p.watch = func() {}
 	}
+	if p.saw == nil {
+		p.saw = func(frostshift.HostID, bool) {}
+	}
 	for _, c := range c.Settings.Classes {
 		p.advice = min(p.advice, c.Aim/2)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,7 +20,7 @@
 
 	"frostshift/internal/config"
 	"frostshift/internal/front"
-	"frostshift/internal/membership"
+	"frostshift/internal/membership/source"
 	"frostshift/internal/standin"
 )
 
@@ -116,7 +116,7 @@
 	r.mu.Lock()
 	next, pool := *r.model, *r.model.Pools[0]
 	r.mu.Unlock()
-	pool.Source = membership.Source{Discovery: addr}
+	pool.Sources = []source.Spec{{Discovery: addr}}
 	next.Pools = []*config.Pool{&pool}
 	if err := r.Reload(&next); err != nil {
 		t.Fatal(err)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -11,6 +11,8 @@
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
 	"frostshift/internal/membership"
+	"frostshift/internal/membership/keeper"
+	"frostshift/internal/membership/source"
 	"frostshift/internal/share"
 	"frostshift/internal/upstream"
 	"frostshift/internal/upstream/http1"
@@ -25,17 +27,32 @@
 	Open() int
 }
 
+// list follows the list of a pool's hosts.
+type list interface {
+	Run(context.Context)
+	Move([]source.Spec)
+}
+
+// blindly follows one source as it is.
+type blindly struct {
+	follower *source.Follower
+	spec     source.Spec
+}
+
+func (b blindly) Run(ctx context.Context)  { b.follower.Run(ctx, b.spec) }
+func (b blindly) Move(specs []source.Spec) { b.follower.Move(specs[0]) }
+
 // pool is a running pool: its loop, its connections and the follower of its hosts.
 type pool struct {
-	def      *config.Pool
-	log      *slog.Logger
-	names    membership.Names
-	ex       *exchange.Pool
-	up       hosts
-	follower *membership.Follower
-	ready    chan struct{} // closed behind the first list
-	first    sync.Once
-	refs     atomic.Int64 // configurations that name it and are still held
+	def   *config.Pool
+	log   *slog.Logger
+	names membership.Names
+	ex    *exchange.Pool
+	up    hosts
+	list  list
+	ready chan struct{} // closed behind the first list
+	first sync.Once
+	refs  atomic.Int64 // configurations that name it and are still held
 
 	requests, conns, bodies, answers *share.Holder
 }
@@ -52,14 +69,20 @@
 	default:
 		p.up = http1.New(bounds)
 	}
-	cfg := membership.Config{Sink: sink{p}, Log: p.log, Asked: def.Settings.Ask, Silence: g.opt.Silence, Every: g.opt.LookEvery}
-	if def.Known != nil {
-		cfg.Index = *def.Known.Index
+	pc := exchange.PoolConfig{Name: def.Name, Settings: def.Settings, Seed: m.Seed ^ uint64(membership.HostID(def.Name)),
+		Log: p.log, Upstream: p.up, Room: p.requests}
+	if def.Belief != nil {
+		k := keeper.New(keeper.Config{Specs: def.Sources, Belief: *def.Belief, Log: p.log, List: sink{p}.List, Silence: g.opt.Silence, Every: g.opt.LookEvery})
+		p.list, pc.Saw = k, k.Saw
+	} else {
+		cfg := source.Config{Sink: sink{p}, Log: p.log, Asked: def.Settings.Ask, Silence: g.opt.Silence, Every: g.opt.LookEvery}
+		if def.Known != nil {
+			cfg.Index = *def.Known.Index
+		}
+		f := source.NewFollower(cfg)
+		p.list, pc.Watch = blindly{f, def.Sources[0]}, f.Ask
 	}
-	p.follower = membership.NewFollower(cfg)
 	var err error
-	pc := exchange.PoolConfig{Name: def.Name, Settings: def.Settings, Seed: m.Seed ^ uint64(membership.HostID(def.Name)),
-		Log: p.log, Upstream: p.up, Room: p.requests, Watch: p.follower.Ask}
 	if !m.Platform { // there are no contracts there; elsewhere a reload may bring some
 		pc.Scheduler, pc.Part, pc.Door = contract.NewScheduler(1), contract.NewPart(g.instances), g.door
 	}
@@ -73,7 +96,7 @@
 	def := p.def // a reload may change it from here on
 	var parts sync.WaitGroup
 	parts.Go(func() { p.up.Run(ctx) })
-	parts.Go(func() { p.follower.Run(ctx, def.Source) })
+	parts.Go(func() { p.list.Run(ctx) })
 	g.running.Go(func() {
 		if known := def.Known; known != nil {
 			p.ex.Run(p.names.Hosts(known.Endpoints), func() { p.addresses(known) })
@@ -120,3 +143,6 @@
 
 // Lost says that a watch which must be asked for broke.
 func (s sink) Lost() { s.ex.News(frostshift.ListFailed, nil, nil) }
+
+// Moved says nothing to the loop: the first list of the new place is a whole one.
+func (s sink) Moved() {}
--- a/internal/gateway/pools_test.go
+++ b/internal/gateway/pools_test.go
@@ -294,9 +294,11 @@
 [[pool]]
 name = "p"
 file = "p.json"
+belief = { off = true }
 [[pool]]
 name = "q"
 file = "q.json"
+belief = { off = true }
 [[pool]]
 name = "spare"
 hosts = ["%s"]
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 	"slices"
 	"time"
 
@@ -70,8 +71,8 @@
 		s.certificate.Store(c)
 	}
 	for _, def := range m.Pools {
-		if p := next[def.Name]; !p.def.Source.Equal(def.Source) {
-			p.follower.Move(def.Source)
+		if p := next[def.Name]; !reflect.DeepEqual(p.def.Sources, def.Sources) {
+			p.list.Move(def.Sources)
 			p.def = def
 		}
 	}
--- /dev/null
+++ b/internal/membership/keeper/keeper.go
@@ -0,0 +1,283 @@
+// Package keeper keeps the list of one pool's hosts: it follows the pool's sources, merges
+// them (package view), holds the result against what was seen on sockets (package belief)
+// and hands on what the pool goes by. What is decided is decided there; here are the
+// goroutine, the clock and the log.
+package keeper
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"frostshift"
+	"frostshift/internal/membership"
+	"frostshift/internal/membership/belief"
+	"frostshift/internal/membership/source"
+	"frostshift/internal/membership/view"
+)
+
+const (
+	lookEvery = 250 * time.Millisecond // at the clock and at what was seen, while that may change anything
+	// seenEvery is how exact the time of a good answer is kept: storing each would make all
+	// cores write to one line of memory.
+	seenEvery = 50 * time.Millisecond
+)
+
+// Config is what a keeper is made of.
+type Config struct {
+	Specs  []source.Spec // the first has the highest precedence
+	Belief belief.Config
+	Log    *slog.Logger
+	// List gets what the pool goes by: at first the whole list, then what changes. It is
+	// called from one goroutine at a time.
+	List func(*membership.List)
+	// Silence and Every are as in source.Config.
+	Silence, Every time.Duration
+}
+
+// Keeper keeps a pool's list. Its methods are safe for concurrent use.
+type Keeper struct {
+	cfg       Config
+	start     time.Time
+	followers []*source.Follower
+	in        chan news
+	ask       chan func()
+	done      chan struct{}
+
+	specsMu sync.Mutex
+	specs   []source.Spec
+
+	seenMu sync.RWMutex
+	seen   map[frostshift.HostID]*seen
+
+	// Of Run's goroutine:
+	merger *view.Merger
+	belief *belief.Belief
+	whole  bool // the whole list has been handed on
+	doubts map[string]bool
+}
+
+// seen is when a host was last seen, since the keeper's start; negative: never.
+type seen struct{ good, bad atomic.Int64 }
+
+// news is what a source says.
+type news struct {
+	source int
+	list   *membership.List // nil: it has moved
+}
+
+// sink hands what a source says to the keeper.
+type sink struct {
+	k *Keeper
+	i int
+}
+
+func (s sink) List(l *membership.List) { s.send(news{s.i, l}) }
+func (s sink) Moved()                  { s.send(news{s.i, nil}) }
+func (s sink) Lost()                   {}
+
+func (s sink) send(n news) {
+	select {
+	case s.k.in <- n:
+	case <-s.k.done:
+	}
+}
+
+// New returns a keeper; Run runs it.
+func New(cfg Config) *Keeper {
+	k := &Keeper{cfg: cfg, specs: cfg.Specs, start: time.Now(), in: make(chan news), ask: make(chan func()), done: make(chan struct{}),
+		seen: map[frostshift.HostID]*seen{}, merger: view.New(len(cfg.Specs)), belief: belief.New(cfg.Belief), doubts: map[string]bool{}}
+	for i := range cfg.Specs {
+		k.followers = append(k.followers, source.NewFollower(source.Config{Sink: sink{k: k, i: i}, Log: cfg.Log, Silence: cfg.Silence, Every: cfg.Every}))
+	}
+	return k
+}
+
+func (k *Keeper) now() time.Duration { return time.Since(k.start) }
+
+// Run follows the sources until the context ends and all that it started has ended.
+func (k *Keeper) Run(ctx context.Context) {
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer close(k.done)
+	for i, f := range k.followers {
+		parts.Go(func() { f.Run(ctx, k.cfg.Specs[i]) })
+	}
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-k.in:
+			k.take(n)
+		case f := <-k.ask:
+			f()
+		case <-tick.C:
+			k.apply(k.merger.Tick(k.now()))
+			if k.belief.Unsure() {
+				k.decide()
+			}
+		}
+	}
+}
+
+// Move turns the sources to other places; there must be as many as before.
+func (k *Keeper) Move(specs []source.Spec) {
+	k.specsMu.Lock()
+	k.specs = specs
+	k.specsMu.Unlock()
+	for i, f := range k.followers {
+		f.Move(specs[i])
+	}
+}
+
+func (k *Keeper) take(n news) {
+	if n.list == nil {
+		k.merger.Forget(n.source)
+		return
+	}
+	skipped := k.merger.Skipped(n.source)
+	changed := k.merger.Take(k.now(), n.source, n.list)
+	if k.merger.Skipped(n.source) > skipped {
+		k.cfg.Log.Warn("a host list is older than the one before", "source", k.name(n.source), "index", *n.list.Index)
+	}
+	k.apply(changed)
+	k.decide()
+}
+
+func (k *Keeper) name(i int) string {
+	k.specsMu.Lock()
+	defer k.specsMu.Unlock()
+	return k.specs[i].String()
+}
+
+// apply tells the belief of entries that have changed.
+func (k *Keeper) apply(changed []string) {
+	now := k.now()
+	for _, name := range changed {
+		e, listed := k.merger.Get(name)
+		switch {
+		case !listed:
+			k.belief.Dropped(now, name, false)
+		case e.Hidden != "":
+			k.cfg.Log.Warn("two hosts have one address", "host", name, "address", e.Address, "counts", e.Hidden)
+			k.belief.Dropped(now, name, true)
+		case e.Status == membership.Left:
+			k.belief.Dropped(now, name, true)
+		default:
+			k.watch(membership.HostID(name))
+			k.belief.Listed(now, e.Endpoint)
+		}
+	}
+}
+
+// decide hands on what has changed of what the pool goes by.
+func (k *Keeper) decide() {
+	changes := k.belief.Decide(k.now(), k.lookup)
+	if len(changes) > 0 || !k.whole {
+		version := k.merger.Version()
+		l := &membership.List{Index: &version, Snapshot: !k.whole, Endpoints: changes}
+		k.whole = true
+		k.cfg.List(l)
+		for _, e := range changes {
+			if e.Status == membership.Left {
+				k.unwatch(membership.HostID(e.Name))
+			}
+		}
+	}
+	k.logDoubts()
+}
+
+// logDoubts tells of doubts that are new and of those that are over, in a line each way.
+func (k *Keeper) logDoubts() {
+	list := k.belief.Doubts(k.now())
+	fresh, example := 0, belief.Doubt{}
+	now := make(map[string]bool, len(list))
+	for _, d := range list {
+		now[d.Host.Name] = true
+		if !k.doubts[d.Host.Name] {
+			fresh++
+			example = d
+		}
+	}
+	if fresh > 0 {
+		k.cfg.Log.Info("hosts are doubted", "new", fresh, "all", len(list), "believed", k.belief.Believed(), "one", example.Host.Name, "why", example.Why)
+	} else if len(list) == 0 && len(k.doubts) > 0 {
+		k.cfg.Log.Info("no host is doubted any more", "believed", k.belief.Believed())
+	}
+	k.doubts = now
+}
+
+// Saw tells of an attempt at a host: it has answered, or could not be connected to.
+func (k *Keeper) Saw(id frostshift.HostID, answered bool) {
+	k.seenMu.RLock()
+	s := k.seen[id]
+	k.seenMu.RUnlock()
+	if s == nil {
+		return
+	}
+	now := int64(k.now())
+	switch good := s.good.Load(); {
+	case !answered:
+		s.bad.Store(now)
+	case now-good > int64(seenEvery) || s.bad.Load() >= good:
+		s.good.Store(now)
+	}
+}
+
+func (k *Keeper) watch(id frostshift.HostID) {
+	k.seenMu.Lock()
+	defer k.seenMu.Unlock()
+	if k.seen[id] == nil {
+		s := new(seen)
+		s.good.Store(-1)
+		s.bad.Store(-1)
+		k.seen[id] = s
+	}
+}
+
+func (k *Keeper) unwatch(id frostshift.HostID) {
+	k.seenMu.Lock()
+	delete(k.seen, id)
+	k.seenMu.Unlock()
+}
+
+func (k *Keeper) lookup(name string) belief.Seen {
+	k.seenMu.RLock()
+	s := k.seen[membership.HostID(name)]
+	k.seenMu.RUnlock()
+	if s == nil {
+		return belief.Seen{Good: -1, Bad: -1}
+	}
+	return belief.Seen{Good: time.Duration(s.good.Load()), Bad: time.Duration(s.bad.Load())}
+}
+
+// State is what a keeper knows at one moment.
+type State struct {
+	Version uint64
+	Spoken  []bool // by source
+	Entries []view.Entry
+	Doubts  []belief.Doubt
+}
+
+// State is what the keeper knows now; false: it does not run.
+func (k *Keeper) State() (s State, ok bool) {
+	got := make(chan struct{})
+	f := func() {
+		s = State{Version: k.merger.Version(), Entries: k.merger.All(), Doubts: k.belief.Doubts(k.now())}
+		for i := range k.cfg.Specs {
+			s.Spoken = append(s.Spoken, k.merger.Spoken(i))
+		}
+		close(got)
+	}
+	select {
+	case k.ask <- f:
+		<-got
+		return s, true
+	case <-k.done:
+		return s, false
+	}
+}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -1,10 +1,8 @@
-// Package membership tells a pool where its hosts are. It follows a source (the
-// platform's watch, a static list, a watched file), checks each list whole before it
-// hands it on, and keeps the last good one standing while a source is silent or wrong.
-// It knows nothing of requests, of balancers' decisions or of connections to hosts.
-//
-// list.go is a list and its check, follower.go follows one source after another,
-// watch.go and file.go are sources.
+// Package membership is what the lists of a pool's hosts are made of, and their check. The
+// packages below it work with them: source follows places where lists come from, view
+// merges those of several sources, belief says which of it a pool goes by, subset which
+// part one gateway of many uses, and keeper joins them for a pool. None of them knows of
+// requests, of balancers' decisions or of connections to hosts.
 package membership
 
 import (
--- a/internal/membership/file.go
+++ b/internal/membership/source/file.go
@@ -1,4 +1,4 @@
-package membership
+package source
 
 import (
 	"bytes"
@@ -8,6 +8,8 @@
 	"io"
 	"os"
 	"time"
+
+	"frostshift/internal/membership"
 )
 
 const maxFile = 64 << 20 // bytes of a file of hosts
@@ -25,8 +27,8 @@
 		info, text, err := readFile(t.source.File, last)
 		switch {
 		case err == nil && info != nil:
-			var list *List
-			if list, err = ParseFile(text); err == nil {
+			var list *membership.List
+			if list, err = membership.ParseFile(text); err == nil {
 				if taken == nil || !bytes.Equal(text, taken) {
 					err = t.take(list)
 				}
--- a/internal/membership/follower.go
+++ b/internal/membership/source/follower.go
@@ -1,4 +1,10 @@
-package membership
+// Package source follows one place where a list of hosts comes from (the platform's watch,
+// a file, a list in the configuration, DNS) and hands on what has been checked whole. It
+// keeps silent while its place is silent or wrong, so that the last good list stands. It
+// does not know what is made of a list.
+//
+// follower.go follows one place after another; watch.go, file.go and dns.go are the places.
+package source
 
 import (
 	"context"
@@ -7,25 +13,30 @@
 	"reflect"
 	"sync"
 	"time"
+
+	"frostshift/internal/membership"
 )
 
-// Source says where a list comes from. Exactly one field is set.
-type Source struct {
-	Discovery string     // address of the platform's discovery
-	File      string     // path of a watched file, see ParseFile
-	Static    []Endpoint // checked
+// Spec says where a list comes from. Exactly one field is set.
+type Spec struct {
+	Discovery string                // address of the platform's discovery
+	File      string                // path of a watched file, see ParseFile
+	Static    []membership.Endpoint // checked
+	DNS       *DNS
 }
 
 // Equal says whether two sources are the same.
-func (s Source) Equal(t Source) bool { return reflect.DeepEqual(s, t) }
+func (s Spec) Equal(t Spec) bool { return reflect.DeepEqual(s, t) }
 
 // String names the source, for logs.
-func (s Source) String() string {
+func (s Spec) String() string {
 	switch {
 	case s.Discovery != "":
 		return "discovery " + s.Discovery
 	case s.File != "":
 		return "file " + s.File
+	case s.DNS != nil:
+		return "dns " + s.DNS.Name
 	}
 	return "static"
 }
@@ -33,9 +44,11 @@
 // Sink takes what a source says. The follower calls it from one goroutine at a time.
 type Sink interface {
 	// List is a checked list.
-	List(l *List)
+	List(l *membership.List)
 	// Lost says that a watch broke that must be asked for anew.
 	Lost()
+	// Moved says that the next list is the first of another place: versions begin anew.
+	Moved()
 }
 
 // Config says how a Follower works.
@@ -46,6 +59,8 @@
 	Index   uint64 // of the last list known from the first source
 	Silence time.Duration
 	Every   time.Duration // between looks at a file
+	// LeastTTL is how long an answer of DNS is used at least; 0: a second.
+	LeastTTL time.Duration
 }
 
 const (
@@ -59,7 +74,7 @@
 type Follower struct {
 	cfg   Config
 	ask   chan struct{}
-	move  chan Source
+	move  chan Spec
 	heard chan struct{}
 	done  chan struct{}
 	first sync.Once
@@ -76,7 +91,7 @@
 	if cfg.Every == 0 {
 		cfg.Every = lookEvery
 	}
-	return &Follower{cfg: cfg, ask: make(chan struct{}, 1), move: make(chan Source),
+	return &Follower{cfg: cfg, ask: make(chan struct{}, 1), move: make(chan Spec),
 		heard: make(chan struct{}), done: make(chan struct{})}
 }
 
@@ -92,7 +107,7 @@
 }
 
 // Move makes the follower turn to another source.
-func (d *Follower) Move(s Source) {
+func (d *Follower) Move(s Spec) {
 	select {
 	case d.move <- s:
 	case <-d.done:
@@ -102,7 +117,7 @@
 // turn follows one source.
 type turn struct {
 	*Follower
-	source Source
+	source Spec
 	n      int           // turns count up
 	index  uint64        // of the last list heard; 0: the whole list is asked for
 	said   chan struct{} // closed with its first list
@@ -113,12 +128,12 @@
 // Run follows the list until the context ends and all that it started has ended. Where
 // it is moved, what the old source says counts until the new one has said something: a
 // list that is a little old is better than none.
-func (d *Follower) Run(ctx context.Context, source Source) {
+func (d *Follower) Run(ctx context.Context, source Spec) {
 	defer close(d.done)
 	var running sync.WaitGroup
 	defer running.Wait()
 	turns := 0
-	start := func(s Source, index uint64) *turn {
+	start := func(s Spec, index uint64) *turn {
 		own, end := context.WithCancel(ctx)
 		t := &turn{Follower: d, source: s, n: turns, index: index, said: make(chan struct{}), end: end}
 		turns++
@@ -166,8 +181,10 @@
 		t.runWatch(ctx)
 	case t.source.File != "":
 		t.runFile(ctx)
+	case t.source.DNS != nil:
+		t.runDNS(ctx)
 	default:
-		t.take(&List{Index: new(uint64), Snapshot: true, Endpoints: t.source.Static})
+		t.take(&membership.List{Index: new(uint64), Snapshot: true, Endpoints: t.source.Static})
 	}
 }
 
@@ -175,12 +192,15 @@
 var errMoved = errors.New("the source has moved")
 
 // take hands on a checked list.
-func (t *turn) take(l *List) error {
+func (t *turn) take(l *membership.List) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.n < t.latest { // it may be older than what the new source has said
 		return errMoved
 	}
+	if t.n > t.latest {
+		t.cfg.Sink.Moved()
+	}
 	t.latest, t.index = t.n, *l.Index
 	t.cfg.Sink.List(l)
 	t.first.Do(func() { close(t.heard) })
--- a/internal/membership/watch.go
+++ b/internal/membership/source/watch.go
@@ -1,4 +1,4 @@
-package membership
+package source
 
 import (
 	"bufio"
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"frostshift/internal/membership"
 )
 
 const maxLine = 4 << 20 // bytes of one message of discovery
@@ -83,7 +85,7 @@
 		if len(in.Bytes()) == 0 {
 			continue
 		}
-		var list List
+		var list membership.List
 		err := json.Unmarshal(in.Bytes(), &list)
 		if err == nil {
 			err = list.Check()
