--- a/internal/membership/belief/belief.go
+++ b/internal/membership/belief/belief.go
@@ -94,6 +94,7 @@
 	hosts    map[string]*host
 	believed int           // hosts that are used
 	kept     int           // of them, those that are missing from the list
+	damped   int           // hosts that are left out because they flap
 	peak     [2]int        // most hosts listed and not known to be broken in this window and in the one before
 	turnedAt time.Duration // when this window began
 	unsure   int           // hosts that a look at the clock or at sockets may change
@@ -217,6 +218,7 @@
 		return cmp.Or(cmp.Compare(b.faded(x, now), b.faded(y, now)), cmp.Compare(x.Name, y.Name))
 	})
 	spare := max(need-vouched, 0)
+	b.damped = max(len(damp)-spare, 0)
 	for i, h := range damp {
 		h.damped = i >= spare
 	}
@@ -266,6 +268,10 @@
 // Believed is how many hosts are used.
 func (b *Belief) Believed() int { return b.believed }
 
+// Doubted is how many hosts are kept though they are not listed, and how many are left out
+// because they flap.
+func (b *Belief) Doubted() (kept, damped int) { return b.kept, b.damped }
+
 // Doubts are the hosts that are not treated as the list says, by name.
 func (b *Belief) Doubts(now time.Duration) (list []Doubt) {
 	for _, h := range b.hosts {
--- a/internal/membership/keeper/keeper.go
+++ b/internal/membership/keeper/keeper.go
@@ -53,10 +53,10 @@
 	seen   map[frostshift.HostID]*seen
 
 	// Of Run's goroutine:
-	merger *view.Merger
-	belief *belief.Belief
-	whole  bool // the whole list has been handed on
-	doubts map[string]bool
+	merger  *view.Merger
+	belief  *belief.Belief
+	whole   bool // the whole list has been handed on
+	doubted bool // as last logged
 }
 
 // seen is when a host was last seen, since the keeper's start; negative: never.
@@ -88,7 +88,7 @@
 // New returns a keeper; Run runs it.
 func New(cfg Config) *Keeper {
 	k := &Keeper{cfg: cfg, specs: cfg.Specs, start: time.Now(), in: make(chan news), ask: make(chan func()), done: make(chan struct{}),
-		seen: map[frostshift.HostID]*seen{}, merger: view.New(len(cfg.Specs)), belief: belief.New(cfg.Belief), doubts: map[string]bool{}}
+		seen: map[frostshift.HostID]*seen{}, merger: view.New(len(cfg.Specs)), belief: belief.New(cfg.Belief)}
 	for i := range cfg.Specs {
 		k.followers = append(k.followers, source.NewFollower(source.Config{Sink: sink{k: k, i: i}, Log: cfg.Log, Silence: cfg.Silence, Every: cfg.Every}))
 	}
@@ -191,24 +191,20 @@
 	k.logDoubts()
 }
 
-// logDoubts tells of doubts that are new and of those that are over, in a line each way.
+// logDoubts tells when hosts begin to be treated otherwise than listed, and when that is over.
 func (k *Keeper) logDoubts() {
-	list := k.belief.Doubts(k.now())
-	fresh, example := 0, belief.Doubt{}
-	now := make(map[string]bool, len(list))
-	for _, d := range list {
-		now[d.Host.Name] = true
-		if !k.doubts[d.Host.Name] {
-			fresh++
-			example = d
+	kept, damped := k.belief.Doubted()
+	before := k.doubted
+	k.doubted = kept+damped > 0
+	switch {
+	case k.doubted && !before:
+		for _, d := range k.belief.Doubts(k.now()) {
+			k.cfg.Log.Warn("the host list is doubted", "kept", kept, "damped", damped, "believed", k.belief.Believed(), "one", d.Host.Name, "why", d.Why)
+			break
 		}
+	case !k.doubted && before:
+		k.cfg.Log.Info("the host list is followed again", "believed", k.belief.Believed())
 	}
-	if fresh > 0 {
-		k.cfg.Log.Info("hosts are doubted", "new", fresh, "all", len(list), "believed", k.belief.Believed(), "one", example.Host.Name, "why", example.Why)
-	} else if len(list) == 0 && len(k.doubts) > 0 {
-		k.cfg.Log.Info("no host is doubted any more", "believed", k.belief.Believed())
-	}
-	k.doubts = now
 }
 
 // Saw tells of an attempt at a host: it has answered, or could not be connected to.
--- a/internal/membership/source/dns.go
+++ b/internal/membership/source/dns.go
@@ -253,7 +253,14 @@
 	q.SetEdns0(mostUDP, false)
 	for _, network := range []string{"udp", "tcp"} {
 		c := dns.Client{Net: network, Timeout: askWithin, UDPSize: mostUDP}
-		m, _, err = c.ExchangeContext(ctx, q, d.Server)
+		conn, err := c.DialContext(ctx, d.Server)
+		if err != nil {
+			return nil, 0, err
+		}
+		stop := context.AfterFunc(ctx, func() { conn.Close() }) // else the end would wait for a silent server
+		m, _, err = c.ExchangeWithConnContext(ctx, q, conn)
+		stop()
+		conn.Close()
 		if err != nil {
 			return nil, 0, err
 		}
