--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -21,6 +21,7 @@
 // All are the rigs by name.
 var All = []Rig{
 	{"proxy", "throughput and CPU a request through the whole program, beside httputil.ReverseProxy", runProxy},
+	{"subset", "ways to share a large pool among gateways: evenness and movement, simulated", runSubset},
 	{"teams", "what two quiet teams keep beside each kind of flood of a third", runTeams},
 	{"lists", "what is served while the list of hosts lies, beside following it blindly", runLists},
 	{"pools", "throughput of two pools on two cores, beside one pool", runPools},
