--- a/api.go
+++ b/api.go
@@ -118,6 +118,9 @@
 	Kind    int // machines of one kind are of like size
 	State   HostState
 	Started Time // when it last started; 0: long ago
+	// Sharers is how many instances use the host, where the list is this instance's part
+	// of a longer one; 0: the list is the whole, and the balancer chooses a part by itself.
+	Sharers int
 }
 
 // ListKind says how a host list is to be read.
--- a/balancer.go
+++ b/balancer.go
@@ -174,6 +174,11 @@
 			b.warm++
 		}
 	}
+	b.bank = float64(b.set.Instances)
+	if len(b.places) > 0 && b.places[0].Sharers > 0 {
+		b.layPart()
+		return
+	}
 	b.subset = max(subsetLeast, (b.warm*subsetMeet+b.set.Instances-1)/b.set.Instances)
 	for _, h := range b.places {
 		if b.set.Zones > 1 && !b.remote(h) {
@@ -211,6 +216,17 @@
 	}
 }
 
+// layPart takes all hosts where the list is this instance's part of a longer one. To the
+// hosts, those that share one are the whole bank.
+func (b *Balancer) layPart() {
+	b.ring, b.subset, b.sharers = append(b.ring[:0], b.places...), len(b.places), 0
+	for _, h := range b.ring {
+		h.sharers = float64(h.Sharers)
+		b.sharers += h.sharers / float64(len(b.ring))
+	}
+	b.bank = b.sharers
+}
+
 // turn appends the hosts to dst, from this instance's place on.
 func (b *Balancer) turn(dst, part []*host) []*host {
 	_, at := math.Modf(float64(b.set.Rank) * (math.Phi - 1))
@@ -753,7 +769,7 @@
 		b.crowded(h, a.req.Class, rtt)
 		b.adjust(h, rtt, a.sent)
 		if !h.cold {
-			b.served = b.warmRate() + float64(b.set.Instances)/float64(max(b.warm, 1))/b.span
+			b.served = b.warmRate() + b.bank/float64(max(b.warm, 1))/b.span
 			b.servedAt = b.now
 		}
 		b.readmit(h)
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -18,7 +18,9 @@
 	"frostshift"
 	"frostshift/internal/membership"
 	"frostshift/internal/membership/belief"
+	"frostshift/internal/membership/keeper"
 	"frostshift/internal/membership/source"
+	"frostshift/internal/membership/subset"
 	"frostshift/internal/route"
 )
 
@@ -75,6 +77,7 @@
 	DNS            *fileDNS      `toml:"dns"`
 	Source         []fileSource  `toml:"source"`
 	Belief         *fileBelief   `toml:"belief"`
+	Subset         *fileSubset   `toml:"subset"`
 	Protocol       string        `toml:"protocol"`
 	Guarantee      float64       `toml:"guarantee"`
 	Zone           string        `toml:"zone"`
@@ -117,6 +120,12 @@
 	Reuse    float64       `toml:"reuse"`
 }
 
+type fileSubset struct {
+	Meet     int  `toml:"meet"`
+	Least    int  `toml:"least"`
+	Together bool `toml:"together"`
+}
+
 type fileHost struct {
 	Name    string `toml:"name"`
 	Address string `toml:"address"`
@@ -167,6 +176,7 @@
 	defaultStep       = 5 * time.Millisecond // answers come twice this ahead of a deadline
 	defaultRetryAfter = 2 * time.Second
 	mostAttempts      = 4
+	mostMeet          = 10000 // gateways at a host, hosts at a gateway: more than that is no subset
 	longestDeadline   = 10 * time.Minute
 )
 
@@ -418,6 +428,7 @@
 		if p.Settings.MaxRetryAfter == 0 {
 			p.Settings.MaxRetryAfter = defaultRetryAfter
 		}
+		d.subset(key, in, p, instances, f.Bank.Rank)
 		m.Pools = append(m.Pools, p)
 	}
 	if err := m.shareOut(); err != nil {
@@ -454,6 +465,29 @@
 	}
 }
 
+// subset reads which part of the pool one gateway of several uses.
+func (d *doc) subset(key string, in *filePool, p *Pool, gateways, rank int) {
+	if in.Subset == nil {
+		return
+	}
+	for _, field := range []struct {
+		name  string
+		value int
+	}{{"meet", in.Subset.Meet}, {"least", in.Subset.Least}} {
+		if field.value < 0 || field.value > mostMeet {
+			d.fail(key+".subset."+field.name, "%d is not from 1 to %d", field.value, mostMeet)
+		}
+	}
+	if in.Belief != nil && in.Belief.Off {
+		d.fail(key+".subset", "a pool that is followed blindly can't be used in part")
+	}
+	if p.Belief == nil {
+		p.Belief = &belief.Config{}
+	}
+	p.Part = &keeper.Part{Bank: subset.Bank{Count: gateways, Meet: in.Subset.Meet, Least: in.Subset.Least, Together: in.Subset.Together},
+		Rank: rank, WarmAfter: p.Settings.WarmAfter}
+}
+
 // ways counts the places that are named; there must be one.
 func (s *fileSource) ways() (n int) {
 	for _, set := range []bool{len(s.Hosts) > 0 || len(s.Host) > 0, s.File != "", s.Discovery != "", s.DNS != nil} {
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -21,6 +21,7 @@
 	"frostshift/internal/contract"
 	"frostshift/internal/membership"
 	"frostshift/internal/membership/belief"
+	"frostshift/internal/membership/keeper"
 	"frostshift/internal/membership/source"
 	"frostshift/internal/route"
 )
@@ -90,7 +91,10 @@
 	// Sources say where its hosts are, the first with the highest precedence.
 	Sources []source.Spec
 	// Belief bounds the doubt of lists; nil: the one source is followed as it is.
-	Belief      *belief.Config
+	Belief *belief.Config
+	// Part is which part of the hosts this gateway uses; nil: all of them, or a part that the
+	// balancer chooses. There is a belief where there is a part.
+	Part        *keeper.Part
 	Known       *membership.List // as of an earlier run
 	Zones       []string
 	Kinds       []string
@@ -192,6 +196,9 @@
 	}
 	for i, p := range m.Pools {
 		n := p.Settings.Instances
+		if p.Part != nil {
+			p.Part.Pools = size[group[i]]
+		}
 		p.Settings.Instances = n * size[group[i]]
 		p.Settings.Rank += n * place[i]
 	}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -72,7 +72,7 @@
 	pc := exchange.PoolConfig{Name: def.Name, Settings: def.Settings, Seed: m.Seed ^ uint64(membership.HostID(def.Name)),
 		Log: p.log, Upstream: p.up, Room: p.requests}
 	if def.Belief != nil {
-		k := keeper.New(keeper.Config{Specs: def.Sources, Belief: *def.Belief, Log: p.log, List: sink{p}.List, Silence: g.opt.Silence, Every: g.opt.LookEvery})
+		k := keeper.New(keeper.Config{Specs: def.Sources, Belief: *def.Belief, Part: def.Part, Log: p.log, List: sink{p}.List, Silence: g.opt.Silence, Every: g.opt.LookEvery})
 		p.list, pc.Saw = k, k.Saw
 	} else {
 		cfg := source.Config{Sink: sink{p}, Log: p.log, Asked: def.Settings.Ask, Silence: g.opt.Silence, Every: g.opt.LookEvery}
@@ -137,7 +137,11 @@
 	if l.Snapshot {
 		kind = frostshift.ListFull
 	}
-	s.ex.News(kind, s.names.Hosts(l.Endpoints), func() { s.addresses(l) })
+	hosts := s.names.Hosts(l.Endpoints)
+	for i := range hosts {
+		hosts[i].Sharers = l.Sharers
+	}
+	s.ex.News(kind, hosts, func() { s.addresses(l) })
 	s.first.Do(func() { s.ex.Behind(func() { close(s.ready) }) })
 }
 
--- a/internal/membership/keeper/keeper.go
+++ b/internal/membership/keeper/keeper.go
@@ -29,7 +29,9 @@
 type Config struct {
 	Specs  []source.Spec // the first has the highest precedence
 	Belief belief.Config
-	Log    *slog.Logger
+	// Part is the part of the pool that this gateway uses; nil: all of it.
+	Part *Part
+	Log  *slog.Logger
 	// List gets what the pool goes by: at first the whole list, then what changes. It is
 	// called from one goroutine at a time.
 	List func(*membership.List)
@@ -55,8 +57,9 @@
 	// Of Run's goroutine:
 	merger  *view.Merger
 	belief  *belief.Belief
-	whole   bool // the whole list has been handed on
-	doubted bool // as last logged
+	part    *part // nil: the whole pool
+	whole   bool  // the whole list has been handed on
+	doubted bool  // as last logged
 }
 
 // seen is when a host was last seen, since the keeper's start; negative: never.
@@ -89,6 +92,9 @@
 func New(cfg Config) *Keeper {
 	k := &Keeper{cfg: cfg, specs: cfg.Specs, start: time.Now(), in: make(chan news), ask: make(chan func()), done: make(chan struct{}),
 		seen: map[frostshift.HostID]*seen{}, merger: view.New(len(cfg.Specs)), belief: belief.New(cfg.Belief)}
+	if cfg.Part != nil {
+		k.part = newPart(*cfg.Part)
+	}
 	for i := range cfg.Specs {
 		k.followers = append(k.followers, source.NewFollower(source.Config{Sink: sink{k: k, i: i}, Log: cfg.Log, Silence: cfg.Silence, Every: cfg.Every}))
 	}
@@ -117,7 +123,7 @@
 			f()
 		case <-tick.C:
 			k.apply(k.merger.Tick(k.now()))
-			if k.belief.Unsure() {
+			if k.belief.Unsure() || k.part != nil && k.whole {
 				k.decide()
 			}
 		}
@@ -181,13 +187,25 @@
 		version := k.merger.Version()
 		l := &membership.List{Index: &version, Snapshot: !k.whole, Endpoints: changes}
 		k.whole = true
-		k.cfg.List(l)
+		if k.part == nil {
+			k.cfg.List(l)
+		}
 		for _, e := range changes {
 			if e.Status == membership.Left {
 				k.unwatch(membership.HostID(e.Name))
 			}
 		}
 	}
+	if k.part != nil {
+		wide := k.part.wide
+		l := k.part.take(k.now(), changes, func(name string) bool { s := k.lookup(name); return s.Bad > s.Good })
+		if k.part.wide != wide {
+			k.cfg.Log.Warn("most hosts of this gateway's part can't be reached, or could not: its width has changed", "times", k.part.wide)
+		}
+		if l != nil {
+			k.cfg.List(l)
+		}
+	}
 	k.logDoubts()
 }
 
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -22,6 +22,9 @@
 	Index     *uint64 // version; needed from discovery, 0 elsewhere
 	Snapshot  bool    // the whole list
 	Endpoints []Endpoint
+	// Sharers is how many gateways use each host, where the list is one gateway's part of a
+	// longer one; 0: it is not. It does not stand in what sources say.
+	Sharers int `json:"-"`
 }
 
 // Endpoint is an entry of a list.
--- a/internal/membership/subset/subset.go
+++ b/internal/membership/subset/subset.go
@@ -19,6 +19,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 )
 
 // Host is what a choice looks at.
@@ -163,20 +164,32 @@
 func (t *team) choose(room []int, n int, list []scored) []scored {
 	list = list[:0]
 	for g := range room {
-		s := scored{mix(t.key ^ mix(uint64(g)+0x9e3779b97f4a7c15)), g}
-		list = append(list, s)
+		if room[g] < len(t.hosts) {
+			continue
+		}
+		s := scored{mix(t.key ^ mix(uint64(g))), g}
+		if len(list) < n {
+			list = append(list, s)
+		} else if s.score < list[n-1].score {
+			continue
+		}
+		i := len(list) - 1
+		for ; i > 0 && list[i-1].score < s.score; i-- {
+			list[i] = list[i-1]
+		}
+		list[i] = s
+	}
+	if len(list) == n {
+		return list
 	}
-	slices.SortFunc(list, func(x, y scored) int {
-		a, b := room[x.gateway] >= len(t.hosts), room[y.gateway] >= len(t.hosts)
-		switch {
-		case a != b && a:
-			return -1
-		case a != b:
-			return 1
-		case !a && room[x.gateway] != room[y.gateway]:
-			return cmp.Compare(room[y.gateway], room[x.gateway])
+	first := len(list)
+	for g := range room {
+		if room[g] < len(t.hosts) {
+			list = append(list, scored{mix(t.key ^ mix(uint64(g))), g})
 		}
-		return cmp.Compare(y.score, x.score)
+	}
+	slices.SortFunc(list[first:], func(x, y scored) int {
+		return cmp.Or(cmp.Compare(room[y.gateway], room[x.gateway]), cmp.Compare(y.score, x.score))
 	})
 	return list[:min(n, len(list))]
 }
@@ -188,3 +201,35 @@
 	z = (z ^ z>>27) * 0x94d049bb133111eb
 	return z ^ z>>31
 }
+
+// Width says how much wider than usual a subset is, for one whose hosts are mostly broken:
+// twice, then four times, and back one step a minute when it is well.
+type Width struct {
+	n       int
+	since   time.Duration // of the last change
+	started bool
+}
+
+const (
+	widest     = 4
+	widenAfter = time.Second // between two steps up
+	narrowWait = time.Minute // and before one down
+)
+
+// Look is told how many hosts the subset has now and how many of them can't be connected to,
+// and returns how many times wider it is to be.
+func (w *Width) Look(now time.Duration, hosts, broken int) int {
+	if !w.started {
+		w.started, w.n = true, 1
+		w.since = now - widenAfter
+	}
+	switch {
+	case 2*broken > hosts && w.n < widest && now-w.since >= widenAfter:
+		w.n, w.since = 2*w.n, now
+	case 4*broken > hosts:
+		w.since = max(w.since, now-widenAfter) // not well enough to count the time
+	case w.n > 1 && now-w.since >= narrowWait:
+		w.n, w.since = w.n/2, now
+	}
+	return w.n
+}
--- a/state.go
+++ b/state.go
@@ -47,6 +47,7 @@
 	ring     []*host // ready hosts in the order of this instance's preference
 	subset   int     // how many of them it draws from
 	sharers  float64 // instances that draw from one host
+	bank     float64 // instances that share the hosts listed
 	ready    []*host // scratch of pick
 	out      []*host // scratch of pick
 	freeReq  []*request
