--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -27,6 +27,7 @@
 const (
 	maxHeader = 16 << 10
 	maxBody   = 64 << 10 // bytes of a request's body
+	mostLate  = 1 << 20  // bytes that are thrown away of a request that has had its answer
 	// SendWithin is how long a client may take to send its request, head and body, from its
 	// first byte (or the connection's start) on: one that drips holds a connection no longer.
 	SendWithin  = 2500 * time.Millisecond
@@ -111,7 +112,10 @@
 		}
 		// What is still coming of it is thrown away for so long, or the close would take
 		// the answer with it.
-		http.NewResponseController(w).SetReadDeadline(time.Now().Add(leaveWithin))
+		rc := http.NewResponseController(w)
+		rc.SetReadDeadline(time.Now().Add(leaveWithin))
+		rc.Flush()
+		io.CopyN(io.Discard, r.Body, mostLate)
 		return
 	}
 	// The request has come whole: the read that is under way from here on looks out for
