--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -75,6 +75,7 @@
 	File           string        `toml:"file"`
 	Discovery      string        `toml:"discovery"`
 	DNS            *fileDNS      `toml:"dns"`
+	XDS            *fileXDS      `toml:"xds"`
 	Source         []fileSource  `toml:"source"`
 	Belief         *fileBelief   `toml:"belief"`
 	Subset         *fileSubset   `toml:"subset"`
@@ -100,6 +101,7 @@
 	File      string     `toml:"file"`
 	Discovery string     `toml:"discovery"`
 	DNS       *fileDNS   `toml:"dns"`
+	XDS       *fileXDS   `toml:"xds"`
 }
 
 type fileDNS struct {
@@ -109,6 +111,14 @@
 	Port   int    `toml:"port"`
 }
 
+type fileXDS struct {
+	Server  string `toml:"server"`
+	Cluster string `toml:"cluster"`
+	Node    string `toml:"node"`
+	Delta   bool   `toml:"delta"`
+	ADS     bool   `toml:"ads"`
+}
+
 type fileBelief struct {
 	Off      bool          `toml:"off"`
 	Floor    float64       `toml:"floor"`
@@ -438,7 +448,7 @@
 
 // sources reads where a pool's hosts come from, and how far that is believed.
 func (d *doc) sources(key string, in *filePool, p *Pool) {
-	own := fileSource{in.Hosts, in.Host, in.File, in.Discovery, in.DNS}
+	own := fileSource{in.Hosts, in.Host, in.File, in.Discovery, in.DNS, in.XDS}
 	switch inline := own.ways() > 0; {
 	case inline && len(in.Source) > 0:
 		d.fail(key, "pool %q has its hosts from source tables or from keys of its own, not both", in.Name)
@@ -490,7 +500,7 @@
 
 // ways counts the places that are named; there must be one.
 func (s *fileSource) ways() (n int) {
-	for _, set := range []bool{len(s.Hosts) > 0 || len(s.Host) > 0, s.File != "", s.Discovery != "", s.DNS != nil} {
+	for _, set := range []bool{len(s.Hosts) > 0 || len(s.Host) > 0, s.File != "", s.Discovery != "", s.DNS != nil, s.XDS != nil} {
 		if set {
 			n++
 		}
@@ -501,7 +511,7 @@
 // source reads one place where hosts come from.
 func (d *doc) source(key, pool string, in *fileSource) (s source.Spec) {
 	if in.ways() != 1 {
-		d.fail(key, "pool %q needs its hosts from one of hosts (or host tables), file, discovery, dns", pool)
+		d.fail(key, "pool %q needs its hosts from one of hosts (or host tables), file, discovery, dns, xds", pool)
 		return s
 	}
 	if in.DNS != nil {
@@ -511,6 +521,13 @@
 		}
 		return s
 	}
+	if in.XDS != nil {
+		s.XDS = &source.XDS{Server: in.XDS.Server, Cluster: in.XDS.Cluster, Node: in.XDS.Node, Delta: in.XDS.Delta, ADS: in.XDS.ADS}
+		if field, text := s.XDS.Check(); field != "" {
+			d.fail(key+".xds."+field, "%s", text)
+		}
+		return s
+	}
 	if in.Discovery != "" {
 		if _, err := netip.ParseAddrPort(in.Discovery); err != nil {
 			d.fail(key+".discovery", "%q is not an address and port", in.Discovery)
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -212,7 +212,8 @@
 
 // overlap says whether two sources may name the same host.
 func overlap(x, y source.Spec) bool {
-	if x.Discovery != "" && x.Discovery == y.Discovery || x.File != "" && x.File == y.File || x.DNS != nil && y.DNS != nil && *x.DNS == *y.DNS {
+	if x.Discovery != "" && x.Discovery == y.Discovery || x.File != "" && x.File == y.File || x.DNS != nil && y.DNS != nil && *x.DNS == *y.DNS ||
+		x.XDS != nil && y.XDS != nil && x.XDS.Server == y.XDS.Server && x.XDS.Cluster == y.XDS.Cluster {
 		return true
 	}
 	for _, e := range x.Static {
--- a/internal/membership/source/follower.go
+++ b/internal/membership/source/follower.go
@@ -1,9 +1,9 @@
 // Package source follows one place where a list of hosts comes from (the platform's watch,
-// a file, a list in the configuration, DNS) and hands on what has been checked whole. It
+// a file, a list in the configuration, DNS, xDS) and hands on what has been checked whole. It
 // keeps silent while its place is silent or wrong, so that the last good list stands. It
 // does not know what is made of a list.
 //
-// follower.go follows one place after another; watch.go, file.go and dns.go are the places.
+// follower.go follows one place after another; watch.go, file.go, dns.go and xds.go are the places.
 package source
 
 import (
@@ -23,6 +23,7 @@
 	File      string                // path of a watched file, see ParseFile
 	Static    []membership.Endpoint // checked
 	DNS       *DNS
+	XDS       *XDS
 }
 
 // Equal says whether two sources are the same.
@@ -37,6 +38,8 @@
 		return "file " + s.File
 	case s.DNS != nil:
 		return "dns " + s.DNS.Name
+	case s.XDS != nil:
+		return "xds " + s.XDS.Cluster
 	}
 	return "static"
 }
@@ -183,6 +186,8 @@
 		t.runFile(ctx)
 	case t.source.DNS != nil:
 		t.runDNS(ctx)
+	case t.source.XDS != nil:
+		t.runXDS(ctx)
 	default:
 		t.take(&membership.List{Index: new(uint64), Snapshot: true, Endpoints: t.source.Static})
 	}
