--- a/api.go
+++ b/api.go
@@ -89,6 +89,7 @@
 	Cancel         bool          // Cancel actions are allowed
 	MaxRetryAfter  time.Duration // longest advice a client heeds; 0: advise nothing
 	OverQuotaWorth float64       // worth of a request beyond its tenant's quota, as a share
+	PreferNear     bool          // a near host is always among those that are weighed
 	CrossPrice     float64       // worth lost by an attempt at a host of another zone, as a share of a request's
 
 	Ask       bool          // the host list must be asked for (Watch), it is not pushed
--- a/balancer.go
+++ b/balancer.go
@@ -153,6 +153,7 @@
 	}
 	b.forgetAll()
 	b.layRing()
+	b.layNearby()
 	b.pump()
 }
 
@@ -227,6 +228,16 @@
 	b.bank = b.sharers
 }
 
+// layNearby notes the near hosts of the subset.
+func (b *Balancer) layNearby() {
+	b.nearby = b.nearby[:0]
+	for _, h := range b.ring[:min(b.subset, len(b.ring))] {
+		if b.set.PreferNear && !b.remote(h) {
+			b.nearby = append(b.nearby, h)
+		}
+	}
+}
+
 // turn appends the hosts to dst, from this instance's place on.
 func (b *Balancer) turn(dst, part []*host) []*host {
 	_, at := math.Modf(float64(b.set.Rank) * (math.Phi - 1))
@@ -456,8 +467,26 @@
 	b.pump()
 }
 
-// pick is the ordinary path: of two random ready hosts, the less loaded.
+// pick is the ordinary path: of two random ready hosts, the less loaded. Where near hosts
+// are preferred and that one is remote, the less loaded of two near ones is weighed against
+// it: the near zone is used until it is slower by what crossing costs, however few its
+// hosts are and however many the instances that stand there.
 func (b *Balancer) pick(r *request) *host {
+	h := b.pickAny(r)
+	if h == nil || len(b.nearby) == 0 || !b.remote(h) {
+		return h
+	}
+	x, y := b.drawTwo(r, b.nearby)
+	switch {
+	case x == nil:
+		return h
+	case y != nil:
+		x = b.lighter(x, y)
+	}
+	return b.lighter(x, h)
+}
+
+func (b *Balancer) pickAny(r *request) *host {
 	if h := b.draw(r); h != nil {
 		return h
 	}
@@ -522,19 +551,27 @@
 	if n < drawLeast {
 		return nil
 	}
-	var one *host
+	x, y := b.drawTwo(r, b.ring[:n])
+	if y == nil {
+		return nil
+	}
+	return b.lighter(x, y)
+}
+
+// drawTwo draws until two hosts that are ready have been; nil: too few were.
+func (b *Balancer) drawTwo(r *request, from []*host) (one, two *host) {
 	for range drawTries {
-		h := b.ring[b.rand(n)]
+		h := from[b.rand(len(from))]
 		switch {
 		case h == one || h.State != Ready || !b.allows(r, h) || b.ejected(r, h):
 		case b.now < h.restUntil || b.coldHold(h) || b.atLimit(h):
 		case one != nil:
-			return b.lighter(one, h)
+			return one, h
 		default:
 			one = h
 		}
 	}
-	return nil
+	return one, nil
 }
 
 // load is the score of a host: its estimate now x (own pending + 1). A host of
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -289,6 +289,45 @@
 	}
 }
 
+// Near hosts are used while they are no slower than remote ones by more than crossing
+// costs; a near zone that is slow, full or lost takes none down with it.
+func TestNearIsPreferredWhileItHasRoom(t *testing.T) {
+	set := basic()
+	set.Instances, set.Zones, set.PreferNear, set.CrossPrice = 4, 2, true, 0.05 // 20 ms
+	list := []Host{}
+	for i := range 12 { // two near ones
+		list = append(list, Host{ID: HostID(i + 1), Zone: min(i/2, 1)})
+	}
+	near := func(g *gateway, rtt Time) float64 {
+		got := g.serve(400, 0, func(h HostID) time.Duration {
+			if h <= 2 {
+				return rtt
+			}
+			return 10 * ms
+		})
+		return float64(got[1]+got[2]) / 400
+	}
+	g := start(t, set, list...)
+	if part := near(g, 10*ms); part < 0.9 {
+		t.Errorf("near and as fast: %.2f of the requests", part)
+	}
+	if part := near(g, 25*ms); part < 0.9 {
+		t.Errorf("slower by less than crossing costs: %.2f of the requests", part)
+	}
+	near(g, 60*ms) // learns
+	if part := near(g, 60*ms); part > 0.2 {
+		t.Errorf("much slower: %.2f of the requests", part)
+	}
+	g.list(ListFull, list[2:]...)
+	if part := near(g, 10*ms); part != 0 {
+		t.Errorf("lost: %.2f of the requests", part)
+	}
+	set.PreferNear = false
+	if part := near(start(t, set, list...), 10*ms); part > 0.5 {
+		t.Errorf("without the preference: %.2f of the requests", part)
+	}
+}
+
 func TestSlowHostGetsLess(t *testing.T) {
 	g := start(t, basic(), hosts(3)...)
 	got := g.serve(300, 0, func(h HostID) time.Duration {
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -84,6 +84,8 @@
 	Zone           string        `toml:"zone"`
 	Zones          []string      `toml:"zones"`
 	Kinds          []string      `toml:"kinds"`
+	PreferNear     bool          `toml:"prefer_near"`
+	CrossPrice     float64       `toml:"cross_price"`
 	ConnectTimeout time.Duration `toml:"connect_timeout"`
 	IdleTimeout    time.Duration `toml:"idle_timeout"`
 	MaxAttempts    *int          `toml:"max_attempts"`
@@ -187,6 +189,8 @@
 	defaultRetryAfter = 2 * time.Second
 	mostAttempts      = 4
 	mostMeet          = 10000 // gateways at a host, hosts at a gateway: more than that is no subset
+	// defaultCrossPrice is how much slower than a remote one a near host may be, in shortest aims.
+	defaultCrossPrice = 0.03
 	longestDeadline   = 10 * time.Minute
 )
 
@@ -438,6 +442,18 @@
 		if p.Settings.MaxRetryAfter == 0 {
 			p.Settings.MaxRetryAfter = defaultRetryAfter
 		}
+		if p.Settings.PreferNear, p.Settings.CrossPrice = in.PreferNear, in.CrossPrice; in.PreferNear {
+			if in.Zone == "" {
+				d.fail(key+".prefer_near", "needs the zone that the gateway stands in, and zones")
+			}
+			if in.CrossPrice == 0 {
+				p.Settings.CrossPrice = defaultCrossPrice
+			}
+		}
+		if !(in.CrossPrice >= 0 && in.CrossPrice <= 1) {
+			d.fail(key+".cross_price", "%v is not from 0 to 1", in.CrossPrice)
+			p.Settings.CrossPrice = 0
+		}
 		d.subset(key, in, p, instances, f.Bank.Rank)
 		m.Pools = append(m.Pools, p)
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -22,6 +22,7 @@
 var All = []Rig{
 	{"proxy", "throughput and CPU a request through the whole program, beside httputil.ReverseProxy", runProxy},
 	{"subset", "ways to share a large pool among gateways: evenness and movement, simulated", runSubset},
+	{"zones", "a preference for near hosts beside none: spill-over, a small zone, a lost one, simulated", runZones},
 	{"teams", "what two quiet teams keep beside each kind of flood of a third", runTeams},
 	{"lists", "what is served while the list of hosts lies, beside following it blindly", runLists},
 	{"pools", "throughput of two pools on two cores, beside one pool", runPools},
--- a/internal/upstream/http1/http1_test.go
+++ b/internal/upstream/http1/http1_test.go
@@ -264,8 +264,11 @@
 // A host that closes a kept connection has not run the next request, which must not be
 // written there: it would end as one that may have run.
 func TestClosedConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 1) // no attempt may cross the close: that is another matter
 	addr, _ := rawHost(t, func(_ int, c net.Conn, _ *http.Request) bool {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		c.Close()
+		closed <- struct{}{}
 		return false
 	})
 	first := newAttempt(t, "book", "x")
@@ -276,6 +279,7 @@
 		if result, _ := try(a, h, time.Second); result != frostshift.OK {
 			t.Fatalf("ended as %v", result)
 		}
+		<-closed
 	}
 }
 
--- a/state.go
+++ b/state.go
@@ -45,6 +45,7 @@
 	places   []*host // ready hosts in the order of their places
 	near     []*host // scratch of layRing
 	ring     []*host // ready hosts in the order of this instance's preference
+	nearby   []*host // those of the subset that stand in the own zone, where they are preferred
 	subset   int     // how many of them it draws from
 	sharers  float64 // instances that draw from one host
 	bank     float64 // instances that share the hosts listed
