--- a/cmd/stilespool/commands_test.go
+++ b/cmd/stilespool/commands_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -13,11 +14,57 @@
 	"testing"
 	"time"
 
+	"frostshift/internal/membership"
+	"frostshift/internal/membership/belief"
+	"frostshift/internal/membership/keeper"
 	"frostshift/internal/standin"
 )
 
 const example = "../../deploy/example.toml"
 
+// What a running gateway shows is taken, unless it is old or the sources are to be asked.
+func TestHostsAsTheGatewayHasThem(t *testing.T) {
+	dir := t.TempDir()
+	text, err := os.ReadFile("../../deploy/membership.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hosts, err := os.ReadFile("../../deploy/hosts.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "gw.toml")
+	for p, text := range map[string][]byte{path: append([]byte("views = \".\"\n"), text...), filepath.Join(dir, "hosts.json"): hosts} {
+		if err := os.WriteFile(p, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	show := func(at time.Time) {
+		text, err := json.Marshal(keeper.State{At: at, Believed: 3, Sources: []keeper.SourceState{{Name: "file hosts.json", Spoken: true}},
+			Doubts: []belief.Doubt{{Host: membership.Endpoint{Name: "rota-9"}, Why: "not listed for 3s, kept"}}})
+		if err == nil {
+			err = os.WriteFile(keeper.ViewPath(dir, "rota"), text, 0o600)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range []struct {
+		at   time.Time
+		args string
+		want string
+	}{
+		{time.Now(), "", "as the running gateway had it 0s ago: goes by 3"}, {time.Now(), "", "doubted: rota-9: not listed for 3s"},
+		{time.Now(), " -ask", "rota-2"}, {time.Now().Add(-time.Hour), "", "rota-2"},
+	} {
+		show(c.at)
+		var out, errs bytes.Buffer
+		if status := dispatch(strings.Fields("hosts -wait 1m -config "+path+c.args), &out, &errs); status != 0 || !strings.Contains(out.String(), c.want) {
+			t.Errorf("%+v: %d, %s%s", c, status, &out, &errs)
+		}
+	}
+}
+
 func TestCommands(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.toml")
 	if err := os.WriteFile(bad, []byte("[limits]\ncores = \"two\"\ncpus = 2\n"), 0o600); err != nil {
--- a/cmd/stilespool/hosts.go
+++ b/cmd/stilespool/hosts.go
@@ -2,24 +2,27 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
 	"slices"
 	"strings"
 	"time"
 
 	"frostshift/internal/config"
 	"frostshift/internal/membership"
-	"frostshift/internal/membership/belief"
 	"frostshift/internal/membership/keeper"
 )
 
-// runHosts asks the sources of each pool once and shows what they say together.
+// runHosts shows the hosts of each pool: as the running gateway has them, where it shows that,
+// or else as the sources say when they are asked once.
 func runHosts(args []string, out, errs io.Writer) int {
 	f := flags("hosts", errs)
 	path := f.String("config", "", "configuration `file`")
 	only := f.String("pool", "", "show this `pool` alone")
+	again := f.Bool("ask", false, "ask the sources, also where a running gateway shows what it knows")
 	wait := f.Duration("wait", 2*time.Second, "how long to wait for sources that say nothing")
 	if status, ok := parse(f, args, 0); !ok {
 		return status
@@ -43,7 +46,14 @@
 	status := exitOK
 	for _, p := range m.Pools {
 		if *only == "" || p.Name == *only {
-			if !showPool(p, *wait, out, errs) {
+			s, shown := keeper.State{}, false
+			if !*again && m.Views != "" {
+				s, shown = shownState(keeper.ViewPath(m.Views, p.Name))
+			}
+			if !shown {
+				s = ask(p, *wait, errs)
+			}
+			if !showPool(p, &s, shown, out) {
 				status = exitFailed
 			}
 		}
@@ -51,14 +61,26 @@
 	return status
 }
 
+// shownState reads what a running gateway shows; false: none does.
+func shownState(path string) (s keeper.State, ok bool) {
+	text, err := os.ReadFile(path)
+	if err != nil || json.Unmarshal(text, &s) != nil || time.Since(s.At) > keeper.ViewAge {
+		return keeper.State{}, false
+	}
+	return s, true
+}
+
 // showPool prints one pool and says whether all its sources have spoken.
-func showPool(p *config.Pool, wait time.Duration, out, errs io.Writer) bool {
-	s := ask(p, wait, errs)
-	fmt.Fprintf(out, "pool %s\n", p.Name)
-	whole := true
-	for i, spec := range p.Sources {
+func showPool(p *config.Pool, s *keeper.State, shown bool, out io.Writer) bool {
+	fmt.Fprintf(out, "pool %s", p.Name)
+	if shown {
+		fmt.Fprintf(out, ", as the running gateway had it %v ago: goes by %d", time.Since(s.At).Round(time.Second), s.Believed)
+	}
+	fmt.Fprintln(out)
+	whole := len(s.Sources) > 0
+	for i, source := range s.Sources {
 		word := "has said nothing"
-		if i < len(s.Spoken) && s.Spoken[i] {
+		if source.Spoken {
 			n := 0
 			for _, e := range s.Entries {
 				if e.Source == i || slices.Contains(e.Others, i) {
@@ -69,7 +91,7 @@
 		} else {
 			whole = false
 		}
-		fmt.Fprintf(out, "  source %d  %s: %s\n", i+1, spec, word)
+		fmt.Fprintf(out, "  source %d  %s: %s\n", i+1, source.Name, word)
 	}
 	for _, e := range s.Entries {
 		from := fmt.Sprint(e.Source + 1)
@@ -83,7 +105,7 @@
 		fmt.Fprintf(out, "  %-24s %-22s %-8s from %s%s\n", e.Name, e.Address, e.Status, from, notes)
 	}
 	for _, d := range s.Doubts {
-		if !strings.Contains(d.Why, "vouched for yet") { // nothing was sent to any
+		if shown || !strings.Contains(d.Why, "vouched for yet") { // nothing was sent to any
 			fmt.Fprintf(out, "  doubted: %s: %s\n", d.Host.Name, d.Why)
 		}
 	}
@@ -95,8 +117,6 @@
 	cfg := keeper.Config{Specs: p.Sources, Log: slog.New(slog.NewTextHandler(errs, nil)), List: func(*membership.List) {}}
 	if p.Belief != nil {
 		cfg.Belief = *p.Belief
-	} else {
-		cfg.Belief = belief.Config{}
 	}
 	k := keeper.New(cfg)
 	ctx, end := context.WithTimeout(context.Background(), wait)
@@ -113,7 +133,7 @@
 			return s
 		}
 		s = now
-		if !slices.Contains(s.Spoken, false) {
+		if !slices.ContainsFunc(s.Sources, func(s keeper.SourceState) bool { return !s.Spoken }) {
 			return s
 		}
 		select {
--- a/cmd/stilespool/main.go
+++ b/cmd/stilespool/main.go
@@ -36,7 +36,7 @@
 		{"check", "F", "say all that is wrong with a configuration file, by line and key", runCheck},
 		{"route", "-config F [-X METHOD] [-H 'Name: v']... URL", "say which route gets a request, and why the better ones do not", runRoute},
 		{"contracts", "-config F [-capacity N]", "list the teams, what they are guaranteed and whether it fits", runContracts},
-		{"hosts", "-config F [-pool P] [-wait 2s]", "ask the sources of pools and show the hosts, and where each comes from", runHosts},
+		{"hosts", "-config F [-pool P] [-ask] [-wait 2s]", "show the hosts of pools, where each comes from and what is doubted", runHosts},
 		{"demo", "[-for 20s]", "run a gateway between stand-in clients and hosts, some of which fail", runDemo},
 		{"version", "", "say which build this is", runVersion},
 		{"help", "", "say this", runHelp},
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -134,6 +134,39 @@
 }
 
 // All errors come at once, each with its line and key.
+// Sources stand in their order; what is doubted and which part is used is told.
+func TestSources(t *testing.T) {
+	m, _, err := Parse("dir/gw.toml", []byte(strings.Replace(good, `file = "hosts.json"`, `prefer_near = true
+zones = ["a", "b"]
+zone = "a"
+[[pool.source]]
+xds = { server = "127.0.0.1:1", cluster = "c", ads = true }
+[[pool.source]]
+dns = { server = "127.0.0.1:53", name = "h.example", port = 80 }
+[[pool.source]]
+file = "hosts.json"
+[pool.belief]
+keep = "1m"
+[pool.subset]
+together = true`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := m.PoolNamed("listed")
+	if len(p.Sources) != 3 || p.Sources[0].XDS.Cluster != "c" || !p.Sources[0].XDS.ADS || p.Sources[1].DNS.Port != 80 || p.Sources[2].File != filepath.Join("dir", "hosts.json") {
+		t.Errorf("sources: %v", p.Sources)
+	}
+	if p.Belief == nil || p.Belief.Keep != time.Minute || p.Part == nil || p.Part.Rank != 1 || p.Part.Bank.Count != 3 || !p.Part.Bank.Together {
+		t.Errorf("belief %+v, part %+v", p.Belief, p.Part)
+	}
+	if !p.Settings.PreferNear || p.Settings.CrossPrice != defaultCrossPrice {
+		t.Errorf("settings: %+v", p.Settings)
+	}
+	if m.PoolNamed("rota").Belief != nil {
+		t.Error("a list of the configuration itself is doubted")
+	}
+}
+
 func TestAllErrorsAtOnce(t *testing.T) {
 	lines := strings.Split(good, "\n")
 	replace := func(from, to string) int {
@@ -196,6 +229,18 @@
 		{`pool = "rota"` + "\nservice", `pools = []` + "\nservice", "a route needs a pool"},
 		{`hosts = ["127.0.0.1:6001", "127.0.0.1:6002"]`, `hosts = ["127.0.0.1:6001", "127.0.0.1:6001"]`, "stands twice"},
 		{`hosts = ["127.0.0.1:6001", "127.0.0.1:6002"]`, `file = "x"` + "\ndiscovery = \"127.0.0.1:1\"", "needs its hosts from one of"},
+		{`file = "hosts.json"`, "file = \"hosts.json\"\nbelief = { floor = 2.0 }", "belief.floor"},
+		{`file = "hosts.json"`, "file = \"hosts.json\"\nbelief = { keep = \"-1s\" }", "negative"},
+		{`file = "hosts.json"`, "file = \"hosts.json\"\nbelief = { off = true }\nsubset = {}", "can't be used in part"},
+		{`file = "hosts.json"`, "file = \"hosts.json\"\nsubset = { meet = -1 }", "subset.meet"},
+		{`file = "hosts.json"`, "file = \"hosts.json\"\nprefer_near = true", "prefer_near"},
+		{`file = "hosts.json"`, "file = \"hosts.json\"\ncross_price = 1.5", "cross_price"},
+		{`file = "hosts.json"`, "file = \"hosts.json\"\nsource = [{ file = \"x\" }]", "not both"},
+		{`file = "hosts.json"`, "source = [{ file = \"x\" }, {}]", "pool[2].source[1]"},
+		{`file = "hosts.json"`, "source = [{ file = \"x\" }, { file = \"y\" }]\nbelief = { off = true }", "belief.off"},
+		{`file = "hosts.json"`, `dns = { server = "here", name = "a", port = 1 }`, "pool[2].dns.server"},
+		{`file = "hosts.json"`, `dns = { server = "127.0.0.1:53", name = "a", type = "mx" }`, "pool[2].dns.type"},
+		{`file = "hosts.json"`, `source = [{ xds = { server = "127.0.0.1:1" } }]`, "pool[2].source[0].xds.cluster"},
 		{`deadline = "1s"`, `deadline = "-1s"`, "negative"},
 		{`deadline = "1s"`, `deadline = "1h"`, "deadline"},
 		{`max_attempts = 2`, `max_attempts = 5`, "not from 1 to 4"},
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -27,6 +27,7 @@
 // file is the form of our own configuration.
 type file struct {
 	Name   string `toml:"name"`
+	Views  string `toml:"views"`
 	Limits struct {
 		Cores       float64 `toml:"cores"`
 		MemoryMB    int     `toml:"memory_mb"`
@@ -217,7 +218,7 @@
 	if len(d.errs) > 0 && d.places == nil { // not even TOML
 		return nil, nil, d.errs
 	}
-	m := &Model{Name: f.Name, Seed: rand.Uint64(),
+	m := &Model{Name: f.Name, Views: d.beside(f.Views), Seed: rand.Uint64(),
 		Limits: Limits{Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Descriptors: f.Limits.Descriptors, Streams: f.Limits.Streams}}
 	if m.Name == "" {
 		m.Name = "stilespool"
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -38,6 +38,7 @@
 	Pools     []*Pool
 	Table     *route.Table
 	Contracts *contract.Book // nil: anybody may ask for anything
+	Views     string         // folder where a running gateway shows what it knows of hosts; "": nowhere
 	Instances int            // gateways that share the contracts' absolute figures; 0: 1
 	// Platform says that clients speak the platform's protocol: they must name class and
 	// id in headers, and the method follows from the class.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -50,6 +50,7 @@
 	ex    *exchange.Pool
 	up    hosts
 	list  list
+	views *views        // nil: nobody wants to see
 	ready chan struct{} // closed behind the first list
 	first sync.Once
 	refs  atomic.Int64 // configurations that name it and are still held
@@ -72,7 +73,12 @@
 	pc := exchange.PoolConfig{Name: def.Name, Settings: def.Settings, Seed: m.Seed ^ uint64(membership.HostID(def.Name)),
 		Log: p.log, Upstream: p.up, Room: p.requests}
 	if def.Belief != nil {
-		k := keeper.New(keeper.Config{Specs: def.Sources, Belief: *def.Belief, Part: def.Part, Log: p.log, List: sink{p}.List, Silence: g.opt.Silence, Every: g.opt.LookEvery})
+		kc := keeper.Config{Specs: def.Sources, Belief: *def.Belief, Part: def.Part, Log: p.log, List: sink{p}.List, Silence: g.opt.Silence, Every: g.opt.LookEvery}
+		if m.Views != "" {
+			p.views = newViews(m.Views, def.Name)
+			kc.Show = p.views.show
+		}
+		k := keeper.New(kc)
 		p.list, pc.Saw = k, k.Saw
 	} else {
 		cfg := source.Config{Sink: sink{p}, Log: p.log, Asked: def.Settings.Ask, Silence: g.opt.Silence, Every: g.opt.LookEvery}
@@ -97,6 +103,11 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { p.up.Run(ctx) })
 	parts.Go(func() { p.list.Run(ctx) })
+	if p.views != nil {
+		parts.Go(func() {
+			p.views.run(ctx.Done(), func(err error) { p.log.Warn("the view of the hosts is not written", "err", err) })
+		})
+	}
 	g.running.Go(func() {
 		if known := def.Known; known != nil {
 			p.ex.Run(p.names.Hosts(known.Endpoints), func() { p.addresses(known) })
--- a/internal/gateway/pools_test.go
+++ b/internal/gateway/pools_test.go
@@ -18,6 +18,7 @@
 
 	"frostshift/internal/config"
 	"frostshift/internal/exchange"
+	"frostshift/internal/membership/keeper"
 	"frostshift/internal/standin"
 )
 
@@ -385,6 +386,7 @@
 	}
 	write(hostsFile(entries("active", old...)...))
 	m, _, err := config.Parse(filepath.Join(dir, "gw.toml"), []byte(`
+views = "."
 [[listener]]
 name = "clients"
 address = "127.0.0.1:0"
@@ -417,6 +419,10 @@
 	for _, h := range old {
 		until(t, "an old host is asked still", asked(h))
 	}
+	until(t, "the view tells what is doubted", func() bool {
+		text, err := os.ReadFile(keeper.ViewPath(dir, "p"))
+		return err == nil && strings.Contains(string(text), "not listed for")
+	})
 	write(hostsFile(append(entries("leaving", old...), entries("active", newer)...)...))
 	until(t, "the newer host is asked", asked(newer))
 	before := old[0].Total() + old[1].Total() + old[2].Total()
--- a/internal/membership/keeper/keeper.go
+++ b/internal/membership/keeper/keeper.go
@@ -35,6 +35,9 @@
 	// List gets what the pool goes by: at first the whole list, then what changes. It is
 	// called from one goroutine at a time.
 	List func(*membership.List)
+	// Show gets what is known when it has changed, once a second at most; nil: nobody asks.
+	// It is called from the goroutine that follows the lists and must not block.
+	Show func(State)
 	// Silence and Every are as in source.Config.
 	Silence, Every time.Duration
 }
@@ -57,9 +60,11 @@
 	// Of Run's goroutine:
 	merger  *view.Merger
 	belief  *belief.Belief
-	part    *part // nil: the whole pool
-	whole   bool  // the whole list has been handed on
-	doubted bool  // as last logged
+	part    *part         // nil: the whole pool
+	whole   bool          // the whole list has been handed on
+	changed bool          // since it was last shown
+	shownAt time.Duration // when it was
+	doubted bool          // as last logged
 }
 
 // seen is when a host was last seen, since the keeper's start; negative: never.
@@ -126,6 +131,7 @@
 			if k.belief.Unsure() || k.part != nil && k.whole {
 				k.decide()
 			}
+			k.show()
 		}
 	}
 }
@@ -150,6 +156,7 @@
 	if k.merger.Skipped(n.source) > skipped {
 		k.cfg.Log.Warn("a host list is older than the one before", "source", k.name(n.source), "index", *n.list.Index)
 	}
+	k.changed = k.changed || len(changed) > 0 || !k.whole
 	k.apply(changed)
 	k.decide()
 }
@@ -206,6 +213,7 @@
 			k.cfg.List(l)
 		}
 	}
+	k.changed = k.changed || len(changes) > 0
 	k.logDoubts()
 }
 
@@ -268,30 +276,3 @@
 	}
 	return belief.Seen{Good: time.Duration(s.good.Load()), Bad: time.Duration(s.bad.Load())}
 }
-
-// State is what a keeper knows at one moment.
-type State struct {
-	Version uint64
-	Spoken  []bool // by source
-	Entries []view.Entry
-	Doubts  []belief.Doubt
-}
-
-// State is what the keeper knows now; false: it does not run.
-func (k *Keeper) State() (s State, ok bool) {
-	got := make(chan struct{})
-	f := func() {
-		s = State{Version: k.merger.Version(), Entries: k.merger.All(), Doubts: k.belief.Doubts(k.now())}
-		for i := range k.cfg.Specs {
-			s.Spoken = append(s.Spoken, k.merger.Spoken(i))
-		}
-		close(got)
-	}
-	select {
-	case k.ask <- f:
-		<-got
-		return s, true
-	case <-k.done:
-		return s, false
-	}
-}
--- a/internal/membership/keeper/keeper_test.go
+++ b/internal/membership/keeper/keeper_test.go
@@ -28,12 +28,15 @@
 	mu   sync.Mutex
 	goes map[string]membership.Endpoint
 	n    int
-	end  func()
+	// shown is read once the keeper has ended.
+	shown []State
+	end   func()
 }
 
 func start(t *testing.T, specs ...source.Spec) *follow {
 	f := &follow{t: t, path: filepath.Join(t.TempDir(), "hosts.json"), goes: map[string]membership.Endpoint{}}
 	f.Keeper = New(Config{Specs: append(specs, source.Spec{File: f.path}), Log: slog.New(slog.DiscardHandler), Every: 100 * time.Millisecond,
+		Show: func(s State) { f.shown = append(f.shown, s) },
 		List: func(l *membership.List) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -94,7 +97,7 @@
 		f.write()
 		f.want("an empty file", "a", "b", "c", "d", "z")
 		s, ok := f.State()
-		if !ok || len(s.Entries) != 1 || len(s.Doubts) != 4 || !s.Spoken[0] || !s.Spoken[1] {
+		if !ok || len(s.Entries) != 1 || len(s.Doubts) != 4 || !s.Sources[0].Spoken || !s.Sources[1].Spoken {
 			t.Errorf("state: %+v, %v", s, ok)
 		}
 		f.Saw(membership.HostID("a"), false)
@@ -113,6 +116,14 @@
 		time.Sleep(6 * time.Minute)
 		f.want("in the end the list is followed", "a", "b", "y leaving")
 		f.end()
+		for i, s := range f.shown {
+			if i > 0 && s.At.Sub(f.shown[i-1].At) < showEvery {
+				t.Errorf("shown again after %v", s.At.Sub(f.shown[i-1].At))
+			}
+		}
+		if last := f.shown[len(f.shown)-1]; last.Believed != 2 || len(last.Entries) != 3 || len(last.Doubts) != 0 || time.Since(last.At) > ViewAge {
+			t.Errorf("shown last: %+v", last)
+		}
 		if n := len(f.seen); n != 3 {
 			t.Errorf("%d hosts are watched", n)
 		}
--- a/internal/membership/source/xds_test.go
+++ b/internal/membership/source/xds_test.go
@@ -122,6 +122,13 @@
 		request("of another cluster", "3", "c", false)
 		say("4", "d", &anypb.Any{TypeUrl: endpointsURL, Value: []byte("noise")})
 		request("noise", "3", "d", true)
+		// Two answers that cross: each is answered for itself.
+		say("4", "x", assignment(t, "rota", 90))
+		say("4b", "y", assignment(t, "rota", 91))
+		f.next("the first of two", "127.0.0.1:90")
+		f.next("the second of two", "127.0.0.1:91")
+		request("of the first", "4", "x", false)
+		request("of the second", "4b", "y", false)
 		say("5", "e", assignment(t, "rota"))
 		f.next("an empty list")
 		request("its acknowledgement", "5", "e", false)
