--- a/cmd/stilespool/check.go
+++ b/cmd/stilespool/check.go
@@ -65,9 +65,8 @@
 		fmt.Fprintln(errs, "stilespool: route needs -config")
 		return exitUsage
 	}
-	m, _, err := config.Load(*path)
-	if err != nil {
-		fmt.Fprintln(errs, err)
+	m, ok := read(*path, errs)
+	if !ok {
 		return exitFailed
 	}
 	q, err := requestOf(*method, f.Arg(0), headers.Header)
@@ -154,3 +153,16 @@
 	path, query, _ := strings.Cut(rest, "?")
 	return &route.Request{Method: method, Host: host, Path: path, Query: query, Header: header}, nil
 }
+
+// read loads a configuration for a command that shows something of it, and says what is
+// wrong with it; false: it can't be shown.
+func read(path string, errs io.Writer) (*config.Model, bool) {
+	m, warnings, err := config.Load(path)
+	for _, w := range warnings {
+		fmt.Fprintf(errs, "warning: %v\n", w)
+	}
+	if err != nil {
+		fmt.Fprintln(errs, err)
+	}
+	return m, err == nil
+}
--- a/cmd/stilespool/contracts.go
+++ b/cmd/stilespool/contracts.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 
-	"frostshift/internal/config"
 	"frostshift/internal/contract"
 )
 
@@ -27,14 +26,10 @@
 		f.Usage()
 		return exitUsage
 	}
-	m, warnings, err := config.Load(*path)
-	if err != nil {
-		fmt.Fprintln(errs, err)
+	m, ok := read(*path, errs)
+	if !ok {
 		return exitFailed
 	}
-	for _, w := range warnings {
-		fmt.Fprintf(errs, "warning: %v\n", w)
-	}
 	if m.Contracts == nil {
 		fmt.Fprintf(errs, "%s names no contracts\n", *path)
 		return exitFailed
--- a/cmd/stilespool/hosts.go
+++ b/cmd/stilespool/hosts.go
@@ -31,14 +31,10 @@
 		f.Usage()
 		return exitUsage
 	}
-	m, warnings, err := config.Load(*path)
-	if err != nil {
-		fmt.Fprintln(errs, err)
+	m, ok := read(*path, errs)
+	if !ok {
 		return exitFailed
 	}
-	for _, w := range warnings {
-		fmt.Fprintf(errs, "warning: %v\n", w)
-	}
 	if *only != "" && m.PoolNamed(*only) == nil {
 		fmt.Fprintf(errs, "%s has no pool %q\n", *path, *only)
 		return exitFailed
