--- a/internal/membership/view/view.go
+++ b/internal/membership/view/view.go
@@ -11,6 +11,8 @@
 //     where it is.
 //   - Of several active hosts with one address, one counts: that of the source of the highest
 //     precedence, then the one that started last, then the first by name.
+//   - Sources may have different names for one host. Where one source names a host as leaving
+//     and has no active one at its address, nobody else's counts there either.
 //
 // What a source says is replaced by its next whole list and amended by its changes. So the
 // view depends on what each source has said, and not on which of them spoke first.
@@ -38,14 +40,14 @@
 	membership.Endpoint
 	Source int    // number of the source that counts
 	Others []int  // other sources that list the host
-	Hidden string // not empty: another active host counts for its address
+	Hidden string // not empty: another host counts for its address, or one leaves there
 }
 
 // Merger keeps what each source has said. It is not safe for concurrent use.
 type Merger struct {
 	sources []said
 	merged  map[string]Entry
-	claims  map[string]map[string]bool // address: names that are active there
+	claims  map[string]map[string]bool // address: names that are active or leaving there
 	version uint64
 }
 
@@ -213,7 +215,7 @@
 	}
 	for name := range touched {
 		note(name)
-		if old, had := m.merged[name]; had && old.Status == membership.Active {
+		if old, had := m.merged[name]; had && old.Status != membership.Left {
 			addresses[old.Address] = true
 			if c := m.claims[old.Address]; c != nil {
 				if delete(c, name); len(c) == 0 {
@@ -227,7 +229,7 @@
 			continue
 		}
 		m.merged[name] = e
-		if e.Status == membership.Active {
+		if e.Status != membership.Left {
 			addresses[e.Address] = true
 			if m.claims[e.Address] == nil {
 				m.claims[e.Address] = map[string]bool{}
@@ -240,8 +242,11 @@
 		for name := range m.claims[a] {
 			note(name)
 			e := m.merged[name]
-			if e.Hidden = best; name == best {
-				e.Hidden = ""
+			e.Hidden = ""
+			if e.Status == membership.Active && name != best {
+				e.Hidden = best
+			} else if e.Status == membership.Active {
+				e.Hidden = m.leaves(a, e.Source)
 			}
 			m.merged[name] = e
 		}
@@ -295,14 +300,36 @@
 // claimant is the host that counts for an address.
 func (m *Merger) claimant(address string) (best string) {
 	for name := range m.claims[address] {
+		x, y := m.merged[name], m.merged[best]
+		if x.Status != membership.Active {
+			continue
+		}
 		if best == "" {
 			best = name
 			continue
 		}
-		x, y := m.merged[name], m.merged[best]
 		if cmp.Or(cmp.Compare(x.Source, y.Source), cmp.Compare(y.SinceMS, x.SinceMS), cmp.Compare(name, best)) < 0 {
 			best = name
 		}
 	}
 	return best
 }
+
+// leaves is a host that leaves the address by the word of a source which has no active one
+// there; "": there is none. The source that has the active host may know better: there the
+// name is another because the host is.
+func (m *Merger) leaves(address string, active int) (first string) {
+	for name := range m.claims[address] {
+		e := m.merged[name]
+		if e.Status != membership.Leaving || e.Source == active || first != "" && first < name {
+			continue
+		}
+		if !slices.ContainsFunc(slices.Collect(maps.Keys(m.claims[address])), func(other string) bool {
+			own, has := m.sources[e.Source].hosts[other]
+			return has && own.Status == membership.Active && own.Address == address
+		}) {
+			first = name
+		}
+	}
+	return first
+}
