--- a/internal/membership/belief/belief.go
+++ b/internal/membership/belief/belief.go
@@ -92,13 +92,16 @@
 type Belief struct {
 	cfg      Config
 	hosts    map[string]*host
-	believed int           // hosts that are used
-	kept     int           // of them, those that are missing from the list
-	damped   int           // hosts that are left out because they flap
-	peak     [2]int        // most hosts listed and not known to be broken in this window and in the one before
-	turnedAt time.Duration // when this window began
-	unsure   int           // hosts that a look at the clock or at sockets may change
-	short    bool          // too few are vouched for
+	believed int // hosts that are used
+	kept     int // of them, those that are missing from the list
+	damped   int // hosts that are left out because they flap
+	// plausible is how many hosts were listed and not known to be broken at the last look,
+	// peak the most of them in this window and in the one before.
+	plausible int
+	peak      [2]int
+	turnedAt  time.Duration // when this window began
+	unsure    int           // hosts that a look at the clock or at sockets may change
+	short     bool          // too few are vouched for
 }
 
 type host struct {
@@ -166,14 +169,15 @@
 		b.turnedAt = now
 	}
 	if now-b.turnedAt >= b.cfg.Window {
-		b.peak = [2]int{0, b.peak[0]}
+		// What was listed at the last look was so until now, however long ago that is.
+		b.peak = [2]int{b.plausible, b.peak[0]}
 		if now-b.turnedAt >= 2*b.cfg.Window {
-			b.peak[1] = 0
+			b.peak[1] = b.plausible
 		}
 		b.turnedAt = now
 	}
-	vouched, plausible := 0, 0
-	b.unsure = 0
+	vouched := 0
+	b.plausible, b.unsure = 0, 0
 	var damp []*host
 	for name, h := range b.hosts {
 		if !h.listed {
@@ -189,7 +193,7 @@
 		s := seen(name)
 		if s.Bad > s.Good && s.Bad > h.since {
 			h.sure = false
-		} else if plausible++; s.Good > h.since || now-h.since >= b.cfg.Settle {
+		} else if b.plausible++; s.Good > h.since || now-h.since >= b.cfg.Settle {
 			h.sure = true
 		}
 		if !h.sure {
@@ -210,7 +214,7 @@
 			vouched++
 		}
 	}
-	b.peak[0] = max(b.peak[0], plausible)
+	b.peak[0] = max(b.peak[0], b.plausible)
 	need := int(math.Ceil(b.cfg.Floor * float64(max(b.peak[0], b.peak[1]))))
 	b.short = vouched < need
 	// Those that flap least are used first, where the others are too few.
--- a/internal/membership/belief/belief_test.go
+++ b/internal/membership/belief/belief_test.go
@@ -253,6 +253,23 @@
 	w.want(t, "after the time", all[:2])
 }
 
+// However long nothing was looked at, what was listed until now is what a list loses.
+func TestLossAfterALongQuiet(t *testing.T) {
+	all := names(0, 10)
+	w := newWorld(Config{})
+	w.start(all)
+	w.list(all...)
+	w.traffic(20 * time.Second)
+	if w.b.Unsure() {
+		t.Fatal("something is to be looked at")
+	}
+	w.now += time.Hour
+	w.list()
+	w.want(t, "an empty list after an hour", all)
+	w.traffic(4 * time.Minute)
+	w.want(t, "four minutes later", all)
+}
+
 func TestFlappingIsDamped(t *testing.T) {
 	all := names(0, 10)
 	w := newWorld(Config{})
