--- a/internal/membership/keeper/keeper.go
+++ b/internal/membership/keeper/keeper.go
@@ -127,8 +127,9 @@
 		case f := <-k.ask:
 			f()
 		case <-tick.C:
-			k.apply(k.merger.Tick(k.now()))
-			if k.belief.Unsure() || k.part != nil && k.whole {
+			changed := k.merger.Tick(k.now())
+			k.apply(changed)
+			if len(changed) > 0 || k.belief.Unsure() || k.part != nil && k.whole {
 				k.decide()
 			}
 			k.show()
--- a/internal/membership/keeper/keeper_test.go
+++ b/internal/membership/keeper/keeper_test.go
@@ -149,6 +149,28 @@
 	})
 }
 
+// A source that counts its versions anew is heeded in full after a minute, also when nothing
+// else is to be looked at.
+func TestSourceThatCountsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		list := func(index int, status string) {
+			text := fmt.Sprintf(`{"index":%d,"endpoints":[{"name":"a","address":"127.0.0.1:1","status":%q},{"name":"b","address":"127.0.0.1:2"}]}`, index, status)
+			if err := os.WriteFile(f.path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(30 * time.Second) // time vouches for b as well
+		}
+		list(7, "leaving")
+		f.want("a leaves", "a leaving", "b")
+		list(2, "active")
+		f.want("an older list says that it does not", "a leaving", "b")
+		time.Sleep(time.Minute)
+		f.want("a minute later", "a", "b")
+		f.end()
+	})
+}
+
 // BenchmarkChange is the cost of 100 changes among 10,000 hosts, off the pool's loop.
 func BenchmarkChange(b *testing.B) {
 	k := New(Config{Specs: []source.Spec{{}}, Belief: belief.Config{}, Log: slog.New(slog.DiscardHandler), List: func(*membership.List) {}})
--- a/internal/membership/view/view.go
+++ b/internal/membership/view/view.go
@@ -58,6 +58,7 @@
 	hosts   map[string]membership.Endpoint
 	words   map[string]word // explicit words that an older list would undo
 	skipped int             // messages that were older than what is known
+	forgot  []string        // hosts whose words went with the place before, until the next list
 }
 
 type word struct {
@@ -79,6 +80,7 @@
 // say nothing at another. What it had said stands until its next list.
 func (m *Merger) Forget(i int) {
 	s := &m.sources[i]
+	s.forgot = slices.AppendSeq(s.forgot, maps.Keys(s.words))
 	s.index, s.spoken, s.words = 0, false, map[string]word{}
 	if s.hosts == nil {
 		s.hosts = map[string]membership.Endpoint{}
@@ -117,6 +119,10 @@
 		s.skipped++
 	}
 	touched := map[string]bool{}
+	for _, name := range s.forgot {
+		touched[name] = true
+	}
+	s.forgot = nil
 	last := make(map[string]membership.Endpoint, len(l.Endpoints))
 	for _, e := range l.Endpoints { // the later entry counts
 		last[e.Name] = e
--- a/internal/membership/view/view_test.go
+++ b/internal/membership/view/view_test.go
@@ -138,9 +138,11 @@
 	}
 	is(t, m, "a", active, "1", 0) // it counts anew
 	m.Take(67*time.Second, 0, list(20, true, host("a", "1", leaving)))
+	m.Take(67*time.Second, 0, list(21, false, host("gone", "", left)))
 	m.Forget(0) // moved: its versions say nothing
 	m.Take(68*time.Second, 0, list(1, true, host("a", "1", active)))
 	is(t, m, "a", active, "1", 0)
+	is(t, m, "gone", "", "", 0) // nor do words of the place before
 }
 
 // Words without end are bounded.
