--- a/internal/standin/h2.go
+++ b/internal/standin/h2.go
@@ -91,6 +91,7 @@
 // H2Host is a scripted HTTP/2 host. serve gets each request whose last byte has come, in
 // a goroutine of its own; begun, if not nil, each head.
 type H2Host struct {
+	counts
 	ln       net.Listener
 	settings []http2.Setting
 	serve    func(*H2Stream)
@@ -99,9 +100,6 @@
 
 	mu     sync.Mutex
 	conns  map[*H2Conn]bool
-	seen   map[string]*Seen
-	total  int
-	whole  chan struct{}
 	resets int
 }
 
@@ -111,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &H2Host{ln: ln, settings: settings, serve: serve, begun: begun, conns: map[*H2Conn]bool{}, seen: map[string]*Seen{}, whole: make(chan struct{})}
+	h := &H2Host{counts: newCounts(), ln: ln, settings: settings, serve: serve, begun: begun, conns: map[*H2Conn]bool{}}
 	h.wg.Go(func() {
 		for {
 			nc, err := ln.Accept()
@@ -143,13 +141,7 @@
 	streams := map[uint32]*H2Stream{}
 	done := func(s *H2Stream) {
 		s.Whole = true
-		h.mu.Lock()
-		h.total++
-		s.N = h.total
-		h.of(s.Field("x-correlation-id")).Whole++
-		close(h.whole)
-		h.whole = make(chan struct{})
-		h.mu.Unlock()
+		s.N = h.last(s.Field("x-correlation-id"))
 		h.wg.Go(func() { h.serve(s) })
 	}
 	for {
@@ -161,9 +153,7 @@
 		case *http2.MetaHeadersFrame:
 			s := &H2Stream{ID: f.StreamID, Fields: f.Fields, Conn: c, Reset: make(chan struct{})}
 			streams[f.StreamID] = s
-			h.mu.Lock()
-			h.of(s.Field("x-correlation-id")).Begun++
-			h.mu.Unlock()
+			h.head(s.Field("x-correlation-id"))
 			if h.begun != nil {
 				h.begun(s)
 			}
@@ -209,62 +199,12 @@
 	}
 }
 
-func (h *H2Host) of(id string) *Seen {
-	if h.seen[id] == nil {
-		h.seen[id] = &Seen{}
-	}
-	return h.seen[id]
-}
-
 // Addr is where the host listens.
 func (h *H2Host) Addr() string { return h.ln.Addr().String() }
 
-// Total is how many whole requests have come; Resets how many streams were reset.
-func (h *H2Host) Total() int { h.mu.Lock(); defer h.mu.Unlock(); return h.total }
-
 // Resets is how many streams were reset.
 func (h *H2Host) Resets() int { h.mu.Lock(); defer h.mu.Unlock(); return h.resets }
 
-// Seen is what came of one id.
-func (h *H2Host) Seen(id string) Seen {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if s := h.seen[id]; s != nil {
-		return *s
-	}
-	return Seen{}
-}
-
-// All is what came, by id.
-func (h *H2Host) All() map[string]Seen {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	out := make(map[string]Seen, len(h.seen))
-	for id, s := range h.seen {
-		out[id] = *s
-	}
-	return out
-}
-
-// Await waits until so many whole requests have come and says whether they did in time.
-func (h *H2Host) Await(total int, within time.Duration) bool {
-	late := time.NewTimer(within)
-	defer late.Stop()
-	for {
-		h.mu.Lock()
-		n, next := h.total, h.whole
-		h.mu.Unlock()
-		if n >= total {
-			return true
-		}
-		select {
-		case <-next:
-		case <-late.C:
-			return false
-		}
-	}
-}
-
 // Conns are the connections that are open.
 func (h *H2Host) Conns() (list []*H2Conn) {
 	h.mu.Lock()
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -3,7 +3,7 @@
 // discovery that says what it is told. All listen on loopback addresses, at ports that the
 // kernel chooses, and count what reached them. It knows nothing of the gateway.
 //
-// host.go is hosts, script.go what they do, client.go clients, discovery.go discovery.
+// host.go is hosts, counts.go what reached them, script.go what they do, client.go clients, discovery.go discovery.
 package standin
 
 import (
@@ -28,14 +28,9 @@
 	Ended <-chan struct{}
 }
 
-// Seen counts what reached a host of one request id.
-type Seen struct {
-	Begun int // heads that came
-	Whole int // last bytes that came: the host may run it
-}
-
 // Host is a scripted server. Its methods are safe for concurrent use.
 type Host struct {
+	counts
 	addr  string
 	serve func(*Request) bool
 	ended chan struct{}
@@ -44,12 +39,8 @@
 	mu    sync.Mutex
 	ln    net.Listener
 	conns map[net.Conn]bool // true: idle
-	seen  map[string]*Seen
-	total int
-	whole chan struct{} // closed and replaced with each whole request
 	chunk int
 	pause time.Duration
-	count bool
 }
 
 // NewHost starts a host that hands each request to serve, which says whether to go on
@@ -59,8 +50,8 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{addr: ln.Addr().String(), serve: serve, ended: make(chan struct{}), ln: ln,
-		conns: map[net.Conn]bool{}, seen: map[string]*Seen{}, whole: make(chan struct{}), count: true}
+	h := &Host{counts: newCounts(), addr: ln.Addr().String(), serve: serve, ended: make(chan struct{}), ln: ln,
+		conns: map[net.Conn]bool{}}
 	h.accept(ln)
 	return h, nil
 }
@@ -99,7 +90,7 @@
 		if req.Body, err = io.ReadAll(r.Body); err != nil {
 			return
 		}
-		h.finish(req)
+		req.N = h.last(req.ID)
 		if !h.serve(req) {
 			return
 		}
@@ -111,37 +102,16 @@
 
 func (h *Host) begin(c net.Conn, r *Request) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.conns[c] = false
-	h.of(r.ID).Begun++
-}
-
-func (h *Host) finish(r *Request) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.total++
-	r.N = h.total
-	h.of(r.ID).Whole++
-	close(h.whole)
-	h.whole = make(chan struct{})
-}
-
-// of is the count of an id; one throw-away count where ids are not kept.
-func (h *Host) of(id string) *Seen {
-	if !h.count {
-		return &Seen{}
-	}
-	if h.seen[id] == nil {
-		h.seen[id] = &Seen{}
-	}
-	return h.seen[id]
+	h.mu.Unlock()
+	h.head(r.ID)
 }
 
 // Forgetful makes the host keep no counts by id, for load without end.
 func (h *Host) Forgetful() *Host {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.count = false
+	h.countsMu.Lock()
+	defer h.countsMu.Unlock()
+	h.forgetful = true
 	return h
 }
 
@@ -174,53 +144,6 @@
 // Addr is where the host listens.
 func (h *Host) Addr() string { return h.addr }
 
-// Total is how many whole requests have come.
-func (h *Host) Total() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.total
-}
-
-// Seen is what came of one id.
-func (h *Host) Seen(id string) Seen {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if s := h.seen[id]; s != nil {
-		return *s
-	}
-	return Seen{}
-}
-
-// All is what came, by id.
-func (h *Host) All() map[string]Seen {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	out := make(map[string]Seen, len(h.seen))
-	for id, s := range h.seen {
-		out[id] = *s
-	}
-	return out
-}
-
-// Await waits until so many whole requests have come and says whether they did in time.
-func (h *Host) Await(total int, within time.Duration) bool {
-	late := time.NewTimer(within)
-	defer late.Stop()
-	for {
-		h.mu.Lock()
-		n, next := h.total, h.whole
-		h.mu.Unlock()
-		if n >= total {
-			return true
-		}
-		select {
-		case <-next:
-		case <-late.C:
-			return false
-		}
-	}
-}
-
 // Conns is how many connections are open.
 func (h *Host) Conns() int {
 	h.mu.Lock()
