--- a/internal/membership/source/dns.go
+++ b/internal/membership/source/dns.go
@@ -62,7 +62,7 @@
 // not there, or has no such records (RFC 2308), is an answer: an empty list.
 func (t *turn) runDNS(ctx context.Context) {
 	wait, said := retryFirst, ""
-	version := t.index
+	version, taken := t.index, false
 	var last []membership.Endpoint
 	for ctx.Err() == nil {
 		next := time.Duration(0)
@@ -79,13 +79,13 @@
 			wait = min(2*wait, retryMost)
 		default:
 			wait, said = retryFirst, ""
-			if version == t.index || !slices.Equal(list, last) {
+			if !taken || !slices.Equal(list, last) {
 				version++
 				v := version
 				if err := t.take(&membership.List{Index: &v, Snapshot: true, Endpoints: list}); err != nil {
 					return
 				}
-				last = list
+				taken, last = true, list
 			}
 			ttl = min(max(ttl, cmp.Or(t.cfg.LeastTTL, leastTTL)), mostTTL)
 			next = ttl + rand.N(ttl/8+1) // gateways that started together do not ask in step
--- a/internal/membership/source/dns_test.go
+++ b/internal/membership/source/dns_test.go
@@ -147,6 +147,12 @@
 		last = *l.Index
 	}
 	next("the first list", "127.0.0.1:80")
+	for range 5 { // the same again is no news
+		await(t, d.Asked, "another question")
+	}
+	if len(g.lists) > 0 {
+		t.Error("a list that had not changed was handed on again")
+	}
 	set("127.0.0.2")
 	next("a change", "127.0.0.2:80")
 	d.Set("h.", dns.TypeA, standin.Records{Rcode: dns.RcodeServerFailure})
