--- a/internal/membership/view/view.go
+++ b/internal/membership/view/view.go
@@ -58,7 +58,7 @@
 	hosts   map[string]membership.Endpoint
 	words   map[string]word // explicit words that an older list would undo
 	skipped int             // messages that were older than what is known
-	forgot  []string        // hosts whose words went with the place before, until the next list
+	forgot  []string        // hosts whose words went by other means than a list, until the next one
 }
 
 type word struct {
@@ -165,6 +165,7 @@
 		if !warned && len(s.words) >= mostWords {
 			for name := range s.words { // bounded; which one goes hardly matters
 				delete(s.words, name)
+				s.forgot = append(s.forgot, name)
 				break
 			}
 		}
--- a/internal/membership/view/view_test.go
+++ b/internal/membership/view/view_test.go
@@ -154,6 +154,9 @@
 	if n := len(m.sources[0].words); n > mostWords {
 		t.Errorf("%d words are kept", n)
 	}
+	if n := len(m.merged); n > mostWords+1 { // what went last is let go with the next message
+		t.Errorf("%d hosts are kept in the view", n)
+	}
 }
 
 // Whatever sources say: the view depends on what each has said and not on how they took
