Importer: constant variables, named locations and host names are taken

Cause: proxy_pass with a variable, try_files or error_page to a named location, and names in upstreams were all reported as not taken, though each has an exact or nameable counterpart.

A set without variables is a constant of its server or location; a named location does the work of the try_files that ends in it, and is a fallback for error_page 502, 503, 504; a name becomes a dns source at the resolver of the file. What depends on the request or on the way there stays reported.

--- a/internal/nginx/lift.go
+++ b/internal/nginx/lift.go
@@ -34,6 +34,7 @@
 	out       strings.Builder
 	upstreams map[string]*upstream
 	order     []*upstream
+	resolver  string // that names are asked of; "": none is named
 	servers   []*server
 	listens   []string          // addresses in order
 	answers   map[string]string // name of a set by what it is made of
@@ -49,11 +50,18 @@
 type upstream struct {
 	name    string
 	servers []upstreamServer
+	lookup  *lookup // hosts come from DNS instead
 	connect time.Duration
 	tries   int
 	used    bool
 }
 
+// lookup is a name that stands for hosts.
+type lookup struct {
+	name string
+	port int
+}
+
 type upstreamServer struct {
 	address string
 	weight  int
@@ -67,6 +75,8 @@
 	names     []string // as ours has them; "" is any
 	conf      conf
 	locations []*location
+	named     map[string]*location // by name with @; reached by try_files and error_page
+	vars      *variablesSet
 	steps     []step
 	ret       *Directive
 	cert, key string
@@ -86,6 +96,7 @@
 	setHeaders    []*Directive
 	addHeaders    []*Directive
 	hide          []*Directive
+	errorPages    []*Directive
 }
 
 type step struct {
@@ -141,6 +152,11 @@
 }
 
 func (m *importer) http(list []*Directive, c conf) {
+	for _, d := range list {
+		if d.Name == "resolver" {
+			m.resolverOf(d)
+		}
+	}
 	for _, d := range list { // upstreams may stand behind those who name them
 		if d.Name == "upstream" {
 			m.upstream(d)
@@ -149,7 +165,7 @@
 	c = m.inherit(list, c)
 	for _, d := range list {
 		switch {
-		case d.Name == "upstream" || inherited[d.Name]:
+		case d.Name == "upstream" || inherited[d.Name] || d.Name == "resolver":
 		case d.Name == "server" && d.Braces:
 			m.server(d, c)
 		default:
@@ -159,12 +175,12 @@
 }
 
 var inherited = set("proxy_read_timeout", "proxy_connect_timeout", "proxy_send_timeout", "proxy_next_upstream", "proxy_next_upstream_tries", "proxy_next_upstream_timeout",
-	"proxy_set_header", "add_header", "proxy_hide_header", "proxy_pass_header", "client_max_body_size")
+	"proxy_set_header", "add_header", "proxy_hide_header", "proxy_pass_header", "client_max_body_size", "error_page")
 
 // inherit is what holds at a level: what it says itself in place of what the level above
 // does. Headers are taken over only where a level sets none.
 func (m *importer) inherit(list []*Directive, c conf) conf {
-	var sets, adds, hides []*Directive
+	var sets, adds, hides, pages []*Directive
 	for _, d := range list {
 		switch d.Name {
 		case "proxy_read_timeout":
@@ -197,6 +213,8 @@
 			adds = append(adds, d)
 		case "proxy_hide_header":
 			hides = append(hides, d)
+		case "error_page":
+			pages = append(pages, d)
 		case "proxy_pass_header":
 			m.report.say(d, Differs, "all but hop-by-hop fields are passed on")
 		case "client_max_body_size":
@@ -216,6 +234,9 @@
 	if hides != nil {
 		c.hide = hides
 	}
+	if pages != nil {
+		c.errorPages = pages
+	}
 	return c
 }
 
@@ -303,7 +324,16 @@
 	s := upstreamServer{weight: 1}
 	var ok bool
 	if s.address, ok = hostAddress(d.Text(0)); !ok {
-		m.report.say(d, Left, "%q is not an address: write a dns source or the addresses behind it", d.Text(0))
+		if l := lookupOf(d.Text(0)); l != nil && len(d.Args) == 1 && m.resolver != "" && len(u.servers) == 0 && u.lookup == nil {
+			u.lookup = l
+			m.report.say(d, Differs, "its addresses are asked of the resolver, and again when their time is over; nginx asks once, at start")
+		} else {
+			m.report.say(d, Left, "%q is not an address: a name is taken alone in its upstream, without parameters, where http names a resolver; write the addresses behind it", d.Text(0))
+		}
+		return
+	}
+	if u.lookup != nil {
+		m.report.say(d, Left, "a name and addresses do not stand together: write a pool with two sources")
 		return
 	}
 	outcome, text := Taken, ""
@@ -338,6 +368,38 @@
 	u.servers = append(u.servers, s)
 }
 
+// resolverOf takes the first address of a resolver.
+func (m *importer) resolverOf(d *Directive) {
+	address := d.Text(0)
+	if a, err := netip.ParseAddr(strings.Trim(address, "[]")); err == nil {
+		address = netip.AddrPortFrom(a, 53).String()
+	} else if _, err := netip.ParseAddrPort(address); err != nil {
+		m.report.say(d, Left, "%q is not an address", address)
+		return
+	}
+	m.resolver = address
+	m.report.say(d, Differs, "the first address is asked; how long answers hold is what they say")
+}
+
+var hostName = regexp.MustCompile(`^([A-Za-z0-9_]([A-Za-z0-9_-]*[A-Za-z0-9_])?\.)*[A-Za-z]([A-Za-z0-9_-]*[A-Za-z0-9_])?\.?$`)
+
+// lookupOf is a host name with its port, 80 by default; nil: it is none.
+func lookupOf(text string) *lookup {
+	name, port, has := strings.Cut(text, ":")
+	l := &lookup{name: name, port: 80}
+	if has {
+		n, err := strconv.Atoi(port)
+		if err != nil || n < 1 || n > 65535 {
+			return nil
+		}
+		l.port = n
+	}
+	if !hostName.MatchString(name) || len(name) > 253 {
+		return nil
+	}
+	return l
+}
+
 // hostAddress is the address of a server in an upstream: an IP address, port 80 by default.
 func hostAddress(text string) (string, bool) {
 	if ap, err := netip.ParseAddrPort(text); err == nil {
@@ -350,9 +412,14 @@
 }
 
 func (m *importer) server(d *Directive, above conf) {
-	s := &server{d: d}
+	s := &server{d: d, named: map[string]*location{}, vars: variablesIn(d)}
 	m.report.say(d, Taken, "")
 	s.conf = m.inherit(d.Block, above)
+	for _, x := range d.Block { // those that lead to them may stand before them
+		if x.Name == "location" && len(x.Args) == 1 && strings.HasPrefix(x.Text(0), "@") {
+			m.namedLocation(s, x)
+		}
+	}
 	for _, x := range d.Block {
 		switch {
 		case inherited[x.Name]:
@@ -361,7 +428,11 @@
 		case x.Name == "server_name":
 			m.serverName(s, x)
 		case x.Name == "location" && x.Braces:
-			m.location(s, nil, x, s.conf)
+			if s.named[x.Text(0)] == nil {
+				m.location(s, nil, x, s.conf)
+			}
+		case x.Name == "set":
+			m.set(s, x)
 		case x.Name == "ssl_certificate":
 			s.cert = x.Text(0)
 			m.report.say(x, Taken, "")
--- a/internal/nginx/reference/reference.go
+++ b/internal/nginx/reference/reference.go
@@ -53,7 +53,7 @@
 	if !ok {
 		return Result{Status: 400}
 	}
-	v := &visit{server: s, request: r, uri: uri, args: r.Query, names: upstreams(list)}
+	v := &visit{server: s, request: r, uri: uri, args: r.Query, names: upstreams(list), vars: map[string]string{}}
 	return v.run()
 }
 
@@ -227,6 +227,7 @@
 	uri, args string
 	rewritten bool // the URI that came is no longer the one that is processed
 	names     map[string]bool
+	vars      map[string]string // by set
 }
 
 // run: ngx_http_rewrite_module: the directives of the server are executed in sequence, then
@@ -277,8 +278,10 @@
 		switch d.Name {
 		case "return":
 			return v.returns(d), true, nothing
-		case "if", "set":
+		case "if":
 			return Result{Unknown: d.Name}, true, nothing
+		case "set": // "sets a value for the specified variable", in sequence with the others
+			v.vars[strings.TrimPrefix(d.Text(0), "$")] = v.fill(d.Text(1))
 		case "rewrite":
 			re, err := regexp.Compile(d.Text(0))
 			if err != nil {
@@ -473,12 +476,18 @@
 		if d.Name != "proxy_pass" {
 			continue
 		}
-		rest, ok := strings.CutPrefix(d.Text(0), "http://")
+		rest, ok := strings.CutPrefix(v.fill(d.Text(0)), "http://")
 		if !ok || strings.Contains(rest, "$") {
 			return Result{Unknown: "proxy_pass"}
 		}
 		name, uri, has := strings.Cut(rest, "/")
 		res := Result{Upstream: name}
+		if has && strings.Contains(d.Text(0), "$") {
+			// "When variables are used in proxy_pass ... if URI is specified in the directive, it
+			// is passed to the server as is, replacing the original request URI."
+			res.URI = "/" + uri
+			return res
+		}
 		switch {
 		case stopped, !has && v.rewritten:
 			res.URI = escape(v.uri)
@@ -496,9 +505,47 @@
 		}
 		return res
 	}
+	for _, d := range loc.Block {
+		// ngx_http_core_module, "try_files": if none of the files were found, an internal
+		// redirect to the uri specified in the last parameter is made, a named location too.
+		if d.Name != "try_files" {
+			continue
+		}
+		last := d.Text(len(d.Args) - 1)
+		for _, x := range v.server.Block {
+			if x.Name == "location" && x.Text(0) == last && strings.HasPrefix(last, "@") {
+				res, done, out := v.rewrites(x.Block)
+				if done {
+					return res
+				}
+				if out != nothing {
+					return Result{Unknown: "a rewrite in a named location"}
+				}
+				return v.proxy(x, stopped)
+			}
+		}
+		return Result{Unknown: "try_files"}
+	}
 	return Result{Status: 404} // files, of which there are none
 }
 
+// fill puts the values of variables into a text; what is not known stays.
+func (v *visit) fill(text string) string {
+	return regexp.MustCompile(`\$\{?(\w+)\}?`).ReplaceAllStringFunc(text, func(x string) string {
+		name := strings.Trim(x, "${}")
+		if name == "request_uri" {
+			if v.request.Query != "" {
+				return v.request.Path + "?" + v.request.Query
+			}
+			return v.request.Path
+		}
+		if value, ok := v.vars[name]; ok {
+			return value
+		}
+		return x
+	})
+}
+
 // escape writes a decoded URI as it goes out.
 func escape(uri string) string {
 	var b strings.Builder
--- a/internal/nginx/write.go
+++ b/internal/nginx/write.go
@@ -185,6 +185,13 @@
 }
 
 func (m *importer) locations(s *server, head string) {
+	defer func() {
+		for _, l := range s.named {
+			if !l.used {
+				m.report.say(l.d, Differs, "nothing that was taken leads to it")
+			}
+		}
+	}()
 	first := ""
 	for _, st := range s.steps {
 		first += stepText(st, true)
@@ -298,6 +305,13 @@
 			return text
 		}
 	}
+	if l.try != nil && l.try.ret != nil && len(l.steps) > 0 {
+		m.report.say(l.try.ret, Left, "rewrites of %s come before it: write two locations", l.d.Pos)
+		return "answer = { status = 404, body = \"not found\" }\n"
+	}
+	if l.try != nil && l.pass == nil && l.ret == nil {
+		return m.does(s, l.try)
+	}
 	if l.pass == nil || l.ret != nil {
 		if !l.broken && l.ret == nil && len(l.steps) == 0 {
 			m.report.say(l.d, Differs, "it serves files or nothing: requests are answered 404")
@@ -316,10 +330,39 @@
 	if l.pass.hasURI {
 		fmt.Fprintf(&b, "rewrite = { replace = %s }\n", str(l.pass.uri))
 	}
+	if f := m.fallback(s, l); f != "" {
+		fmt.Fprintf(&b, "fallback = %s\n", str(f))
+	}
 	m.headers(&b, l)
 	return b.String()
 }
 
+// fallback is the pool of the named location that error_page leads to where no server of the
+// location's own answers; "": there is none.
+func (m *importer) fallback(s *server, l *location) (pool string) {
+	for _, d := range l.conf.errorPages {
+		n := len(d.Args) - 1
+		to := s.named[d.Text(n)]
+		codes := n > 0
+		for i := range n {
+			if c := d.Text(i); c != "502" && c != "503" && c != "504" && !(c == "=" && i == n-1) {
+				codes = false
+			}
+		}
+		switch {
+		case to == nil || !codes:
+			m.report.say(d, Left, "answers of errors are not replaced; 502, 503 and 504 may lead to a named location")
+		case to.pass == nil || to.ret != nil || l.pass.hasURI || to.pass.up == l.pass.up || pool != "":
+			m.report.say(d, Left, "it leads to no other pool under the same path: write the answer or a fallback by hand")
+		default:
+			pool = to.pass.up.name
+			to.used, to.pass.up.used = true, true
+			m.report.say(d, Differs, "its pool is the fallback for when no server of the first takes the request; one that may have run is not sent there")
+		}
+	}
+	return pool
+}
+
 // returns is a return as an answer of the gateway's own.
 func (m *importer) returns(d *Directive, l *location) (string, bool) {
 	code, ok := statusOf(d)
@@ -504,6 +547,9 @@
 	if u.tries > 0 {
 		fmt.Fprintf(w, "max_attempts = %d\n", min(u.tries, mostTries))
 	}
+	if l := u.lookup; l != nil {
+		fmt.Fprintf(w, "dns = { server = %s, name = %s, type = \"both\", port = %d }\n", str(m.resolver), str(l.name), l.port)
+	}
 	for _, s := range u.servers {
 		fmt.Fprintf(w, "[[pool.host]]\naddress = %s\n", str(s.address))
 		if s.weight != 1 {
