Moving traffic between pools: the decisions, their state, and the gateway that makes them

Need: a new build of hosts comes up beside the old one; traffic is to move to it in steps, each only while measured service holds, and to come back by itself.

internal/shift decides (units with their retries, an always-valid test by betting on the difference of loss between randomly dealt units, keys that stay with their pool, a way back as fast as the old pool can take it); internal/moves gives it clock, pools and a file; internal/save keeps that file in two generations with checksums. Costs by key of the contracts' scheduler are a type of their own now, and hashes of requests are xxhash's. Found by the property test: keys that came again beyond their window, and two crashes in a row, could change pools.

--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -29,6 +29,7 @@
 type file struct {
 	Name   string `toml:"name"`
 	Views  string `toml:"views"`
+	State  string `toml:"state"`
 	Limits struct {
 		Cores       float64 `toml:"cores"`
 		MemoryMB    int     `toml:"memory_mb"`
@@ -69,6 +70,7 @@
 	Forwarded fileForwarded `toml:"forwarded"`
 	Pools     []filePool    `toml:"pool"`
 	Routes    []fileRoute   `toml:"route"`
+	Moves     []fileMove    `toml:"move"`
 }
 
 type filePool struct {
@@ -247,7 +249,7 @@
 	if len(d.errs) > 0 && d.places == nil { // not even TOML
 		return nil, nil, d.errs
 	}
-	m := &Model{Name: f.Name, Views: d.beside(f.Views), Seed: rand.Uint64(),
+	m := &Model{Name: f.Name, Views: d.beside(f.Views), State: d.beside(f.State), Seed: rand.Uint64(),
 		Limits: Limits{Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Descriptors: f.Limits.Descriptors, Streams: f.Limits.Streams}}
 	if m.Name == "" {
 		m.Name = "stilespool"
@@ -261,7 +263,9 @@
 	sets, warnings := d.answers(&f)
 	m.Forward = d.forwarded(&f)
 	d.pools(&f, m, sets)
+	d.moves(&f, m)
 	warnings = append(warnings, d.routes(&f, m, sets)...)
+	d.windows(m)
 	warnings = append(warnings, d.contracts(f.Contracts.Dir, m)...)
 	if len(d.errs) > 0 {
 		slices.SortStableFunc(d.errs, byLine)
@@ -642,6 +646,7 @@
 	for i := range f.Routes {
 		key := fmt.Sprintf("route[%d]", i)
 		r := d.route(key, &f.Routes[i], m)
+		d.moved(key, r, m)
 		m.Policies = append(m.Policies, d.policy(key, &f.Routes[i], r, sets))
 		warnings = append(warnings, d.unsafeMethods(key, r, m)...)
 		list = append(list, r)
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -25,6 +25,7 @@
 	"frostshift/internal/membership/keeper"
 	"frostshift/internal/membership/source"
 	"frostshift/internal/route"
+	"frostshift/internal/shift"
 	"frostshift/internal/verdict"
 )
 
@@ -42,6 +43,8 @@
 	Policies  []*Policy        // by route; nil: nothing but pools
 	Forward   *headers.Forward // what hosts are told of clients; nil: nothing is changed
 	Contracts *contract.Book   // nil: anybody may ask for anything
+	State     string           // folder that lasts, for what must outlive the process; "": there is none
+	Moves     []shift.Plan     // of traffic between pools
 	Views     string           // folder where a running gateway shows what it knows of hosts; "": nowhere
 	Instances int              // gateways that share the contracts' absolute figures; 0: 1
 	// Platform says that clients speak the platform's protocol: they must name class and
--- a/internal/contract/estimate.go
+++ b/internal/contract/estimate.go
@@ -90,44 +90,95 @@
 	cost float32
 }
 
+// Costs remembers what requests have cost, by class and, where one differs from its class,
+// by key. It is bounded, and not safe for concurrent use.
+type Costs struct {
+	classes []guess
+	keys    []keyCell
+}
+
+// of is what a key has cost, or else its class; false: nothing is known.
+func (c *Costs) of(class int, key uint64) (float64, bool) {
+	if cost, ok := c.ofKey(key); ok {
+		return cost, true
+	}
+	if class < len(c.classes) && c.classes[class].seen {
+		return c.classes[class].mean, true
+	}
+	return 0, false
+}
+
+func (c *Costs) ofKey(key uint64) (float64, bool) {
+	if key != 0 && c.keys != nil {
+		if cell := &c.keys[key%keyCells]; cell.key == key {
+			return float64(cell.cost), true
+		}
+	}
+	return 0, false
+}
+
+// Ratio is what a request is expected to cost beside the mean of its class; 1 where nothing
+// is known of it.
+func (c *Costs) Ratio(class int, key uint64) float64 {
+	cost, ok := c.ofKey(key)
+	if !ok || class >= len(c.classes) || c.classes[class].mean <= 0 {
+		return 1
+	}
+	return cost / c.classes[class].mean
+}
+
+// Learn takes in what a request has cost, in seconds.
+func (c *Costs) Learn(class int, key uint64, work float64) {
+	c.learnClass(class, work)
+	c.learnKey(key, work, c.classes[class].mean)
+}
+
+func (c *Costs) learnClass(class int, work float64) {
+	for len(c.classes) <= class {
+		c.classes = append(c.classes, guess{})
+	}
+	c.classes[class].add(work)
+}
+
+// learnKey remembers a key that differs from mean, which is what would be expected otherwise.
+func (c *Costs) learnKey(key uint64, work, mean float64) {
+	if key == 0 {
+		return
+	}
+	if c.keys == nil {
+		c.keys = make([]keyCell, keyCells)
+	}
+	cell := &c.keys[key%keyCells]
+	if cell.key == key {
+		cell.cost += float32(estimateWeight*4) * (float32(work) - cell.cost)
+	} else if work > 4*mean || work < mean/4 {
+		*cell = keyCell{key, float32(work)} // only what the class does not tell
+	}
+}
+
 // estimate is what a request of the line's team will cost, in seconds.
 func (s *Scheduler) estimate(l *line, it *Item) float64 {
-	if it.Key != 0 && s.keys != nil {
-		if c := &s.keys[it.Key%keyCells]; c.key == it.Key {
-			return max(float64(c.cost), leastCost)
-		}
+	if cost, ok := s.costs.ofKey(it.Key); ok {
+		return max(cost, leastCost)
 	}
 	if it.Class < len(l.classes) && l.classes[it.Class].seen {
 		return max(l.classes[it.Class].mean, leastCost)
 	}
-	if it.Class < len(s.classes) && s.classes[it.Class].seen {
-		return max(s.classes[it.Class].mean, leastCost)
+	if cost, ok := s.costs.of(it.Class, 0); ok {
+		return max(cost, leastCost)
 	}
 	return firstEstimate
 }
 
 // learn takes in what a request has cost.
 func (s *Scheduler) learn(l *line, it *Item, work float64) {
-	for len(s.classes) <= it.Class {
-		s.classes = append(s.classes, guess{})
-	}
+	s.costs.learnClass(it.Class, work)
 	for len(l.classes) <= it.Class {
 		l.classes = append(l.classes, guess{})
 	}
-	s.classes[it.Class].add(work)
 	l.classes[it.Class].add(work)
 	s.queues.sample(&l.classes[it.Class], work)
-	if it.Key != 0 {
-		if s.keys == nil {
-			s.keys = make([]keyCell, keyCells)
-		}
-		c := &s.keys[it.Key%keyCells]
-		if c.key == it.Key {
-			c.cost += float32(estimateWeight*4) * (float32(work) - c.cost)
-		} else if work > 4*l.classes[it.Class].mean || work < l.classes[it.Class].mean/4 {
-			*c = keyCell{it.Key, float32(work)} // only what the class does not tell
-		}
-	}
+	s.costs.learnKey(it.Key, work, l.classes[it.Class].mean)
 }
 
 // Blame says whether a request that a host has answered with an error tells something of
--- a/internal/contract/scheduler.go
+++ b/internal/contract/scheduler.go
@@ -69,10 +69,9 @@
 	held     []*line  // lines with requests that wait, at their ceiling
 	waiting  timeHeap // all requests that wait, by the latest time to send them
 	weights  float64  // of the lines that have requests waiting
-	classes  []guess
+	costs    Costs
 	tried    float64 // answers of late, of all teams
 	failed   float64
-	keys     []keyCell
 	sweep    int
 	names    []string // of lines, in turn of being looked at for forgetting
 }
--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -30,6 +30,7 @@
 	kept     Answer        // the last that a better one may replace; nil: none
 	why      Why           // what became of the last attempt
 	closed   bool          // it has its answer, or nobody waits for one
+	fault    bool          // the last answer was an error of the service
 }
 
 // Gone says that the client has left. A reply that has come by then must still be
@@ -47,6 +48,7 @@
 // turnAway answers a call that no pool has taken.
 func (c *Call) turnAway(r Reply) {
 	c.closed = true
+	c.told(Ending{At: c.x.clock.Now(), Verdict: r.Verdict})
 	if c.Item != nil && r.Verdict == Refused {
 		c.Item.Account.Refused[contract.OpenBound].Add(1)
 	} else if c.Item != nil {
@@ -56,6 +58,24 @@
 	c.Reply <- r
 }
 
+// told says how the request ended to whoever asked.
+func (c *Call) told(e Ending) {
+	if c.Watch != nil {
+		c.Watch.Ended(e)
+	}
+}
+
+// worked is the time that the attempts at this pool have taken up to now.
+func (c *Call) worked(now frostshift.Time) time.Duration {
+	sum := c.work
+	for _, a := range c.attempts {
+		if !a.ended {
+			sum += now - a.sent
+		}
+	}
+	return sum
+}
+
 func (c *Call) letGo() {
 	if c.Hold != nil {
 		c.Hold.Release()
@@ -124,6 +144,7 @@
 		if p.ran(c) {
 			c.x.remember(c.ID)
 		}
+		c.told(Ending{At: now, Left: true, Work: c.worked(now)})
 		p.close(c)
 		p.forget(now, c)
 		return
@@ -207,6 +228,7 @@
 // answer to it, though the client may be owed a better one.
 func (p *Pool) judge(now frostshift.Time, c *Call, a *Attempt, m verdict.Meaning) frostshift.Result {
 	fault := m.Health == verdict.Fault
+	c.fault = fault
 	blame := fault
 	if !c.Answers.Blames() {
 		blame = p.jury.Answered(now, a.Host, fault)
@@ -289,6 +311,8 @@
 	}
 	r.Pool, r.Tries, r.Ran = p.name, c.spent+len(c.attempts), p.ran(c)
 	c.account(&r)
+	now := p.clock.Now()
+	c.told(Ending{At: now, Verdict: r.Verdict, Fault: c.fault, Bound: r.Violation != nil, Work: c.worked(now)})
 	p.close(c)
 	c.Reply <- r
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -122,6 +122,21 @@
 	// Hold is let go once, when the request has its answer or nobody waits for one: what
 	// it needs from outside, above all its pools, stays until then. nil: nothing.
 	Hold interface{ Release() }
+	// Watch is told how the request ended, once, before it is let go; nil: nobody asks.
+	Watch Watcher
+}
+
+// Watcher is told how requests end. It is called in a pool's loop, or by Submit.
+type Watcher interface{ Ended(e Ending) }
+
+// Ending is how a request ended.
+type Ending struct {
+	At      frostshift.Time
+	Verdict Verdict
+	Fault   bool          // with Served: the answer is an error of the service
+	Left    bool          // its client left before there was an answer
+	Bound   bool          // a contract, not a pool, has turned it away
+	Work    time.Duration // that its attempts took at the pool it ended in
 }
 
 // Verdict says what a final answer is.
--- a/internal/exchange/fair.go
+++ b/internal/exchange/fair.go
@@ -82,13 +82,7 @@
 		return
 	}
 	now := p.clock.Now()
-	work, cut := c.work, c.cut
-	for _, a := range c.attempts {
-		if !a.ended {
-			work += now - a.sent
-			cut = true
-		}
-	}
+	work, cut := c.worked(now), c.cut || c.out > 0
 	c.work, c.cut = 0, false
 	p.sched.Done(now, c.Item, work, cut)
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -63,6 +63,7 @@
 	calls    map[frostshift.RequestID]*Call
 	lastID   frostshift.RequestID
 	timers   timers
+	begun    bool            // Turn has been called
 	behindAt frostshift.Time // up to when stalls have been told of
 	acts     []frostshift.Action
 
@@ -188,12 +189,7 @@
 // nil, is the host list of an earlier run; apply goes with it as with News.
 func (p *Pool) Run(saved []frostshift.Host, apply func()) {
 	defer close(p.done)
-	p.b.Start(p.clock.Now())
-	if saved != nil {
-		apply()
-		p.b.Hosts(p.clock.Now(), frostshift.ListSaved, saved)
-	}
-	p.carryOut()
+	p.begin(saved, apply)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var armed frostshift.Time // what the timer is set to; 0: nothing
@@ -218,19 +214,78 @@
 				p.catchUp()
 			}
 		}
-		for len(p.timers) > 0 && p.timers[0].at <= p.clock.Now() {
-			t := heap.Pop(&p.timers).(wake)
-			if t.token == tokenPump {
-				p.pumpAt = 0
-			} else {
-				p.b.Timer(p.clock.Now(), t.token)
-				p.carryOut()
-			}
+		p.ring()
+	}
+}
+
+func (p *Pool) begin(saved []frostshift.Host, apply func()) {
+	p.b.Start(p.clock.Now())
+	if saved != nil {
+		apply()
+		p.b.Hosts(p.clock.Now(), frostshift.ListSaved, saved)
+	}
+	p.carryOut()
+}
+
+// ring rings the timers that are due.
+func (p *Pool) ring() {
+	for len(p.timers) > 0 && p.timers[0].at <= p.clock.Now() {
+		t := heap.Pop(&p.timers).(wake)
+		if t.token == tokenPump {
+			p.pumpAt = 0
+		} else {
+			p.b.Timer(p.clock.Now(), t.token)
+			p.carryOut()
+		}
+		p.pump()
+	}
+}
+
+// Turn does what has come and is due, for a pool that is played on a clock set by hand and is
+// not Run. It says when it is to be called again at the latest; 0: with the next event. Its
+// first call begins the pool.
+func (p *Pool) Turn() (next frostshift.Time) {
+	if !p.begun {
+		p.begun = true
+		p.begin(nil, nil)
+	}
+	for {
+		select {
+		case e := <-p.events:
+			p.handle(p.clock.Now(), &e)
+			p.carryOut()
 			p.pump()
+			continue
+		default:
 		}
+		if p.ring(); len(p.events) > 0 {
+			continue
+		}
+		if len(p.timers) == 0 {
+			return 0
+		}
+		return p.timers[0].at
 	}
 }
 
+// Load is what a pool can take now and what it holds.
+type Load struct {
+	Ready    bool    // a host can take requests
+	Capacity float64 // attempts that its hosts can hold at once
+	Open     int     // requests
+}
+
+// Look has the loop say how it stands, to f in the loop; done is closed if it has ended.
+func (p *Pool) Look(f func(Load)) {
+	p.post(event{kind: do, run: func(now frostshift.Time) {
+		l := Load{Capacity: p.b.Capacity(now), Open: len(p.calls)}
+		for i := range p.set.Classes {
+			l.Ready = l.Ready || p.b.Usable(now, i)
+		}
+		f(l)
+	}})
+}
+
 // behind tells the balancer that the gateway itself has stood still, or was behind, if the
 // loop is late for what is due next: its share of the processor was used up, or the
 // machine's was. It says whether that was so.
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -23,8 +23,11 @@
 	"frostshift/internal/exchange"
 	"frostshift/internal/headers"
 	"frostshift/internal/message"
+	"frostshift/internal/moves"
 	"frostshift/internal/route"
+	"frostshift/internal/shift"
 	"frostshift/internal/verdict"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Head is the head of a request as a front read it.
@@ -76,13 +79,16 @@
 	classes   []int       // by route
 	targets   [][]*Target // by route and by place among its pools
 	fallbacks []*Target   // by route; nil: none
+	moves     []*moving   // by route; nil: its traffic does not move
 	refs      atomic.Int64
 	ended     func()
 }
 
 // NewSnapshot returns a snapshot that is held once, by the caller. ended is called, on
 // whatever goroutine lets go last, once nobody holds it.
-func NewSnapshot(m *config.Model, pools map[string]*Target, ended func()) *Snapshot {
+// led are the moves of the configuration by name, and left those of earlier ones whose keys
+// still belong to a pool.
+func NewSnapshot(m *config.Model, pools map[string]*Target, led map[string]*moves.Move, left []*moves.Move, ended func()) *Snapshot {
 	s := &Snapshot{model: m, name: proxyName(m.Name), via: " " + pseudonym(m.Name), ended: ended}
 	s.refs.Store(1)
 	for _, r := range m.Table.Routes() {
@@ -93,6 +99,7 @@
 		s.targets = append(s.targets, list)
 		s.fallbacks = append(s.fallbacks, pools[r.Fallback])
 		s.classes = append(s.classes, m.ClassIndex(r.Class))
+		s.moves = append(s.moves, movingOf(m, r, led, left))
 	}
 	return s
 }
@@ -172,7 +179,9 @@
 	via      string
 	item     contract.Item
 	door     *contract.Door // that the request has entered; nil: there is no contract
-	body     int64          // bytes that it announced there
+	move     *moves.Move    // that has placed the request; nil: none
+	unit     shift.Unit
+	body     int64 // bytes that it announced there
 }
 
 // Hold notes that the body holds n more bytes of room and says whether there are any.
@@ -197,6 +206,9 @@
 	t.snapshot.Release()
 }
 
+// Ended tells the move that has placed the request how it ended.
+func (t *Ticket) Ended(e exchange.Ending) { t.move.Ended(&t.unit, e) }
+
 // Submit hands the request to the exchange: its time counts from now, and the ticket is
 // the exchange's to release. deadline is when the client stops waiting.
 func (t *Ticket) Submit() (call *exchange.Call, deadline time.Time) {
@@ -314,6 +326,18 @@
 	}
 	header := message.EndToEnd(h.Header)
 	to := s.targets[r.Index][match.Pool]
+	var placed placement
+	if s.moves[r.Index] != nil {
+		if placed, err = s.place(h, client, r, classAt, repeat); err != nil {
+			if terms != nil {
+				in.door.Leave(account, h.Body)
+			}
+			return nil, err
+		}
+		if placed.at >= 0 {
+			to = s.targets[r.Index][placed.at]
+		}
+	}
 	authority := h.Authority
 	if !m.Platform {
 		vars.ID, vars.Pool = id, to.Pool.Name()
@@ -350,6 +374,9 @@
 	if policy != nil && policy.Answers != nil {
 		t.request.Answers = policy.Answers
 	}
+	if placed.move != nil {
+		t.move, t.unit, t.request.Watch = placed.move, placed.unit, t
+	}
 	if terms != nil {
 		header.Del("Authorization") // a token is between the team and the gateway
 		t.door, t.body = in.door, h.Body
@@ -426,18 +453,21 @@
 
 // keyOf is what a request is about, as far as its cost goes: its path and, where it names
 // an object, that.
-func keyOf(h *Head) uint64 {
-	const offset, prime = 14695981039346656037, 1099511628211 // FNV-1a
-	sum := uint64(offset)
-	for _, s := range [...]string{h.Path, h.Query} {
-		for i := 0; i < len(s); i++ {
-			sum = (sum ^ uint64(s[i])) * prime
-		}
-		sum = (sum ^ 0xff) * prime
+func keyOf(h *Head) uint64 { return hashOf(h.Path, h.Query) }
+
+// hashOf is a hash of texts, never 0; where one ends and the next begins counts.
+func hashOf(texts ...string) uint64 {
+	d := xxhash.Digest{}
+	d.Reset()
+	for _, s := range texts {
+		d.WriteString(s)
+		d.Write(between)
 	}
-	return max(sum, 1)
+	return max(d.Sum64(), 1)
 }
 
+var between = []byte{0xff}
+
 // checkPlatform asks for what the platform's protocol promises of its clients.
 func checkPlatform(h *Head, class *config.Class, id string) error {
 	method := http.MethodPost
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"sync"
@@ -18,6 +19,8 @@
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
 	"frostshift/internal/front"
+	"frostshift/internal/moves"
+	"frostshift/internal/save"
 	"frostshift/internal/share"
 )
 
@@ -69,6 +72,8 @@
 	conns    *front.Conns
 	budgets  budgets
 	door     *contract.Door
+	moves    *moves.Set
+	state    *save.Dir // nil: there is none
 
 	mu    sync.Mutex // guards what follows; held for the whole of a reload
 	model *config.Model
@@ -112,12 +117,41 @@
 	}
 	g.budgets = budgets{share.New(requests), share.New(conns), share.New(bodies), share.New(answers)}
 	g.instances, g.streams = m.Instances, m.Limits.Streams
+	if m.State != "" {
+		var err error
+		if g.state, err = save.Open(m.State); errors.Is(err, save.ErrTaken) {
+			log.Warn("nothing is remembered", "err", err)
+		} else if err != nil {
+			return nil, err
+		}
+	}
+	g.moves = moves.New(moves.Config{Clock: x.Clock(), Log: log, Dir: g.state, Pool: g.pool})
 	if err := g.apply(m, 0); err != nil {
+		g.closeState()
 		return nil, err
 	}
 	return g, nil
 }
 
+func (g *Gateway) closeState() {
+	if g.state != nil {
+		g.state.Close()
+	}
+}
+
+// pool is a running pool of the present configuration by its name; nil: there is none.
+func (g *Gateway) pool(name string) *exchange.Pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.pools[name]; p != nil {
+		return p.ex
+	}
+	return nil
+}
+
+// Moves are the moves of traffic between pools.
+func (g *Gateway) Moves() *moves.Set { return g.moves }
+
 // Addr is where the named listener of the present configuration is open, or nil.
 func (g *Gateway) Addr(name string) net.Addr {
 	g.mu.Lock()
@@ -168,6 +202,21 @@
 		g.intake.SetReady()
 	})
 	g.running.Go(func() { g.tellAccounts() })
+	turns, end := context.WithCancel(context.Background()) // up to the last request's end
+	var moving sync.WaitGroup
+	moving.Go(func() { g.moves.Run(turns) })
+	if g.state != nil {
+		moving.Go(func() {
+			if err := g.moves.Control(turns); err != nil {
+				g.log.Warn("nobody can speak to the moves", "err", err)
+			}
+		})
+	}
+	defer func() {
+		end()
+		moving.Wait()
+		g.closeState()
+	}()
 	var err error
 	select {
 	case err = <-g.failed:
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -30,6 +30,9 @@
 	if g.stopped {
 		return errors.New("the gateway is stopping")
 	}
+	if g.model != nil && g.model.State != m.State {
+		g.log.Warn("the folder for what is remembered has changed; that wants a restart, the old one stays")
+	}
 	if g.model != nil && g.model.Limits != m.Limits {
 		g.log.Warn("limits have changed; that wants a restart, the old ones stay")
 	}
@@ -101,7 +104,8 @@
 	}
 	old := g.pools
 	g.pools, g.model = next, m
-	g.intake.Use(front.NewSnapshot(m, targets, func() {
+	led := g.moves.Use(m.Moves)
+	g.intake.Use(front.NewSnapshot(m, targets, led, g.moves.Retired(), func() {
 		for _, p := range held {
 			p.letGo()
 		}
--- /dev/null
+++ b/internal/moves/remember.go
@@ -0,0 +1,119 @@
+package moves
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"frostshift/internal/save"
+	"frostshift/internal/shift"
+)
+
+const (
+	partName    = "moves"
+	partVersion = 1
+)
+
+// load reads what an earlier process kept.
+func (s *Set) load() {
+	if s.cfg.Dir == nil {
+		return
+	}
+	k := s.cfg.Dir.Read()
+	if k.Damage != nil {
+		s.cfg.Log.Warn("what was remembered is damaged", "err", k.Damage, "older_is_used", k.Older)
+	}
+	s.older = k.Older
+	s.damaged = k.Damage != nil && len(k.Parts) == 0
+	defer func() {
+		if s.damaged || s.older {
+			s.cfg.Dir.Aside()
+		}
+	}()
+	for _, p := range k.Parts {
+		if p.Name != partName {
+			continue
+		}
+		kept, err := decode(p)
+		if err != nil {
+			s.cfg.Log.Warn("the moves that were remembered can't be used", "err", err)
+			s.damaged = true
+			continue
+		}
+		s.kept = kept
+	}
+}
+
+// decode reads the part of a file.
+func decode(p save.Part) (map[string]shift.Saved, error) {
+	if p.Version != partVersion {
+		return nil, fmt.Errorf("they are of version %d, and this program knows %d", p.Version, partVersion)
+	}
+	var list []shift.Saved
+	if err := json.Unmarshal(p.Data, &list); err != nil {
+		return nil, err
+	}
+	out := map[string]shift.Saved{}
+	for i := range list {
+		if err := list[i].Check(); err != nil {
+			return nil, fmt.Errorf("move %q: %w", list[i].Plan.Name, err)
+		}
+		out[list[i].Plan.Name] = list[i]
+	}
+	return out, nil
+}
+
+// first is the move of a plan that this process has not had yet. The lock is held.
+func (s *Set) first(now shift.Time, wall time.Time, p shift.Plan) *shift.Move {
+	if k, ok := s.kept[p.Name]; ok {
+		delete(s.kept, p.Name)
+		m := shift.Restore(now, p, &k, wall, !s.older)
+		s.cfg.Log.Info("move goes on where it was", "move", p.Name, "state", m.State().String(), "step", m.Step()+1, "share", m.Share())
+		return m
+	}
+	if s.damaged {
+		return shift.Unsure(now, p)
+	}
+	return shift.New(now, p)
+}
+
+// remember writes the moves down and grants what they may do from then on. Requests do not wait
+// for it, and a disk that fails costs none: keys then stay with the shares that were granted.
+func (s *Set) remember() {
+	if s.cfg.Dir == nil {
+		return
+	}
+	moves := s.all()
+	if len(moves) == 0 && !s.wrote {
+		return
+	}
+	s.wrote = len(moves) > 0
+	list := make([]shift.Saved, len(moves))
+	for i, v := range moves {
+		v.mu.Lock()
+		list[i] = v.m.Save(v.clock.Now(), time.Now())
+		v.mu.Unlock()
+	}
+	data, err := json.Marshal(list)
+	if err == nil {
+		err = s.cfg.Dir.Write([]save.Part{{Name: partName, Version: partVersion, Data: data}})
+	}
+	s.mu.Lock()
+	was := s.failing
+	s.failing = err != nil
+	s.mu.Unlock()
+	if err != nil {
+		if !was {
+			s.cfg.Log.Warn("moves can't be remembered; keys stay with the shares that are", "err", err)
+		}
+		return
+	}
+	if was {
+		s.cfg.Log.Info("moves are remembered again")
+	}
+	for i, v := range moves {
+		v.mu.Lock()
+		v.m.Grant(v.clock.Now(), &list[i])
+		v.mu.Unlock()
+	}
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -124,7 +124,7 @@
 	if len(r.Pools) == 1 {
 		return 0
 	}
-	key, ok := r.Stable.value(q)
+	key, ok := r.Stable.Value(q)
 	if !ok {
 		// Hosts of one pool drop no repeats of another's: a client's retries of one key stay
 		// in the pool of the first try, whatever splits the rest.
@@ -162,7 +162,8 @@
 
 const idempotencyKey = "Idempotency-Key"
 
-func (k *Key) value(q *Request) (string, bool) {
+// Value is what a request has there; false: nothing.
+func (k *Key) Value(q *Request) (string, bool) {
 	switch {
 	case k.Header != "":
 		v := q.Header[canonical(k.Header)]
--- /dev/null
+++ b/internal/shift/flow.go
@@ -0,0 +1,67 @@
+package shift
+
+import "math"
+
+// How fast shares change. A pool gets more only as far as what it can hold now has room for
+// it, and by a part of what it has: hosts that are cold, or whose limits have shrunk with
+// their load, learn meanwhile what they can take. The way back is no faster than the way there.
+
+const (
+	growth   = 0.5  // of a pool's share that may be added in a second
+	leastAdd = 0.02 // ... or this much
+	fillTo   = 0.8  // of its capacity that a change may fill
+	rateSpan = 2.0  // seconds: of the recent rate and times
+)
+
+// Pool is a pool as it is now.
+type Pool struct {
+	Ready    bool    // a host can take requests
+	Capacity float64 // attempts that its hosts can hold at once, as they are now
+	Open     float64 // that it holds
+}
+
+// flow is what has come lately.
+type flow struct {
+	came int     // since the last look
+	rate float64 // units a second
+	took [2]float64
+	at   Time
+}
+
+// ended counts how long a unit took in a pool.
+func (f *flow) ended(s Side, took Time) {
+	sec := took.Seconds()
+	if f.took[s] == 0 {
+		f.took[s] = sec
+	}
+	f.took[s] += 0.02 * (sec - f.took[s])
+}
+
+// look brings the rate up to date and gives the seconds since the last look.
+func (f *flow) look(now Time) (dt float64) {
+	if f.at > 0 {
+		dt = (now - f.at).Seconds()
+	}
+	f.at = now
+	if dt > 0 {
+		f.rate += -math.Expm1(-dt/rateSpan) * (float64(f.came)/dt - f.rate)
+		f.came = 0
+	}
+	return dt
+}
+
+// towards is a pool's share on its way to a larger one: as far as growth and room let it.
+func (f *flow) towards(s Side, p *Pool, share, target, dt float64) float64 {
+	if !p.Ready {
+		return share
+	}
+	add := max(leastAdd, growth*share) * dt
+	took := f.took[s]
+	if took == 0 {
+		took = f.took[1-s]
+	}
+	if each := f.rate * took; each > 0 { // attempts open at once that the whole share would be
+		add = min(add, max(0, fillTo*p.Capacity-p.Open)/each)
+	}
+	return min(target, share+add)
+}
--- /dev/null
+++ b/internal/shift/shift_test.go
@@ -0,0 +1,550 @@
+package shift
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func plan() Plan {
+	return Plan{Name: "m", From: "a", To: "b", Steps: []float64{0.1, 0.5, 1}, Least: 10 * time.Second, Longest: 10 * time.Minute, Tolerate: DefaultTolerate,
+		Margin: DefaultMargin, Error: DefaultError, Worst: DefaultWorst, Keep: DefaultKeep}
+}
+
+var fine = Pool{Ready: true, Capacity: 1000}
+
+// world plays requests against a move: each takes 10 ms and ends as bad says.
+type world struct {
+	m    *Move
+	now  Time
+	r    *rand.Rand
+	rate int // a second
+	// bad says whether a try fails.
+	bad func(w *world, s Side, class int, retry bool) bool
+	// slow says how long one takes.
+	slow    func(w *world, s Side) time.Duration
+	from    Pool
+	to      Pool
+	retries bool // clients try again, once, marked
+	log     []Decision
+	next    uint64
+	ends    []ending
+}
+
+type ending struct {
+	at    Time
+	u     Unit
+	ask   Ask
+	good  bool
+	retry bool
+}
+
+func newWorld(p Plan, seed uint64) *world {
+	w := &world{now: time.Hour, r: rand.New(rand.NewPCG(seed, 7)), rate: 200, from: fine, to: fine, retries: true,
+		bad:  func(w *world, _ Side, _ int, _ bool) bool { return w.r.Float64() < 0.01 },
+		slow: func(*world, Side) time.Duration { return 10 * time.Millisecond }}
+	w.m = New(w.now, p)
+	return w
+}
+
+func (w *world) send(a Ask, retry bool) {
+	u, err := w.m.Place(w.now, &a)
+	if err != nil {
+		return
+	}
+	w.ends = append(w.ends, ending{w.now + w.slow(w, u.Side), u, a, !w.bad(w, u.Side, a.Class, retry), retry})
+}
+
+// play goes on for a time, or until the move is in one of the states.
+func (w *world) play(length time.Duration, until ...State) {
+	for end := w.now + length; w.now < end; {
+		w.now += 100 * time.Millisecond
+		for range w.rate / 10 {
+			w.next++
+			w.send(Ask{Key: w.next, Class: int(w.next % 2), Worth: 1, Aim: time.Second, Draw: w.r.Float64()}, false)
+		}
+		due := w.ends
+		w.ends = nil
+		for len(due) > 0 {
+			e := due[0]
+			if due = due[1:]; e.at > w.now {
+				w.ends = append(w.ends, e)
+				continue
+			}
+			w.m.Ended(e.at, &e.u, End{Good: e.good, Work: 10 * time.Millisecond})
+			if !e.good && !e.retry && w.retries {
+				a, now := e.ask, w.now
+				a.Repeat = true
+				w.now = e.at
+				w.send(a, true)
+				w.now = now
+			}
+		}
+		w.m.Tick(w.now, w.from, w.to)
+		w.log = append(w.log, w.m.Decisions()...)
+		if slices.Contains(until, w.m.State()) {
+			return
+		}
+	}
+}
+
+func (w *world) last() Decision {
+	if len(w.log) == 0 {
+		return Decision{}
+	}
+	return w.log[len(w.log)-1]
+}
+
+// A sound pool gets all of the traffic, step by step, and no step is shorter than it may be.
+func TestMoves(t *testing.T) {
+	w := newWorld(plan(), 1)
+	w.play(20*time.Minute, Done)
+	if w.m.State() != Done {
+		t.Fatalf("%v after 20 minutes: %+v", w.m.State(), w.last())
+	}
+	var steps []int
+	for i, d := range w.log {
+		steps = append(steps, d.Step)
+		if i > 1 && d.At-w.log[i-1].At < 10*time.Second {
+			t.Errorf("step %d was held for %v", d.Step, d.At-w.log[i-1].At)
+		}
+	}
+	if !slices.Equal(steps, []int{0, 1, 2, 2}) {
+		t.Errorf("steps %v", steps)
+	}
+	w.play(time.Minute)
+	if w.m.Share() != 1 {
+		t.Errorf("the share is %v", w.m.Share())
+	}
+}
+
+// Each kind of fall is found and undone; what is no fall of the new pool is not.
+func TestFalls(t *testing.T) {
+	one := func(bad func(w *world, s Side, class int, retry bool) bool) func(*world) {
+		return func(w *world) { w.bad = bad }
+	}
+	base := func(w *world) bool { return w.r.Float64() < 0.01 }
+	begin := func(w *world) float64 { return (w.now - time.Hour).Seconds() }
+	for _, c := range []struct {
+		name   string
+		set    func(*world)
+		undone bool
+		cause  Cause
+	}{
+		{"0.2% more errors a second", func(w *world) {
+			w.retries = false
+			w.bad = func(w *world, s Side, _ int, _ bool) bool {
+				return base(w) || s == NewPool && w.r.Float64() < 0.002*begin(w)
+			}
+		}, true, Fell},
+		{"all at once", one(func(w *world, s Side, _ int, _ bool) bool { return base(w) || s == NewPool && begin(w) > 15 }), true, Fell},
+		{"one class alone", one(func(w *world, s Side, class int, _ bool) bool {
+			return base(w) || s == NewPool && class == 1 && w.r.Float64() < 0.2
+		}), true, Fell},
+		{"first tries alone, whose retries are served in time", one(func(w *world, s Side, _ int, retry bool) bool {
+			return base(w) || s == NewPool && !retry && w.r.Float64() < 0.2
+		}), false, 0},
+		{"retries alone", one(func(w *world, s Side, _ int, retry bool) bool {
+			return !retry && w.r.Float64() < 0.15 || s == NewPool && retry
+		}), true, Fell},
+		{"errors that are quick", func(w *world) {
+			w.bad = func(w *world, s Side, _ int, _ bool) bool { return base(w) || s == NewPool && w.r.Float64() < 0.3 }
+			w.slow = func(_ *world, s Side) time.Duration {
+				if s == NewPool {
+					return time.Millisecond
+				}
+				return 50 * time.Millisecond
+			}
+		}, true, Fell},
+		{"slow in the tail alone", func(w *world) {
+			w.slow = func(w *world, s Side) time.Duration {
+				if s == NewPool && w.r.Float64() < 0.04 {
+					return 3 * time.Second
+				}
+				return 10 * time.Millisecond
+			}
+		}, true, Fell},
+		{"no host is left", func(w *world) {
+			w.play(15 * time.Second)
+			w.to.Ready = false
+		}, true, Gone},
+		{"both fall at the same time", one(func(w *world, _ Side, _ int, _ bool) bool {
+			return base(w) || begin(w) > 15 && begin(w) < 60 && w.r.Float64() < 0.5
+		}), false, 0},
+		{"the old one alone falls", one(func(w *world, s Side, _ int, _ bool) bool {
+			return base(w) || s == OldPool && begin(w) > 15 && w.r.Float64() < 0.05
+		}), false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(plan(), 3)
+			c.set(w)
+			w.play(20*time.Minute, Undone, Done)
+			d := Decision{}
+			for _, x := range w.log {
+				if x.To == Undoing {
+					d = x
+				}
+			}
+			if (d.To == Undoing) != c.undone || c.undone && d.Cause != c.cause {
+				t.Fatalf("%v, undone by %v: %+v", w.m.State(), d.Cause, w.last())
+			}
+			if c.undone && (w.m.State() != Undone || w.m.Share() != 0) {
+				t.Errorf("%v at %v", w.m.State(), w.m.Share())
+			}
+			t.Logf("%v after %v", w.last().To, w.last().At-time.Hour)
+		})
+	}
+}
+
+// Where both lose much nothing is advanced, and it goes on when that is over.
+func TestCommonTroubleHolds(t *testing.T) {
+	w := newWorld(plan(), 5)
+	w.bad = func(w *world, _ Side, _ int, _ bool) bool { return w.r.Float64() < 0.6 }
+	w.play(5 * time.Minute)
+	if w.m.State() != Held || w.m.Step() != 0 {
+		t.Errorf("%v at step %d", w.m.State(), w.m.Step())
+	}
+	w.bad = func(*world, Side, int, bool) bool { return false }
+	w.play(20*time.Minute, Done)
+	if w.m.State() != Done {
+		t.Errorf("%v at step %d", w.m.State(), w.m.Step())
+	}
+}
+
+// Too little traffic to tell: it is halted at the step, or goes on where the plan says so.
+func TestDoubt(t *testing.T) {
+	for _, on := range []OnDoubt{HaltInDoubt, AdvanceInDoubt} {
+		p := plan()
+		p.OnDoubt = on
+		m := New(time.Hour, p)
+		now := time.Hour
+		for i := range 360_000 / 10 { // ten hours, 100 requests an hour
+			now += time.Second
+			if i%36 == 0 {
+				u, _ := m.Place(now, &Ask{Key: uint64(i + 1), Worth: 1, Aim: time.Second, Draw: float64(i%97) / 97})
+				m.Ended(now+time.Millisecond, &u, End{Good: true})
+			}
+			m.Tick(now, fine, fine)
+		}
+		list := m.Decisions()
+		switch d := list[len(list)-1]; {
+		case on == HaltInDoubt && (d.To != Halted || d.Cause != Doubted || m.Step() != 0):
+			t.Errorf("halt: %+v", d)
+		case on == AdvanceInDoubt && d.To != Done:
+			t.Errorf("advance: %+v", d)
+		}
+	}
+}
+
+// A key with a third of the traffic, costly and failing, is one throw of the dice.
+func TestHeavyKeyIsSetAside(t *testing.T) {
+	for seed := range uint64(8) {
+		p := plan()
+		m := New(time.Hour, p)
+		r := rand.New(rand.NewPCG(seed, 1))
+		now := time.Hour
+		side := NewPool
+		for range 60_000 {
+			now += 5 * time.Millisecond
+			key := r.Uint64() | 1
+			if r.IntN(3) == 0 {
+				key = 12345
+			}
+			a := Ask{Key: key, Named: true, Worth: 1, Aim: time.Second, Sticky: key, Draw: Draw(key * 0x9e3779b97f4a7c15)}
+			if key == 12345 {
+				a.Draw = 0.05 // it falls to the new pool
+			}
+			u, err := m.Place(now, &a)
+			if err != nil {
+				t.Fatal(err)
+			}
+			m.Ended(now+time.Millisecond, &u, End{Good: key != 12345 || r.IntN(2) == 0})
+			if key == 12345 {
+				side = u.Side
+			}
+			if now%(100*time.Millisecond) < 5*time.Millisecond {
+				m.Tick(now, fine, fine)
+			}
+		}
+		for _, d := range m.Decisions() {
+			if d.Cause == Fell && d.At > time.Hour+20*time.Second {
+				t.Errorf("seed %d: undone by one key in %v: %+v", seed, side, d)
+			}
+		}
+		if m.books.setAside < 9_000 {
+			t.Errorf("%d units set aside", m.books.setAside)
+		}
+	}
+}
+
+// A key stays with the pool of its first try: whatever steps, falls and restarts come between.
+func TestKeysStay(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := plan()
+		p.Window = 20 * time.Second
+		p.Least = 2 * time.Second
+		now, wall := time.Hour, time.Unix(1_800_000_000, 0)
+		m := New(now, p)
+		if rapid.Bool().Draw(rt, "small") {
+			m.keys.now.most, m.keys.old.most = 40, 40
+		}
+		type first struct {
+			at   Time
+			side Side
+		}
+		went := map[uint64]first{}
+		saved := m.Save(now, wall)
+		remember := func() {
+			saved = m.Save(now, wall)
+			m.Grant(now, &saved)
+		}
+		bad := false
+		unsure := 0
+		next := uint64(0)
+		for range rapid.IntRange(20, 300).Draw(rt, "events") {
+			switch rapid.IntRange(0, 11).Draw(rt, "what") {
+			case 0, 1, 2, 3, 4:
+				for range 10 {
+					next++
+					key := next * 0x9e3779b97f4a7c15
+					if next%3 == 0 && len(went) > 0 { // an old one again
+						for k := range went {
+							key = max(k, 1)
+							break
+						}
+						key = (uint64(rapid.IntRange(1, int(next)).Draw(rt, "again"))) * 0x9e3779b97f4a7c15
+					}
+					u, err := m.Place(now, &Ask{Key: key, Named: true, Keyed: true, Worth: 1, Aim: time.Second, Sticky: key, Draw: Draw(key ^ key<<17)})
+					if err != nil {
+						unsure++
+						continue
+					}
+					if f, ok := went[key]; ok && now-f.at <= p.Window {
+						if f.side != u.Side {
+							rt.Fatalf("key %x went to %v at %v and to %v at %v", key, f.side, f.at, u.Side, now)
+						}
+					} else {
+						went[key] = first{now, u.Side}
+					}
+					m.Ended(now, &u, End{Good: !(bad && u.Side == NewPool)})
+				}
+			case 5, 6:
+				now += time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond
+				m.Tick(now, fine, fine)
+			case 7:
+				for range 50 {
+					now += 100 * time.Millisecond
+					m.Tick(now, fine, fine)
+				}
+			case 8:
+				remember()
+			case 9:
+				bad = !bad
+			case 10:
+				m.Tell(now, rapid.SampledFrom([]Cause{Pause, Resume, Back}).Draw(rt, "word"))
+			case 11: // a crash: what was saved last is what is known
+				if err := saved.Check(); err != nil {
+					rt.Fatal(err)
+				}
+				now += time.Duration(rapid.IntRange(0, 5000).Draw(rt, "down")) * time.Millisecond
+				m = Restore(now, p, &saved, wall, true)
+				remember()
+			}
+		}
+	})
+}
+
+// A move goes back no faster than the old pool can take it, and never beyond its room.
+func TestUndoFollowsRoom(t *testing.T) {
+	w := newWorld(plan(), 9)
+	w.play(20*time.Minute, Done)
+	w.play(time.Minute)
+	if err := w.m.Tell(w.now, Back); err != nil {
+		t.Fatal(err)
+	}
+	// Half of the old pool's hosts are gone: it can hold one request at a time, and 200 a second
+	// of 10 ms are two.
+	w.from = Pool{Ready: true, Capacity: 1}
+	before := 1.0
+	for range 600 {
+		share := w.m.Share()
+		w.from.Open = (1 - share) * 2
+		w.play(100 * time.Millisecond)
+		if got := w.m.Share(); before-got > 0.1*(leastAdd+growth*(1-got)) {
+			t.Fatalf("the share fell from %v to %v in a tick", before, got)
+		}
+		before = w.m.Share()
+		if (1-before)*2 > 1 {
+			t.Fatalf("%.2f of the traffic went back to a pool with room for half of it", 1-before)
+		}
+	}
+	if w.m.State() != Undoing || before < 0.5 || before > 0.7 {
+		t.Errorf("%v at %v: it waits where the old pool is full", w.m.State(), before)
+	}
+	w.from = fine
+	w.play(time.Minute, Undone)
+	if w.m.State() != Undone {
+		t.Errorf("%v", w.m.State())
+	}
+}
+
+// What is remembered comes back at most at the step it had, whatever the file's fate.
+func TestRestore(t *testing.T) {
+	p := plan()
+	p.Window = time.Minute
+	wall := time.Unix(1_800_000_000, 0)
+	for _, until := range []State{Prepared, Held, Halted, Undoing, Undone, Done} {
+		w := newWorld(p, 2)
+		switch until {
+		case Prepared:
+			w.to.Ready = false
+			w.play(time.Second)
+		case Done:
+			w.play(20*time.Minute, Done)
+		default:
+			w.play(30 * time.Second)
+			if until == Halted {
+				w.m.Tell(w.now, Pause)
+			} else if until != Held {
+				w.m.Tell(w.now, Back)
+				if until == Undone {
+					w.play(time.Minute, Undone)
+				}
+			}
+		}
+		if w.m.State() != until {
+			t.Fatalf("%v, want %v", w.m.State(), until)
+		}
+		s := w.m.Save(w.now, wall)
+		if err := s.Check(); err != nil {
+			t.Fatal(err)
+		}
+		m := Restore(0, p, &s, wall.Add(time.Minute), true)
+		if m.State() != until || m.Step() != w.m.Step() || m.Share() > w.m.Share() {
+			t.Errorf("%v: came back as %v, step %d, share %v", until, m.State(), m.Step(), m.Share())
+		}
+		other := p
+		other.Steps = []float64{0.05, 0.3, 1}
+		m = Restore(0, other, &s, wall, true)
+		if m.Share() != s.Share || s.Share > 0 && m.State() != Held {
+			t.Errorf("%v: another plan begins %v at %v, not at %v", until, m.State(), m.Share(), s.Share)
+		}
+	}
+}
+
+// What a damaged file could say is turned down.
+func TestSavedIsChecked(t *testing.T) {
+	w := newWorld(plan(), 2)
+	w.play(30 * time.Second)
+	for i, change := range []func(*Saved){
+		func(s *Saved) { s.State = 9 }, func(s *Saved) { s.Step = 3 }, func(s *Saved) { s.Step = -2 }, func(s *Saved) { s.Share = 1.5 }, func(s *Saved) { s.High = -1 },
+		func(s *Saved) { s.At = time.Time{} }, func(s *Saved) { s.Held = -1 }, func(s *Saved) { s.Plan.Steps = nil }, func(s *Saved) { s.Dealt = []SavedSpan{{Low: 1, High: 0}} },
+		func(s *Saved) { s.KeysNow = make([]byte, 8*mostSavedKeys+8) },
+	} {
+		s := w.m.Save(w.now, time.Unix(1, 0))
+		if change(&s); s.Check() == nil {
+			t.Errorf("change %d passes", i)
+		}
+	}
+}
+
+// The table of transitions has no two lines for one state and cause, each state can be left
+// or is an end, and what it does not have does not happen.
+func TestTransitions(t *testing.T) {
+	seen := map[string]bool{}
+	for _, x := range transitions {
+		if key := fmt.Sprint(x.from, x.cause); seen[key] {
+			t.Errorf("two lines for %v, %v", x.from, x.cause)
+		} else {
+			seen[key] = true
+		}
+	}
+	m := New(0, plan())
+	for _, c := range []Cause{Resume, Proved, Empty} {
+		if m.Tell(0, c) == nil {
+			t.Errorf("a move that is prepared takes %v", c)
+		}
+	}
+	if m.Tell(0, Pause) != nil || m.State() != Halted || m.Tell(0, Resume) != nil || m.State() != Prepared {
+		t.Errorf("paused and resumed before its begin it is %v", m.State())
+	}
+	if m.Tell(0, Back) != nil || m.State() != Undone || m.Tell(0, Resume) == nil {
+		t.Errorf("undone before its begin it is %v", m.State())
+	}
+}
+
+// A set of keys does what a map does.
+func TestKeySet(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		set, plain := keySet{most: 500}, map[uint64]Side{}
+		for range rapid.IntRange(0, 2000).Draw(rt, "n") {
+			key := uint64(rapid.IntRange(0, 900).Draw(rt, "key")) << 1
+			key |= key << 40
+			side, ok := set.find(key)
+			want, known := plain[key]
+			if ok != known || side != want {
+				rt.Fatalf("key %x: %v %v, want %v %v", key, side, ok, want, known)
+			}
+			if s := Side(key >> 2 & 1); !ok && set.put(key, s) != (len(plain) < 500) {
+				rt.Fatalf("%d keys: put", len(plain))
+			} else if !ok && len(plain) < 500 {
+				plain[key] = s
+			}
+		}
+	})
+}
+
+func BenchmarkUnit(b *testing.B) {
+	for _, keyed := range []bool{false, true} {
+		b.Run(fmt.Sprintf("keyed=%v", keyed), func(b *testing.B) {
+			p := plan()
+			p.Window = time.Minute
+			m := New(time.Hour, p)
+			for range 100 {
+				m.Tick(time.Hour, fine, fine)
+			}
+			m.begin(time.Hour, 0.1)
+			m.granted = span{0, 1}
+			now := time.Hour
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += 100 * time.Microsecond
+				key := uint64(i) * 0x9e3779b97f4a7c15
+				a := Ask{Key: key, Named: keyed, Keyed: keyed, Class: i & 3, Worth: 1, Aim: time.Second, Cost: key, Draw: Draw(key)}
+				u, _ := m.Place(now, &a)
+				m.Ended(now, &u, End{Good: true, Work: time.Millisecond})
+			}
+		})
+	}
+}
+
+// The set of keys beside a map, a million of them.
+func BenchmarkKeys(b *testing.B) {
+	b.Run("ours", func(b *testing.B) {
+		b.ReportAllocs()
+		set := keySet{most: mostKeys}
+		for i := 0; b.Loop(); i++ {
+			key := uint64(i) * 0x9e3779b97f4a7c15
+			if _, ok := set.find(key); !ok && !set.put(key, NewPool) {
+				set.clear()
+			}
+		}
+	})
+	b.Run("map", func(b *testing.B) {
+		b.ReportAllocs()
+		set := map[uint64]Side{}
+		for i := 0; b.Loop(); i++ {
+			key := uint64(i) * 0x9e3779b97f4a7c15
+			if _, ok := set[key]; !ok {
+				if len(set) >= mostKeys {
+					clear(set)
+				}
+				set[key] = NewPool
+			}
+		}
+	})
+}
