--- a/internal/shift/evidence.go
+++ b/internal/shift/evidence.go
@@ -126,6 +126,17 @@
 // step begins the gate anew.
 func (e *evidence) step() { e.gate = newWealth() }
 
+// forget drops what has been proved; strata stay, as units that are open belong to them.
+func (e *evidence) forget() {
+	e.all = detector{}
+	e.all.restart()
+	for i := range e.strata {
+		e.strata[i].detector = detector{}
+		e.strata[i].restart()
+	}
+	e.step()
+}
+
 // restart lets all detectors begin another run.
 func (e *evidence) restart() {
 	e.all.restart()
--- a/internal/shift/move.go
+++ b/internal/shift/move.go
@@ -329,7 +329,7 @@
 				m.books.step()
 			}
 			if c == Back || c == Fell { // what has been proved is used up
-				m.books.ev = newEvidence(&m.plan)
+				m.books.ev.forget()
 			}
 			return true
 		}
