--- a/cmd/stilespool/check.go
+++ b/cmd/stilespool/check.go
@@ -12,15 +12,17 @@
 	"frostshift/internal/config"
 	"frostshift/internal/route"
 	"frostshift/internal/verdict"
+	"github.com/spf13/cobra"
 )
 
-// runCheck says what is wrong with a configuration file.
-func runCheck(args []string, out, errs io.Writer) int {
-	f := flags("check", errs)
-	if status, ok := parse(f, args, 1); !ok {
-		return status
-	}
-	m, warnings, err := config.Load(f.Arg(0))
+// checkCommand says what is wrong with a configuration file.
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check FILE", Short: "say all that is wrong with a configuration file, by line and key", Args: exactly(1),
+		RunE: func(c *cobra.Command, args []string) error { return check(args[0], c.OutOrStdout(), c.ErrOrStderr()) }}
+}
+
+func check(path string, out, errs io.Writer) error {
+	m, warnings, err := config.Load(path)
 	for _, w := range warnings {
 		fmt.Fprintf(errs, "warning: %v\n", w)
 	}
@@ -30,7 +32,7 @@
 		if errors.As(err, &all) {
 			fmt.Fprintf(errs, "%d wrong\n", len(all))
 		}
-		return exitFailed
+		return said{}
 	}
 	classes := len(m.Classes)
 	for _, c := range m.Classes {
@@ -38,57 +40,65 @@
 			classes--
 		}
 	}
-	fmt.Fprintf(out, "%s is good: %d listeners, %d classes, %d pools, %d routes\n",
-		f.Arg(0), len(m.Listeners), classes, len(m.Pools), len(m.Table.Routes()))
-	return exitOK
+	fmt.Fprintf(out, "%s is good: %d listeners, %d classes, %d pools, %d routes\n", path, len(m.Listeners), classes, len(m.Pools), len(m.Table.Routes()))
+	return nil
 }
 
-// headerFlag collects 'Name: value' flags.
-type headerFlag struct{ http.Header }
-
-func (h headerFlag) String() string { return "" }
-
-func (h headerFlag) Set(text string) error {
-	name, value, ok := strings.Cut(text, ":")
-	if name = strings.TrimSpace(name); !ok || name == "" {
-		return fmt.Errorf("want 'Name: value'")
+// headerOf is 'Name: value' flags as a header.
+func headerOf(flag string, lines []string) (http.Header, error) {
+	h := http.Header{}
+	for _, text := range lines {
+		name, value, ok := strings.Cut(text, ":")
+		if name = strings.TrimSpace(name); !ok || name == "" {
+			return nil, usage{fmt.Errorf("%s %q: want 'Name: value'", flag, text)}
+		}
+		h.Add(name, strings.TrimSpace(value))
 	}
-	h.Add(name, strings.TrimSpace(value))
-	return nil
+	return h, nil
 }
 
 const mostLosses = 20 // better routes that are told of
 
-// runRoute says which route gets a request.
-func runRoute(args []string, out, errs io.Writer) int {
-	f := flags("route", errs)
+// routeCommand says which route gets a request.
+func routeCommand() *cobra.Command {
+	c := &cobra.Command{Use: "route URL", Short: "say which route gets a request, why the better ones do not, and what an answer would mean", Args: exactly(1)}
+	f := c.Flags()
 	path := f.String("config", "", "configuration `file`")
-	method := f.String("X", http.MethodGet, "`method`")
-	headers := headerFlag{http.Header{}}
-	status := f.Int("status", 0, "say what an answer of a host with this status, and the headers of -A, would mean")
-	answer := headerFlag{http.Header{}}
-	f.Var(answer, "A", "a header of that answer, `'Name: value'`; may be given several times")
-	f.Var(headers, "H", "a header, `'Name: value'`; may be given several times")
-	if status, ok := parse(f, args, 1); !ok {
-		return status
-	}
-	if *path == "" {
-		fmt.Fprintln(errs, "stilespool: route needs -config")
-		return exitUsage
-	}
-	m, ok := read(*path, errs)
-	if !ok {
-		return exitFailed
-	}
-	q, err := requestOf(*method, f.Arg(0), headers.Header)
-	if err != nil {
-		fmt.Fprintf(errs, "stilespool: %v\n", err)
-		return exitFailed
+	method := f.StringP("method", "X", http.MethodGet, "`method`")
+	headers := f.StringArrayP("header", "H", nil, "a header, `'Name: value'`; may be given several times")
+	answerStatus := f.Int("status", 0, "say what an answer of a host with this status, and the headers of -A, would mean")
+	answer := f.StringArrayP("answer-header", "A", nil, "a header of that answer, `'Name: value'`; may be given several times")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		h, err := headerOf("-H", *headers)
+		if err != nil {
+			return err
+		}
+		a, err := headerOf("-A", *answer)
+		if err != nil {
+			return err
+		}
+		if *path == "" {
+			return usage{errors.New("route needs --config")}
+		}
+		m, ok := read(*path, c.ErrOrStderr())
+		if !ok {
+			return said{}
+		}
+		q, err := requestOf(*method, args[0], h)
+		if err != nil {
+			return err
+		}
+		return tellRoute(c.OutOrStdout(), m, *path, *method, q, *answerStatus, a)
 	}
+	return c
+}
+
+// tellRoute tells of one request.
+func tellRoute(out io.Writer, m *config.Model, path, method string, q *route.Request, status int, answer http.Header) error {
 	match, losses, err := m.Table.Explain(q)
 	if err != nil {
 		fmt.Fprintf(out, "answered 400: %v\n", err)
-		return exitNoMatch
+		return noMatch{}
 	}
 	for i, l := range losses {
 		if i == mostLosses {
@@ -100,23 +110,23 @@
 	r := match.Route
 	if r == nil {
 		if allowed := m.Table.Allowed(q); len(allowed) > 0 {
-			fmt.Fprintf(out, "no route takes %s here: answered 405, Allow: %s\n", *method, strings.Join(allowed, ", "))
+			fmt.Fprintf(out, "no route takes %s here: answered 405, Allow: %s\n", method, strings.Join(allowed, ", "))
 		} else {
 			fmt.Fprintln(out, "no route matches: answered 404")
 		}
-		return exitNoMatch
+		return noMatch{}
 	}
 	fmt.Fprintf(out, "route %v\n", r)
 	if r.Line > 0 {
-		fmt.Fprintf(out, "  at       %s:%d\n", *path, r.Line)
+		fmt.Fprintf(out, "  at       %s:%d\n", path, r.Line)
 	}
 	policy := m.Policies[r.Index]
 	if policy != nil && policy.Own != nil {
 		fmt.Fprintf(out, "  answered %d by the gateway itself\n", policy.Own.Status)
-		return exitOK
+		return nil
 	}
 	c := m.Classes[m.ClassIndex(r.Class)]
-	if c.ByMethod > 0 && !config.Idempotent(*method) {
+	if c.ByMethod > 0 && !config.Idempotent(method) {
 		c = m.Classes[c.ByMethod]
 	}
 	fmt.Fprintf(out, "  service  %s\n  class    %s (%s, deadline %v)\n", r.Service, c.Name, effectNames[c.Effect], c.Deadline)
@@ -129,14 +139,14 @@
 		goesOn = match.Path + " (rewritten)"
 	}
 	fmt.Fprintf(out, "  path     %s\n", goesOn)
-	if *status != 0 {
+	if status != 0 {
 		set := m.PoolNamed(r.Pools[match.Pool].Pool).Answers
 		if policy != nil && policy.Answers != nil {
 			set = policy.Answers
 		}
-		tellMeaning(out, set, *status, answer.Header, c.Effect)
+		tellMeaning(out, set, status, answer, c.Effect)
 	}
-	return exitOK
+	return nil
 }
 
 // tellMeaning says what becomes of an answer.
--- a/cmd/stilespool/contracts.go
+++ b/cmd/stilespool/contracts.go
@@ -1,48 +1,54 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"slices"
 	"strings"
 
+	"frostshift/internal/config"
 	"frostshift/internal/contract"
+	"github.com/spf13/cobra"
 )
 
 // startPerHost is how many attempts a balancer lets a host hold before it has learnt what
 // the host can take.
 const startPerHost = 4
 
-// runContracts lists the teams with what they are guaranteed.
-func runContracts(args []string, out, errs io.Writer) int {
-	f := flags("contracts", errs)
-	path := f.String("config", "", "configuration `file`")
-	capacity := f.Float64("capacity", 0, "attempts that a pool can hold at once, as a running gateway has it; 0: "+
+// contractsCommand lists the teams with what they are guaranteed.
+func contractsCommand() *cobra.Command {
+	c := &cobra.Command{Use: "contracts", Short: "list the teams, what they are guaranteed and whether it fits", Args: none}
+	path := c.Flags().String("config", "", "configuration `file`")
+	capacity := c.Flags().Float64("capacity", 0, "attempts that a pool can hold at once, as a running gateway has it; 0: "+
 		fmt.Sprint(startPerHost)+" for each host that the file names")
-	if status, ok := parse(f, args, 0); !ok {
-		return status
-	}
-	if *path == "" || *capacity < 0 {
-		f.Usage()
-		return exitUsage
-	}
-	m, ok := read(*path, errs)
-	if !ok {
-		return exitFailed
-	}
-	if m.Contracts == nil {
-		fmt.Fprintf(errs, "%s names no contracts\n", *path)
-		return exitFailed
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if *path == "" || *capacity < 0 {
+			return usage{errors.New("contracts needs --config, and a capacity is not below 0")}
+		}
+		m, ok := read(*path, c.ErrOrStderr())
+		if !ok {
+			return said{}
+		}
+		if m.Contracts == nil {
+			return fmt.Errorf("%s names no contracts", *path)
+		}
+		tellContracts(c.OutOrStdout(), c.ErrOrStderr(), m, *capacity)
+		return nil
 	}
+	return c
+}
+
+func tellContracts(out, errs io.Writer, m *config.Model, capacity float64) {
 	fmt.Fprintf(out, "%-14s %8s %8s %12s %8s %8s  %s\n", "team", "share", "rate", "concurrency", "burst", "ceiling", "classes, by priority")
 	for _, t := range m.Contracts.Terms() {
 		fmt.Fprintf(out, "%-14s %8.3g %8.3g %12.3g %8v %8.3g  %s\n", t.Team, t.Share, t.Rate, t.Concurrency, t.Burst, orOne(t.Ceiling), classesOf(t))
 	}
 	oversold := false
 	for _, p := range m.Pools {
-		n := *capacity
+		n := capacity
 		for _, s := range p.Sources {
-			if *capacity == 0 {
+			if capacity == 0 {
 				n += float64(startPerHost * len(s.Static))
 			}
 		}
@@ -63,7 +69,6 @@
 	if oversold {
 		fmt.Fprintln(errs, "warning: where all teams want what they are guaranteed at once, each gets less")
 	}
-	return exitOK
 }
 
 func orOne(ceiling float64) float64 {
--- a/cmd/stilespool/demo.go
+++ b/cmd/stilespool/demo.go
@@ -1,33 +1,29 @@
 package main
 
 import (
-	"fmt"
-	"io"
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/spf13/cobra"
+
 	"frostshift/internal/demo"
 )
 
-// runDemo runs a gateway between stand-ins.
-func runDemo(args []string, out, errs io.Writer) int {
-	f := flags("demo", errs)
-	length := f.Duration("for", 20*time.Second, "how `long`")
-	if status, ok := parse(f, args, 0); !ok {
-		return status
-	}
-	if *length < time.Second || *length > time.Hour {
-		fmt.Fprintln(errs, "stilespool: -for is from 1s to 1h")
-		return exitUsage
-	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(stop)
-	if err := demo.Run(out, *length, stop); err != nil {
-		fmt.Fprintf(errs, "stilespool: %v\n", err)
-		return exitFailed
+// demoCommand runs a gateway between stand-ins.
+func demoCommand() *cobra.Command {
+	c := &cobra.Command{Use: "demo", Short: "run a gateway between stand-in clients and hosts, some of which fail", Args: none}
+	length := c.Flags().Duration("for", 20*time.Second, "how `long`")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if *length < time.Second || *length > time.Hour {
+			return usage{errors.New("--for is from 1s to 1h")}
+		}
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+		defer signal.Stop(stop)
+		return demo.Run(c.OutOrStdout(), *length, stop)
 	}
-	return exitOK
+	return c
 }
--- a/cmd/stilespool/hosts.go
+++ b/cmd/stilespool/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,47 +15,48 @@
 	"frostshift/internal/config"
 	"frostshift/internal/membership"
 	"frostshift/internal/membership/keeper"
+	"github.com/spf13/cobra"
 )
 
-// runHosts shows the hosts of each pool: as the running gateway has them, where it shows that,
-// or else as the sources say when they are asked once.
-func runHosts(args []string, out, errs io.Writer) int {
-	f := flags("hosts", errs)
+// hostsCommand shows the hosts of each pool: as the running gateway has them, where it shows
+// that, or else as the sources say when they are asked once.
+func hostsCommand() *cobra.Command {
+	c := &cobra.Command{Use: "hosts", Short: "show the hosts of pools, where each comes from and what is doubted", Args: none}
+	f := c.Flags()
 	path := f.String("config", "", "configuration `file`")
 	only := f.String("pool", "", "show this `pool` alone")
 	again := f.Bool("ask", false, "ask the sources, also where a running gateway shows what it knows")
 	wait := f.Duration("wait", 2*time.Second, "how long to wait for sources that say nothing")
-	if status, ok := parse(f, args, 0); !ok {
-		return status
-	}
-	if *path == "" || *wait <= 0 {
-		f.Usage()
-		return exitUsage
-	}
-	m, ok := read(*path, errs)
-	if !ok {
-		return exitFailed
-	}
-	if *only != "" && m.PoolNamed(*only) == nil {
-		fmt.Fprintf(errs, "%s has no pool %q\n", *path, *only)
-		return exitFailed
-	}
-	status := exitOK
-	for _, p := range m.Pools {
-		if *only == "" || p.Name == *only {
-			s, shown := keeper.State{}, false
-			if !*again && m.Views != "" {
-				s, shown = shownState(keeper.ViewPath(m.Views, p.Name))
-			}
-			if !shown {
-				s = ask(p, *wait, errs)
-			}
-			if !showPool(p, &s, shown, out) {
-				status = exitFailed
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if *path == "" || *wait <= 0 {
+			return usage{errors.New("hosts needs --config, and a time to wait")}
+		}
+		m, ok := read(*path, c.ErrOrStderr())
+		if !ok {
+			return said{}
+		}
+		if *only != "" && m.PoolNamed(*only) == nil {
+			return fmt.Errorf("%s has no pool %q", *path, *only)
+		}
+		whole := true
+		for _, p := range m.Pools {
+			if *only == "" || p.Name == *only {
+				s, shown := keeper.State{}, false
+				if !*again && m.Views != "" {
+					s, shown = shownState(keeper.ViewPath(m.Views, p.Name))
+				}
+				if !shown {
+					s = ask(p, *wait, c.ErrOrStderr())
+				}
+				whole = showPool(p, &s, shown, c.OutOrStdout()) && whole
 			}
 		}
+		if !whole {
+			return said{}
+		}
+		return nil
 	}
-	return status
+	return c
 }
 
 // shownState reads what a running gateway shows; false: none does.
--- a/cmd/stilespool/main.go
+++ b/cmd/stilespool/main.go
@@ -5,11 +5,15 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"os"
 	"runtime/debug"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 )
 
 // Exit statuses.
@@ -20,27 +24,64 @@
 	exitUsage   = 64
 )
 
-// command is one of the program's commands. run gets the arguments behind its name and
-// returns the exit status.
-type command struct {
-	name, args, what string
-	run              func(args []string, out, errs io.Writer) int
+// usage is an error of whoever typed the command; noMatch is one whose status says that there
+// is no route. said is an error that has been told already.
+type (
+	usage   struct{ error }
+	noMatch struct{}
+	said    struct{}
+)
+
+func (noMatch) Error() string { return "no route matches" }
+func (said) Error() string    { return "" }
+
+// commandLine is the command line, made anew for each use.
+func commandLine(out, errs io.Writer) *cobra.Command {
+	root := &cobra.Command{
+		Use:   "stilespool",
+		Short: "a gateway that gives each request exactly one honest final answer",
+		Long: "stilespool: a gateway that gives each request exactly one honest final answer\n\n" +
+			"Started bare, with GW_CONFIG set, it is one gateway of the platform.\n\n" +
+			"signals of a running gateway: SIGHUP reads the configuration again, whole or not at all;\n" +
+			"SIGTERM finishes what is held and ends. docs/ has the rest.",
+		SilenceErrors: true, SilenceUsage: true,
+		Args: func(_ *cobra.Command, args []string) error { return nil },
+	}
+	root.RunE = func(c *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return c.Help()
+		}
+		text := fmt.Sprintf("there is no command %q; stilespool help lists them", args[0])
+		for _, s := range c.SuggestionsFor(args[0]) {
+			text += "\ndid you mean " + s + "?"
+		}
+		return usage{errors.New(text)}
+	}
+	root.SuggestionsMinimumDistance = 2
+	root.SetOut(out)
+	root.SetErr(errs)
+	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error {
+		return usage{fmt.Errorf("%w\n%s", err, strings.TrimRight(c.UsageString(), "\n"))}
+	})
+	root.AddCommand(runCommand(), checkCommand(), routeCommand(), importCommand(), contractsCommand(), hostsCommand(), moveCommand(), labCommand(), demoCommand(),
+		&cobra.Command{Use: "version", Short: "say which build this is", Args: none, RunE: func(c *cobra.Command, _ []string) error { return version(c.OutOrStdout()) }})
+	return root
 }
 
-// commands is filled by init, as help lists them.
-var commands []command
+// none and one say how many arguments a command takes.
+func none(c *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return usage{fmt.Errorf("%s takes no argument such as %q\n%s", c.CommandPath(), args[0], strings.TrimRight(c.UsageString(), "\n"))}
+	}
+	return nil
+}
 
-func init() {
-	commands = []command{
-		{"run", "-config F", "run a gateway; without -config as the platform says in GW_CONFIG", runGateway},
-		{"check", "F", "say all that is wrong with a configuration file, by line and key", runCheck},
-		{"route", "-config F [-X METHOD] [-H 'Name: v']... [-status 503 [-A 'Name: v']...] URL", "say which route gets a request, why the better ones do not, and what an answer would mean", runRoute},
-		{"import", "nginx FILE -o DIR [-allow NAMES] | nginx verify -log LOG -config F", "make a configuration of nginx's, with a report of every directive; or hold its access log against one", runImport},
-		{"contracts", "-config F [-capacity N]", "list the teams, what they are guaranteed and whether it fits", runContracts},
-		{"hosts", "-config F [-pool P] [-ask] [-wait 2s]", "show the hosts of pools, where each comes from and what is doubted", runHosts},
-		{"demo", "[-for 20s]", "run a gateway between stand-in clients and hosts, some of which fail", runDemo},
-		{"version", "", "say which build this is", runVersion},
-		{"help", "", "say this", runHelp},
+func exactly(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) != n {
+			return usage{fmt.Errorf("%s takes %d arguments and not %d\n%s", c.CommandPath(), n, len(args), strings.TrimRight(c.UsageString(), "\n"))}
+		}
+		return nil
 	}
 }
 
@@ -49,72 +90,59 @@
 // dispatch runs the command that the arguments name; none: run, as the platform does it.
 func dispatch(args []string, out, errs io.Writer) int {
 	if len(args) == 0 {
-		return runGateway(nil, out, errs)
-	}
-	name := args[0]
-	if name == "-h" || name == "-help" || name == "--help" {
-		name = "help"
+		return status(serve("", errs), errs)
 	}
-	for _, c := range commands {
-		if c.name == name {
-			return c.run(args[1:], out, errs)
-		}
-	}
-	fmt.Fprintf(errs, "stilespool: there is no command %q; stilespool help lists them\n", name)
-	return exitUsage
+	root := commandLine(out, errs)
+	root.SetArgs(longFlags(root, args))
+	return status(root.Execute(), errs)
 }
 
-// flags returns a flag set for a command that says its usage when asked or misused.
-func flags(name string, errs io.Writer) *flag.FlagSet {
-	f := flag.NewFlagSet(name, flag.ContinueOnError)
-	f.SetOutput(errs)
-	f.Usage = func() {
-		for _, c := range commands {
-			if c.name == name {
-				fmt.Fprintf(errs, "usage: stilespool %s %s\n  %s\n", c.name, c.args, c.what)
-			}
-		}
-		f.PrintDefaults()
+// status is the exit status of an error, which is told.
+func status(err error, errs io.Writer) int {
+	var u usage
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &noMatch{}):
+		return exitNoMatch
+	case errors.As(err, &said{}):
+		return exitFailed
 	}
-	return f
-}
-
-// parse parses flags and says whether the command may go on; if not, with what status it
-// ends. Exactly so many arguments must be left.
-func parse(f *flag.FlagSet, args []string, left int) (status int, ok bool) {
-	switch err := f.Parse(args); {
-	case errors.Is(err, flag.ErrHelp):
-		return exitOK, false
-	case err != nil:
-		return exitUsage, false
-	case f.NArg() != left:
-		f.Usage()
-		return exitUsage, false
+	fmt.Fprintf(errs, "stilespool: %v\n", err)
+	if errors.As(err, &u) {
+		return exitUsage
 	}
-	return exitOK, true
+	return exitFailed
 }
 
-func runHelp(_ []string, out, _ io.Writer) int {
-	fmt.Fprintln(out, "stilespool: a gateway that gives each request exactly one honest final answer\n\ncommands:")
-	for _, c := range commands {
-		fmt.Fprintf(out, "  stilespool %s\n        %s\n", join(c.name, c.args), c.what)
+// longFlags lets flags of several letters stand behind one dash, as they always could here.
+func longFlags(root *cobra.Command, args []string) []string {
+	known := map[string]bool{"help": true}
+	var walk func(c *cobra.Command)
+	walk = func(c *cobra.Command) {
+		c.Flags().VisitAll(func(f *pflag.Flag) { known[f.Name] = true })
+		for _, x := range c.Commands() {
+			walk(x)
+		}
 	}
-	fmt.Fprintln(out, "\nsignals of a running gateway: SIGHUP reads the configuration again, whole or not at all;\nSIGTERM finishes what is held and ends. docs/ has the rest.")
-	return exitOK
-}
-
-func join(name, args string) string {
-	if args == "" {
-		return name
+	walk(root)
+	out := slices.Clone(args)
+	for i, a := range out {
+		if a == "--" {
+			break
+		}
+		if name, _, _ := strings.Cut(strings.TrimPrefix(a, "-"), "="); len(name) > 1 && strings.HasPrefix(a, "-") && a[1] != '-' && known[name] {
+			out[i] = "-" + a
+		}
 	}
-	return name + " " + args
+	return out
 }
 
-func runVersion(_ []string, out, _ io.Writer) int {
+func version(out io.Writer) error {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		fmt.Fprintln(out, "stilespool (built without module information)")
-		return exitOK
+		return nil
 	}
 	revision, changed := "unknown revision", ""
 	for _, s := range info.Settings {
@@ -126,5 +154,5 @@
 		}
 	}
 	fmt.Fprintf(out, "stilespool %s%s, %s\n", revision, changed, info.GoVersion)
-	return exitOK
+	return nil
 }
--- a/cmd/stilespool/run.go
+++ b/cmd/stilespool/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -12,6 +11,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/spf13/cobra"
+
 	"frostshift/internal/config"
 	"frostshift/internal/gateway"
 )
@@ -25,18 +26,12 @@
 // collecting took a tenth of the processor's time.
 const gcPercent = 200
 
-// runGateway runs a gateway until SIGTERM.
-func runGateway(args []string, _, errs io.Writer) int {
-	f := flags("run", errs)
-	path := f.String("config", "", "configuration `file`; none: the platform's, named by GW_CONFIG")
-	if status, ok := parse(f, args, 0); !ok {
-		return status
-	}
-	if err := serve(*path, errs); err != nil {
-		fmt.Fprintf(errs, "stilespool: %v\n", err)
-		return exitFailed
-	}
-	return exitOK
+// runCommand runs a gateway until SIGTERM.
+func runCommand() *cobra.Command {
+	c := &cobra.Command{Use: "run", Short: "run a gateway; without --config as the platform says in GW_CONFIG", Args: none}
+	path := c.Flags().String("config", "", "configuration `file`; none: the platform's, named by GW_CONFIG")
+	c.RunE = func(c *cobra.Command, _ []string) error { return serve(*path, c.ErrOrStderr()) }
+	return c
 }
 
 func serve(path string, errs io.Writer) error {
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -380,6 +380,10 @@
 		p.turn()
 	}
 	g.move.Tick(w.now, pools[0], pools[1])
+	if g.move.Wants() { // it is remembered at once
+		s := g.move.Save(w.now, time.Unix(0, int64(w.now)))
+		g.move.Grant(w.now, &s)
+	}
 	g.log = append(g.log, g.move.Decisions()...)
 	w.after(lookEvery, func() { w.look(g) })
 }
--- a/internal/shift/keys.go
+++ b/internal/shift/keys.go
@@ -32,6 +32,10 @@
 	// What was dealt before a restart, by shares from low to high, may have gone to either pool.
 	low, high float64
 	unsure    Time // until then; 0: nothing was
+	// doubt are keys that an earlier process knew, and may have forgotten and dealt anew before
+	// it ended; until doubtful.
+	doubt    keySet
+	doubtful Time
 	// life is all shares that keys have been dealt by.
 	life span
 }
@@ -39,7 +43,7 @@
 const mostKeys = 3 << 18 // of a generation: 8 MB
 
 func newKeys(window Time) *keys {
-	return &keys{window: window, now: keySet{most: mostKeys}, old: keySet{most: mostKeys}}
+	return &keys{window: window, now: keySet{most: mostKeys}, old: keySet{most: mostKeys}, doubt: keySet{most: 2 * mostSavedKeys}}
 }
 
 // turn begins a generation when the present one is as old as the window.
@@ -84,9 +88,19 @@
 // earlier try may have gone to either pool.
 func (k *keys) deal(now Time, key uint64, draw, share float64) (s Side, p float64, ok bool) {
 	p = share
-	switch {
-	case now < k.unsure && draw >= k.low && draw < k.high:
+	if now < k.unsure && draw >= k.low && draw < k.high {
 		return OldPool, 0, false
+	}
+	if now < k.doubtful {
+		if s, known := k.doubt.find(key); known {
+			if (s == NewPool) != (draw < k.by(now, share)) {
+				return s, 0, false
+			}
+			k.now.put(key, s)
+			return s, 0, true
+		}
+	}
+	switch {
 	case now < k.unsure:
 		share, p = k.low, 0
 	case now < k.pinUntil:
--- a/internal/shift/move.go
+++ b/internal/shift/move.go
@@ -151,12 +151,12 @@
 func (m *Move) Place(now Time, a *Ask) (Unit, error) {
 	if a.Keyed {
 		if s, ok := m.keys.find(now, a.Key); ok {
-			return m.again(a, s), nil
+			return m.again(now, a, s), nil
 		}
 	}
 	if a.Key != 0 && (a.Named || a.Repeat) {
 		if w, ok := m.books.waiting[a.Key]; ok {
-			return m.again(a, w.unit.Side), nil
+			return m.again(now, a, w.unit.Side), nil
 		}
 	}
 	side, p := OldPool, m.share
@@ -169,14 +169,14 @@
 		side = NewPool
 	}
 	if a.Repeat { // of a unit that has been booked, or that is not known
-		return Unit{Side: side, strat: -1, placed: true}, nil
+		return Unit{Side: side, strat: -1, class: a.Class, cost: a.Cost, began: now, placed: true}, nil
 	}
 	return m.books.open(now, a, side, p), nil
 }
 
 // again is a retry of a unit that is known.
-func (m *Move) again(a *Ask, s Side) Unit {
-	u := Unit{Side: s, strat: -1, key: a.Key, class: a.Class, cost: a.Cost, placed: true}
+func (m *Move) again(now Time, a *Ask, s Side) Unit {
+	u := Unit{Side: s, strat: -1, key: a.Key, class: a.Class, cost: a.Cost, began: now, placed: true}
 	if w, ok := m.books.waiting[a.Key]; ok {
 		u.joins, u.due = true, w.unit.due
 		m.books.tallies[s].Retries++
@@ -430,3 +430,7 @@
 		HeldMS: (now - m.since).Milliseconds(), Fall: m.books.ev.fall(), FallAt: 1 / m.plan.Error, Holds: m.books.ev.holds(), HoldsAt: 1 / gateError, Loss: m.books.loss,
 		Pools: [2]Tally{m.books.tally(OldPool), m.books.tally(NewPool)}, Waiting: len(m.books.waiting), SetAside: m.books.setAside, Keys: m.keys.now.n + m.keys.old.n, Pinned: now < m.keys.pinUntil}
 }
+
+// SetShare puts the share where it is wanted, for whoever only watches the traffic of another
+// move: what is proved is then proved of that.
+func (m *Move) SetShare(share float64) { m.share = share }
--- a/internal/shift/saved.go
+++ b/internal/shift/saved.go
@@ -54,9 +54,13 @@
 		s.Dealt = append(s.Dealt, SavedSpan{wall, m.keys.pinned, m.keys.pinned})
 	}
 	if m.plan.Window > 0 {
+		m.keys.turn(now)
 		var all [2]bool
-		s.KeysNow, all[0] = m.keys.now.save()
-		s.KeysOld, all[1] = m.keys.old.save()
+		s.KeysNow, all[0] = m.keys.now.save(nil)
+		s.KeysOld, all[1] = m.keys.old.save(nil)
+		if now < m.keys.doubtful && all[1] {
+			s.KeysOld, all[1] = m.keys.doubt.save(s.KeysOld)
+		}
 		s.Life = SavedSpan{wall, m.keys.life.low, m.keys.life.high}
 		if !all[0] || !all[1] { // those that are not kept may be anywhere
 			s.Dealt = append(s.Dealt, s.Life)
@@ -65,8 +69,8 @@
 	return s
 }
 
-// save gives the keys, and says whether these are all.
-func (t *keySet) save() (out []byte, all bool) {
+// save adds the keys to out, and says whether these are all.
+func (t *keySet) save(out []byte) ([]byte, bool) {
 	for _, c := range t.cells {
 		if c == 0 {
 			continue
@@ -162,8 +166,15 @@
 		return
 	}
 	m.keys.turned = now
-	m.keys.now.load(s.KeysNow)
-	m.keys.old.load(s.KeysOld)
+	// Keys of the older generation may have been forgotten since, and dealt anew; those of the
+	// younger one too, where the file is older than a window.
+	m.keys.doubt.load(s.KeysOld)
+	if age := wall.Sub(s.At); age >= 0 && age < m.plan.Window {
+		m.keys.now.load(s.KeysNow)
+	} else {
+		m.keys.doubt.load(s.KeysNow)
+	}
+	m.keys.doubtful = now + m.plan.Window
 	low, high := s.Low, s.High
 	for _, d := range s.Dealt {
 		low, high = min(low, d.Low), max(high, d.High)
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -287,7 +287,8 @@
 		p := plan()
 		p.Window = 20 * time.Second
 		p.Least = 2 * time.Second
-		now, wall := time.Hour, time.Unix(1_800_000_000, 0)
+		now := time.Hour
+		wall := func() time.Time { return time.Unix(1_800_000_000, int64(now)) }
 		m := New(now, p)
 		if rapid.Bool().Draw(rt, "small") {
 			m.keys.now.most, m.keys.old.most = 40, 40
@@ -297,9 +298,9 @@
 			side Side
 		}
 		went := map[uint64]first{}
-		saved := m.Save(now, wall)
+		saved := m.Save(now, wall())
 		remember := func() {
-			saved = m.Save(now, wall)
+			saved = m.Save(now, wall())
 			m.Grant(now, &saved)
 		}
 		bad := false
@@ -351,7 +352,7 @@
 					rt.Fatal(err)
 				}
 				now += time.Duration(rapid.IntRange(0, 5000).Draw(rt, "down")) * time.Millisecond
-				m = Restore(now, p, &saved, wall, true)
+				m = Restore(now, p, &saved, wall(), true)
 				remember()
 			}
 		}
