A cold pool is sent no more than its hosts may get; rig move; zones and subset on the emulator

Found by an experiment: a pool whose hosts are all cold may get a few requests a second, the balancer refuses the rest, and the move took that for a fall (refused 3.9% of all at a tenth).

--- a/balancer.go
+++ b/balancer.go
@@ -769,6 +769,23 @@
 	return n
 }
 
+// Pace is how many requests a second this instance may send while all hosts that it may use
+// are cold; 0: one of them is warm, and no budget of cold hosts bounds the whole.
+func (b *Balancer) Pace(now Time) (rate float64) {
+	b.now = now
+	for _, h := range b.hosts {
+		if h.State != Ready || h.fails > 0 && b.now < h.ejectUntil {
+			continue
+		}
+		age := b.now - h.coldAt
+		if !h.cold || age >= b.set.WarmAfter {
+			return 0
+		}
+		rate += b.coldRate(h, age)
+	}
+	return rate
+}
+
 // eject takes a host out of the draw, longer each time in a row.
 func (b *Balancer) eject(h *host, why string) {
 	if h.fails > 0 && b.now < h.ejectUntil {
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -47,6 +47,7 @@
 	PreferNear   bool
 	CrossPrice   float64
 	Instances    int // that gateways believe in; 0: as many as there are
+	MaxAttempts  int // of a request; 0: 3
 	// Watch sees each try as it ends; nil: nobody does.
 	Watch func(Try)
 }
@@ -66,9 +67,10 @@
 
 // Cost is how the work of requests is spread.
 type Cost struct {
-	Kind string        // lognormal, pareto, exponential or fixed
+	Kind string        // lognormal, pareto, exponential, uniform or fixed
 	Mean time.Duration // of a core of speed 1
-	// Shape is sigma of lognormal, or alpha, above 1, of pareto.
+	// Shape is sigma of lognormal, alpha, above 1, of pareto, or how far uniform goes to either
+	// side, as a part of the mean.
 	Shape float64
 }
 
@@ -102,13 +104,13 @@
 		return fmt.Errorf("rate: %v is not above 0", s.Rate)
 	case s.Cost.Mean <= 0:
 		return fmt.Errorf("cost.mean: %v is no time", s.Cost.Mean)
-	case s.Cost.Kind == "pareto" && !(s.Cost.Shape > 1), s.Cost.Kind == "lognormal" && !(s.Cost.Shape > 0):
+	case s.Cost.Kind == "pareto" && !(s.Cost.Shape > 1), s.Cost.Kind == "lognormal" && !(s.Cost.Shape > 0), s.Cost.Kind == "uniform" && !(s.Cost.Shape >= 0 && s.Cost.Shape < 1):
 		return fmt.Errorf("cost.shape: %v has no mean", s.Cost.Shape)
 	}
 	switch s.Cost.Kind {
-	case "lognormal", "pareto", "exponential", "fixed":
+	case "lognormal", "pareto", "exponential", "uniform", "fixed":
 	default:
-		return fmt.Errorf("cost.kind: %q is none of lognormal, pareto, exponential, fixed", s.Cost.Kind)
+		return fmt.Errorf("cost.kind: %q is none of lognormal, pareto, exponential, uniform, fixed", s.Cost.Kind)
 	}
 	for _, p := range s.Pools {
 		if len(p.Hosts) == 0 {
@@ -200,6 +202,9 @@
 	case "exponential":
 		d := distuv.Exponential{Rate: 1 / mean, Src: src}
 		w.cost = d.Rand
+	case "uniform":
+		d := distuv.Uniform{Min: mean * (1 - s.Cost.Shape), Max: mean * (1 + s.Cost.Shape), Src: src}
+		w.cost = d.Rand
 	default:
 		w.cost = func() float64 { return mean }
 	}
@@ -260,7 +265,7 @@
 	for i := range s.Pools {
 		h := &s.Pools[i].Hosts[0]
 		p := &pool{w: w, g: g, n: i}
-		set := frostshift.Settings{Instances: instances, Rank: n % instances, Zone: g.zone, Zones: max(s.Zones, 1), Classes: classes, Step: time.Millisecond, MaxAttempts: 3,
+		set := frostshift.Settings{Instances: instances, Rank: n % instances, Zone: g.zone, Zones: max(s.Zones, 1), Classes: classes, Step: time.Millisecond, MaxAttempts: s.MaxAttempts,
 			Cancel: true, MaxRetryAfter: time.Second, PreferNear: s.PreferNear, CrossPrice: s.CrossPrice, ColdFrom: h.Cold, WarmAfter: h.WarmIn,
 			OverloadFactor: fallFactor, Fall: fallSlots * fallSlot}
 		cfg := exchange.PoolConfig{Name: s.Pools[i].Name, Settings: set, Seed: s.Seed + uint64(n*len(s.Pools)+i), Log: silent, Upstream: p}
@@ -375,7 +380,7 @@
 	for i, name := range []string{w.spec.Move.From, w.spec.Move.To} {
 		p := g.pools[w.spec.index(name)]
 		p.Look(func(l exchange.Load) {
-			pools[i] = shift.Pool{Ready: l.Ready, Capacity: l.Capacity, Open: float64(l.Open)}
+			pools[i] = shift.Pool{Ready: l.Ready, Capacity: l.Capacity, Open: float64(l.Open), Pace: l.Pace}
 		})
 		p.turn()
 	}
@@ -430,6 +435,16 @@
 	return out
 }
 
+// Reset counts anew from here on.
+func (w *World) Reset() {
+	w.Totals = Totals{}
+	for _, list := range w.hosts {
+		for _, h := range list {
+			h.Busy, h.Got = 0, 0
+		}
+	}
+}
+
 // Hosts are the hosts of a pool.
 func (w *World) Hosts(pool int) []*Host { return w.hosts[pool] }
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -273,12 +273,13 @@
 	Ready    bool    // a host can take requests
 	Capacity float64 // attempts that its hosts can hold at once
 	Open     int     // requests
+	Pace     float64 // requests a second that hosts which are all cold may get from here; 0: not bounded
 }
 
 // Look has the loop say how it stands, to f in the loop; done is closed if it has ended.
 func (p *Pool) Look(f func(Load)) {
 	p.post(event{kind: do, run: func(now frostshift.Time) {
-		l := Load{Capacity: p.b.Capacity(now), Open: len(p.calls)}
+		l := Load{Capacity: p.b.Capacity(now), Open: len(p.calls), Pace: p.b.Pace(now)}
 		for i := range p.set.Classes {
 			l.Ready = l.Ready || p.b.Usable(now, i)
 		}
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -219,7 +219,7 @@
 		if pool := s.cfg.Pool(name); pool != nil {
 			asked++
 			pool.Look(func(l exchange.Load) {
-				answers <- said{i, shift.Pool{Ready: l.Ready, Capacity: l.Capacity, Open: float64(l.Open)}}
+				answers <- said{i, shift.Pool{Ready: l.Ready, Capacity: l.Capacity, Open: float64(l.Open), Pace: l.Pace}}
 			})
 		}
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -26,6 +26,7 @@
 	{"teams", "what two quiet teams keep beside each kind of flood of a third", runTeams},
 	{"lists", "what is served while the list of hosts lies, beside following it blindly", runLists},
 	{"answers", "what answers mean: poison, 404, a host that fails fast, 503 everywhere", runAnswers},
+	{"move", "traffic moves to a pool that fails slowly: time of the return beside the emulator's forecast, and the rules of keys", runMove},
 	{"pools", "throughput of two pools on two cores, beside one pool", runPools},
 }
 
--- a/internal/rig/subset.go
+++ b/internal/rig/subset.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"frostshift/internal/emulator"
 	"frostshift/internal/membership/subset"
 )
 
@@ -173,8 +174,8 @@
 
 // fleet is so many hosts in three zones, in groups of ten.
 func fleet(n int, r *rand.Rand) (list []subset.Host) {
-	for i := range n {
-		list = append(list, subset.Host{Key: r.Uint64(), Zone: i % 3, Group: i / 30})
+	for _, h := range emulator.Fleet(emulator.Host{}, n, 3, 10, r) {
+		list = append(list, subset.Host{Key: uint64(h.ID), Zone: h.Zone, Group: h.Group})
 	}
 	return list
 }
--- a/internal/save/save.go
+++ b/internal/save/save.go
@@ -36,6 +36,12 @@
 	mostParts = 1000
 )
 
+// sum is the checksum of a part, its name and version included.
+func (p *Part) sum() uint32 {
+	head := crc32.Checksum(fmt.Appendf(nil, "%s %d ", p.Name, p.Version), castagnoli)
+	return crc32.Update(head, castagnoli, p.Data)
+}
+
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // ErrTaken says that another process has the folder.
@@ -82,7 +88,7 @@
 		if p.Name == "" || strings.ContainsAny(p.Name, " \n") {
 			return fmt.Errorf("a part can't be called %q", p.Name)
 		}
-		fmt.Fprintf(&b, "part %s %d %d %08x\n", p.Name, p.Version, len(p.Data), crc32.Checksum(p.Data, castagnoli))
+		fmt.Fprintf(&b, "part %s %d %d %08x\n", p.Name, p.Version, len(p.Data), p.sum())
 		b.Write(p.Data)
 		b.WriteByte('\n')
 	}
@@ -211,7 +217,7 @@
 		if err != nil || len(data) < n {
 			return nil, fmt.Errorf("part %q is cut off", p.Name)
 		}
-		if c, err := in.ReadByte(); err != nil || c != '\n' || crc32.Checksum(data, castagnoli) != sum {
+		if c, err := in.ReadByte(); err != nil || c != '\n' || (&Part{p.Name, p.Version, data}).sum() != sum {
 			return nil, fmt.Errorf("part %q is damaged", p.Name)
 		}
 		p.Data = data
--- a/internal/shift/flow.go
+++ b/internal/shift/flow.go
@@ -11,6 +11,9 @@
 	leastAdd = 0.02 // ... or this much
 	fillTo   = 0.8  // of its capacity that a change may fill
 	rateSpan = 2.0  // seconds: of the recent rate and times
+	// paceTo is the part of what cold hosts may get that a pool is sent: requests come by chance,
+	// and what comes too early is refused.
+	paceTo = 0.4
 )
 
 // Pool is a pool as it is now.
@@ -18,6 +21,7 @@
 	Ready    bool    // a host can take requests
 	Capacity float64 // attempts that its hosts can hold at once, as they are now
 	Open     float64 // that it holds
+	Pace     float64 // requests a second that its hosts, which are all cold, may get from here; 0: not bounded
 }
 
 // flow is what has come lately.
@@ -43,13 +47,23 @@
 		dt = (now - f.at).Seconds()
 	}
 	f.at = now
-	if dt > 0 {
+	if dt > 0 && f.rate == 0 {
+		f.rate, f.came = float64(f.came)/dt, 0
+	} else if dt > 0 {
 		f.rate += -math.Expm1(-dt/rateSpan) * (float64(f.came)/dt - f.rate)
 		f.came = 0
 	}
 	return dt
 }
 
+// paced is the largest share that a pool whose hosts are all cold may have.
+func (f *flow) paced(p *Pool) float64 {
+	if p.Pace <= 0 || f.rate <= 0 {
+		return 1
+	}
+	return min(1, paceTo*p.Pace/f.rate)
+}
+
 // towards is a pool's share on its way to a larger one: as far as growth and room let it.
 func (f *flow) towards(s Side, p *Pool, share, target, dt float64) float64 {
 	if !p.Ready {
@@ -63,5 +77,5 @@
 	if each := f.rate * took; each > 0 { // attempts open at once that the whole share would be
 		add = min(add, max(0, fillTo*p.Capacity-p.Open)/each)
 	}
-	return min(target, share+add)
+	return max(share, min(target, share+add, f.paced(p)))
 }
--- a/internal/shift/move.go
+++ b/internal/shift/move.go
@@ -215,7 +215,9 @@
 			break
 		}
 		target := m.target()
-		if m.share < target {
+		if paced := m.books.flow.paced(&to); m.share > paced && from.Ready { // more comes than it can be given
+			m.share = paced
+		} else if m.share < target {
 			m.share = m.books.flow.towards(NewPool, &to, m.share, target, dt)
 		} else if m.share > target && from.Ready { // From keeps warm, or a plan has changed
 			m.share = 1 - m.books.flow.towards(OldPool, &from, 1-m.share, 1-target, dt)
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -393,6 +393,22 @@
 	}
 }
 
+// Where all hosts of the new pool are cold, no more goes there than they may get, and the step
+// is reached as they warm up.
+func TestColdPoolIsPaced(t *testing.T) {
+	w := newWorld(plan(), 11)
+	w.to.Pace = 4
+	w.play(time.Minute)
+	if share := w.m.Share(); share <= 0 || share*200 > 4 {
+		t.Errorf("%.2f requests a second go to a pool that may get 4", share*200)
+	}
+	w.to.Pace = 0
+	w.play(20*time.Minute, Done)
+	if w.m.State() != Done {
+		t.Errorf("%v", w.m.State())
+	}
+}
+
 // What is remembered comes back at most at the step it had, whatever the file's fate.
 func TestRestore(t *testing.T) {
 	p := plan()
