--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -265,7 +265,7 @@
 	d.pools(&f, m, sets)
 	d.moves(&f, m)
 	warnings = append(warnings, d.routes(&f, m, sets)...)
-	d.windows(m)
+	warnings = append(warnings, d.windows(m)...)
 	warnings = append(warnings, d.contracts(f.Contracts.Dir, m)...)
 	if len(d.errs) > 0 {
 		slices.SortStableFunc(d.errs, byLine)
--- a/internal/config/moves.go
+++ b/internal/config/moves.go
@@ -111,9 +111,9 @@
 
 // windows says how long keys belong to a pool: as long as hosts drop repeats of them and, for
 // whatever else must not run twice, as long as a client may still try.
-func (d *doc) windows(m *Model) {
+func (d *doc) windows(m *Model) (warnings Errors) {
 	if len(d.errs) > 0 {
-		return
+		return nil
 	}
 	for i := range m.Moves {
 		p := &m.Moves[i]
@@ -133,8 +133,14 @@
 				p.Window = max(p.Window, 2*c.Deadline)
 			}
 		}
+		if p.KeysStay = p.Window > 0 && m.Instances > 1; p.KeysStay {
+			key := fmt.Sprintf("move[%d]", i)
+			warnings = append(warnings, Error{File: d.file, Line: d.line(key), Key: key,
+				Text: fmt.Sprintf("requests with an Idempotency-Key stay with %q: %d gateways, which share nothing, could send one key to both pools", p.From, m.Instances)})
+		}
 		if keyed && m.State == "" {
 			d.fail(fmt.Sprintf("move[%d]", i), "it leads keyed requests, and where they went must outlive a restart: state names a folder")
 		}
 	}
+	return warnings
 }
--- a/internal/save/save.go
+++ b/internal/save/save.go
@@ -42,6 +42,11 @@
 	return crc32.Update(head, castagnoli, p.Data)
 }
 
+// head is the line before a part.
+func (p *Part) head() string {
+	return fmt.Sprintf("part %s %d %d %08x", p.Name, p.Version, len(p.Data), p.sum())
+}
+
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // ErrTaken says that another process has the folder.
@@ -88,7 +93,7 @@
 		if p.Name == "" || strings.ContainsAny(p.Name, " \n") {
 			return fmt.Errorf("a part can't be called %q", p.Name)
 		}
-		fmt.Fprintf(&b, "part %s %d %d %08x\n", p.Name, p.Version, len(p.Data), p.sum())
+		fmt.Fprintln(&b, p.head())
 		b.Write(p.Data)
 		b.WriteByte('\n')
 	}
@@ -220,7 +225,9 @@
 		if c, err := in.ReadByte(); err != nil || c != '\n' || (&Part{p.Name, p.Version, data}).sum() != sum {
 			return nil, fmt.Errorf("part %q is damaged", p.Name)
 		}
-		p.Data = data
+		if p.Data = data; p.head() != text { // the same figures in other letters
+			return nil, fmt.Errorf("part %q is damaged", p.Name)
+		}
 		parts = append(parts, p)
 	}
 }
--- a/internal/shift/move.go
+++ b/internal/shift/move.go
@@ -240,24 +240,34 @@
 }
 
 // keyShare is the share that keys are dealt by.
-func (m *Move) keyShare() float64 { return m.granted.clamp(m.share) }
+func (m *Move) keyShare() float64 {
+	if m.plan.KeysStay {
+		return 0
+	}
+	return m.granted.clamp(m.share)
+}
 
 // Wants says whether keys wait for the move to be remembered, with Save, and granted.
 func (m *Move) Wants() bool {
 	w := m.wanted()
-	return m.plan.Window > 0 && (w.low < m.granted.low || w.high > m.granted.high)
+	return m.plan.Window > 0 && !m.plan.KeysStay && (w.low < m.granted.low || w.high > m.granted.high)
 }
 
 // wanted are the shares on the way to where the move is going.
 func (m *Move) wanted() span {
-	target := m.target()
+	to := m.goal()
+	return span{min(m.share, to), max(m.share, to)}
+}
+
+// goal is the share that the state leads to.
+func (m *Move) goal() float64 {
 	switch m.state {
 	case Undoing, Undone:
-		target = 0
+		return 0
 	case Done:
-		target = 1
+		return 1
 	}
-	return span{min(m.share, target), max(m.share, target)}
+	return m.target()
 }
 
 // Grant says that what Save gave is remembered.
@@ -428,7 +438,7 @@
 
 // Status is the move as it stands now.
 func (m *Move) Status(now Time) Status {
-	return Status{Name: m.plan.Name, From: m.plan.From, To: m.plan.To, State: m.state.String(), Step: m.step + 1, Steps: len(m.plan.Steps), Share: m.share, Target: m.target(),
+	return Status{Name: m.plan.Name, From: m.plan.From, To: m.plan.To, State: m.state.String(), Step: m.step + 1, Steps: len(m.plan.Steps), Share: m.share, Target: m.goal(),
 		HeldMS: (now - m.since).Milliseconds(), Fall: m.books.ev.fall(), FallAt: 1 / m.plan.Error, Holds: m.books.ev.holds(), HoldsAt: 1 / gateError, Loss: m.books.loss,
 		Pools: [2]Tally{m.books.tally(OldPool), m.books.tally(NewPool)}, Waiting: len(m.books.waiting), SetAside: m.books.setAside, Keys: m.keys.now.n + m.keys.old.n, Pinned: now < m.keys.pinUntil}
 }
--- a/internal/shift/plan.go
+++ b/internal/shift/plan.go
@@ -41,6 +41,9 @@
 	// Window is the longest of its keyed classes: so long a key belongs to the pool of its first
 	// try. 0: no class of it is keyed.
 	Window time.Duration
+	// KeysStay says that keyed requests stay with From: where several gateways, which share
+	// nothing, deal them, a key that comes again over another one would go by that one's share.
+	KeysStay bool
 }
 
 // OnFall says what a fall leads to.
