A keyed request does not go on to a fallback

Cause: hosts of another pool drop no repeats. Nothing short of a memory that outlives gateways and is shared by them would tell; so it stays, and is refused where the first pool has no host. check warns of a fallback that is never used.

--- a/cmd/stilespool/check.go
+++ b/cmd/stilespool/check.go
@@ -131,7 +131,7 @@
 	}
 	fmt.Fprintf(out, "  service  %s\n  class    %s (%s, deadline %v)\n", r.Service, c.Name, effectNames[c.Effect], c.Deadline)
 	fmt.Fprintf(out, "  pool     %s%s\n", r.Pools[match.Pool].Pool, splitOf(r))
-	if r.Fallback != "" {
+	if r.Fallback != "" && c.Effect != frostshift.Keyed {
 		fmt.Fprintf(out, "  fallback %s\n", r.Fallback)
 	}
 	goesOn := q.Path
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -649,6 +649,10 @@
 		d.moved(key, r, m)
 		m.Policies = append(m.Policies, d.policy(key, &f.Routes[i], r, sets))
 		warnings = append(warnings, d.unsafeMethods(key, r, m)...)
+		if at := m.ClassIndex(r.Class); r.Fallback != "" && at >= 0 && m.Classes[at].Effect == frostshift.Keyed {
+			warnings = append(warnings, Error{File: d.file, Line: d.line(key + ".fallback"), Key: key + ".fallback",
+				Text: fmt.Sprintf("class %q is keyed, and hosts of another pool drop no repeats: nothing of it goes there", r.Class)})
+		}
 		list = append(list, r)
 	}
 	table, problems := route.Compile(list)
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -160,7 +160,7 @@
 		r.Hold = &holding{q.g.door, account}
 	}
 	var fallback *exchange.Pool
-	if f := w.spec.Fallback; f > 0 && f-1 != to {
+	if f := w.spec.Fallback; f > 0 && f-1 != to && c.Effect != frostshift.Keyed {
 		fallback = q.g.pools[f-1].Pool
 	}
 	q.call = q.g.x.Submit(r, p.Pool, fallback)
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -382,7 +382,9 @@
 		t.door, t.body = in.door, h.Body
 		t.item = contract.Item{Terms: terms, Account: account, Class: classAt, Priority: terms.Classes[class.Name].Priority, Key: keyOf(h)}
 	}
-	if f := s.fallbacks[r.Index]; f != nil {
+	// Hosts of another pool drop no repeats of this one's: a key that has gone on would come
+	// back to the first pool with the client's retry, and run twice.
+	if f := s.fallbacks[r.Index]; f != nil && class.Effect != frostshift.Keyed {
 		t.fallback = f.Pool
 	}
 	return t, nil
--- a/internal/gateway/pools_test.go
+++ b/internal/gateway/pools_test.go
@@ -436,6 +436,50 @@
 	}
 }
 
+// A key does not go on to the fallback, where its repeats would not be known once the first
+// pool is back; what needs no memory does.
+func TestKeysDoNotGoOn(t *testing.T) {
+	gone, spare := scripted(t, standin.Always(standin.Serve("first"))), scripted(t, standin.Always(standin.Serve("spare")))
+	gone.Refuse()
+	g := launch(t, own(t, fmt.Sprintf(`
+[[class]]
+name = "report"
+effect = "keyed"
+window = "30s"
+deadline = "1s"
+[[pool]]
+name = "gone"
+hosts = ["%s"]
+[[pool]]
+name = "spare"
+hosts = ["%s"]
+[[route]]
+name = "report"
+prefix = "/report"
+class = "report"
+pool = "gone"
+fallback = "spare"
+[[route]]
+name = "look"
+prefix = "/look"
+class = "lookup"
+pool = "gone"
+fallback = "spare"
+`, gone.Addr(), spare.Addr())))
+	for range 5 {
+		if status, body, _ := ask(t, g, "POST", "/report", "Idempotency-Key: a"); status == 200 {
+			t.Errorf("a key was served by %q", body)
+		}
+		if status, body, _ := ask(t, g, "GET", "/look"); status != 200 || body != "spare" {
+			t.Errorf("a lookup: %d %q", status, body)
+		}
+	}
+	if err := gone.Return(); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the first pool serves the key", func() bool { _, body, _ := ask(t, g, "POST", "/report", "Idempotency-Key: a"); return body == "first" })
+}
+
 // An unsafe request that a host of one pool may have run is not sent to the fallback.
 func TestFallbackOverSockets(t *testing.T) {
 	breaks, spare := scripted(t, standin.Always(standin.Break())), scripted(t, standin.Always(standin.Serve("spare")))
