--- a/cmd/stilespool/main_test.go
+++ b/cmd/stilespool/main_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +16,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"frostshift/internal/moves"
+	"frostshift/internal/shift"
 )
 
 // TestMain runs the program itself where a test asks for it.
@@ -168,3 +173,67 @@
 	reload(with(first))
 	await(firstWatches, "the watch at the first address again")
 }
+
+// A gateway that is killed while its move goes on comes back where it was, at most.
+func TestKilledInAMove(t *testing.T) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") }))
+	defer host.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free port, given back for the program
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	dir := t.TempDir()
+	path, state := filepath.Join(dir, "gw.toml"), filepath.Join(dir, "state")
+	text := fmt.Sprintf("state = %q\n[[listener]]\nname = \"l\"\naddress = %q\n[[class]]\nname = \"c\"\neffect = \"keyed\"\nwindow = \"60s\"\ndeadline = \"2s\"\n"+
+		"[[pool]]\nname = \"a\"\nhosts = [%[3]q]\n[[pool]]\nname = \"b\"\nhosts = [%[3]q]\n[[route]]\nname = \"r\"\nprefix = \"/\"\nclass = \"c\"\npool = \"a\"\n"+
+		"[[move]]\nname = \"m\"\nroutes = [\"r\"]\nfrom = \"a\"\nto = \"b\"\nsteps = [0.4]\n", state, addr, host.Listener.Addr().String())
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	share := 0.0
+	for round := range 4 {
+		cmd := exec.Command(self, "run", "--config", path)
+		cmd.Env = []string{"STILESPOOL_TEST_RUN=1"}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer cmd.Process.Kill()
+		now := func() (s shift.Status, ok bool) {
+			r, err := moves.Dial(state).Get("http://gateway/moves")
+			if err != nil {
+				return s, false
+			}
+			defer r.Body.Close()
+			var list []shift.Status
+			if err := json.NewDecoder(r.Body).Decode(&list); err != nil || len(list) != 1 {
+				t.Fatalf("%v, %d moves", err, len(list))
+			}
+			return list[0], true
+		}
+		var s shift.Status
+		for end, ok := time.Now().Add(30*time.Second), false; !ok; s, ok = now() {
+			if time.Now().After(end) {
+				t.Fatal("nobody answers at the socket")
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if round > 0 && s.State != "held" {
+			t.Errorf("round %d: it is %s", round, s.State)
+		}
+		for end := time.Now().Add(30 * time.Second); s.Share <= share+0.01 && s.Share < 0.4; s, _ = now() {
+			if time.Now().After(end) {
+				t.Fatalf("round %d: the share stays at %v", round, s.Share)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		share = s.Share
+		cmd.Process.Kill() // whatever it is writing
+		cmd.Wait()
+	}
+}
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -85,6 +85,7 @@
 // A move takes its steps on the requests themselves, an operator can speak to it over its
 // socket, and what falls comes back.
 func TestMoveOverLoopback(t *testing.T) {
+	t.Parallel()
 	var fails atomic.Bool
 	old := scripted(t, standin.Always(standin.Serve("old")))
 	fresh := scripted(t, func(*standin.Request) standin.Act {
@@ -134,6 +135,7 @@
 // A key goes where its first try went: while steps are taken, after a restart, and after the
 // move was taken out of the configuration; where nothing tells any more it fails.
 func TestKeysStayOverLoopback(t *testing.T) {
+	t.Parallel()
 	old := scripted(t, standin.Always(standin.Serve("old")))
 	fresh := scripted(t, standin.Always(standin.Serve("new")))
 	dir := t.TempDir()
@@ -187,6 +189,7 @@
 // A state file that is cut, flipped or of a later version loses nothing but what it held: the
 // gateway starts, goes on at most where it was, and keys that nothing tells fail.
 func TestDamagedState(t *testing.T) {
+	t.Parallel()
 	old := scripted(t, standin.Always(standin.Serve("old")))
 	fresh := scripted(t, standin.Always(standin.Serve("new")))
 	for name, damage := range map[string]func([]byte) []byte{
@@ -196,6 +199,7 @@
 		"of a later": func(b []byte) []byte { return []byte(strings.Replace(string(b), "part moves 1 ", "part moves 9 ", 1)) },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			dir := t.TempDir()
 			m := parseMoving(t, dir, old, fresh, "[0.5]")
 			g := begin(t, m)
@@ -228,6 +232,7 @@
 
 // Two gateways on one folder: the second serves and remembers nothing.
 func TestSecondOnAFolder(t *testing.T) {
+	t.Parallel()
 	old := scripted(t, standin.Always(standin.Serve("old")))
 	dir := t.TempDir()
 	m := parseMoving(t, dir, old, old, "[0.5]")
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -27,11 +27,14 @@
 	bad func(w *world, s Side, class int, retry bool) bool
 	// slow says how long one takes.
 	slow    func(w *world, s Side) time.Duration
+	work    func(key uint64) time.Duration // that a request costs; nil: 10 ms
+	void    func(w *world, e *ending) bool // it was a contract that turned it away
 	from    Pool
 	to      Pool
 	retries bool // clients try again, once, marked
 	log     []Decision
 	next    uint64
+	cost    uint64 // key of the request that is sent
 	ends    []ending
 }
 
@@ -56,6 +59,7 @@
 	if err != nil {
 		return
 	}
+	w.cost = a.Cost
 	w.ends = append(w.ends, ending{w.now + w.slow(w, u.Side), u, a, !w.bad(w, u.Side, a.Class, retry), retry})
 }
 
@@ -65,7 +69,7 @@
 		w.now += 100 * time.Millisecond
 		for range w.rate / 10 {
 			w.next++
-			w.send(Ask{Key: w.next, Class: int(w.next % 2), Worth: 1, Aim: time.Second, Draw: w.r.Float64()}, false)
+			w.send(Ask{Key: w.next, Class: int(w.next % 2), Worth: 1, Aim: time.Second, Draw: w.r.Float64(), Cost: w.next%10 + 1}, false)
 		}
 		due := w.ends
 		w.ends = nil
@@ -75,7 +79,11 @@
 				w.ends = append(w.ends, e)
 				continue
 			}
-			w.m.Ended(e.at, &e.u, End{Good: e.good, Work: 10 * time.Millisecond})
+			work := 10 * time.Millisecond
+			if w.work != nil {
+				work = w.work(e.ask.Cost)
+			}
+			w.m.Ended(e.at, &e.u, End{Good: e.good, Void: w.void != nil && w.void(w, &e), Work: work})
 			if !e.good && !e.retry && w.retries {
 				a, now := e.ask, w.now
 				a.Repeat = true
@@ -168,6 +176,25 @@
 				return 10 * time.Millisecond
 			}
 		}, true, Fell},
+		{"costly requests alone", func(w *world) {
+			w.work = func(key uint64) time.Duration {
+				if key == 7 {
+					return 200 * time.Millisecond
+				}
+				return 10 * time.Millisecond
+			}
+			w.bad = func(w *world, s Side, _ int, _ bool) bool {
+				return base(w) || s == NewPool && w.cost == 7 && begin(w) > 5
+			}
+		}, true, Fell},
+		{"only while it is cold", one(func(w *world, s Side, _ int, _ bool) bool {
+			return base(w) || s == NewPool && begin(w) < 30 && w.r.Float64() < 0.4
+		}), true, Fell},
+		{"a team that floods the new pool, and is turned away by its contract", func(w *world) {
+			w.rate = 1000
+			w.bad = func(w *world, s Side, _ int, _ bool) bool { return base(w) || s == NewPool && w.cost > 2 }
+			w.void = func(_ *world, e *ending) bool { return e.u.Side == NewPool && e.ask.Cost > 2 }
+		}, false, 0},
 		{"no host is left", func(w *world) {
 			w.play(15 * time.Second)
 			w.to.Ready = false
