--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -26,14 +26,14 @@
 
 // movingOf is what moves a route; nil: nothing.
 func movingOf(m *config.Model, r *route.Route, led map[string]*moves.Move, left []*moves.Move) *moving {
-	v := &moving{worth: 1}
+	v := &moving{}
 	for i := range m.Moves {
 		if p := &m.Moves[i]; slices.Contains(p.Routes, r.Name) {
 			v.move, v.name = led[p.Name], p.Name
 			for _, name := range p.Routes {
 				for _, x := range m.Table.Routes() {
 					if at := m.ClassIndex(x.Class); x.Name == name && at >= 0 {
-						v.worth = max(v.worth, m.Classes[at].Worth)
+						v.worth = max(v.worth, worthOf(&m.Classes[at]))
 					}
 				}
 			}
@@ -51,6 +51,14 @@
 	return v
 }
 
+// worthOf is what an answer of a class is worth.
+func worthOf(c *config.Class) float64 {
+	if c.Worth == 0 {
+		return 1
+	}
+	return c.Worth
+}
+
 func poolAt(r *route.Route, name string) int {
 	return slices.IndexFunc(r.Pools, func(w route.Weighted) bool { return w.Pool == name })
 }
@@ -67,11 +75,10 @@
 func (s *Snapshot) place(h *Head, client netip.Addr, r *route.Route, classAt int, repeat bool) (placement, error) {
 	v, class := s.moves[r.Index], &s.model.Classes[classAt]
 	out := placement{at: -1}
-	a := shift.Ask{Class: classAt, Aim: class.Aim, Worth: class.Worth, Cost: keyOf(h), Repeat: repeat}
-	if a.Worth == 0 {
-		a.Worth = 1
+	a := shift.Ask{Class: classAt, Aim: class.Aim, Cost: keyOf(h), Repeat: repeat}
+	if v.move != nil {
+		a.Worth = worthOf(class) / v.worth
 	}
-	a.Worth /= v.worth
 	if a.Aim == 0 {
 		a.Aim = class.Deadline
 	}
--- a/internal/shift/move.go
+++ b/internal/shift/move.go
@@ -112,6 +112,7 @@
 	restartEvery = 20 * time.Second // of the detectors
 	goneAfter    = 2 * time.Second
 	historySpan  = time.Second
+	mostHistory  = 1000
 )
 
 // ErrState says that a move can't be told this where it stands.
@@ -386,6 +387,10 @@
 			keep = append(keep, h)
 		}
 	}
+	if len(keep) == mostHistory { // the two oldest are told as one, which is wider and no less true
+		keep[1].low, keep[1].high = min(keep[0].low, keep[1].low), max(keep[0].high, keep[1].high)
+		keep = append(keep[:0], keep[1:]...)
+	}
 	m.history = append(keep, change{now, left})
 }
 
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -496,6 +496,31 @@
 	}
 }
 
+// A share that never rests is remembered in bounded room, and all that it was is in it.
+func TestHistoryIsBounded(t *testing.T) {
+	p := plan()
+	p.Window = 24 * time.Hour
+	m := New(0, p)
+	now := Time(0)
+	for i := range 10 * mostHistory {
+		now += 2 * time.Second
+		m.granted = span{0, 1}
+		m.SetShare(0.1 + 0.4*float64(i%7)/7)
+		m.keys.pinUntil = 0
+		m.dealt(now)
+	}
+	low, high := 1.0, 0.0
+	for _, h := range m.history {
+		low, high = min(low, h.low), max(high, h.high)
+	}
+	if len(m.history) > mostHistory || low > 0 || high < 0.4 {
+		t.Errorf("%d spans from %v to %v", len(m.history), low, high)
+	}
+	if s := m.Save(now, time.Unix(1, 0)); s.Check() != nil {
+		t.Error(s.Check())
+	}
+}
+
 // The table of transitions has no two lines for one state and cause, each state can be left
 // or is an end, and what it does not have does not happen.
 func TestTransitions(t *testing.T) {
