--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,6 +183,7 @@
 	for _, s := range g.servers {
 		g.serve(s)
 	}
+	platform := g.model.Platform // nothing moves there, whatever is reloaded
 	heard := make([]<-chan struct{}, 0, len(g.pools))
 	for _, p := range g.pools {
 		heard = append(heard, p.ready)
@@ -204,7 +205,9 @@
 	g.running.Go(func() { g.tellAccounts() })
 	turns, end := context.WithCancel(context.Background()) // up to the last request's end
 	var moving sync.WaitGroup
-	moving.Go(func() { g.moves.Run(turns) })
+	if !platform {
+		moving.Go(func() { g.moves.Run(turns) })
+	}
 	if g.state != nil {
 		moving.Go(func() {
 			if err := g.moves.Control(turns); err != nil {
