The test of keys over loopback fails without the memory of keys

It passed with the memory broken: its keys were all pinned to the old pool. They are dealt to both pools now, at a share that grows while they come again. With the look-up broken it fails at once.

--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"frostshift/internal/config"
 	"frostshift/internal/moves"
@@ -139,8 +140,12 @@
 	old := scripted(t, standin.Always(standin.Serve("old")))
 	fresh := scripted(t, standin.Always(standin.Serve("new")))
 	dir := t.TempDir()
-	m := parseMoving(t, dir, old, fresh, "[0.5]")
-	g := begin(t, m)
+	model := func(steps string) *config.Model {
+		m := parseMoving(t, dir, old, fresh, steps)
+		m.Moves[0].Window = 4 * time.Second // a key that is used lives on
+		return m
+	}
+	g := begin(t, model("[0.2]"))
 	went := map[string]string{}
 	check := func(when string) (failed int) {
 		t.Helper()
@@ -155,31 +160,56 @@
 		}
 		return failed
 	}
-	for i := range 30 {
+	put := func(i int) string {
 		key := fmt.Sprintf("k%d", i)
 		status, body, _ := ask(t, g, "POST", "/report/x", "Idempotency-Key: "+key)
 		if status != 200 {
-			t.Fatalf("%d", status)
+			t.Fatalf("%s: %d", key, status)
 		}
 		went[key] = strings.TrimSpace(body)
+		return went[key]
+	}
+	n := 0
+	until(t, "keys go to the new pool", func() bool { n++; return put(n) == "new" })
+	clear(went) // those before it are older than this share
+	for range 40 {
+		n++
+		put(n)
 	}
-	until(t, "the step is reached", func() bool { return statusOf(t, g).Share == 0.5 })
-	if n := check("at the step"); n > 0 {
-		t.Errorf("%d keys failed though they are known", n)
+	// At the larger share many of the old pool's keys would be dealt to the new one.
+	next := model("[0.6]")
+	if err := g.Reload(next); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the step is reached", func() bool {
+		if failed := check("on the way to the step"); failed > 0 {
+			t.Errorf("%d keys failed though they are known", failed)
+		}
+		return statusOf(t, g).Share == 0.6
+	})
+	news := 0
+	for range 20 {
+		n++
+		if put(n) == "new" {
+			news++
+		}
+	}
+	if news == 0 {
+		t.Error("no new key goes to the new pool")
 	}
 	halt(t, g)
-	g = begin(t, m)
-	if s := statusOf(t, g); s.Share > 0.5 || s.State != "held" {
+	g = begin(t, next)
+	if s := statusOf(t, g); s.Share > 0.6 || s.State != "held" {
 		t.Errorf("after a restart it is %s at %v", s.State, s.Share)
 	}
 	check("after a restart")
 	// The move goes, and its new pool with it.
 	text := fmt.Sprintf("state = %q\n", dir) + head + moveClasses + fmt.Sprintf("[[pool]]\nname = \"old\"\nhosts = [%q]\n[[route]]\nname = \"report\"\nprefix = \"/report\"\nclass = \"report\"\npool = \"old\"\n", old.Addr())
-	next, _, err := config.Parse("gw.toml", []byte(text))
+	plain, _, err := config.Parse("gw.toml", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := g.Reload(next); err != nil {
+	if err := g.Reload(plain); err != nil {
 		t.Fatal(err)
 	}
 	check("after the move was taken out")
@@ -242,8 +272,10 @@
 		t.Errorf("%d", status)
 	}
 	halt(t, second)
-	if _, err := moves.Dial(dir).Get("http://gateway/moves"); err != nil {
+	if r, err := moves.Dial(dir).Get("http://gateway/moves"); err != nil {
 		t.Errorf("the first one's socket: %v", err)
+	} else {
+		r.Body.Close()
 	}
 	halt(t, first)
 }
