--- a/balancer.go
+++ b/balancer.go
@@ -60,6 +60,7 @@
 	drawLeast   = 32       // hosts in a subset from which on they are drawn and not walked
 	drawTries   = 12       // draws before the walk: with half of the hosts out they do in 99.7%
 	stoodLeast  = 8        // part of an attempt's time that counts however long the gateway stood still
+	streamPart  = 0.125    // what a flowing body holds of a host, in attempts: it waits for its client mostly
 	answerSteps = 2        // steps ahead of its deadline that a request is answered at the latest
 )
 
@@ -372,6 +373,57 @@
 	b.cancelOthers(r, n)
 }
 
+// Feeding says that the body of an attempt's request is still coming from the client: how
+// long that takes is no fault of the host's, of which it holds a part, and the request's time
+// begins with the last byte.
+func (b *Balancer) Feeding(now Time, id RequestID, n int) {
+	b.now = now
+	if a := b.attempt(id, n); a != nil && !a.away {
+		a.req.feeding, a.away = true, true
+		a.host.flight.remove(&a.link)
+		a.host.pending--
+		a.host.streams++
+	}
+}
+
+// Fed says that the last byte of a request that was Feeding has gone out.
+func (b *Balancer) Fed(now Time, id RequestID, n int) {
+	b.now = now
+	if a := b.attempt(id, n); a != nil && a.req.feeding {
+		a.away, a.sent, a.stood = false, now, b.stood
+		a.host.flight.pushBack(&a.link)
+		a.host.pending++
+		a.host.streams--
+		b.fedUp(a.req)
+	}
+}
+
+// fedUp gives a request that was fed its whole time from now on.
+func (b *Balancer) fedUp(r *request) {
+	r.feeding, r.moved = false, true
+	r.deadline = b.now + min(max(r.Left, 0), r.class.Deadline)
+	b.wake(r.deadline-answerSteps*b.set.Step, tokenAnswer<<tokenShift|uint64(r.ID))
+}
+
+// Flowing says that the head of the final answer came, with the result that it would have if
+// it were all, after the host had taken so long, and that its body flows as far as the client
+// takes it in. That holds a part of the host until the Outcome, and tells nothing of its speed.
+func (b *Balancer) Flowing(now Time, id RequestID, n int, result Result, took Time) {
+	b.now = now
+	a := b.attempt(id, n)
+	if a == nil || a.flows {
+		return
+	}
+	if !a.away {
+		a.host.flight.remove(&a.link)
+		a.host.pending--
+		a.host.streams++
+	}
+	a.req.bound, a.req.feeding, a.away, a.flows, a.result = true, false, true, true, result
+	b.observe(a, max(took, 0).Seconds())
+	b.pump()
+}
+
 // Outcome is the end of an attempt.
 func (b *Balancer) Outcome(now Time, o Outcome) {
 	b.now = now
@@ -383,9 +435,22 @@
 	a.ended, a.result = true, o.Result
 	a.hint = min(o.After, hintAims*b.aim).Seconds()
 	r.out--
-	a.host.pending--
-	a.host.flight.remove(&a.link)
-	b.observe(a, b.took(a, max(o.Elapsed, 0)).Seconds())
+	if a.away {
+		a.host.streams--
+	} else {
+		a.host.pending--
+		a.host.flight.remove(&a.link)
+	}
+	if a.flows && o.Result == Reset { // a body that breaks off is a connection that does
+		b.sample(a.host, b.penalty())
+		b.eject(a.host, "connections fail")
+	}
+	if !a.flows { // else its head has told all
+		if r.feeding {
+			b.fedUp(r)
+		}
+		b.observe(a, b.took(a, max(o.Elapsed, 0)).Seconds())
+	}
 	b.settle(r, a, o.Closed)
 	b.forget(a.host)
 	b.pump()
@@ -430,10 +495,12 @@
 			b.watchIn(b.set.AskWithin)
 		}
 	case tokenAnswer:
-		if r := b.reqs[RequestID(token&(1<<tokenShift-1))]; r != nil && !r.done && !r.bound {
-			b.overdue(r)
-			b.answer(r)
+		r := b.reqs[RequestID(token&(1<<tokenShift-1))]
+		if r == nil || r.done || r.bound || r.feeding || r.moved && now < r.deadline-answerSteps*b.set.Step {
+			return
 		}
+		b.overdue(r)
+		b.answer(r)
 	}
 }
 
@@ -466,7 +533,7 @@
 // time-out: called off, its attempts would tell nothing of hosts that are so late.
 func (b *Balancer) overdue(r *request) {
 	for _, a := range r.atts {
-		if !a.ended {
+		if !a.ended && !a.away {
 			rtt := b.took(a, b.now-a.sent).Seconds()
 			b.press(r.class, rtt)
 			b.crowded(a.host, r.Class, rtt)
@@ -639,7 +706,7 @@
 	if b.remote(h) {
 		rtt += b.set.CrossPrice * b.aim.Seconds()
 	}
-	return rtt * (float64(h.pending)/h.weight() + 1)
+	return rtt * ((float64(h.pending)+streamPart*float64(h.streams))/h.weight() + 1)
 }
 
 // estimate reads the RTT decayed toward zero, so that a host that was
--- a/internal/config/answers.go
+++ b/internal/config/answers.go
@@ -19,8 +19,9 @@
 type Policy struct {
 	Answers           *verdict.Set // nil: the pool's
 	Request, Response *headers.Ops
-	Authority         string // as of a pool, in its place; "": the pool's
-	Own               *Own   // nil: requests go to pools
+	Authority         string  // as of a pool, in its place; "": the pool's
+	Own               *Own    // nil: requests go to pools
+	Bodies            *Bodies // nil: whole, within the bounds of the platform
 }
 
 // Own is an answer that the gateway gives itself.
@@ -208,8 +209,8 @@
 }
 
 // policy reads what a route does besides sending requests to pools; nil: nothing.
-func (d *doc) policy(key string, in *fileRoute, r *route.Route, sets map[string]*verdict.Set) *Policy {
-	p := &Policy{}
+func (d *doc) policy(key string, in *fileRoute, r *route.Route, sets map[string]*verdict.Set, spool *Spool) *Policy {
+	p := &Policy{Bodies: d.bodies(key+".bodies", in.Bodies, spool)}
 	if in.Answers != "" {
 		p.Answers = d.answersNamed(key+".answers", in.Answers, sets)
 	}
@@ -224,7 +225,9 @@
 	case in.Answer != nil:
 		p.Own = d.fixed(key+".answer", in.Answer)
 	}
-	r.Own = p.Own != nil
+	if r.Own = p.Own != nil; r.Own && p.Bodies != nil {
+		d.fail(key+".bodies", "the gateway answers itself: no bodies go on")
+	}
 	if *p == (Policy{}) {
 		return nil
 	}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -71,6 +71,7 @@
 	Pools     []filePool    `toml:"pool"`
 	Routes    []fileRoute   `toml:"route"`
 	Moves     []fileMove    `toml:"move"`
+	Spool     *fileSpool    `toml:"spool"`
 }
 
 type filePool struct {
@@ -193,6 +194,7 @@
 	RequestHeaders  []fileChange  `toml:"request_headers"`
 	ResponseHeaders []fileChange  `toml:"response_headers"`
 	Redirect        *fileRedirect `toml:"redirect"`
+	Bodies          *fileBodies   `toml:"bodies"`
 	Answer          *fileFixed    `toml:"answer"`
 	Rewrite         struct {
 		Strip      string         `toml:"strip"`
@@ -264,6 +266,7 @@
 	m.Forward = d.forwarded(&f)
 	d.pools(&f, m, sets)
 	d.moves(&f, m)
+	m.Spool = d.spool(f.Spool)
 	warnings = append(warnings, d.routes(&f, m, sets)...)
 	warnings = append(warnings, d.windows(m)...)
 	warnings = append(warnings, d.contracts(f.Contracts.Dir, m)...)
@@ -647,7 +650,7 @@
 		key := fmt.Sprintf("route[%d]", i)
 		r := d.route(key, &f.Routes[i], m)
 		d.moved(key, r, m)
-		m.Policies = append(m.Policies, d.policy(key, &f.Routes[i], r, sets))
+		m.Policies = append(m.Policies, d.policy(key, &f.Routes[i], r, sets, &m.Spool))
 		warnings = append(warnings, d.unsafeMethods(key, r, m)...)
 		if at := m.ClassIndex(r.Class); r.Fallback != "" && at >= 0 && m.Classes[at].Effect == frostshift.Keyed {
 			warnings = append(warnings, Error{File: d.file, Line: d.line(key + ".fallback"), Key: key + ".fallback",
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -45,6 +45,7 @@
 	Contracts *contract.Book   // nil: anybody may ask for anything
 	State     string           // folder that lasts, for what must outlive the process; "": there is none
 	Moves     []shift.Plan     // of traffic between pools
+	Spool     Spool            // for bodies that are kept on disk
 	Views     string           // folder where a running gateway shows what it knows of hosts; "": nowhere
 	Instances int              // gateways that share the contracts' absolute figures; 0: 1
 	// Platform says that clients speak the platform's protocol: they must name class and
--- a/internal/contract/scheduler.go
+++ b/internal/contract/scheduler.go
@@ -25,6 +25,7 @@
 	inLine int // place in its line's heap
 	inTime int // place in the heap of latest times
 	lent   bool
+	parked bool // it waits for its client
 }
 
 type itemState uint8
@@ -92,6 +93,7 @@
 	failed  float64 // of them, errors
 	inReady int     // place in the heap of lines; -1: not there
 	isHeld  bool
+	parked  int // requests that wait for their clients: they are none of out
 	touched Time
 }
 
@@ -336,8 +338,13 @@
 	case itemWaits:
 		s.take(l, it)
 	case itemOut:
-		l.out--
-		s.out--
+		if it.parked {
+			it.parked = false
+			l.parked--
+		} else {
+			l.out--
+			s.out--
+		}
 		s.settle(l, it, max(work.Seconds(), 0), cut)
 		if l.isHeld {
 			s.release()
@@ -349,7 +356,20 @@
 
 // settle charges what a request has cost in place of what it was thought to.
 func (s *Scheduler) settle(l *line, it *Item, work float64, cut bool) {
-	diff := (max(work, leastCost) - it.cost) / l.weight
+	s.owe(l, (max(work, leastCost)-it.cost)/l.weight)
+	if !cut || work > it.cost {
+		s.learn(l, it, work)
+	}
+	if it.Account != nil {
+		it.Account.Work.Add(int64(seconds(work)))
+		if it.lent {
+			it.Account.Lent.Add(int64(seconds(work)))
+		}
+	}
+}
+
+// owe moves a line's tags by what it has cost beyond what was charged.
+func (s *Scheduler) owe(l *line, diff float64) {
 	l.finish = min(l.finish+diff, max(s.v+mostDebt, l.finish))
 	if len(l.items.list) > 0 {
 		l.start = min(l.start+diff, max(s.v+mostDebt, l.start))
@@ -357,13 +377,48 @@
 			s.ready.fix(l)
 		}
 	}
-	if !cut || work > it.cost {
-		s.learn(l, it, work)
+}
+
+// Park takes a request that is out from what its team holds of the capacity, until Unpark or
+// Done: it waits for its client and not for a host.
+func (s *Scheduler) Park(now Time, it *Item) {
+	s.tick(now)
+	if it.state != itemOut || it.parked {
+		return
+	}
+	it.parked = true
+	it.line.parked++
+	it.line.out--
+	s.out--
+	if it.line.isHeld {
+		s.release()
+	}
+}
+
+// Unpark counts it again.
+func (s *Scheduler) Unpark(now Time, it *Item) {
+	s.tick(now)
+	if it.state == itemOut && it.parked {
+		it.parked = false
+		it.line.parked--
+		it.line.out++
+		s.out++
 	}
+}
+
+// Charge has a request's team pay for work that came to light after Done: that of an answer's
+// body on its way.
+func (s *Scheduler) Charge(now Time, it *Item, work time.Duration) {
+	s.tick(now)
+	if it.line == nil || work <= 0 {
+		return
+	}
+	l := s.line(it.Terms)
+	s.owe(l, work.Seconds()/l.weight)
 	if it.Account != nil {
-		it.Account.Work.Add(int64(seconds(work)))
+		it.Account.Work.Add(int64(work))
 		if it.lent {
-			it.Account.Lent.Add(int64(seconds(work)))
+			it.Account.Lent.Add(int64(work))
 		}
 	}
 }
@@ -400,7 +455,7 @@
 	for range min(2, len(s.names)) {
 		s.sweep %= len(s.names)
 		name := s.names[s.sweep]
-		if l := s.lines[name]; s.now-l.touched > keptIdle && l.out == 0 && len(l.items.list) == 0 && !l.isHeld && l.finish <= s.v-l.terms.Burst.Seconds() {
+		if l := s.lines[name]; s.now-l.touched > keptIdle && l.out+l.parked == 0 && len(l.items.list) == 0 && !l.isHeld && l.finish <= s.v-l.terms.Burst.Seconds() {
 			delete(s.lines, name)
 			if s.placed[l.terms.place] == l {
 				s.placed[l.terms.place] = nil
--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"frostshift"
+	"frostshift/internal/body"
 	"frostshift/internal/contract"
 	"frostshift/internal/verdict"
 )
@@ -30,6 +31,8 @@
 	kept     Answer        // the last that a better one may replace; nil: none
 	why      Why           // what became of the last attempt
 	closed   bool          // it has its answer, or nobody waits for one
+	headWork time.Duration // work up to the head of an answer whose body flows
+	over     bool          // and it holds nothing any more
 	fault    bool          // the last answer was an error of the service
 }
 
@@ -70,7 +73,7 @@
 	sum := c.work
 	for _, a := range c.attempts {
 		if !a.ended {
-			sum += now - a.sent
+			sum += a.took(now)
 		}
 	}
 	return sum
@@ -99,7 +102,15 @@
 func (p *Pool) admit(now frostshift.Time, c *Call) {
 	c.admitted = true
 	p.b.Request(now, frostshift.Request{ID: c.id, Class: c.Class, Tenant: c.Tenant,
-		Left: max(0, c.Deadline-now), Repeat: c.Repeat, Spent: c.spent})
+		Left: c.left(now), Repeat: c.Repeat, Spent: c.spent})
+}
+
+// left is the time that a host may have for the answer.
+func (c *Call) left(now frostshift.Time) time.Duration {
+	if c.Body != nil {
+		return min(c.Rest, max(0, c.Ends-now))
+	}
+	return max(0, c.Deadline-now)
 }
 
 // handOn passes a request that this pool does not serve to its fallback and says whether
@@ -109,6 +120,9 @@
 // only with an attempt left: the balancer it comes to counts further ones, not the first.
 func (p *Pool) handOn(c *Call) bool {
 	to := c.fallback
+	if c.Body != nil && !p.ways(c, body.Untouched).Has(body.Elsewhere) {
+		return false
+	}
 	if to == nil || c.closed || c.out > 0 || c.mayRan || c.spent+len(c.attempts) >= to.set.MaxAttempts ||
 		p.b.Usable(p.clock.Now(), c.Class) || !to.room.Take(1) {
 		return false
@@ -177,12 +191,20 @@
 		c.kept.Release()
 		c.kept = nil
 	}
-	a := &Attempt{Host: act.Host, Message: c.Message, Answers: c.Answers, Until: p.clock.At(until), Left: until - now,
+	left := until - now
+	if c.Body != nil {
+		until, left = c.Ends, c.left(now)
+	}
+	a := &Attempt{Host: act.Host, Message: c.Message, Answers: c.Answers, Until: p.clock.At(until), Left: left,
 		pool: p, call: c, n: len(c.attempts), sent: now}
 	c.attempts = append(c.attempts, a)
 	c.out++
 	p.counts.Attempts.Add(1)
 	a.handle = p.upstream.Start(a)
+	if c.Body != nil {
+		p.b.Feeding(now, c.id, a.n)
+		p.park(now, c)
+	}
 }
 
 // outcome is the end of an attempt.
@@ -190,8 +212,9 @@
 	c, a := e.call, e.attempt
 	c.out--
 	a.ended = true
-	elapsed := e.at - a.sent
+	elapsed := a.took(e.at)
 	c.work += elapsed
+	p.unpark(now, c)
 	result := e.result
 	if e.answered {
 		result = p.judge(now, c, a, e.meaning)
@@ -220,6 +243,9 @@
 	if !e.answered && !c.closed && c.Answers.Ends(eventOf(e, result)) && c.mayRan {
 		p.finish(c, Reply{Verdict: Failed, Why: c.why})
 	}
+	if c.Body != nil && !c.closed {
+		p.checkBody(c, a, e, result)
+	}
 	p.b.Outcome(now, frostshift.Outcome{Request: c.id, Attempt: a.n, Result: p.evidence(c, result), Elapsed: elapsed, After: e.after, Closed: c.closed})
 	p.release(c)
 }
@@ -301,6 +327,16 @@
 	if r.Answer == nil && c.kept != nil && c.Answers.FromHost() {
 		r.Answer, c.kept = c.kept, nil
 	}
+	r.Pool, r.Tries, r.Ran = p.name, c.spent+len(c.attempts), p.ran(c)
+	p.count(c, &r)
+	now := p.clock.Now()
+	c.told(Ending{At: now, Verdict: r.Verdict, Fault: c.fault, Bound: r.Violation != nil, Work: c.worked(now)})
+	p.close(c)
+	c.Reply <- r
+}
+
+// count counts how a request ended.
+func (p *Pool) count(c *Call, r *Reply) {
 	switch r.Verdict {
 	case Served:
 		p.counts.Served.Add(1)
@@ -309,21 +345,13 @@
 	default:
 		p.counts.Failed.Add(1)
 	}
-	r.Pool, r.Tries, r.Ran = p.name, c.spent+len(c.attempts), p.ran(c)
-	c.account(&r)
-	now := p.clock.Now()
-	c.told(Ending{At: now, Verdict: r.Verdict, Fault: c.fault, Bound: r.Violation != nil, Work: c.worked(now)})
-	p.close(c)
-	c.Reply <- r
+	c.account(r)
 }
 
 // close ends a request: nothing goes out for it from here on.
 func (p *Pool) close(c *Call) {
-	c.closed = true
-	if c.kept != nil {
-		c.kept.Release()
-		c.kept = nil
-	}
+	p.shut(c)
+	c.over = true
 	c.x.free(c.ID)
 	p.room.Give(1)
 	for _, a := range c.attempts {
@@ -334,6 +362,15 @@
 	c.letGo()
 }
 
+// shut ends what may become of a request: its answer is chosen.
+func (p *Pool) shut(c *Call) {
+	c.closed = true
+	if c.kept != nil {
+		c.kept.Release()
+		c.kept = nil
+	}
+}
+
 // forget tells the balancer that nobody waits for a request any more.
 func (p *Pool) forget(now frostshift.Time, c *Call) {
 	if c.admitted {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -3,8 +3,9 @@
 // rules for every front and upstream, and it knows no protocol: messages pass through it
 // unread.
 //
-// What a front owes: it parses a request whole, asks Submit for a Call, gives the client
-// the one Reply that comes over Call.Reply, and says Call.Gone if the client leaves first.
+// What a front owes: it parses a request, whole or up to a Body that is read as it comes,
+// asks Submit for a Call, gives the client the one Reply that comes over Call.Reply, and says
+// Call.Gone if the client leaves first.
 //
 // What an upstream owes is said at Upstream.
 //
@@ -18,6 +19,7 @@
 	"time"
 
 	"frostshift"
+	"frostshift/internal/body"
 	"frostshift/internal/contract"
 	"frostshift/internal/recall"
 	"frostshift/internal/verdict"
@@ -119,6 +121,12 @@
 	Answers  *verdict.Set // what answers mean; nil: as on the platform
 	// Item is the request in the pool's scheduler; nil: no contract is about it.
 	Item *contract.Item
+	// Body is there where the message is not whole: its body comes as attempts ask for it.
+	// Deadline then is for a host to be found, Rest what the head of the answer may take from
+	// the body's last byte on, and Ends when all must be over.
+	Body Body
+	Rest time.Duration
+	Ends frostshift.Time
 	// Hold is let go once, when the request has its answer or nobody waits for one: what
 	// it needs from outside, above all its pools, stays until then. nil: nothing.
 	Hold interface{ Release() }
@@ -126,6 +134,13 @@
 	Watch Watcher
 }
 
+// Body is a request's body as far as it matters here: what could still be sent once more. Its
+// methods are called in a pool's loop and must not wait for anything.
+type Body interface {
+	State() body.State
+	Broken() bool // the client's sending has broken off
+}
+
 // Watcher is told how requests end. It is called in a pool's loop, or by Submit.
 type Watcher interface{ Ended(e Ending) }
 
@@ -179,6 +194,9 @@
 // Answer is a host's answer, unread here. Release gives back what it holds; it is
 // called once by whoever has it last. Light says whether it holds no room that others
 // share: such a one may be kept while another attempt is out.
+//
+// One that was reported by Attempt.Flowing is its head alone. Whoever has it reads its body
+// and then releases it; the request stays open until the attempt says Flowed.
 type Answer interface {
 	Release()
 	Light() bool
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -73,6 +73,8 @@
 // Counts are a pool's totals since its start.
 type Counts struct {
 	Served, Refused, Failed, HandedOn, Left, Attempts atomic.Int64
+	// Broke are answers whose bodies broke off on the way to the client: they are Failed too.
+	Broke atomic.Int64
 	// Faults are errors of the service; Blamed are those held against the host.
 	Faults, Blamed atomic.Int64
 }
@@ -88,10 +90,13 @@
 type eventKind uint8
 
 const (
-	arrived      eventKind = iota // call is new here
-	attemptEnded                  // result, answer and elapsed of attempt
-	clientGone                    // nobody waits for call
-	do                            // run is to be run
+	arrived       eventKind = iota // call is new here
+	attemptEnded                   // result, answer and elapsed of attempt
+	attemptFed                     // the last byte of its request has gone out
+	attemptFlows                   // the head of its answer has come
+	attemptFlowed                  // and the body has ended
+	clientGone                     // nobody waits for call
+	do                             // run is to be run
 )
 
 type event struct {
@@ -324,6 +329,12 @@
 		p.accept(now, e.call)
 	case attemptEnded:
 		p.outcome(now, e)
+	case attemptFed:
+		p.fed(now, e)
+	case attemptFlows:
+		p.flows(now, e)
+	case attemptFlowed:
+		p.flowed(now, e)
 	case clientGone:
 		p.gone(now, e.call)
 	case do:
--- a/internal/exchange/upstream.go
+++ b/internal/exchange/upstream.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"sync/atomic"
 	"time"
 
 	"frostshift"
@@ -10,10 +11,13 @@
 // Upstream makes the attempts of one pool, in whatever protocol its hosts speak.
 type Upstream interface {
 	// Start begins the attempt and returns at once; it is called in the pool's loop.
-	// Whatever happens, one of the Attempt's End, Malformed and Answered is called exactly
-	// once, from another goroutine. It must be honest about the request's last byte:
+	// Whatever happens, one of the Attempt's End, Malformed, Answered and Flowing is called
+	// exactly once, from another goroutine, and Flowed once behind Flowing. It must be honest about the request's last byte:
 	// ConnectFailed and NotSent only where it has surely not been written, Full only where
 	// the host's protocol says that it has not begun. Nothing may send the request a second time.
+	// Of a message whose body comes as it is read, a host may act on a part: ConnectFailed and
+	// NotSent are then for what did not go out at all, Reset for what broke off. Fed is called
+	// once its last byte has gone out.
 	Start(a *Attempt) Handle
 }
 
@@ -31,16 +35,54 @@
 	Message any           // as in Request
 	Answers *verdict.Set  // as in Request
 	Until   time.Time     // when to give it up
-	Left    time.Duration // until then, as of the start
+	Left    time.Duration // until then, as of the start; with a Body: from its last byte on
+
+	waited atomic.Int64 // nanoseconds that it has waited for the client
 
 	pool   *Pool
 	call   *Call
 	n      int
 	sent   frostshift.Time
-	ended  bool // the loop has its outcome
+	before time.Duration // waited, as of sent
+	fed    bool          // its last byte has gone out
+	flows  bool          // its answer's body flows to the client
+	ended  bool          // the loop has its outcome
 	handle Handle
 }
 
+// Waited notes that the attempt has waited for the client for so long: that is no time of
+// its host's.
+func (a *Attempt) Waited(d time.Duration) { a.waited.Add(int64(d)) }
+
+// took is the time of the host's up to an instant, since the attempt was sent or, later, its
+// request was.
+func (a *Attempt) took(at frostshift.Time) time.Duration {
+	return max(0, at-a.sent-(time.Duration(a.waited.Load())-a.before))
+}
+
+// restart counts from an instant on.
+func (a *Attempt) restart(at frostshift.Time) {
+	a.sent, a.before = at, time.Duration(a.waited.Load())
+}
+
+// Fed reports that the last byte of a request that is not whole has gone out.
+func (a *Attempt) Fed() {
+	a.pool.post(event{kind: attemptFed, call: a.call, attempt: a, at: a.pool.clock.Now()})
+}
+
+// Flowing reports the head of an answer that is final and whose body will be read by whoever
+// gives it to the client.
+func (a *Attempt) Flowing(m verdict.Meaning, after time.Duration, answer Answer) {
+	a.pool.post(event{kind: attemptFlows, call: a.call, attempt: a, answered: true, meaning: m, after: after,
+		answer: answer, at: a.pool.clock.Now()})
+}
+
+// Flowed reports how the body of such an answer ended: OK whole, Reset or TimedOut where the
+// host broke off, Canceled where the answer was released before.
+func (a *Attempt) Flowed(result frostshift.Result) {
+	a.pool.post(event{kind: attemptFlowed, call: a.call, attempt: a, result: result, at: a.pool.clock.Now()})
+}
+
 // End reports how the attempt ended without an answer.
 func (a *Attempt) End(result frostshift.Result) {
 	a.pool.post(event{kind: attemptEnded, call: a.call, attempt: a, result: result, at: a.pool.clock.Now()})
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -111,7 +111,9 @@
 	switch {
 	case a.Status == http.StatusNoContent:
 		return ""
-	case !Bodiless(method, a.Status):
+	case a.Stream != nil && a.Length < 0:
+		return ""
+	case a.Stream == nil && !Bodiless(method, a.Status):
 		return strconv.Itoa(len(a.Body))
 	case a.Length >= 0:
 		return strconv.FormatInt(a.Length, 10)
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"container/list"
 	"errors"
 	"math/rand/v2"
@@ -54,6 +55,8 @@
 	room  int
 	spare time.Duration // see SpareAfter
 
+	keepHeads atomic.Bool
+
 	mu    sync.Mutex
 	open  int
 	quiet [4]list.List // by phase: silent, once, idle, ending; the longest first
@@ -164,6 +167,11 @@
 	deadlines int  // that it set since
 	ahead     bool // it has read a byte of the next request
 
+	// Of whoever reads, see Recorded:
+	record   []byte
+	recordMu sync.Mutex
+	skips    bool
+
 	// Of whoever writes:
 	corked bool
 	held   []byte // written while corked, and not gone out
@@ -347,9 +355,75 @@
 	if n > 0 && len(b) == 1 {
 		c.lookedAhead()
 	}
+	if !c.Encrypted {
+		c.note(b[:n])
+	}
 	return n, err
 }
 
+// mostRecorded is how much of what comes is kept for Recorded: a head, at the most.
+const mostRecorded = 16 << 10
+
+// note keeps what has come.
+func (c *Conn) note(b []byte) {
+	if !c.all.keepHeads.Load() {
+		return
+	}
+	c.recordMu.Lock()
+	defer c.recordMu.Unlock()
+	if !c.skips && len(c.record) < mostRecorded {
+		c.record = append(c.record, b[:min(len(b), mostRecorded-len(c.record))]...)
+	}
+}
+
+// KeepHeads says whether heads are kept for Recorded: they need be where a route takes bodies
+// of no told length.
+func (l *Conns) KeepHeads(on bool) { l.keepHeads.Store(on) }
+
+// Recorded is the head of the request that has been read last, as it came, up to its blank
+// line: an http.Server drops a Content-Length that stands beside Transfer-Encoding, and with
+// it the sign of a request that two servers would end at different places. ok is false where
+// it is not known: its beginning came with bytes of an earlier body. A body follows, and
+// nothing is kept until Record.
+func (c *Conn) Recorded() (head []byte, ok bool) {
+	c.recordMu.Lock()
+	defer c.recordMu.Unlock()
+	c.skips = true
+	end := bytes.Index(c.record, blankLine)
+	if end < 0 {
+		return nil, false
+	}
+	return c.record[:end+2], true
+}
+
+// Headed notes that a head has been read whose bytes nobody asks for; with a body behind it
+// nothing is kept until Record.
+func (c *Conn) Headed(bodied bool) {
+	if !c.all.keepHeads.Load() {
+		return
+	}
+	c.recordMu.Lock()
+	defer c.recordMu.Unlock()
+	c.skips = bodied
+	n := len(c.record)
+	if end := bytes.Index(c.record, blankLine); end >= 0 {
+		n = end + len(blankLine)
+	}
+	c.record = c.record[:copy(c.record, c.record[n:])]
+}
+
+// Record begins to keep what comes: the head of the next request.
+func (c *Conn) Record() {
+	if !c.all.keepHeads.Load() {
+		return
+	}
+	c.recordMu.Lock()
+	defer c.recordMu.Unlock()
+	c.record, c.skips = c.record[:0], false
+}
+
+var blankLine = []byte("\r\n\r\n")
+
 // lookedAhead notes that an http.Server, which looks out for a client that leaves by
 // reading a single byte, has found one of the next request.
 func (c *Conn) lookedAhead() {
@@ -533,6 +607,7 @@
 	if n > 0 && len(b) == 1 {
 		s.Under.lookedAhead()
 	}
+	s.Under.note(b[:n])
 	return n, err
 }
 
--- /dev/null
+++ b/internal/front/http1/flow.go
@@ -0,0 +1,361 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/textproto"
+	"sync"
+	"time"
+
+	"frostshift/internal/config"
+	"frostshift/internal/exchange"
+	"frostshift/internal/front"
+	"frostshift/internal/message"
+)
+
+// Requests and answers whose bodies flow: see stream.Upload for the way there, and
+// message.Stream for the way back.
+
+// buffers are for answers on their way.
+var buffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+
+// source is a client's body.
+type source struct {
+	body io.Reader
+	r    *http.Request
+	rc   *http.ResponseController
+	conn *front.Conn
+}
+
+// Read reads what has come.
+func (s *source) Read(p []byte) (int, error) {
+	n, err := s.body.Read(p)
+	if err == io.EOF {
+		s.conn.Record()
+		// From here on the server looks out for a client that leaves; that has no end.
+		s.rc.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// SetReadDeadline ends a Read that waits.
+func (s *source) SetReadDeadline(t time.Time) error { return s.rc.SetReadDeadline(t) }
+
+// Trailer is what followed the body.
+func (s *source) Trailer() http.Header { return message.Trailers(s.r.Trailer) }
+
+// begin takes a body that need not be whole, as far as it must have come before a host gets
+// the head.
+func (s *Server) begin(w http.ResponseWriter, t *front.Ticket, r *http.Request, conn *front.Conn) error {
+	if t.Upgrade != "" {
+		if r.ContentLength != 0 || r.TransferEncoding != nil {
+			return &front.Error{Status: http.StatusBadRequest, Text: "a request to switch protocols has no body"}
+		}
+		t.NewUpload(&switched{begun: make(chan struct{})}, -1)
+		return nil
+	}
+	length := r.ContentLength
+	if r.TransferEncoding != nil {
+		head, ok := conn.Recorded()
+		switch {
+		case !ok || !bytes.HasPrefix(head, []byte(r.Method+" "+r.RequestURI+" ")):
+			// It came close behind another body, so that nobody can tell what stood in it.
+			return &front.Error{Status: http.StatusLengthRequired, Text: "Content-Length is needed here"}
+		case hasLength(head):
+			return &front.Error{Status: http.StatusBadRequest, Text: "Content-Length beside Transfer-Encoding"}
+		}
+		length = -1
+	}
+	if length == 0 {
+		return nil
+	}
+	if most := t.Flow.Most; most > 0 && length > most {
+		return &front.Error{Status: http.StatusRequestEntityTooLarge, Text: "body too large"}
+	}
+	rc := http.NewResponseController(w)
+	if err := rc.EnableFullDuplex(); err != nil {
+		return err
+	}
+	up := t.NewUpload(&source{body: r.Body, r: r, rc: rc, conn: conn}, length)
+	if t.Flow.Requests != config.BodiesAuto {
+		return nil
+	}
+	whole, err := up.Fill(t.Flow.Replay)
+	switch {
+	case err != nil:
+		up.Close()
+		return front.BodyError(err, false)
+	case whole && len(r.Trailer) == 0:
+		t.Whole()
+	}
+	return nil
+}
+
+// hasLength says whether a head as it came has a Content-Length.
+func hasLength(head []byte) bool {
+	for _, line := range bytes.Split(head, []byte("\n")) {
+		if name, _, ok := bytes.Cut(line, []byte(":")); ok && textproto.CanonicalMIMEHeaderKey(string(bytes.TrimSpace(name))) == "Content-Length" {
+			return true
+		}
+	}
+	return false
+}
+
+// hint is what came ahead of an answer.
+type hint struct {
+	status int
+	header http.Header
+}
+
+// flow sees a request to its end whose body or answer may flow.
+func (s *Server) flow(w http.ResponseWriter, r *http.Request, t *front.Ticket, conn *front.Conn) {
+	rc := http.NewResponseController(w)
+	up := t.Message.Upload
+	var failed <-chan struct{}
+	if up != nil {
+		failed = up.Failed()
+		defer up.Close() // the server reads what is left of the body, and nobody else then
+	}
+	if up == nil || t.Upgrade != "" { // the server looks out for a client that leaves
+		rc.SetReadDeadline(time.Time{})
+	}
+	hints := make(chan hint, 4)
+	t.Hints(func(status int, h http.Header) {
+		select {
+		case hints <- hint{status, h}:
+		default: // a host that has so many may lose some
+		}
+	})
+	call, deadline := t.Submit()
+	for {
+		select {
+		case h := <-hints:
+			maps.Copy(w.Header(), h.header)
+			w.WriteHeader(h.status)
+			for name := range h.header {
+				w.Header().Del(name)
+			}
+			continue
+		case a := <-call.Reply:
+			s.replyFlow(w, r, t, call, a, deadline, conn)
+		case <-failed:
+			call.Gone()
+			w.Header().Set("Connection", "close")
+			write(w, r.Method, front.BodyError(up.Err(), up.Touched()).Answer())
+			up.Close()
+			throwAway(w, r)
+		case <-r.Context().Done():
+			call.Gone()
+			w.Header().Set("Connection", "close")
+			http.Error(w, "client closed", http.StatusBadGateway)
+		}
+		return
+	}
+}
+
+// replyFlow gives the one final answer.
+func (s *Server) replyFlow(w http.ResponseWriter, r *http.Request, t *front.Ticket, call *exchange.Call, reply exchange.Reply, deadline time.Time, conn *front.Conn) {
+	a, last := t.Answer(reply)
+	defer a.Release()
+	up := t.Message.Upload
+	if up != nil && up.Broken() && reply.Answer == nil { // that is why there is none
+		a, last = front.BodyError(up.Err(), up.Touched()).Answer(), true
+	}
+	if a.Status == http.StatusSwitchingProtocols && a.Stream != nil {
+		s.switchOver(w, t, call, reply, a)
+		return
+	}
+	early := up != nil && !up.Ended() && t.Upgrade == ""
+	if last || early {
+		w.Header().Set("Connection", "close")
+	}
+	rc := http.NewResponseController(w)
+	if a.Stream == nil {
+		if by := time.Now().Add(s.cfg.SendWithin); deadline.Before(by) {
+			deadline = by // the body may have taken longer than that
+		}
+		rc.SetWriteDeadline(deadline)
+		write(w, r.Method, a)
+		if a.Again != nil {
+			rc.Flush()
+			a.Again()
+		}
+		if err := rc.Flush(); err != nil {
+			call.Undelivered(reply)
+		}
+	} else if !s.pass(w, r, rc, t, a) {
+		call.Undelivered(reply)
+		panic(http.ErrAbortHandler) // it must not look whole
+	}
+	if early && !up.Ended() {
+		up.Close()
+		throwAway(w, r)
+	}
+}
+
+// pass gives the client an answer's body as it comes, and says whether it has had all of it.
+// What breaks off has no end: no last chunk, or fewer bytes than were told.
+func (s *Server) pass(w http.ResponseWriter, r *http.Request, rc *http.ResponseController, t *front.Ticket, a *message.Answer) bool {
+	stop := context.AfterFunc(r.Context(), a.Release) // ends a wait for the host
+	defer stop()
+	h := w.Header()
+	maps.Copy(h, a.Header)
+	if length := front.Length(r.Method, a); length != "" {
+		h["Content-Length"] = []string{length}
+	}
+	if h["Content-Type"] == nil {
+		h["Content-Type"] = nil // none is guessed for a host
+	}
+	var set time.Time
+	due := func() {
+		if now := time.Now(); now.Sub(set) > t.Idle()/8 { // a call for each write is many
+			set = now
+			rc.SetWriteDeadline(now.Add(t.Idle()))
+		}
+	}
+	due()
+	w.WriteHeader(a.Status)
+	if a.Length < 0 && rc.Flush() != nil { // what follows may take its time
+		return false
+	}
+	for {
+		a.Stream.Wait()
+		buffer := buffers.Get().(*[]byte)
+		n, err := a.Stream.Read(*buffer)
+		if n > 0 {
+			due()
+			_, e := w.Write((*buffer)[:n])
+			if e == nil && n < len(*buffer) { // there was no more for now
+				e = rc.Flush()
+			}
+			if e != nil {
+				buffers.Put(buffer)
+				return false
+			}
+		}
+		buffers.Put(buffer)
+		switch {
+		case err == io.EOF:
+			for name, values := range a.Stream.Trailer() {
+				h[http.TrailerPrefix+name] = values
+			}
+			return true
+		case err != nil:
+			return false
+		}
+	}
+}
+
+// switched is the client's side of a connection that is to speak another protocol: there is
+// nothing to read before it does.
+type switched struct {
+	mu    sync.Mutex
+	conn  net.Conn
+	in    *bufio.Reader
+	over  bool
+	begun chan struct{} // closed: conn is there, or will never be
+}
+
+var errNoSwitch = errors.New("the protocol was not switched")
+
+func (s *switched) Read(p []byte) (int, error) {
+	<-s.begun
+	if s.conn == nil {
+		return 0, errNoSwitch
+	}
+	return s.in.Read(p)
+}
+
+// SetReadDeadline ends a Read that waits.
+func (s *switched) SetReadDeadline(t time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		return s.conn.SetReadDeadline(t)
+	}
+	if !t.IsZero() && t.Before(time.Now()) && !s.over { // it will not come any more
+		s.over = true
+		close(s.begun)
+	}
+	return nil
+}
+
+func (s *switched) Trailer() http.Header { return nil }
+
+// begin gives the bytes behind the switch.
+func (s *switched) begin(c net.Conn, in *bufio.Reader) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.over {
+		s.conn, s.in, s.over = c, in, true
+		close(s.begun)
+	}
+}
+
+// switchOver hands the connection over to the protocol that the host has switched to, until
+// both sides have ended.
+func (s *Server) switchOver(w http.ResponseWriter, t *front.Ticket, call *exchange.Call, reply exchange.Reply, a *message.Answer) {
+	nc, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		call.Undelivered(reply)
+		return
+	}
+	s.mu.Lock()
+	closing := s.switched == nil
+	if !closing {
+		s.switched[nc] = struct{}{}
+	}
+	s.mu.Unlock()
+	defer func() {
+		nc.Close()
+		s.mu.Lock()
+		delete(s.switched, nc)
+		s.ended()
+		s.mu.Unlock()
+	}()
+	if closing {
+		return
+	}
+	nc.SetDeadline(time.Time{})
+	head := []byte("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + t.Upgrade + "\r\n")
+	var fields bytes.Buffer
+	a.Header.Write(&fields)
+	head = append(append(head, fields.Bytes()...), "\r\n"...)
+	nc.SetWriteDeadline(time.Now().Add(t.Idle()))
+	if _, err := nc.Write(head); err != nil {
+		call.Undelivered(reply)
+		return
+	}
+	up := t.Message.Upload
+	over := make(chan struct{})
+	defer close(over)
+	go func() { // a client that is gone ends what waits for the host
+		select {
+		case <-up.Failed():
+			a.Release()
+		case <-over:
+		}
+	}()
+	up.Source().(*switched).begin(nc, rw.Reader)
+	for {
+		a.Stream.Wait()
+		buffer := buffers.Get().(*[]byte)
+		n, err := a.Stream.Read(*buffer)
+		if n > 0 {
+			nc.SetWriteDeadline(time.Now().Add(t.Idle()))
+			if _, e := nc.Write((*buffer)[:n]); e != nil {
+				err = e
+			}
+		}
+		buffers.Put(buffer)
+		if err != nil {
+			return
+		}
+	}
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"frostshift/internal/config"
 	"frostshift/internal/exchange"
 	"frostshift/internal/front"
 	"frostshift/internal/message"
@@ -55,6 +56,8 @@
 	changed chan struct{} // closed and replaced when one ends
 	served  chan struct{} // closed once no further one is accepted
 	began   bool
+	// switched are the connections that speak another protocol now; nil: none may any more.
+	switched map[net.Conn]struct{}
 }
 
 // New returns a server for the listener, one of Conns.Listen's; Serve serves.
@@ -62,7 +65,7 @@
 	if cfg.SendWithin == 0 {
 		cfg.SendWithin = SendWithin
 	}
-	s := &Server{cfg: cfg, ln: ln, changed: make(chan struct{}), served: make(chan struct{})}
+	s := &Server{cfg: cfg, ln: ln, changed: make(chan struct{}), served: make(chan struct{}), switched: map[net.Conn]struct{}{}}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: cfg.SendWithin,
@@ -93,13 +96,18 @@
 	switch to {
 	case http.StateNew:
 		s.open++
-	case http.StateClosed, http.StateHijacked:
-		s.open--
-		close(s.changed)
-		s.changed = make(chan struct{})
+	case http.StateClosed: // one that switches protocols is open until that ends
+		s.ended()
 	}
 }
 
+// ended counts a connection as gone. The lock is held.
+func (s *Server) ended() {
+	s.open--
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Serve serves until Shutdown, and then returns nil.
 func (s *Server) Serve() error {
 	s.mu.Lock()
@@ -139,7 +147,16 @@
 }
 
 // Close ends what is left at once.
-func (s *Server) Close() { s.http.Close() }
+func (s *Server) Close() {
+	s.http.Close()
+	s.mu.Lock()
+	list := s.switched
+	s.switched = nil
+	s.mu.Unlock()
+	for c := range list {
+		c.Close()
+	}
+}
 
 // serve answers one request of a client.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
@@ -149,22 +166,20 @@
 		s.serveReady(w, r)
 		return
 	}
-	ticket, err := s.take(r)
+	ticket, err := s.take(w, r, conn)
 	if err != nil {
 		e := front.AsError(err)
 		if !e.Keeps { // what follows a malformed request may be a part of it
 			w.Header().Set("Connection", "close")
 		}
 		write(w, r.Method, e.Answer())
-		if e.Keeps {
-			return
+		if !e.Keeps {
+			throwAway(w, r)
 		}
-		// What is still coming of it is thrown away for so long, or the close would take
-		// the answer with it.
-		rc := http.NewResponseController(w)
-		rc.SetReadDeadline(time.Now().Add(leaveWithin))
-		rc.Flush()
-		io.CopyN(io.Discard, r.Body, mostLate)
+		return
+	}
+	if ticket.Flow != nil {
+		s.flow(w, r, ticket, conn)
 		return
 	}
 	// The request has come whole: the read that is under way from here on looks out for
@@ -187,6 +202,15 @@
 	}
 }
 
+// throwAway reads what is still coming of a request that has had its answer, for so long, or
+// the close would take the answer with it.
+func throwAway(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(time.Now().Add(leaveWithin))
+	rc.Flush()
+	io.CopyN(io.Discard, r.Body, mostLate)
+}
+
 // leavingWriter tells the client with its answer if the connection ends with it.
 type leavingWriter struct {
 	http.ResponseWriter
@@ -258,8 +282,8 @@
 	}
 }
 
-// take reads a client's request whole, or says what is wrong with it.
-func (s *Server) take(r *http.Request) (*front.Ticket, error) {
+// take reads a client's request, as whole as its route wants it, or says what is wrong with it.
+func (s *Server) take(w http.ResponseWriter, r *http.Request, conn *front.Conn) (*front.Ticket, error) {
 	target := r.RequestURI
 	if !strings.HasPrefix(target, "/") { // absolute form
 		target = r.URL.RequestURI()
@@ -267,11 +291,16 @@
 	path, query, _ := strings.Cut(target, "?")
 	t, err := s.cfg.Intake.Take(&front.Head{Method: r.Method, Authority: r.Host, Path: path, Query: query,
 		Header: r.Header, Body: max(r.ContentLength, 0), Address: addressOf(r.RemoteAddr), Proto: "1.1", Listener: s.cfg.Name,
-		Encrypted: r.Context().Value(connKey{}).(*front.Conn).Encrypted})
+		Encrypted: conn.Encrypted})
 	if err != nil {
 		return nil, err
 	}
+	if r.TransferEncoding == nil {
+		conn.Headed(r.ContentLength > 0)
+	}
 	switch {
+	case t.Flow != nil && r.ProtoAtLeast(1, 1) && (t.Upgrade != "" || t.Flow.Requests != config.BodiesWhole):
+		err = s.begin(w, t, r, conn)
 	case !r.ProtoAtLeast(1, 1): // its Transfer-Encoding would go unread
 		err = &front.Error{Status: http.StatusHTTPVersionNotSupported, Text: "this version of HTTP is not spoken here"}
 	case r.TransferEncoding != nil:
@@ -280,6 +309,7 @@
 		err = &front.Error{Status: http.StatusLengthRequired, Text: "Content-Length is needed, and no Transfer-Encoding"}
 	default:
 		err = readBody(t, r)
+		conn.Record()
 	}
 	if err != nil {
 		t.Release()
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -226,6 +226,9 @@
 		if !f.StreamEnded() || s.whole || !h2.Trailers(f.Fields) {
 			return http2.StreamError{StreamID: f.StreamID, Code: http2.ErrCodeProtocol}
 		}
+		if s.src != nil {
+			s.src.trailer = h2.TrailerOf(f.Fields)
+		}
 		return s.lastByte()
 	}
 	if f.StreamID%2 == 0 {
--- /dev/null
+++ b/internal/front/http2/flow.go
@@ -0,0 +1,190 @@
+package http2
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"frostshift/internal/config"
+	"frostshift/internal/exchange"
+	"frostshift/internal/front"
+	"frostshift/internal/h2"
+	"frostshift/internal/message"
+)
+
+// Requests and answers whose bodies flow: see stream.Upload for the way there, and
+// message.Stream for the way back.
+
+// Errors of a client's body.
+var (
+	errReset = errors.New("the client has reset the stream")
+	errGone  = errors.New("the client's connection has ended")
+)
+
+// buffers are for answers on their way. One that may still be written is not given back.
+var buffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+
+// source is a client's body.
+type source struct {
+	*h2.Queue
+	trailer http.Header // of the reader; set before the end
+}
+
+// Trailer is what followed the body.
+func (s *source) Trailer() http.Header { return message.Trailers(s.trailer) }
+
+// flow sees a request to its end whose body or answer may flow.
+func (s *stream) flow() {
+	over := make(chan struct{})
+	defer close(over)
+	up := s.ticket.Message.Upload
+	var failed <-chan struct{}
+	if up != nil {
+		failed = up.Failed()
+		defer up.Close()
+		src := s.src
+		go func() { // a connection that ends leaves its streams' bodies unfinished
+			select {
+			case <-s.c.gone:
+				src.Fail(errGone)
+			case <-over:
+			}
+		}()
+		if s.ticket.Flow.Requests == config.BodiesAuto {
+			whole, err := up.Fill(s.ticket.Flow.Replay)
+			switch {
+			case err != nil:
+				s.ticket.Release()
+				s.refuse(front.BodyError(err, false))
+				return
+			case whole && len(src.trailer) == 0:
+				s.ticket.Whole()
+				up, failed = nil, nil
+			}
+		}
+	}
+	s.ticket.Hints(func(status int, h http.Header) {
+		s.c.link.Interim(s.h2, &h2.Out{Fields: h2.AppendFields([]hpack.HeaderField{{Name: ":status", Value: strconv.Itoa(status)}}, h)})
+	})
+	call, deadline := s.ticket.Submit()
+	select {
+	case r := <-call.Reply:
+		s.replyFlow(call, r, deadline, over)
+	case <-failed:
+		call.Gone()
+		s.refuse(front.BodyError(up.Err(), up.Touched()))
+	case <-s.gone:
+		call.Gone()
+	case <-s.c.gone:
+		call.Gone()
+	}
+}
+
+// refuse answers a request whose body is not as it should be.
+func (s *stream) refuse(e *front.Error) {
+	select {
+	case <-s.gone:
+	case <-s.c.gone:
+	default:
+		s.answer(s.out(e.Answer()), time.Now().Add(sendWithin), true)
+	}
+}
+
+// replyFlow gives the one final answer.
+func (s *stream) replyFlow(call *exchange.Call, r exchange.Reply, deadline time.Time, over <-chan struct{}) {
+	a, _ := s.ticket.Answer(r)
+	defer a.Release()
+	up := s.ticket.Message.Upload
+	if up != nil && up.Broken() && r.Answer == nil { // that is why there is none
+		a = front.BodyError(up.Err(), up.Touched()).Answer()
+	}
+	if a.Stream == nil {
+		if by := time.Now().Add(sendWithin); up != nil && deadline.Before(by) {
+			deadline = by // the body may have taken longer than that
+		}
+		s.answer(s.out(a), deadline, up != nil && !up.Ended())
+		return
+	}
+	go func() { // ends a wait for the host
+		select {
+		case <-s.gone:
+			a.Release()
+		case <-s.c.gone:
+			a.Release()
+		case <-over:
+		}
+	}()
+	if !s.pass(a) {
+		call.Undelivered(r)
+	}
+}
+
+// pass gives the client an answer's body as it comes, and says whether it has had all of it.
+// One that breaks off ends with a reset.
+func (s *stream) pass(a *message.Answer) bool {
+	taken, sent := make(chan struct{}, 1), make(chan struct{})
+	o := s.head(a)
+	o.More = true
+	o.Taken = func() {
+		select {
+		case taken <- struct{}{}:
+		default:
+		}
+	}
+	o.Done = func() { close(sent) }
+	o.Ending = func() { s.c.wireEnd(s) }
+	idle := s.ticket.Idle()
+	late := time.NewTimer(idle)
+	defer late.Stop()
+	s.c.link.Send(s.h2, o)
+	wait := func(c <-chan struct{}) bool {
+		late.Reset(idle)
+		select {
+		case <-c:
+			return true
+		case <-late.C:
+			s.c.link.Reset(s.h2, http2.ErrCodeCancel)
+		case <-s.gone:
+		case <-s.c.gone:
+		case <-s.c.link.Ended():
+		}
+		return false
+	}
+	if !wait(taken) { // the head
+		return false
+	}
+	for {
+		a.Stream.Wait()
+		buffer := buffers.Get().(*[]byte)
+		n, err := a.Stream.Read(*buffer)
+		if n > 0 {
+			s.c.link.Append(s.h2, (*buffer)[:n], false, nil)
+			if !wait(taken) {
+				return false
+			}
+		}
+		buffers.Put(buffer)
+		switch {
+		case err == io.EOF:
+			s.c.link.Append(s.h2, nil, true, h2.AppendFields(nil, a.Stream.Trailer()))
+			if !wait(sent) {
+				return false
+			}
+			if up := s.ticket.Message.Upload; up != nil && !up.Ended() { // nobody needs the rest
+				s.c.link.Reset(s.h2, http2.ErrCodeNo)
+			} else {
+				s.c.link.Forget(s.h2)
+			}
+			return true
+		case err != nil:
+			s.c.link.Reset(s.h2, http2.ErrCodeInternal)
+			return false
+		}
+	}
+}
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -10,6 +10,7 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"frostshift/internal/config"
 	"frostshift/internal/exchange"
 	"frostshift/internal/front"
 	"frostshift/internal/h2"
@@ -24,9 +25,10 @@
 	method string
 
 	// Of the reader:
-	length int64 // told; -1: none
-	whole  bool  // its last byte has come, or nobody waits for it any more
-	ended  bool  // the client has sent END_STREAM
+	length int64   // told; -1: none
+	whole  bool    // its last byte has come, or nobody waits for it any more
+	src    *source // its body need not be whole; nil: it is taken whole
+	ended  bool    // the client has sent END_STREAM
 
 	// Of the connection's lock:
 	body    []byte
@@ -67,17 +69,27 @@
 	if a, err := netip.ParseAddrPort(s.c.remote.String()); err == nil {
 		head.Address = a.Addr()
 	}
-	if r.Length > maxBody {
-		s.reject(&front.Error{Status: http.StatusRequestEntityTooLarge, Text: "body too large"})
-		return nil
-	}
 	if s.ticket, err = s.c.s.cfg.Intake.Take(head); err != nil {
 		s.reject(front.AsError(err))
 		return nil
 	}
+	flow, most := s.ticket.Flow, int64(maxBody)
+	flows := flow != nil && flow.Requests != config.BodiesWhole
+	if flows {
+		most = flow.Most
+	}
+	if r.Length > most && most > 0 {
+		s.ticket.Release()
+		s.reject(&front.Error{Status: http.StatusRequestEntityTooLarge, Text: "body too large"})
+		return nil
+	}
+	if flows && !f.StreamEnded() {
+		s.src = &source{Queue: s.c.link.NewQueue(s.h2)}
+		s.ticket.NewUpload(s.src, r.Length)
+	}
 	if f.StreamEnded() {
 		err = s.lastByte()
-	} else if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+	} else if strings.EqualFold(r.Header.Get("Expect"), "100-continue") && (s.src == nil || flow.Requests == config.BodiesAuto) {
 		s.c.link.Interim(s.h2, &h2.Out{Fields: []hpack.HeaderField{{Name: ":status", Value: "100"}}})
 	}
 	go s.run()
@@ -99,6 +111,13 @@
 	}
 	part := f.Data()
 	c := s.c
+	if s.src != nil {
+		s.src.Put(part, size)
+		if f.StreamEnded() {
+			return s.lastByte()
+		}
+		return nil
+	}
 	most := int64(heldBodies)
 	if c.s.cfg.Pressed() {
 		most /= 4
@@ -140,6 +159,10 @@
 // lastByte notes that the request has come whole.
 func (s *stream) lastByte() error {
 	s.ended, s.whole = true, true
+	if s.src != nil {
+		s.src.End()
+		return nil
+	}
 	s.c.mu.Lock()
 	body := s.body
 	s.c.mu.Unlock()
@@ -155,6 +178,9 @@
 // by the reader, once the link has forgotten the stream.
 func (s *stream) end() {
 	s.whole = true
+	if s.src != nil {
+		s.src.Fail(errReset)
+	}
 	s.c.wireEnd(s)
 	close(s.gone)
 }
@@ -162,6 +188,10 @@
 // run sees the request to its end.
 func (s *stream) run() {
 	defer s.finish()
+	if s.ticket.Flow != nil {
+		s.flow()
+		return
+	}
 	late := time.NewTimer(s.c.s.cfg.SendWithin)
 	defer late.Stop()
 	select {
@@ -220,6 +250,15 @@
 
 // out is an answer as it goes to the client.
 func (s *stream) out(a *message.Answer) *h2.Out {
+	o := s.head(a)
+	if !front.Bodiless(s.method, a.Status) {
+		o.Body = a.Body
+	}
+	return o
+}
+
+// head is an answer without its body.
+func (s *stream) head(a *message.Answer) *h2.Out {
 	o := &h2.Out{Fields: make([]hpack.HeaderField, 0, len(a.Header)+3)}
 	o.Fields = append(o.Fields, hpack.HeaderField{Name: ":status", Value: strconv.Itoa(a.Status)})
 	if length := front.Length(s.method, a); length != "" {
@@ -227,9 +266,6 @@
 	}
 	front.Dated(a.Header, time.Now())
 	o.Fields = h2.AppendFields(o.Fields, a.Header)
-	if !front.Bodiless(s.method, a.Status) {
-		o.Body = a.Body
-	}
 	return o
 }
 
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"frostshift"
+	"frostshift/internal/body"
 	"frostshift/internal/config"
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
@@ -26,6 +27,8 @@
 	"frostshift/internal/moves"
 	"frostshift/internal/route"
 	"frostshift/internal/shift"
+	"frostshift/internal/spool"
+	"frostshift/internal/stream"
 	"frostshift/internal/verdict"
 	"github.com/cespare/xxhash/v2"
 )
@@ -119,6 +122,7 @@
 	ready    atomic.Bool
 	ids      atomic.Uint64
 	idBase   [8]byte
+	spool    *spool.Dir
 }
 
 // NewIntake returns an intake without a configuration; Use gives it one.
@@ -130,6 +134,9 @@
 	return in
 }
 
+// Spool has bodies kept on disk in a folder. It is called before the first Use.
+func (in *Intake) Spool(d *spool.Dir) { in.spool = d }
+
 // Use puts a snapshot in place of the present one. Requests that have begun keep theirs.
 // With nil none is taken from then on.
 func (in *Intake) Use(s *Snapshot) {
@@ -181,7 +188,12 @@
 	door     *contract.Door // that the request has entered; nil: there is no contract
 	move     *moves.Move    // that has placed the request; nil: none
 	unit     shift.Unit
-	body     int64 // bytes that it announced there
+	body     int64          // bytes that it announced there
+	Flow     *config.Bodies // how its bodies go on; nil: whole
+	Upgrade  string         // protocol that it may switch to; "": none
+	asked    bool           // the client said how long it waits
+	spool    *spool.Dir     // nil: nothing is kept on disk
+	hint     func(int, http.Header)
 }
 
 // Hold notes that the body holds n more bytes of room and says whether there are any.
@@ -193,6 +205,67 @@
 	return true
 }
 
+// NewUpload makes a body that need not be whole the request's. length is what the client has
+// announced; -1: nothing.
+func (t *Ticket) NewUpload(src stream.Source, length int64) *stream.Upload {
+	f := t.Flow
+	cfg := stream.Config{Source: src, Room: t.Bodies, Strict: f.Strict, Idle: f.Idle, Rate: f.Rate,
+		Bounds: body.Bounds{Memory: f.Replay, Disk: f.Spool, Most: f.Most, Length: length}}
+	if terms := t.item.Terms; terms != nil && terms.LargestBody > 0 && (f.Most == 0 || terms.LargestBody < f.Most) {
+		cfg.Bounds.Most = terms.LargestBody // none was announced that the contract could be held against
+	}
+	if t.spool != nil && f.Spool > 0 {
+		team, dir := "", t.spool
+		if t.item.Terms != nil {
+			team = t.item.Terms.Team
+		}
+		cfg.Spool = func() (stream.File, error) { return dir.File(team) }
+	} else {
+		cfg.Bounds.Disk = 0
+	}
+	if t.Upgrade != "" {
+		cfg.Raw, cfg.Idle, cfg.Rate, cfg.Bounds = true, 0, 0, body.Bounds{Length: -1}
+	}
+	t.Message.Upload = stream.NewUpload(cfg, nil)
+	return t.Message.Upload
+}
+
+// Whole makes an Upload that has come whole an ordinary body.
+func (t *Ticket) Whole() {
+	t.Message.Body = t.Message.Upload.Whole()
+	t.held += int64(len(t.Message.Body))
+	t.Message.Upload = nil
+}
+
+// Hints has what comes ahead of the answer given to f, where the route allows it.
+func (t *Ticket) Hints(f func(status int, header http.Header)) {
+	if t.Flow != nil && t.Flow.Hints {
+		t.hint = f
+	}
+}
+
+// Idle is how long a client may take nothing in of an answer that flows.
+func (t *Ticket) Idle() time.Duration { return t.Flow.Idle }
+
+// BodyError is what is wrong with a body that broke off. sent says that an attempt has had a
+// part of it: trying again is not known to be harmless then.
+func BodyError(err error, sent bool) *Error {
+	e := bad("body: %v", err)
+	switch {
+	case errors.Is(err, stream.ErrLong):
+		e = &Error{Status: http.StatusRequestEntityTooLarge, Text: "body too large"}
+	case errors.Is(err, stream.ErrSlow) && !sent:
+		e = &Error{Status: http.StatusRequestTimeout, Text: "the body is slow"}
+	case errors.Is(err, stream.ErrSlow):
+		e = bad("the body is slow")
+	case errors.Is(err, stream.ErrRoom) && !sent:
+		e = &Error{Status: http.StatusServiceUnavailable, Text: "busy"}
+	case errors.Is(err, stream.ErrRoom):
+		e = &Error{Status: http.StatusBadGateway, Text: "there is no room to keep the body"}
+	}
+	return e
+}
+
 // Release gives the ticket up. The exchange calls it for one that was submitted.
 func (t *Ticket) Release() {
 	if t.held > 0 {
@@ -216,6 +289,17 @@
 	t.request.Deadline = clock.Now() + t.left
 	t.request.Message = t.Message
 	t.request.Hold = t
+	if t.Flow != nil {
+		ends := t.request.Deadline - t.left + t.Flow.Longest
+		if t.asked {
+			ends = t.request.Deadline
+		}
+		t.Message.Upgrade = t.Upgrade
+		t.Message.Flow = &message.Flow{Answers: t.Flow.Answers, Hold: t.Flow.Hold, Idle: t.Flow.Idle, Ends: clock.At(ends), Hint: t.hint}
+		if up := t.Message.Upload; up != nil {
+			t.request.Body, t.request.Rest, t.request.Ends = up, t.left, ends
+		}
+	}
 	if t.door != nil {
 		t.item.Deadline = t.request.Deadline
 		if t.aim > 0 {
@@ -291,13 +375,13 @@
 	if class.Effect == frostshift.Keyed && h.Header.Get("Idempotency-Key") == "" {
 		return nil, bad("Idempotency-Key is missing")
 	}
-	left := class.Deadline
+	left, told := class.Deadline, false
 	if text := h.Header.Values("X-Time-Left"); len(text) > 0 {
 		asked, err := parseLeft(text[0])
 		if err != nil {
 			return nil, err
 		}
-		left = min(left, asked)
+		left, told = min(left, asked), true
 	}
 	repeat := h.Header.Get("X-Repeat") == "1"
 	var account *contract.Account
@@ -374,6 +458,9 @@
 	if policy != nil && policy.Answers != nil {
 		t.request.Answers = policy.Answers
 	}
+	if policy != nil && policy.Bodies != nil {
+		t.Flow, t.Upgrade, t.asked, t.spool = policy.Bodies, policy.Bodies.UpgradeOf(h.Header), told, in.spool
+	}
 	if placed.move != nil {
 		t.move, t.unit, t.request.Watch = placed.move, placed.unit, t
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"frostshift/internal/moves"
 	"frostshift/internal/save"
 	"frostshift/internal/share"
+	"frostshift/internal/spool"
 )
 
 const (
@@ -125,6 +126,13 @@
 			return nil, err
 		}
 	}
+	if m.Spool.Dir != "" {
+		if d, err := spool.Open(m.Spool.Dir, m.Spool.Most, m.Spool.Team); err != nil {
+			log.Warn("no body is kept on disk", "err", err)
+		} else {
+			g.intake.Spool(d)
+		}
+	}
 	g.moves = moves.New(moves.Config{Clock: x.Clock(), Log: log, Dir: g.state, Pool: g.pool})
 	if err := g.apply(m, 0); err != nil {
 		g.closeState()
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -143,6 +143,7 @@
 			}
 			under := c.(*front.Conn)
 			under.Encrypted = true
+			under.Record() // what came so far was the handshake
 			secure := &front.Secure{Conn: t, Under: under}
 			if t.ConnectionState().NegotiatedProtocol == "h2" {
 				go s.two.ServeConn(secure)
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -33,6 +33,9 @@
 	if g.model != nil && g.model.State != m.State {
 		g.log.Warn("the folder for what is remembered has changed; that wants a restart, the old one stays")
 	}
+	if g.model != nil && g.model.Spool != m.Spool {
+		g.log.Warn("the spool has changed; that wants a restart, the old one stays")
+	}
 	if g.model != nil && g.model.Limits != m.Limits {
 		g.log.Warn("limits have changed; that wants a restart, the old ones stay")
 	}
@@ -102,6 +105,9 @@
 		p.refs.Add(1)
 		held = append(held, p)
 	}
+	g.conns.KeepHeads(slices.ContainsFunc(m.Policies, func(p *config.Policy) bool {
+		return p != nil && p.Bodies != nil && p.Bodies.Requests != config.BodiesWhole
+	}))
 	old := g.pools
 	g.pools, g.model = next, m
 	led := g.moves.Use(m.Moves)
--- a/internal/h2/fields.go
+++ b/internal/h2/fields.go
@@ -118,6 +118,16 @@
 	return true
 }
 
+// TrailerOf are fields that Trailers has found fit, as a header.
+func TrailerOf(fields []hpack.HeaderField) http.Header {
+	h := make(http.Header, len(fields))
+	for _, f := range fields {
+		name := http.CanonicalHeaderKey(f.Name)
+		h[name] = append(h[name], f.Value)
+	}
+	return h
+}
+
 // ReadResponse reads the fields of a response. length is -1 where none is told.
 func ReadResponse(fields []hpack.HeaderField) (status int, header http.Header, length int64, err error) {
 	header, length = make(http.Header, len(fields)), -1
--- a/internal/h2/flow.go
+++ b/internal/h2/flow.go
@@ -89,6 +89,25 @@
 	return nil
 }
 
+// CreditStream gives room back on the stream alone, as its bytes are taken in by whoever they
+// are for; that of the connection was given back as they came, so that a stream which nobody
+// reads holds up no other.
+func (l *Link) CreditStream(s *Stream, n int) {
+	l.mu.Lock()
+	var stream int64
+	if !s.forgotten {
+		if s.consumed += int64(n); s.consumed >= int64(l.cfg.StreamWindow)/4 {
+			stream, s.consumed = s.consumed, 0
+			s.recvWindow += stream
+		}
+	}
+	l.mu.Unlock()
+	if stream > 0 {
+		id := s.ID
+		l.Control(func(f *http2.Framer) error { return f.WriteWindowUpdate(id, uint32(stream)) })
+	}
+}
+
 // Credit gives the peer back room that was taken by bytes of a DATA frame: on the whole
 // connection, and on the stream unless it is nil. Small amounts are gathered.
 func (l *Link) Credit(s *Stream, n int) {
--- a/internal/h2/link.go
+++ b/internal/h2/link.go
@@ -111,6 +111,12 @@
 	// Ending is called once the last byte is in the writer's buffer, before the peer can see
 	// it, in the same way. nil: nobody asks.
 	Ending func()
+	// More says that Body is not all: Append gives what follows, or the end. Taken is called,
+	// like Done, each time that all there is so far has been handed to the connection.
+	More  bool
+	Taken func()
+	// Trailer follows the body.
+	Trailer []hpack.HeaderField
 
 	headSent bool
 	sent     int
--- a/internal/h2/writer.go
+++ b/internal/h2/writer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 )
 
 // streamList is a queue of streams: each has its turn, a frame at a time.
@@ -63,6 +64,21 @@
 	l.wake.Signal()
 }
 
+// Append gives the next part of what a stream sends, whose Out was sent with More. All that
+// was given before must have been Taken; part belongs to the link until it is, too. end says
+// that nothing follows but the trailer.
+func (l *Link) Append(s *Stream, part []byte, end bool, trailer []hpack.HeaderField) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := s.out
+	if s.forgotten || o == nil || !o.More {
+		return
+	}
+	o.Body, o.sent, o.More, o.Trailer = part, 0, !end, trailer
+	l.ready.push(s)
+	l.wake.Signal()
+}
+
 // Reset forgets a stream, as Forget does, and tells the peer, if it can know of it.
 func (l *Link) Reset(s *Stream, code http2.ErrCode) (whole bool) {
 	whole = l.Forget(s)
@@ -86,6 +102,13 @@
 	return s.out != nil && s.out.whole
 }
 
+// Begun says whether anything of what a stream sends may have gone out.
+func (s *Stream) Begun() bool {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	return s.turn > 0
+}
+
 // write is the writer: it alone writes frames, control frames first.
 func (l *Link) write() {
 	defer close(l.ended)
@@ -134,12 +157,19 @@
 	var s *Stream
 	var part []byte
 	var fields, last bool
+	var trailer []hpack.HeaderField
+	var taken func()
 	l.mu.Lock()
 	switch {
 	case len(l.control) > 0:
 		frames, l.control = l.control, nil
 	case !l.closed:
-		s, part, fields, last = l.turn()
+		if s, part, fields, last = l.turn(); s != nil {
+			trailer = s.out.Trailer
+			if o := s.out; o.More && o.sent == len(o.Body) {
+				taken = o.Taken
+			}
+		}
 	}
 	l.mu.Unlock()
 	if s == nil && len(frames) == 0 {
@@ -157,11 +187,18 @@
 		return true, nil
 	}
 	o := s.out
+	trails := last && len(trailer) > 0
 	if fields {
-		err = l.writeFields(s.ID, o, last)
+		err = l.writeFields(s.ID, o.Fields, last && len(part) == 0 && !trails)
+	}
+	if err == nil && (len(part) > 0 || !fields && !trails) {
+		err = l.framer.WriteData(s.ID, last && !trails, part)
+	}
+	if err == nil && trails {
+		err = l.writeFields(s.ID, trailer, true)
 	}
-	if err == nil && (len(part) > 0 || !fields) {
-		err = l.framer.WriteData(s.ID, last, part)
+	if err == nil && taken != nil {
+		*done = append(*done, taken)
 	}
 	if last && err == nil && o.Ending != nil {
 		o.Ending()
@@ -203,11 +240,11 @@
 func (l *Link) turn() (s *Stream, part []byte, fields, last bool) {
 	for s = l.ready.pop(); s != nil; s = l.ready.pop() {
 		o := s.out
-		if s.forgotten || o == nil || o.headSent && o.sent == len(o.Body) {
+		if s.forgotten || o == nil || o.whole || o.headSent && o.More && o.sent == len(o.Body) {
 			continue
 		}
 		room := min(int64(l.peerFrame), s.sendWindow, l.sendWindow, int64(len(o.Body)-o.sent))
-		if o.headSent && room <= 0 {
+		if o.headSent && room <= 0 && o.sent < len(o.Body) {
 			continue // a window update brings it back
 		}
 		fields = !o.headSent
@@ -218,10 +255,10 @@
 			s.sendWindow -= room
 			l.sendWindow -= room
 		}
-		last = o.sent == len(o.Body)
+		last = o.sent == len(o.Body) && !o.More
 		l.written++
 		s.turn = l.written
-		if o.whole = last; !last {
+		if o.whole = last; o.sent < len(o.Body) {
 			l.ready.push(s)
 		}
 		return s, part, fields, last
@@ -230,9 +267,9 @@
 }
 
 // writeFields writes a header block, in as many frames as it needs.
-func (l *Link) writeFields(id uint32, o *Out, last bool) error {
+func (l *Link) writeFields(id uint32, fields []hpack.HeaderField, last bool) error {
 	l.encoded.b = l.encoded.b[:0]
-	for _, f := range o.Fields {
+	for _, f := range fields {
 		if err := l.encoder.WriteField(f); err != nil {
 			return err
 		}
@@ -245,7 +282,7 @@
 		var err error
 		if first {
 			err = l.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: part,
-				EndStream: last && len(o.Body) == 0, EndHeaders: len(block) == 0})
+				EndStream: last, EndHeaders: len(block) == 0})
 		} else {
 			err = l.framer.WriteContinuation(id, len(block) == 0, part)
 		}
@@ -265,6 +302,6 @@
 		if gone {
 			return nil
 		}
-		return l.writeFields(s.ID, o, false)
+		return l.writeFields(s.ID, o.Fields, false)
 	})
 }
--- /dev/null
+++ b/internal/stream/upload.go
@@ -0,0 +1,423 @@
+// Package stream carries bodies that are not held whole: a request's from its client to the
+// attempts at it, one after the other, with as much of its beginning kept as package body
+// allows. It knows no protocol: fronts are its sources, upstreams its readers.
+package stream
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"frostshift/internal/body"
+)
+
+// Errors of a body.
+var (
+	ErrGone   = errors.New("the beginning of the body is gone")
+	ErrClosed = errors.New("the body is read no more")
+	ErrSlow   = errors.New("the body is slow")
+	ErrLong   = errors.New("the body is too long")
+	ErrLength = errors.New("the body is not as long as was said")
+	ErrRoom   = errors.New("there is no room to keep the body")
+)
+
+// Source is where a request's body comes from. Its methods are called by one goroutine at a
+// time, but for SetReadDeadline.
+type Source interface {
+	// Read reads what has come, and ends with io.EOF where the client said that it was all;
+	// any other error is a body that broke off.
+	Read(p []byte) (int, error)
+	// SetReadDeadline ends a Read that has waited until then with os.ErrDeadlineExceeded.
+	SetReadDeadline(t time.Time) error
+	// Trailer is what followed the body, once it has ended; nil: nothing.
+	Trailer() http.Header
+}
+
+// Room bounds the bytes that are kept in memory.
+type Room interface {
+	Take(n int64) bool
+	Give(n int64)
+}
+
+// File keeps bytes on disk. Close gives the room back.
+type File interface {
+	io.WriterAt
+	io.ReaderAt
+	io.Closer
+}
+
+// Config is what an Upload needs.
+type Config struct {
+	Source Source
+	Bounds body.Bounds
+	Room   Room                 // for what is kept in memory
+	Spool  func() (File, error) // for what is kept on disk; nil: nothing is
+	Strict bool                 // a body that can't be kept on disk breaks, and is not sent on without
+	Idle   time.Duration        // that the client may let pass without a byte; 0: any
+	Rate   int64                // bytes a second that it must send in the long run, beyond Idle; 0: any
+	Raw    bool                 // bytes go on unframed, behind a switch of protocols
+}
+
+// Upload is the body of one request on its way. It is safe for concurrent use; of its
+// Readers one reads at a time.
+//
+// Nobody reads ahead: bytes leave the client's connection as an attempt asks for them, so a
+// host that takes nothing in slows the client, and what is held is what is kept and one
+// buffer.
+type Upload struct {
+	cfg    Config
+	failed chan struct{} // closed: err is set and is not io.EOF
+
+	mu       sync.Mutex
+	changed  *sync.Cond
+	replay   *body.Replay
+	kept     []byte
+	file     File
+	err      error // io.EOF: it has ended; nil: more may come
+	fetching bool
+	closed   bool
+	waited   time.Duration // for the client
+	since    time.Time     // while fetching
+	set      time.Time     // the source's deadline; zero: none
+	touched  bool          // an attempt has had a byte, or its end
+}
+
+// NewUpload returns the body that comes from a source. first are its bytes that have been
+// read already; they are the upload's from then on, and count in room already.
+func NewUpload(cfg Config, first []byte) *Upload {
+	u := &Upload{cfg: cfg, failed: make(chan struct{}), replay: body.NewReplay(cfg.Bounds), kept: first}
+	u.changed = sync.NewCond(&u.mu)
+	if n := int64(len(first)); n > 0 {
+		u.replay.Took(n, true) // they are nowhere else
+	}
+	return u
+}
+
+// Length is how many bytes the client has announced; -1: it has not.
+func (u *Upload) Length() int64 { return u.cfg.Bounds.Length }
+
+// Raw says that the bytes go on without framing, once the protocol has been switched.
+func (u *Upload) Raw() bool { return u.cfg.Raw }
+
+// Source is where the body comes from.
+func (u *Upload) Source() Source { return u.cfg.Source }
+
+// State is what is left for another attempt.
+func (u *Upload) State() body.State {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.replay.State()
+}
+
+// Err is why the body broke; nil: it has not, or has ended.
+func (u *Upload) Err() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.err == io.EOF {
+		return nil
+	}
+	return u.err
+}
+
+// Broken says whether the client's sending broke off.
+func (u *Upload) Broken() bool { return u.Err() != nil }
+
+// Failed is closed once the body is broken.
+func (u *Upload) Failed() <-chan struct{} { return u.failed }
+
+// Ended says whether the last byte has come.
+func (u *Upload) Ended() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.err == io.EOF
+}
+
+// Touched says whether an attempt has had anything of the body.
+func (u *Upload) Touched() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.touched
+}
+
+// Waited is how long attempts have waited for the client so far.
+func (u *Upload) Waited() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	w := u.waited
+	if u.fetching {
+		w += time.Since(u.since)
+	}
+	return w
+}
+
+// Close ends the body: nothing more is read from its source once Close has returned, and
+// what was kept is let go.
+func (u *Upload) Close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed {
+		return
+	}
+	u.closed = true
+	if u.fetching {
+		u.mu.Unlock()
+		u.cfg.Source.SetReadDeadline(time.Unix(1, 0))
+		u.mu.Lock()
+	}
+	for u.fetching {
+		u.changed.Wait()
+	}
+	u.drop()
+	u.changed.Broadcast()
+}
+
+// drop lets go of what is kept. The lock is held.
+func (u *Upload) drop() {
+	if len(u.kept) > 0 {
+		u.cfg.Room.Give(int64(len(u.kept)))
+	}
+	u.kept = nil
+	if u.file != nil {
+		u.file.Close()
+		u.file = nil
+	}
+}
+
+// Fill reads ahead, until n bytes are kept or the body has ended. It is called before the
+// first Open, and says whether all of it has come.
+func (u *Upload) Fill(n int64) (whole bool, err error) {
+	r, err := u.Open()
+	if err != nil {
+		return false, err
+	}
+	defer r.Close()
+	p := make([]byte, min(n, 8<<10))
+	for err == nil && r.at < n {
+		_, err = r.Read(p[:min(int64(len(p)), n-r.at)])
+	}
+	u.mu.Lock()
+	u.touched = false
+	u.mu.Unlock()
+	if err == io.EOF {
+		return true, nil
+	}
+	return false, err
+}
+
+// Whole hands over the bytes of a body that has ended and is kept in memory, and the room that
+// they take up; the Upload is of no more use then.
+func (u *Upload) Whole() (body []byte) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	body, u.kept, u.closed = u.kept, nil, true
+	return body
+}
+
+// Reader is an attempt's view of the body, from the first byte on.
+type Reader struct {
+	u   *Upload
+	at  int64
+	off bool
+}
+
+// Open begins to read the body from its first byte; ErrGone: that is not there any more. The
+// Reader before must have been closed.
+func (u *Upload) Open() (*Reader, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case u.closed:
+		return nil, ErrClosed
+	case u.replay.State() == body.Dropped:
+		return nil, ErrGone
+	}
+	return &Reader{u: u}, nil
+}
+
+// Close ends a Read that waits, and all later ones. Bytes that the client sends for it are
+// kept for the next Reader.
+func (r *Reader) Close() {
+	r.u.mu.Lock()
+	r.off = true
+	r.u.changed.Broadcast()
+	r.u.mu.Unlock()
+}
+
+// Read reads the next bytes, and waits for the client to send some. io.EOF: that was all,
+// and it is as the client said. It must not be called from several goroutines at once.
+func (r *Reader) Read(p []byte) (int, error) {
+	u := r.u
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for {
+		came := u.replay.Came()
+		switch {
+		case r.off || u.closed:
+			return 0, ErrClosed
+		case r.at < int64(len(u.kept)):
+			n := copy(p, u.kept[r.at:])
+			r.at += int64(n)
+			u.touched = true
+			return n, nil
+		case r.at < came:
+			return r.fromDisk(p, came)
+		case u.err != nil:
+			u.touched = true
+			return 0, u.err
+		case !u.fetching:
+			return r.fetch(p)
+		}
+		u.changed.Wait() // an attempt that has ended still waits for the client
+	}
+}
+
+// fromDisk reads what has been spilled. The lock is held.
+func (r *Reader) fromDisk(p []byte, came int64) (int, error) {
+	u := r.u
+	f := u.file
+	if f == nil || u.replay.State() != body.Spilled {
+		return 0, ErrGone
+	}
+	u.mu.Unlock()
+	n, err := f.ReadAt(p[:min(int64(len(p)), came-r.at)], r.at)
+	u.mu.Lock()
+	r.at += int64(n)
+	if n > 0 {
+		u.touched = true
+		return n, nil
+	}
+	u.replay.NoDisk()
+	u.drop()
+	return 0, errors.Join(ErrGone, err)
+}
+
+// fetch reads from the source and keeps what it reads as it should be. The lock is held.
+func (r *Reader) fetch(p []byte) (int, error) {
+	u := r.u
+	u.fetching, u.since = true, time.Now()
+	late := u.deadline(u.since)
+	set := late.Sub(u.set) > u.cfg.Idle/8 || late.Before(u.set) // a call for each read is many
+	if set {
+		u.set = late
+	}
+	u.mu.Unlock()
+	if set {
+		u.cfg.Source.SetReadDeadline(late)
+	}
+	n, err := u.cfg.Source.Read(p)
+	u.mu.Lock()
+	u.waited += time.Since(u.since)
+	switch {
+	case n > 0 && u.replay.TooLong(int64(n)):
+		n, err = 0, ErrLong
+	case n > 0 && u.replay.OffLength(int64(n)):
+		n, err = 0, ErrLength
+	}
+	if n > 0 && !u.keep(p[:n], r.off) {
+		n, err = 0, ErrRoom
+	}
+	if err == io.EOF && !u.replay.End() {
+		err = ErrLength
+	}
+	u.fetching = false
+	if err != nil && u.err == nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = errors.Join(ErrSlow, err)
+		}
+		if u.err = err; err != io.EOF {
+			close(u.failed)
+		}
+	}
+	u.changed.Broadcast()
+	if r.off || u.closed {
+		return 0, ErrClosed
+	}
+	if n > 0 { // an end that came with them is read with the next call
+		r.at += int64(n)
+		u.touched = true
+		return n, nil
+	}
+	return 0, u.err
+}
+
+// deadline is when a read that begins now has waited for too long: for Idle, or for as long
+// as a client may take in all for what it has sent. The lock is held.
+func (u *Upload) deadline(now time.Time) (t time.Time) {
+	if u.cfg.Idle > 0 {
+		t = now.Add(u.cfg.Idle)
+	}
+	if u.cfg.Rate > 0 {
+		may := u.cfg.Idle + time.Duration(float64(u.replay.Came())/float64(u.cfg.Rate)*float64(time.Second))
+		if rate := now.Add(may - u.waited); t.IsZero() || rate.Before(t) {
+			t = rate
+		}
+	}
+	return t
+}
+
+// keep keeps bytes that have come, or lets go of all that was kept. False: the body must be
+// kept and can't be. The lock is held, but not while bytes go to disk.
+func (u *Upload) keep(p []byte, needed bool) bool {
+	switch u.replay.Took(int64(len(p)), needed) {
+	case body.Keep:
+		if u.cfg.Room.Take(int64(len(p))) {
+			u.kept = append(u.kept, p...)
+			return true
+		}
+		u.replay.Lose()
+	case body.Spill:
+		err := u.spill(p)
+		if err == nil {
+			return true
+		}
+		u.replay.NoDisk()
+		u.drop()
+		return !u.cfg.Strict
+	}
+	u.drop()
+	return true
+}
+
+// spill writes to disk what has come, and what was kept in memory before. The lock is held,
+// but not while it writes: whoever asks how things stand must not wait for a disk.
+func (u *Upload) spill(p []byte) error {
+	f, before, at := u.file, u.kept, u.replay.Came()-int64(len(p))
+	u.mu.Unlock()
+	var err error
+	if f == nil {
+		if u.cfg.Spool == nil {
+			err = ErrRoom
+		} else {
+			f, err = u.cfg.Spool()
+		}
+		if err == nil && len(before) > 0 {
+			_, err = f.WriteAt(before, 0)
+		}
+	}
+	if err == nil {
+		_, err = f.WriteAt(p, at)
+	}
+	u.mu.Lock()
+	if u.file == nil && f != nil {
+		u.file = f
+	}
+	if err != nil {
+		return err
+	}
+	if len(u.kept) > 0 {
+		u.cfg.Room.Give(int64(len(u.kept)))
+		u.kept = nil
+	}
+	return nil
+}
+
+// Trailer is what followed the body, once it has ended; nil: nothing.
+func (u *Upload) Trailer() http.Header {
+	if !u.Ended() {
+		return nil
+	}
+	return u.cfg.Source.Trailer()
+}
--- a/internal/upstream/http1/answer.go
+++ b/internal/upstream/http1/answer.go
@@ -42,17 +42,26 @@
 		c.SetReadDeadline(rest)
 	}
 	resp, answer, err := c.readAll(method)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errOdd
+	}
+	return resp, answer, odd(c, err)
+}
+
+// odd is an error of reading an answer: that of a connection that broke as it is, any other
+// as errOdd.
+func odd(c *conn, err error) error {
 	var broken net.Error
 	switch {
-	case err == nil:
-	case errors.Is(err, os.ErrDeadlineExceeded), c.limit.N <= 0:
+	case err == nil || errors.Is(err, errOdd):
+	case c.limit.N <= 0:
 		err = errOdd
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
 		// The connection broke.
 	default:
 		err = fmt.Errorf("%w: %w", errOdd, err)
 	}
-	return resp, answer, err
+	return err
 }
 
 func (c *conn) readAll(method string) (*http.Response, *message.Answer, error) {
@@ -70,8 +79,7 @@
 		}
 	}
 	answer := &message.Answer{Status: resp.StatusCode, Length: -1}
-	if method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
-		// It ends with its head, whatever that tells of a length (RFC 9112 section 6.3).
+	if bodilessAnswer(method, resp.StatusCode) {
 		if resp.StatusCode != http.StatusNoContent {
 			answer.Length = resp.ContentLength
 		}
--- a/internal/upstream/http1/attempt.go
+++ b/internal/upstream/http1/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -25,6 +26,7 @@
 	conn    *conn              // while the attempt has it
 	cancel  context.CancelFunc // of the dial; nil: none was begun
 	writing sync.Mutex
+	wrote   bool // something of it has gone out; of whoever writes
 }
 
 // errBroken says that the connection broke before the request's last byte was written.
@@ -44,6 +46,10 @@
 			a.End(frostshift.NotSent)
 			return
 		}
+		if flows(a.Message.(*message.Request)) {
+			t.tryFlow(h)
+			return
+		}
 		switch result, answer, err := t.try(h); {
 		case answer != nil:
 			a.Answered(a.Answers.Judge(answer.Status, answer.Header), upstream.After(answer), answer)
@@ -105,6 +111,7 @@
 		return false
 	}
 	n, _ := c.Write(text)
+	t.wrote = t.wrote || n > 0
 	return n == len(text)
 }
 
@@ -185,12 +192,30 @@
 	b = append(b, "\r\nX-Time-Left: "...)
 	b = strconv.AppendInt(b, max(0, left.Microseconds()), 10)
 	b = append(b, "u\r\n"...)
-	if r.Method != "GET" && r.Method != "HEAD" || len(r.Body) > 0 {
+	length := int64(len(r.Body))
+	if r.Upload != nil {
+		length = r.Upload.Length()
+	}
+	switch {
+	case r.Upgrade != "":
+		b = append(b, "Connection: Upgrade\r\nUpgrade: "...)
+		b = append(b, r.Upgrade...)
+		b = append(b, "\r\n"...)
+	case length < 0:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	case r.Method != "GET" && r.Method != "HEAD" || length > 0:
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = strconv.AppendInt(b, length, 10)
 		b = append(b, "\r\n"...)
 	}
-	for name, values := range r.Header {
+	b = appendFields(b, r.Header)
+	b = append(b, "\r\n"...)
+	return append(b, r.Body...)
+}
+
+// appendFields is header fields as they go out.
+func appendFields(b []byte, h http.Header) []byte {
+	for name, values := range h {
 		for _, v := range values {
 			if strings.ContainsAny(v, "\r\n\x00") {
 				continue // it would begin another header, or another request
@@ -201,6 +226,5 @@
 			b = append(b, "\r\n"...)
 		}
 	}
-	b = append(b, "\r\n"...)
-	return append(b, r.Body...)
+	return b
 }
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -47,11 +47,29 @@
 func (c *conn) done() {
 	if c.in != nil && c.in.Buffered() == 0 {
 		c.in.Reset(nil)
-		readers.Put(c.in)
+		if c.in.Size() == flowReader {
+			flowReaders.Put(c.in)
+		} else {
+			readers.Put(c.in)
+		}
 		c.in = nil
 	}
 }
 
+// flowReader is the size of a reader for an answer whose body may flow: it may be held for
+// hours, and longer parts are read past it.
+const flowReader = 4 << 10
+
+var flowReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, flowReader) }}
+
+// beginFlow is begin for such an answer.
+func (c *conn) beginFlow() {
+	if c.in == nil {
+		c.in = flowReaders.Get().(*bufio.Reader)
+		c.in.Reset(&c.limit)
+	}
+}
+
 // quiet says whether an idle connection is open and nothing has come on it. Answers do
 // not name their request: one that comes unasked, or the rest of one, would be taken
 // for the answer to the next request.
@@ -74,6 +92,13 @@
 	return n <= 0 && errors.Is(err, syscall.EAGAIN)
 }
 
+// closeWrite says that nothing more is sent.
+func (c *conn) closeWrite() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+}
+
 // Close closes the connection; close does with the upstream's lock held.
 func (c *conn) Close() error {
 	c.up.mu.Lock()
--- a/internal/upstream/http2/attempt.go
+++ b/internal/upstream/http2/attempt.go
@@ -35,7 +35,12 @@
 
 	malformed atomic.Bool // what came back is no answer
 
+	feeder *feeder     // of a body that is not whole; nil: it is
+	fl     *answerFlow // the answer's body flows; nil: it does not, or not yet
+	by     time.Time   // when the answer's head is due
+
 	// Of the connection's reader:
+	ahead  int // answers ahead of it
 	status int
 	header http.Header
 	length int64
@@ -45,7 +50,7 @@
 // Start sends the request in a goroutine that reports what could not be sent; what was
 // sent is reported by the connection's reader.
 func (u *Upstream) Start(a *exchange.Attempt) exchange.Handle {
-	t := &attempt{Attempt: a, u: u, off: make(chan struct{}), length: -1}
+	t := &attempt{Attempt: a, u: u, off: make(chan struct{}), length: -1, by: a.Until}
 	u.mu.Lock()
 	h := u.hosts[a.Host]
 	u.mu.Unlock()
@@ -78,12 +83,23 @@
 		t.mu.Lock()
 		t.conn = c
 		t.mu.Unlock()
+		if up := t.Message.(*message.Request).Upload; up != nil && t.feeder == nil {
+			r, err := up.Open()
+			if err != nil { // an earlier attempt has used its beginning up
+				t.end(frostshift.NotSent, nil)
+				return
+			}
+			t.feeder = newFeeder(t, up, r)
+		}
 		if c.open(t, t.out(h.address)) {
 			t.mu.Lock()
-			if !t.ended {
-				t.timer = time.AfterFunc(time.Until(t.Until), t.late)
+			if !t.ended && t.fl == nil {
+				t.timer = time.AfterFunc(time.Until(t.by), t.late)
 			}
 			t.mu.Unlock()
+			if t.feeder != nil {
+				t.feeder.run()
+			}
 			return
 		}
 		// The connection takes no more streams, or the attempt is off: nothing has been sent.
@@ -111,6 +127,12 @@
 	o.Fields = append(o.Fields, hpack.HeaderField{Name: ":method", Value: r.Method}, hpack.HeaderField{Name: ":scheme", Value: "http"},
 		hpack.HeaderField{Name: ":authority", Value: authority}, hpack.HeaderField{Name: ":path", Value: r.Target},
 		hpack.HeaderField{Name: "x-time-left", Value: strconv.FormatInt(max(0, t.Left.Microseconds()), 10) + "u"})
+	if r.Upload != nil {
+		o.More, o.Taken, o.Done = true, t.feeder.took, t.feeder.done
+		if n := r.Upload.Length(); n >= 0 {
+			o.Fields = append(o.Fields, hpack.HeaderField{Name: "content-length", Value: strconv.FormatInt(n, 10)})
+		}
+	}
 	if len(r.Body) > 0 {
 		o.Fields = append(o.Fields, hpack.HeaderField{Name: "content-length", Value: strconv.Itoa(len(r.Body))})
 	}
@@ -133,19 +155,26 @@
 	if s == nil {
 		return // no stream will be opened
 	}
-	if c.link.Reset(s, http2.ErrCodeCancel) {
+	if c.link.Reset(s, http2.ErrCodeCancel) || t.begun(s) {
 		t.end(frostshift.Canceled, nil)
 	} else {
 		t.end(frostshift.NotSent, nil)
 	}
 }
 
+// begun says whether a host may have had a part of a request whose body is not whole, and so
+// may act on it.
+func (t *attempt) begun(s *h2.Stream) bool { return t.feeder != nil && s.Begun() }
+
 // late gives the attempt up when its time is over.
 func (t *attempt) late() {
 	t.mu.Lock()
-	s, c := t.stream, t.conn
+	s, c, flows := t.stream, t.conn, t.fl != nil
 	t.mu.Unlock()
-	if c.link.Reset(s, http2.ErrCodeCancel) {
+	if flows {
+		return // it has come
+	}
+	if c.link.Reset(s, http2.ErrCodeCancel) || t.begun(s) {
 		t.end(frostshift.TimedOut, nil)
 	} else {
 		t.end(frostshift.ConnectFailed, nil)
@@ -155,6 +184,12 @@
 // end reports how the attempt ended, once.
 func (t *attempt) end(result frostshift.Result, answer *message.Answer) {
 	t.mu.Lock()
+	if t.fl != nil { // the head has been given on: it is the body that ends
+		fl := t.fl
+		t.mu.Unlock()
+		fl.fail(result)
+		return
+	}
 	if t.ended {
 		t.mu.Unlock()
 		if answer != nil {
@@ -163,6 +198,10 @@
 		return
 	}
 	t.ended = true
+	if t.feeder != nil {
+		t.feeder.r.Close()
+		t.stop()
+	}
 	if t.timer != nil {
 		t.timer.Stop()
 	}
@@ -187,7 +226,7 @@
 
 // broken is the end of the connection under the attempt.
 func (t *attempt) broken(s *h2.Stream) {
-	if s.Whole() {
+	if s.Whole() || t.begun(s) {
 		t.end(frostshift.Reset, nil)
 	} else {
 		t.end(frostshift.ConnectFailed, nil)
@@ -200,11 +239,16 @@
 		t.odd()
 		return
 	}
-	if t.status >= 200 { // trailers: nothing of them goes on
+	if t.status >= 200 { // trailers
 		if !f.StreamEnded() || !h2.Trailers(f.Fields) {
 			t.odd()
 			return
 		}
+		if fl := t.flowNow(); fl != nil {
+			fl.trailer = h2.TrailerOf(f.Fields)
+			fl.last()
+			return
+		}
 		t.last()
 		return
 	}
@@ -213,10 +257,19 @@
 		t.odd()
 		return
 	}
+	req := t.Message.(*message.Request)
 	if status < 200 { // an answer ahead
+		if t.ahead++; t.ahead > mostAhead {
+			t.odd()
+		} else if status == http.StatusEarlyHints && req.Flow != nil && req.Flow.Hint != nil {
+			req.Flow.Hint(status, message.EndToEnd(header))
+		}
 		return
 	}
 	t.status, t.header, t.length = status, header, length
+	if !f.StreamEnded() && t.begin(req) {
+		return
+	}
 	if length > maxAnswer {
 		t.odd()
 		return
@@ -229,6 +282,10 @@
 // data takes a part of the answer's body.
 func (t *attempt) data(f *http2.DataFrame) {
 	part := f.Data()
+	if fl := t.flowNow(); fl != nil {
+		fl.put(part, int(f.Length), f.StreamEnded())
+		return
+	}
 	defer t.conn.link.Credit(t.stream, int(f.Length))
 	if t.status < 200 || t.over {
 		t.odd()
@@ -286,10 +343,16 @@
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
-func (t *attempt) answered() bool { return t.over }
+func (t *attempt) answered() bool {
+	fl := t.flowNow()
+	return t.over || fl != nil && fl.Ended()
+}
 
 // finish hands the whole answer on.
 func (t *attempt) finish() {
+	if t.flowNow() != nil {
+		return // whoever reads the body ends it
+	}
 	s := t.stream
 	if s.Whole() {
 		t.conn.link.Forget(s)
@@ -318,6 +381,10 @@
 }
 
 func (t *attempt) oddEnd() {
+	if fl := t.flowNow(); fl != nil {
+		fl.fail(frostshift.Reset)
+		return
+	}
 	t.malformed.Store(true)
 	t.end(frostshift.Failed, nil)
 }
--- a/internal/upstream/http2/conn.go
+++ b/internal/upstream/http2/conn.go
@@ -162,7 +162,7 @@
 			t.end(frostshift.Full, nil)
 		case f.ErrCode == http2.ErrCodeNo && t.answered(): // the answer is whole, the rest was not needed
 			t.finish()
-		case !whole: // its last byte was never sent
+		case !whole && !t.begun(s): // its last byte was never sent
 			t.end(frostshift.ConnectFailed, nil)
 		default:
 			t.end(frostshift.Reset, nil)
--- a/internal/upstream/http2/upstream.go
+++ b/internal/upstream/http2/upstream.go
@@ -22,8 +22,8 @@
 const (
 	maxAnswer    = 4 << 20 // bytes of an answer's body
 	firstPart    = 16 << 10
-	connsToHost  = 4 // connections to one host: another one where its streams are all in use
-	streamWindow = 1 << 20
+	connsToHost  = 4        // connections to one host: another one where its streams are all in use
+	streamWindow = 64 << 10 // what a stream may hold of an answer that flows and is not read
 	connWindow   = 4 << 20
 	idleShare    = 0.8 // of the hosts' idle time after which we close ours
 	sweepEvery   = time.Second
--- a/state.go
+++ b/state.go
@@ -73,6 +73,7 @@
 	rtt     float64 // peak EWMA in seconds, as of rttAt
 	rttAt   Time
 	pending int
+	streams int           // answers whose bodies flow
 	flight  list[attempt] // in the order sent
 	heard   Time          // last answer of any kind
 	limit   float64       // attempts it may hold from all that share it
@@ -114,6 +115,8 @@
 	out      int // attempts in flight
 	done     bool
 	bound    bool // a stream has begun, it is that attempt's now
+	feeding  bool // its body comes still, on the attempt that is out
+	moved    bool // its deadline was, when its body had come
 	queued   bool
 	link     node[request] // in its line
 	atts     []*attempt
@@ -128,6 +131,8 @@
 	ended  bool
 	result Result
 	trial  bool
+	away   bool          // not in the host's flight: its time is not the host's
+	flows  bool          // its answer's body flows
 	link   node[attempt] // at its host
 }
 
@@ -220,7 +225,7 @@
 }
 
 func (b *Balancer) forgotten(h *host) bool {
-	return h.State == Removed && h.pending == 0 && b.byID[h.ID] == h && !(h.cold && b.now-h.coldAt < b.set.WarmAfter)
+	return h.State == Removed && h.pending+h.streams == 0 && b.byID[h.ID] == h && !(h.cold && b.now-h.coldAt < b.set.WarmAfter)
 }
 
 // forgetAll drops all that can be dropped, in one pass.
@@ -287,6 +292,14 @@
 	b.freeReq = append(b.freeReq, r)
 }
 
+// attempt finds one that has not ended, of a request that is owed its answer.
+func (b *Balancer) attempt(id RequestID, n int) *attempt {
+	if r := b.reqs[id]; r != nil && !r.done && n >= 0 && n < len(r.atts) && !r.atts[n].ended {
+		return r.atts[n]
+	}
+	return nil
+}
+
 func (b *Balancer) newRequest() *request {
 	n := len(b.freeReq)
 	if n == 0 {
