--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"reflect"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -148,6 +150,18 @@
 		} else {
 			wrong("true or false")
 		}
+	case t.Kind() == reflect.Int64: // of bytes; time.Duration has gone above
+		if text, ok := v.(string); ok {
+			n, err := parseBytes(text)
+			if err != nil {
+				d.fail(key, "%v", err)
+			}
+			to.SetInt(n)
+		} else if n, ok := v.(int64); ok {
+			to.SetInt(n)
+		} else {
+			wrong("a number of bytes, like 65536 or \"64KiB\"")
+		}
 	case t.Kind() == reflect.Int:
 		if n, ok := v.(int64); ok {
 			to.SetInt(n)
@@ -201,3 +215,25 @@
 	}
 	return "a date"
 }
+
+// units of bytes, the longest names first.
+var units = []struct {
+	name string
+	n    int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"TiB", 1 << 40}, {"kB", 1e3}, {"MB", 1e6}, {"GB", 1e9}, {"B", 1}}
+
+// parseBytes reads a number of bytes with a unit.
+func parseBytes(text string) (int64, error) {
+	for _, u := range units {
+		number, ok := strings.CutSuffix(text, u.name)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
+		if err != nil || n < 0 || n > math.MaxInt64/u.n {
+			break
+		}
+		return n * u.n, nil
+	}
+	return 0, fmt.Errorf("%q is no number of bytes, like 65536 or \"64KiB\"", text)
+}
--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,6 +84,9 @@
 		return err
 	}
 	up := t.NewUpload(&source{body: r.Body, r: r, rc: rc, conn: conn}, length)
+	if names := message.Announce(slices.Collect(maps.Keys(r.Trailer))); names != nil {
+		t.Message.Header["Trailer"] = names
+	}
 	if t.Flow.Requests != config.BodiesAuto {
 		return nil
 	}
@@ -133,6 +137,7 @@
 		}
 	})
 	call, deadline := t.Submit()
+	left := r.Context().Done()
 	for {
 		select {
 		case h := <-hints:
@@ -150,7 +155,11 @@
 			write(w, r.Method, front.BodyError(up.Err(), up.Touched()).Answer())
 			up.Close()
 			throwAway(w, r)
-		case <-r.Context().Done():
+		case <-left:
+			if up != nil && !up.Ended() && t.Upgrade == "" {
+				left = nil // it is the body that broke off, and it says how
+				continue
+			}
 			call.Gone()
 			w.Header().Set("Connection", "close")
 			http.Error(w, "client closed", http.StatusBadGateway)
@@ -202,7 +211,7 @@
 // pass gives the client an answer's body as it comes, and says whether it has had all of it.
 // What breaks off has no end: no last chunk, or fewer bytes than were told.
 func (s *Server) pass(w http.ResponseWriter, r *http.Request, rc *http.ResponseController, t *front.Ticket, a *message.Answer) bool {
-	stop := context.AfterFunc(r.Context(), a.Release) // ends a wait for the host
+	stop := context.AfterFunc(r.Context(), a.Stream.Close) // ends a wait for the host
 	defer stop()
 	h := w.Header()
 	maps.Copy(h, a.Header)
@@ -338,7 +347,7 @@
 	go func() { // a client that is gone ends what waits for the host
 		select {
 		case <-up.Failed():
-			a.Release()
+			a.Stream.Close()
 		case <-over:
 		}
 	}()
--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -114,9 +114,9 @@
 	go func() { // ends a wait for the host
 		select {
 		case <-s.gone:
-			a.Release()
+			a.Stream.Close()
 		case <-s.c.gone:
-			a.Release()
+			a.Stream.Close()
 		case <-over:
 		}
 	}()
--- /dev/null
+++ b/internal/gateway/bodies_test.go
@@ -0,0 +1,747 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+
+	"frostshift/internal/config"
+	"frostshift/internal/spool"
+	"frostshift/internal/standin"
+)
+
+// flowing is a gateway whose one route takes bodies as they come.
+func flowing(t testing.TB, client, host, class, bodies string, hosts ...string) *config.Model {
+	t.Helper()
+	quoted := make([]string, len(hosts))
+	for i, h := range hosts {
+		quoted[i] = strconv.Quote(h)
+	}
+	text := fmt.Sprintf(`
+[[listener]]
+name = "clients"
+address = "127.0.0.1:0"
+protocol = %q
+[[class]]
+name = "c"
+effect = %q
+aim = "1s"
+deadline = "3s"
+[[pool]]
+name = "hosts"
+hosts = [%s]
+protocol = %q
+[[route]]
+name = "all"
+prefix = "/"
+class = "c"
+pool = "hosts"
+[route.bodies]
+%s
+[spool]
+dir = "spool"
+most = 1000000
+`, client, class, strings.Join(quoted, ", "), host, bodies)
+	m, _, err := config.Parse(t.TempDir()+"/gw.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// netHost is a host of net/http, over the protocol.
+func netHost(t testing.TB, protocol string, serve http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewUnstartedServer(serve)
+	s.Config.Protocols = new(http.Protocols)
+	s.Config.Protocols.SetHTTP1(protocol == "http1")
+	s.Config.Protocols.SetUnencryptedHTTP2(protocol == "http2")
+	s.Start()
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s.Listener.Addr().String()
+}
+
+// talker is a client over the protocol.
+func talker(t testing.TB, protocol string) *http.Client {
+	t.Helper()
+	if protocol == "http2" {
+		tr := standin.H2Transport()
+		t.Cleanup(tr.CloseIdleConnections)
+		return &http.Client{Transport: tr}
+	}
+	tr := &http.Transport{DisableCompression: true}
+	t.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr}
+}
+
+var protocols = []string{"http1", "http2"}
+
+func inEach(t *testing.T, f func(t *testing.T, client, host string)) {
+	for _, client := range protocols {
+		for _, host := range protocols {
+			t.Run(client+" to "+host, func(t *testing.T) { f(t, client, host) })
+		}
+	}
+}
+
+// unsized hides the length of a body.
+type unsized struct{ io.Reader }
+
+func noise(n int) []byte {
+	b := make([]byte, n)
+	r := rand.NewChaCha8([32]byte{byte(n)})
+	r.Read(b)
+	return b
+}
+
+// Bodies of any length go both ways, of told and of untold length, with their trailers.
+func TestBodiesFlowBothWays(t *testing.T) {
+	inEach(t, func(t *testing.T, client, host string) {
+		addr := netHost(t, host, func(w http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				t.Errorf("the host read %d bytes: %v", len(body), err)
+			}
+			sum := sha256.Sum256(body)
+			w.Header().Set("X-Sum", fmt.Sprintf("%x", sum))
+			w.Header().Set("X-Length", strconv.FormatInt(r.ContentLength, 10))
+			w.Header().Set("X-Trailer", r.Trailer.Get("X-After"))
+			if r.URL.Query().Get("sized") != "" {
+				w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+			}
+			w.Header().Set("Trailer", "X-Behind")
+			w.WriteHeader(http.StatusOK)
+			w.Write(body)
+			w.Header().Set("X-Behind", "yes")
+		})
+		for _, mode := range []string{"stream", "auto"} {
+			g := launch(t, flowing(t, client, host, "unsafe", `requests = "`+mode+`"`+"\nanswers = \"stream\"", addr))
+			c := talker(t, client)
+			for _, size := range []int{0, 1, 1000, 64 << 10, 64<<10 + 1, 3 << 20} {
+				for _, sized := range []bool{true, false} {
+					data := noise(size)
+					var body io.Reader = bytes.NewReader(data)
+					if !sized {
+						body = unsized{body}
+					}
+					target := g.url + "/x"
+					if sized {
+						target += "?sized=1"
+					}
+					r, _ := http.NewRequest(http.MethodPost, target, body)
+					if !sized {
+						r.Trailer = http.Header{"X-After": {"here"}}
+					}
+					resp, err := c.Do(r)
+					if err != nil {
+						t.Fatalf("%s, %d bytes, sized %v: %v", mode, size, sized, err)
+					}
+					got, err := io.ReadAll(resp.Body)
+					resp.Body.Close()
+					if err != nil || resp.StatusCode != 200 || !bytes.Equal(got, data) {
+						t.Fatalf("%s, %d bytes, sized %v: answered %d with %d bytes, %v", mode, size, sized, resp.StatusCode, len(got), err)
+					}
+					if want := fmt.Sprintf("%x", sha256.Sum256(data)); resp.Header.Get("X-Sum") != want {
+						t.Errorf("%s, %d bytes, sized %v: the host had another body", mode, size, sized)
+					}
+					if sized && resp.Header.Get("X-Length") != strconv.Itoa(size) {
+						t.Errorf("%s, %d bytes: the host was told %s", mode, size, resp.Header.Get("X-Length"))
+					}
+					if !sized && size > 0 && resp.Header.Get("X-Trailer") != "here" {
+						t.Errorf("%s, %d bytes: the trailer was lost on the way there", mode, size)
+					}
+					if size > 64<<10 && !sized && resp.Trailer.Get("X-Behind") != "yes" {
+						t.Errorf("%s, %d bytes: the trailer was lost on the way back", mode, size)
+					}
+				}
+			}
+			idle(t, g)
+		}
+	})
+}
+
+// idle waits until the gateway holds nothing of any request.
+func idle(t testing.TB, g *running) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		bodies, answers, requests := g.budgets.bodies.Used(), g.budgets.answers.Used(), g.budgets.requests.Used()
+		if bodies == 0 && answers == 0 && requests == 0 && g.exchange.Open() == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("held at the end: %d bytes of bodies, %d of answers, %d requests, %d ids", bodies, answers, requests, g.exchange.Open())
+		}
+	}
+}
+
+// What a host says is with the client before the host says more: an event at a time.
+func TestEventsComeAsTheyAreSent(t *testing.T) {
+	inEach(t, func(t *testing.T, client, host string) {
+		next := make(chan struct{})
+		addr := netHost(t, host, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(200)
+			w.(http.Flusher).Flush()
+			for i := range 5 {
+				<-next
+				fmt.Fprintf(w, "data: %d\n\n", i)
+				w.(http.Flusher).Flush()
+			}
+		})
+		g := launch(t, flowing(t, client, host, "safe", `answers = "stream"`, addr))
+		resp, err := talker(t, client).Get(g.url + "/events")
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := bufio.NewReader(resp.Body)
+		for i := range 5 {
+			next <- struct{}{}
+			line, err := in.ReadString('\n')
+			if err != nil || line != fmt.Sprintf("data: %d\n", i) {
+				t.Fatalf("event %d came as %q, %v", i, line, err)
+			}
+			in.ReadString('\n')
+		}
+		if rest, err := io.ReadAll(in); err != nil || len(rest) > 0 {
+			t.Errorf("behind the events: %q, %v", rest, err)
+		}
+		resp.Body.Close()
+		idle(t, g)
+	})
+}
+
+// An answer that breaks off looks broken to the client, whatever its framing, and is never
+// asked for again.
+func TestBrokenAnswersLookBroken(t *testing.T) {
+	inEach(t, func(t *testing.T, client, host string) {
+		var asked atomic.Int64
+		addr := netHost(t, host, func(w http.ResponseWriter, r *http.Request) {
+			asked.Add(1)
+			if r.URL.Query().Get("sized") != "" {
+				w.Header().Set("Content-Length", "200000")
+			}
+			w.Write(make([]byte, 100000))
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		g := launch(t, flowing(t, client, host, "safe", `answers = "stream"`, addr))
+		for _, target := range []string{"/?sized=1", "/"} {
+			before := asked.Load()
+			resp, err := talker(t, client).Get(g.url + target)
+			if err == nil {
+				var n int64
+				n, err = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode != 200 || n > 100000 {
+					t.Errorf("%s: answered %d with %d bytes", target, resp.StatusCode, n)
+				}
+			}
+			if err == nil {
+				t.Errorf("%s: a broken answer passed for a whole one", target)
+			}
+			if n := asked.Load() - before; n != 1 {
+				t.Errorf("%s: asked %d times", target, n)
+			}
+		}
+		idle(t, g)
+		until(t, "the failures are counted", func() bool { return g.Counts()["hosts"].Broke.Load() == 2 })
+	})
+}
+
+// A body that breaks off never ends for the host, and the request is not sent again.
+func TestBrokenUploadsLookBroken(t *testing.T) {
+	for _, host := range protocols {
+		t.Run(host, func(t *testing.T) {
+			begun, ended := make(chan struct{}, 10), make(chan error, 10)
+			addr := netHost(t, host, func(w http.ResponseWriter, r *http.Request) {
+				begun <- struct{}{}
+				_, err := io.Copy(io.Discard, r.Body)
+				ended <- err
+			})
+			g := launch(t, flowing(t, "http1", host, "unsafe", `requests = "stream"`, addr))
+			for _, head := range []string{"Content-Length: 1000\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+				"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nfffffffffffffffff\r\n"} {
+				c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: a\r\n%s", head)
+				await(t, begun, "the request's head at the host")
+				if !strings.HasSuffix(head, "\r\n") || strings.HasSuffix(head, "half\r\n") {
+					c.Close()
+				}
+				if err := await(t, ended, "the end of the body at the host"); err == nil {
+					t.Errorf("%q passed for a whole body", head)
+				}
+				c.Close()
+			}
+			idle(t, g)
+		})
+	}
+}
+
+// Heads that could be read in two ways are turned away, and nothing of them reaches a host.
+func TestAmbiguousBodiesAreTurnedAway(t *testing.T) {
+	addr := netHost(t, "http1", func(w http.ResponseWriter, r *http.Request) { t.Error("it reached the host") })
+	g := launch(t, flowing(t, "http1", "http1", "unsafe", `requests = "stream"`, addr))
+	for _, c := range []struct {
+		head   string
+		status int
+	}{
+		{"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		{"transfer-encoding: chunked\r\ncontent-length : 5\r\n\r\n0\r\n\r\n", 400},
+		{"Transfer-Encoding: chunked\r\ncontent-LENGTH: 5\r\n\r\n0\r\n\r\n", 400},
+		{"Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello", 400},
+		{"Content-Length: -5\r\n\r\nhello", 400},
+		{"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501},
+	} {
+		if answer := talk(t, g, "POST /x HTTP/1.1\r\nHost: a\r\n"+c.head); !strings.HasPrefix(answer, fmt.Sprintf("HTTP/1.1 %d", c.status)) {
+			t.Errorf("%q: answered %.60q, want %d", c.head, answer, c.status)
+		}
+	}
+	idle(t, g)
+}
+
+// Keep-alive connections send one body after the other; heads stay known between them.
+func TestBodiesFollowOneAnother(t *testing.T) {
+	addr := netHost(t, "http1", func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Write(body)
+	})
+	g := launch(t, flowing(t, "http1", "http1", "unsafe", `requests = "stream"`, addr))
+	c, err := standin.Dial(strings.TrimPrefix(g.url, "http://"), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for i := range 30 {
+		body := strings.Repeat("x", i*100)
+		if i%2 == 0 {
+			fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+			if len(body) > 0 {
+				fmt.Fprintf(c, "%x\r\n%s\r\n", len(body), body)
+			}
+			fmt.Fprintf(c, "0\r\n\r\n")
+		} else {
+			fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+		status, got, _, err := c.Receive()
+		if err != nil || status != 200 || got != body {
+			t.Fatalf("request %d: answered %d with %d bytes, %v", i, status, len(got), err)
+		}
+	}
+}
+
+// A host that dies at a point of an upload: what is honest then goes by the class and by what
+// is kept.
+func TestHostDiesWithinAnUpload(t *testing.T) {
+	for _, c := range []struct {
+		name, class, bodies string
+		size, at            int // bytes of the body, and after how many the first host dies
+		status, hosts       int
+	}{
+		{"safe, kept", "safe", `requests = "stream"`, 32 << 10, 1000, 200, 2},
+		{"safe, kept, all read", "safe", `requests = "stream"`, 32 << 10, 32 << 10, 200, 2},
+		{"safe, gone", "safe", `requests = "stream"` + "\nreplay = 1000", 256 << 10, 200 << 10, 503, 1},
+		{"safe, on disk", "safe", `requests = "stream"` + "\nreplay = 1000\nspool = 900000", 256 << 10, 200 << 10, 200, 2},
+		{"unsafe, kept", "unsafe", `requests = "stream"`, 32 << 10, 1000, 502, 1},
+		{"unsafe, on disk", "unsafe", `requests = "stream"` + "\nspool = 900000", 256 << 10, 200 << 10, 502, 1},
+		{"unsafe, gone", "unsafe", `requests = "stream"` + "\nreplay = 0", 256 << 10, 1, 502, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var asked atomic.Int64
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				if asked.Add(1) == 1 {
+					io.CopyN(io.Discard, r.Body, int64(c.at))
+					panic(http.ErrAbortHandler)
+				}
+				n, err := io.Copy(io.Discard, r.Body)
+				if n != int64(c.size) || err != nil {
+					t.Errorf("the second host had %d bytes, %v", n, err)
+				}
+			}
+			g := launch(t, flowing(t, "http1", "http1", c.class, c.bodies, netHost(t, "http1", serve), netHost(t, "http1", serve)))
+			// The client sends no more than it must before the host has died.
+			in, out := io.Pipe()
+			go func() {
+				data := noise(c.size)
+				out.Write(data[:c.at])
+				until(t, "the host has had its part", func() bool { return asked.Load() > 0 })
+				out.Write(data[c.at:])
+				out.Close()
+			}()
+			r, _ := http.NewRequest(http.MethodPost, g.url+"/x", in)
+			resp, err := talker(t, "http1").Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			in.Close()
+			if resp.StatusCode != c.status || asked.Load() != int64(c.hosts) {
+				t.Errorf("answered %d after %d attempts, want %d after %d", resp.StatusCode, asked.Load(), c.status, c.hosts)
+			}
+			idle(t, g)
+		})
+	}
+}
+
+// A host that answers before the body has ended is served, and the rest is not waited for.
+func TestEarlyAnswers(t *testing.T) {
+	inEach(t, func(t *testing.T, client, host string) {
+		addr := netHost(t, host, func(w http.ResponseWriter, r *http.Request) {
+			http.NewResponseController(w).EnableFullDuplex()
+			w.Header().Set("Content-Length", "5")
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			io.WriteString(w, "large")
+			w.(http.Flusher).Flush()
+		})
+		g := launch(t, flowing(t, client, host, "unsafe", `requests = "stream"`, addr))
+		in, out := io.Pipe()
+		defer out.Close()
+		go out.Write(make([]byte, 10))
+		r, _ := http.NewRequest(http.MethodPost, g.url+"/x", in)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		resp, err := talker(t, client).Do(r.WithContext(ctx))
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusRequestEntityTooLarge || string(body) != "large" {
+			t.Errorf("answered %d %q", resp.StatusCode, body)
+		}
+		idle(t, g)
+	})
+}
+
+// Both sides speak at once where a host answers as the body comes.
+func TestBothSidesSpeakAtOnce(t *testing.T) {
+	inEach(t, func(t *testing.T, client, host string) {
+		addr := netHost(t, host, func(w http.ResponseWriter, r *http.Request) {
+			http.NewResponseController(w).EnableFullDuplex()
+			w.WriteHeader(200)
+			w.(http.Flusher).Flush()
+			buf := make([]byte, 100)
+			for {
+				n, err := r.Body.Read(buf)
+				w.Write(buf[:n])
+				w.(http.Flusher).Flush()
+				if err != nil {
+					return
+				}
+			}
+		})
+		g := launch(t, flowing(t, client, host, "unsafe", "requests = \"stream\"\nanswers = \"stream\"", addr))
+		in, out := io.Pipe()
+		r, _ := http.NewRequest(http.MethodPost, g.url+"/x", in)
+		resp, err := talker(t, client).Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		buf := make([]byte, 4)
+		for i := range 20 {
+			word := fmt.Sprintf("%04d", i)
+			io.WriteString(out, word)
+			if _, err := io.ReadFull(resp.Body, buf); err != nil || string(buf) != word {
+				t.Fatalf("said %s, heard %q, %v", word, buf, err)
+			}
+		}
+		out.Close()
+		if _, err := resp.Body.Read(buf); !errors.Is(err, io.EOF) {
+			t.Errorf("at the end: %v", err)
+		}
+		resp.Body.Close()
+		idle(t, g)
+	})
+}
+
+// A client that leaves ends what its request holds of a host, at any point.
+func TestClientLeavesWithinAStream(t *testing.T) {
+	inEach(t, func(t *testing.T, client, host string) {
+		begun, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+		addr := netHost(t, host, func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(200)
+			w.(http.Flusher).Flush()
+			begun <- struct{}{}
+			<-r.Context().Done()
+			ended <- struct{}{}
+		})
+		g := launch(t, flowing(t, client, host, "safe", `answers = "stream"`, addr))
+		ctx, cancel := context.WithCancel(context.Background())
+		r, _ := http.NewRequestWithContext(ctx, http.MethodGet, g.url+"/x", nil)
+		resp, err := talker(t, client).Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		await(t, begun, "the host's head")
+		cancel()
+		resp.Body.Close()
+		await(t, ended, "the end at the host")
+		idle(t, g)
+	})
+}
+
+// A client that takes nothing in slows its host, in bounded memory, and nobody else.
+func TestSlowClientsSlowTheirHosts(t *testing.T) {
+	inEach(t, func(t *testing.T, client, host string) {
+		var wrote atomic.Int64
+		addr := netHost(t, host, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/small" {
+				io.WriteString(w, "small")
+				return
+			}
+			part := make([]byte, 64<<10)
+			for {
+				n, err := w.Write(part)
+				wrote.Add(int64(n))
+				if err != nil {
+					return
+				}
+			}
+		})
+		g := launch(t, flowing(t, client, host, "safe", `answers = "stream"`, addr))
+		c := talker(t, client)
+		var open []*http.Response
+		for range 8 {
+			resp, err := c.Get(g.url + "/endless")
+			if err != nil {
+				t.Fatal(err)
+			}
+			open = append(open, resp)
+		}
+		// They have stopped once nothing more is written while others are served.
+		for last := int64(-1); last != wrote.Load(); {
+			last = wrote.Load()
+			for range 20 {
+				resp, err := c.Get(g.url + "/small")
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, _ := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if string(body) != "small" {
+					t.Fatalf("beside slow clients: %q", body)
+				}
+			}
+		}
+		if n := wrote.Load(); n > 8*(12<<20) {
+			t.Errorf("%d bytes are under way to clients that read none", n)
+		}
+		for _, resp := range open {
+			resp.Body.Close()
+		}
+		idle(t, g)
+	})
+}
+
+// A client that drips, or stops, ends at its bound.
+func TestSlowUploadsEnd(t *testing.T) {
+	for _, client := range protocols {
+		t.Run(client, func(t *testing.T) {
+			addr := netHost(t, "http1", func(w http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+			g := launch(t, flowing(t, client, "http1", "unsafe", "requests = \"stream\"\nidle = \"100ms\"", addr))
+			in, out := io.Pipe()
+			defer out.Close()
+			go out.Write([]byte("then nothing"))
+			r, _ := http.NewRequest(http.MethodPost, g.url+"/x", in)
+			resp, err := talker(t, client).Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusBadRequest { // a host has had a part of it: no 408
+				t.Errorf("answered %d", resp.StatusCode)
+			}
+			idle(t, g)
+		})
+	}
+}
+
+// Too long is too long, told or not.
+func TestLongestBody(t *testing.T) {
+	addr := netHost(t, "http1", func(w http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+	for _, client := range protocols {
+		for _, mode := range []string{"stream", "auto"} {
+			g := launch(t, flowing(t, client, "http1", "unsafe", "most = 1000\nrequests = \""+mode+`"`, addr))
+			for _, body := range []io.Reader{bytes.NewReader(make([]byte, 1001)), unsized{bytes.NewReader(make([]byte, 1001))}} {
+				r, _ := http.NewRequest(http.MethodPost, g.url+"/x", body)
+				resp, err := talker(t, client).Do(r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				resp.Body.Close()
+				if resp.StatusCode != http.StatusRequestEntityTooLarge {
+					t.Errorf("%s, %s: answered %d", client, mode, resp.StatusCode)
+				}
+			}
+			idle(t, g)
+		}
+	}
+}
+
+// A connection that switches protocols is passed on both ways, and counts until it ends.
+func TestSwitchOfProtocols(t *testing.T) {
+	addr, _ := rawHost(t, func(_ int, c net.Conn, r *standin.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: echo\r\nX-Key: k\r\n\r\n")
+		io.Copy(c, c)
+		return false
+	})
+	g := launch(t, flowing(t, "http1", "http1", "unsafe", `upgrades = ["echo"]`, addr))
+	c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(c, "GET /x HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: echo\r\n\r\nhello")
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil || resp.StatusCode != 101 || resp.Header.Get("X-Key") != "k" || resp.Header.Get("Upgrade") != "echo" {
+		t.Fatalf("answered %v, %v", resp, err)
+	}
+	buf := make([]byte, 5)
+	for _, word := range []string{"hello", "again", "third"} {
+		if word != "hello" {
+			io.WriteString(c, word)
+		}
+		if _, err := io.ReadFull(in, buf); err != nil || string(buf) != word {
+			t.Fatalf("said %q, heard %q, %v", word, buf, err)
+		}
+	}
+	if n := g.exchange.Open(); n != 1 {
+		t.Errorf("%d requests are open within the other protocol", n)
+	}
+	c.(*net.TCPConn).CloseWrite()
+	if rest, err := io.ReadAll(in); err != nil || len(rest) > 0 {
+		t.Errorf("at the end: %q, %v", rest, err)
+	}
+	idle(t, g)
+}
+
+// Where no route allows it, the request is an ordinary one.
+func TestSwitchIsNotForAnyProtocol(t *testing.T) {
+	addr := netHost(t, "http1", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Upgrade") != "" {
+			t.Error("the host is asked to switch")
+		}
+	})
+	g := launch(t, flowing(t, "http1", "http1", "safe", `upgrades = ["other"]`, addr))
+	if status, _, _ := ask(t, g, "GET", "/x", "Connection: Upgrade", "Upgrade: echo"); status != 200 {
+		t.Errorf("answered %d", status)
+	}
+}
+
+// An order to stop cuts what flows, in its time, and a reload does not.
+func TestReloadAndStopWithinStreams(t *testing.T) {
+	inEach(t, func(t *testing.T, client, host string) {
+		t.Parallel() // each takes the whole time that there is to stop
+		addr := netHost(t, host, func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(200)
+			for r.Context().Err() == nil {
+				w.Write([]byte("tick"))
+				w.(http.Flusher).Flush()
+				time.Sleep(time.Millisecond)
+			}
+		})
+		m := flowing(t, client, host, "safe", `answers = "stream"`, addr)
+		g := launch(t, m)
+		resp, err := talker(t, client).Get(g.url + "/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		next := flowing(t, client, host, "safe", `answers = "stream"`, addr, "127.0.0.1:1")
+		next.Listeners = m.Listeners
+		next.Pools[0].Settings.MaxAttempts = 1 // another pool
+		if err := g.Reload(next); err != nil {
+			t.Fatal(err)
+		}
+		buf := make([]byte, 4)
+		for range 100 {
+			if _, err := io.ReadFull(resp.Body, buf); err != nil {
+				t.Fatalf("behind a reload: %v", err)
+			}
+		}
+		stopped := make(chan struct{})
+		go func() { g.stop(); <-g.end; close(stopped) }()
+		if _, err := io.Copy(io.Discard, resp.Body); err == nil && client == "http1" {
+			t.Error("an answer that was cut at the stop passed for a whole one")
+		}
+		await(t, stopped, "the end of the gateway")
+	})
+}
+
+// A disk that is full, or gone, costs the replay and no request; or the request, where that is
+// asked for.
+func TestSpoolWithoutRoom(t *testing.T) {
+	addr := netHost(t, "http1", func(w http.ResponseWriter, r *http.Request) {
+		if n, err := io.Copy(io.Discard, r.Body); err != nil || n != 300000 {
+			w.WriteHeader(http.StatusTeapot)
+		}
+	})
+	for _, c := range []struct {
+		full   string
+		status int
+	}{{"stream", 200}, {"refuse", 502}} {
+		g := launch(t, flowing(t, "http1", "http1", "unsafe", "requests = \"stream\"\nreplay = 1000\nspool = 900000\nfull = \""+c.full+`"`, addr))
+		d, err := spool.Open(t.TempDir(), 100000, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.intake.Spool(d)
+		r, _ := http.NewRequest(http.MethodPost, g.url+"/x", unsized{bytes.NewReader(make([]byte, 300000))})
+		resp, err := talker(t, "http1").Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != c.status {
+			t.Errorf("full = %s: answered %d, want %d", c.full, resp.StatusCode, c.status)
+		}
+		idle(t, g)
+		if used, files := d.Used(); used != 0 || files != 0 {
+			t.Errorf("%d bytes in %d files stay", used, files)
+		}
+	}
+}
+
+// HTTP/2 between: a reset of the client's in mid-body reaches the host as one.
+func TestResetWithinAnUpload(t *testing.T) {
+	for _, host := range protocols {
+		begun, ended := make(chan struct{}, 1), make(chan error, 1)
+		addr := netHost(t, host, func(w http.ResponseWriter, r *http.Request) {
+			begun <- struct{}{}
+			_, err := io.Copy(io.Discard, r.Body)
+			ended <- err
+		})
+		g := launch(t, flowing(t, "http2", host, "unsafe", `requests = "stream"`, addr))
+		c := h2client(t, g)
+		id, err := c.Open("POST", "/x", false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Data(id, false, []byte("half"))
+		await(t, begun, "the head at the host")
+		c.Write(func(f *http2.Framer) error { return f.WriteRSTStream(id, http2.ErrCodeCancel) })
+		if err := await(t, ended, "the end at the host"); err == nil {
+			t.Errorf("%s: a body that was reset passed for a whole one", host)
+		}
+		idle(t, g)
+	}
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,7 +41,7 @@
 	Hint func(status int, header http.Header)
 }
 
-// Stream is an answer's body as it comes. It is read by one goroutine.
+// Stream is an answer's body as it comes. It is read by one goroutine; Close is for any.
 type Stream interface {
 	// Read ends with io.EOF where the host said that it was all; any other error is a body
 	// that broke off.
@@ -50,6 +51,8 @@
 	Wait()
 	// Trailer is what followed, once it has ended; nil: nothing.
 	Trailer() http.Header
+	// Close ends it, and a Read that waits. It may be called more than once.
+	Close()
 }
 
 // Answer is a host's final answer, whole unless it has a Stream. Whoever is handed one calls Release once,
@@ -88,6 +91,27 @@
 var hopByHop = [...]string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "X-Time-Left", "X-Backend-Load"}
 
+// Announce is the Trailer field for those that names announce and that may go on; nil: none.
+func Announce(names []string) []string {
+	h := http.Header{}
+	for _, list := range names {
+		for _, name := range strings.Split(list, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				h[http.CanonicalHeaderKey(name)] = nil
+			}
+		}
+	}
+	var out []string
+	for name := range Trailers(h) {
+		out = append(out, name)
+	}
+	if out == nil {
+		return nil
+	}
+	slices.Sort(out)
+	return []string{strings.Join(out, ", ")}
+}
+
 // Trailers are the fields of h that may go on behind a body: none that frames, routes or
 // authorizes, or says how to read what has gone before (RFC 9110 section 6.5.1).
 func Trailers(h http.Header) http.Header {
--- a/internal/upstream/http1/attempt.go
+++ b/internal/upstream/http1/attempt.go
@@ -23,6 +23,7 @@
 
 	mu      sync.Mutex
 	off     bool               // called off: nothing may be written any more
+	cut     bool               // nor of a body that nobody wants the rest of
 	conn    *conn              // while the attempt has it
 	cancel  context.CancelFunc // of the dial; nil: none was begun
 	writing sync.Mutex
@@ -105,7 +106,7 @@
 	t.writing.Lock()
 	defer t.writing.Unlock()
 	t.mu.Lock()
-	off := t.off
+	off := t.off || t.cut
 	t.mu.Unlock()
 	if off {
 		return false
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -105,13 +107,17 @@
 	}
 }
 
-// stop ends the sending, and says whether all had gone out.
+// stop ends the sending, and says whether all had gone out. It does not wait for the goroutine,
+// which may be waiting for the client: whatever that sends goes nowhere.
 func (f *feeder) stop() bool {
 	f.r.Close()
+	f.t.mu.Lock()
+	f.t.cut = true
+	f.t.mu.Unlock()
 	f.c.SetWriteDeadline(time.Unix(1, 0))
-	<-f.done
-	f.c.SetWriteDeadline(time.Time{})
-	return f.whole
+	f.t.writing.Lock()
+	f.t.writing.Unlock() //lint:ignore SA2001 waits for a write that is under way
+	return f.sent()
 }
 
 // sent says whether all has gone out, without waiting.
@@ -348,7 +354,10 @@
 func (t *attempt) flowing(c *conn, f *feeder, req *message.Request, resp *http.Response, a *message.Answer, m verdict.Meaning) {
 	s := &answerFlow{t: t, c: c, f: f, req: req, resp: resp, idle: req.Flow.Idle, until: req.Flow.Ends, gave: time.Now()}
 	c.limit.N = 1<<63 - 1
-	a.Stream, a.Free = s, s.close
+	if names := message.Announce(slices.Collect(maps.Keys(resp.Trailer))); names != nil {
+		a.Header["Trailer"] = names
+	}
+	a.Stream, a.Free = s, s.Close
 	if f != nil && a.Status >= 400 && !f.sent() { // it wants no more of the body (RFC 9112 section 9.3)
 		f.stop()
 	}
@@ -410,9 +419,9 @@
 // Trailer is what followed the body.
 func (s *answerFlow) Trailer() http.Header { return message.Trailers(s.resp.Trailer) }
 
-// close ends the flow and says how it ended; it is the answer's Release. A Read that waits
+// Close ends the flow and says how it ended; it is the answer's Release. A Read that waits
 // elsewhere ends with an error.
-func (s *answerFlow) close() {
+func (s *answerFlow) Close() {
 	s.once.Do(func() {
 		s.mu.Lock()
 		whole, broken, late := s.eof, s.broken, s.late
@@ -430,7 +439,7 @@
 		}
 		s.c.Close()
 		if s.f != nil {
-			s.f.r.Close()
+			s.f.stop()
 		}
 		result := frostshift.Canceled
 		switch {
@@ -441,12 +450,7 @@
 		case broken:
 			result = frostshift.Reset
 		}
-		go func() { // it may be the pool's loop that releases
-			if s.f != nil {
-				<-s.f.done
-			}
-			s.t.Flowed(result)
-		}()
+		go s.t.Flowed(result) // it may be the pool's loop that releases
 	})
 }
 
--- a/internal/upstream/http2/flow.go
+++ b/internal/upstream/http2/flow.go
@@ -174,8 +174,11 @@
 	if t.status >= 400 && t.feeder != nil { // it wants no more of the body
 		t.feeder.r.Close()
 	}
-	t.Flowing(m, upstream.After(&message.Answer{Status: t.status, Header: t.header}),
-		&message.Answer{Status: t.status, Header: message.EndToEnd(t.header), Length: t.length, Stream: fl, Free: fl.close})
+	a := &message.Answer{Status: t.status, Header: message.EndToEnd(t.header), Length: t.length, Stream: fl, Free: fl.Close}
+	if names := message.Announce(t.header["Trailer"]); names != nil {
+		a.Header["Trailer"] = names
+	}
+	t.Flowing(m, upstream.After(a), a)
 	return true
 }
 
@@ -261,9 +264,9 @@
 // Trailer is what followed the body.
 func (fl *answerFlow) Trailer() http.Header { return message.Trailers(fl.trailer) }
 
-// close ends the flow and says how it ended; it is the answer's Release. A Read that waits
+// Close ends the flow and says how it ended; it is the answer's Release. A Read that waits
 // elsewhere ends with an error.
-func (fl *answerFlow) close() {
+func (fl *answerFlow) Close() {
 	fl.once.Do(func() {
 		t := fl.t
 		link, s := t.conn.link, t.stream
