--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1614,3 +1614,90 @@
 		}
 	}
 }
+
+// A body that drips, either way, is no slowness of its host's: the estimate, the limit and the
+// watch for silent hosts see the host's own time alone.
+func TestBodiesOnTheirWayAreNoSlowness(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	id := g.request(0, 500*ms)
+	g.b.Feeding(g.now, id, 0)
+	h := g.b.hosts[0]
+	if h.pending != 0 || h.streams != 1 || h.flight.head != nil {
+		t.Errorf("fed: %d attempts and %d streams at the host", h.pending, h.streams)
+	}
+	if done := g.advance(time.Minute); len(done) != 0 {
+		t.Errorf("while the client sends: %v", done)
+	}
+	if h.ejectUntil > g.now {
+		t.Error("the host counts as silent")
+	}
+	g.b.Fed(g.now, id, 0)
+	g.advance(10 * ms)
+	if h.pending != 1 || h.streams != 0 {
+		t.Errorf("sent: %d attempts and %d streams at the host", h.pending, h.streams)
+	}
+	g.b.Flowing(g.now, id, 0, OK, 10*ms)
+	if h.rtt > 0.1 || h.fresh {
+		t.Errorf("the host's estimate is %v s", h.rtt)
+	}
+	before := h.rtt
+	g.advance(time.Hour)
+	if h.pending != 0 || h.streams != 1 || h.ejectUntil > g.now {
+		t.Errorf("flows: %d attempts and %d streams", h.pending, h.streams)
+	}
+	g.b.Outcome(g.now, Outcome{Request: id, Result: OK, Elapsed: time.Hour, Closed: true})
+	g.drain()
+	if h.streams != 0 || h.rtt != before || len(g.b.reqs) != 0 {
+		t.Errorf("at the end: %d streams, estimate %v (was %v), %d requests", h.streams, h.rtt, before, len(g.b.reqs))
+	}
+}
+
+// The time of a request whose body comes counts from its last byte, for it and for what
+// follows an attempt that fails before.
+func TestTimeCountsFromTheLastByte(t *testing.T) {
+	g := start(t, basic(), hosts(2)...)
+	id := g.request(0, 500*ms)
+	g.b.Feeding(g.now, id, 0)
+	g.advance(10 * time.Second)
+	g.b.Fed(g.now, id, 0)
+	g.drain()
+	if done := g.advance(400 * ms); len(done) != 0 {
+		t.Errorf("within its time: %v", done)
+	}
+	done := g.advance(200 * ms)
+	if !slices.ContainsFunc(done, func(a Action) bool { return a.Kind == Refuse }) {
+		t.Errorf("past it: %v", done)
+	}
+	id = g.request(0, 500*ms)
+	g.b.Feeding(g.now, id, 0)
+	g.advance(10 * time.Second)
+	g.outcome(id, 0, ConnectFailed, ms)
+	if again := g.sole(Send); again.Request != id {
+		t.Errorf("after a failure while the body came: %v", again)
+	}
+}
+
+// Streams spread over hosts, take no place of others, and one that breaks off tells of its host.
+func TestStreamsSpread(t *testing.T) {
+	g := start(t, basic(), hosts(4)...)
+	for range 400 {
+		id := g.request(0, 500*ms)
+		g.b.Flowing(g.now, id, 0, OK, 10*ms)
+		g.advance(50 * ms)
+	}
+	for _, h := range g.b.hosts {
+		if h.streams < 60 || h.streams > 140 {
+			t.Errorf("host %d of four has %d of 400 streams", h.ID, h.streams)
+		}
+		if h.pending != 0 || g.b.atLimit(h) {
+			t.Errorf("streams fill the host: %d attempts, limit %v", h.pending, h.limit)
+		}
+	}
+	id := g.request(0, 500*ms)
+	g.b.Flowing(g.now, id, 0, OK, 10*ms)
+	at := g.b.reqs[id].atts[0].host
+	g.b.Outcome(g.now, Outcome{Request: id, Result: Reset, Closed: true})
+	if at.ejectUntil <= g.now {
+		t.Error("a host whose answers break off stays in use")
+	}
+}
--- /dev/null
+++ b/internal/exchange/flow_test.go
@@ -0,0 +1,221 @@
+package exchange
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"frostshift"
+	"frostshift/internal/body"
+	"frostshift/internal/verdict"
+)
+
+// upload is a body in a state that the test sets.
+type upload struct {
+	mu     sync.Mutex
+	state  body.State
+	broken bool
+}
+
+func (u *upload) State() body.State { u.mu.Lock(); defer u.mu.Unlock(); return u.state }
+func (u *upload) Broken() bool      { u.mu.Lock(); defer u.mu.Unlock(); return u.broken }
+
+// stepwise is an upstream whose attempts the test ends itself.
+type stepwise struct {
+	started chan *Attempt
+	offs    chan *Attempt
+}
+
+func newStepwise() *stepwise {
+	return &stepwise{started: make(chan *Attempt, 16), offs: make(chan *Attempt, 64)}
+}
+
+type stepHandle struct {
+	u *stepwise
+	a *Attempt
+}
+
+func (h stepHandle) CallOff() { h.u.offs <- h.a }
+
+func (u *stepwise) Start(a *Attempt) Handle {
+	u.started <- a
+	return stepHandle{u, a}
+}
+
+// counted counts what a request holds.
+type counted struct {
+	mu   sync.Mutex
+	held int64
+}
+
+func (c *counted) Take(n int64) bool { c.mu.Lock(); defer c.mu.Unlock(); c.held += n; return true }
+func (c *counted) Give(n int64)      { c.mu.Lock(); defer c.mu.Unlock(); c.held -= n }
+func (c *counted) now() int64        { c.mu.Lock(); defer c.mu.Unlock(); return c.held }
+
+type endings struct {
+	mu   sync.Mutex
+	list []Ending
+}
+
+func (e *endings) Ended(x Ending) { e.mu.Lock(); defer e.mu.Unlock(); e.list = append(e.list, x) }
+
+func (x *Exchange) flow(class int, id string, b Body, w Watcher, to, fallback *Pool) *Call {
+	now := x.clock.Now()
+	return x.Submit(Request{ID: id, Class: class, Tenant: -1, Deadline: now + time.Second, Message: id, Body: b,
+		Rest: time.Second, Ends: now + time.Hour, Watch: w}, to, fallback)
+}
+
+// A request whose answer's body flows has its verdict with the head, and holds its id, its
+// place and its pools until the body's end, an hour later.
+func TestFlowHoldsUntilItsEnd(t *testing.T) {
+	for _, c := range []struct {
+		end         frostshift.Result
+		failed, bad bool
+	}{{frostshift.OK, false, false}, {frostshift.Reset, true, true}, {frostshift.Canceled, false, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			x, u, room, w := New(NewClock()), newStepwise(), &counted{}, &endings{}
+			p := newPool(t, x, "p", u, 2, room)
+			b := &upload{state: body.Whole}
+			call := x.flow(1, "a", b, w, p, nil)
+			a := <-u.started
+			time.Sleep(time.Minute) // the client drips
+			a.Waited(time.Minute)
+			a.Fed()
+			time.Sleep(10 * time.Millisecond)
+			released := make(chan struct{})
+			a.Flowing(verdict.Plain().Judge(200, nil), 0, fakeAnswer{released})
+			r := <-call.Reply
+			if r.Verdict != Served || !r.Ran {
+				t.Fatalf("reply %+v", r)
+			}
+			time.Sleep(30 * time.Minute)
+			if v := <-x.flow(1, "a", nil, nil, p, nil).Reply; v.Verdict != Duplicate {
+				t.Errorf("the same id within the flow: %v", v.Verdict)
+			}
+			p.Drain()
+			time.Sleep(time.Minute)
+			select {
+			case <-p.Done():
+				t.Error("the pool has ended below the flow")
+			default:
+			}
+			if room.now() != 1 {
+				t.Errorf("%d places held", room.now())
+			}
+			a.Flowed(c.end)
+			<-p.Done()
+			if room.now() != 0 || x.Open() != 0 {
+				t.Errorf("held at the end: %d places, %d ids", room.now(), x.Open())
+			}
+			if n := p.Counts().Failed.Load(); (n == 1) != c.failed {
+				t.Errorf("%d failed", n)
+			}
+			if len(w.list) != 1 || w.list[0].Fault != c.bad || w.list[0].Work > 31*time.Minute/flowPart+time.Second {
+				t.Errorf("endings %+v", w.list)
+			}
+			select {
+			case off := <-u.offs:
+				t.Errorf("%v was called off", off)
+			default:
+			}
+		})
+	}
+}
+
+// Whatever becomes of the attempts, of the body and of the client: one reply, no attempt that
+// the table does not allow, and nothing held at the end.
+func TestBodiesKeepTheTable(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		class := rapid.IntRange(0, 2).Draw(rt, "class")
+		effect := classes[class].Effect
+		type step struct {
+			result frostshift.Result
+			fed    bool
+			state  body.State
+			broken bool
+			flows  bool
+		}
+		var steps []step
+		for range 5 {
+			steps = append(steps, step{
+				result: rapid.SampledFrom([]frostshift.Result{frostshift.Full, frostshift.ConnectFailed, frostshift.NotSent, frostshift.Reset,
+					frostshift.TimedOut}).Draw(rt, "result"),
+				fed: rapid.Bool().Draw(rt, "fed"), state: rapid.SampledFrom([]body.State{body.Partial, body.Whole, body.Spilled, body.Dropped}).Draw(rt, "state"),
+				broken: rapid.IntRange(0, 9).Draw(rt, "broken") == 0, flows: rapid.IntRange(0, 4).Draw(rt, "flows") == 0})
+		}
+		withFallback := rapid.Bool().Draw(rt, "fallback")
+		synctest.Test(t, func(t *testing.T) {
+			x, room := New(NewClock()), &counted{}
+			u, v := newStepwise(), newStepwise()
+			p, q := newPool(t, x, "p", u, 2, room), newPool(t, x, "q", v, 2, room)
+			var fallback *Pool
+			if withFallback {
+				fallback = q
+			}
+			b := &upload{state: body.Partial}
+			call := x.flow(class, "a", b, nil, p, fallback)
+			mayRan, allowed, n := false, true, 0
+			var reply Reply
+			for done := false; !done; {
+				select {
+				case a := <-u.started:
+					n = play(rt, a, b, steps[min(n, 4)].result, steps[min(n, 4)].state, steps[min(n, 4)].broken, steps[min(n, 4)].flows, steps[min(n, 4)].fed,
+						effect, &mayRan, &allowed, n, false)
+				case a := <-v.started:
+					n = play(rt, a, b, steps[min(n, 4)].result, steps[min(n, 4)].state, steps[min(n, 4)].broken, steps[min(n, 4)].flows, steps[min(n, 4)].fed,
+						effect, &mayRan, &allowed, n, true)
+				case reply = <-call.Reply:
+					done = true
+				}
+			}
+			if reply.Verdict == Refused && mayRan && effect == frostshift.Unsafe {
+				rt.Fatalf("refused though it may have run")
+			}
+			if n > 4 {
+				rt.Fatalf("%d attempts", n)
+			}
+			synctest.Wait()
+			if len(u.started)+len(v.started) > 0 {
+				rt.Fatal("an attempt behind the reply")
+			}
+			p.Drain()
+			q.Drain()
+			<-p.Done()
+			<-q.Done()
+			if room.now() != 0 || x.Open() != 0 {
+				rt.Fatalf("held at the end: %d places, %d ids", room.now(), x.Open())
+			}
+		})
+	})
+}
+
+func play(rt *rapid.T, a *Attempt, b *upload, result frostshift.Result, state body.State, broken, flows, fed bool, effect frostshift.Effect,
+	mayRan, allowed *bool, n int, elsewhere bool) int {
+	switch {
+	case !*allowed:
+		rt.Fatalf("attempt %d, which the table does not allow", n)
+	case *mayRan && effect == frostshift.Unsafe:
+		rt.Fatalf("attempt %d though one may have run", n)
+	case *mayRan && elsewhere:
+		rt.Fatalf("attempt %d elsewhere though one may have run", n)
+	}
+	b.mu.Lock()
+	b.state, b.broken = state, broken
+	b.mu.Unlock()
+	*allowed = state != body.Dropped && !broken
+	if fed {
+		a.Fed()
+	}
+	if flows {
+		a.Flowing(verdict.Plain().Judge(200, nil), 0, fakeAnswer{make(chan struct{})})
+		*allowed = false
+		go a.Flowed(frostshift.OK)
+		return n + 1
+	}
+	*mayRan = *mayRan || result == frostshift.Reset || result == frostshift.TimedOut
+	a.End(result)
+	return n + 1
+}
--- /dev/null
+++ b/internal/stream/upload_test.go
@@ -0,0 +1,256 @@
+package stream
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"frostshift/internal/body"
+)
+
+// script is a client that sends parts, and then ends or breaks off.
+type script struct {
+	parts [][]byte
+	err   error
+	slow  time.Duration // before each part
+
+	mu       sync.Mutex
+	deadline time.Time
+	reading  bool
+}
+
+func (s *script) SetReadDeadline(t time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deadline = t
+	return nil
+}
+
+func (s *script) Read(p []byte) (int, error) {
+	s.mu.Lock()
+	if s.reading {
+		panic("two reads at once")
+	}
+	s.reading = true
+	by := s.deadline
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.reading = false
+		s.mu.Unlock()
+	}()
+	if s.slow > 0 {
+		if wait := time.Until(by); !by.IsZero() && wait < s.slow {
+			time.Sleep(max(wait, 0))
+			return 0, os.ErrDeadlineExceeded
+		}
+		time.Sleep(s.slow)
+	}
+	if len(s.parts) == 0 {
+		return 0, s.err
+	}
+	n := copy(p, s.parts[0])
+	if s.parts[0] = s.parts[0][n:]; len(s.parts[0]) == 0 {
+		s.parts = s.parts[1:]
+	}
+	return n, nil
+}
+
+func (s *script) Trailer() http.Header { return http.Header{"X-T": {"t"}} }
+
+// room counts, up to a bound.
+type room struct {
+	mu         sync.Mutex
+	used, most int64
+}
+
+func (r *room) Take(n int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.used+n > r.most {
+		return false
+	}
+	r.used += n
+	return true
+}
+
+func (r *room) Give(n int64) { r.mu.Lock(); r.used -= n; r.mu.Unlock() }
+
+// disk is a file that may fail.
+type disk struct {
+	mu     sync.Mutex
+	b      []byte
+	failAt int
+	closed bool
+}
+
+func (d *disk) WriteAt(p []byte, at int64) (int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failAt > 0 && int(at)+len(p) > d.failAt {
+		return 0, errors.New("the disk is full")
+	}
+	d.b = append(d.b[:at], p...)
+	return len(p), nil
+}
+
+func (d *disk) ReadAt(p []byte, at int64) (int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return copy(p, d.b[at:]), nil
+}
+
+func (d *disk) Close() error { d.closed = true; return nil }
+
+// However a body comes and is kept, each attempt at it reads a beginning of just that body,
+// and ends well only with all of it; and nothing stays held.
+func TestAttemptsReadTheSameBody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []byte
+		src := &script{err: io.EOF}
+		for range rapid.IntRange(0, 8).Draw(t, "parts") {
+			part := rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, "part")
+			src.parts = append(src.parts, part)
+			all = append(all, part...)
+		}
+		broken := rapid.Bool().Draw(t, "broken")
+		if broken {
+			src.err = io.ErrUnexpectedEOF
+		}
+		b := body.Bounds{Memory: rapid.Int64Range(0, 120).Draw(t, "memory"), Disk: rapid.Int64Range(0, 300).Draw(t, "disk"), Length: -1}
+		if rapid.Bool().Draw(t, "told") {
+			b.Length = int64(len(all)) + int64(rapid.IntRange(-1, 1).Draw(t, "off"))
+			b.Length = max(b.Length, 0)
+		}
+		r, d := &room{most: rapid.Int64Range(0, 200).Draw(t, "room")}, &disk{failAt: rapid.IntRange(0, 200).Draw(t, "fail")}
+		u := NewUpload(Config{Source: src, Room: r, Bounds: b, Spool: func() (File, error) { return d, nil }}, nil)
+		right := !broken && (b.Length < 0 || b.Length == int64(len(all)))
+		for range rapid.IntRange(1, 4).Draw(t, "attempts") {
+			in, err := u.Open()
+			if err != nil {
+				if u.State() != body.Dropped {
+					t.Fatalf("state %v: %v", u.State(), err)
+				}
+				break
+			}
+			var got []byte
+			p := make([]byte, rapid.IntRange(1, 50).Draw(t, "buffer"))
+			for range rapid.IntRange(0, 60).Draw(t, "reads") {
+				var n int
+				n, err = in.Read(p)
+				got = append(got, p[:n]...)
+				if err != nil {
+					break
+				}
+			}
+			in.Close()
+			if !bytes.HasPrefix(all, got) {
+				t.Fatalf("read %x of %x", got, all)
+			}
+			if err == io.EOF && (!right || len(got) != len(all)) {
+				t.Fatalf("%d of %d bytes passed for all (right: %v)", len(got), len(all), right)
+			}
+			if err != nil && err != io.EOF && right && !errors.Is(err, ErrGone) {
+				t.Fatalf("a sound body broke: %v", err)
+			}
+		}
+		u.Close()
+		if r.used != 0 {
+			t.Fatalf("%d bytes of room stay held", r.used)
+		}
+		if len(d.b) > 0 && !d.closed {
+			t.Fatal("the file stays open")
+		}
+	})
+}
+
+// An attempt that is called off while the client is silent does not keep the next one from
+// what the client then sends, and none of it is lost.
+func TestNextAttemptHasWhatTheLastWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &script{parts: [][]byte{[]byte("first"), []byte("second")}, err: io.EOF, slow: time.Second}
+		u := NewUpload(Config{Source: src, Room: &room{most: 100}, Bounds: body.Bounds{Memory: 100, Length: 11}}, nil)
+		one, _ := u.Open()
+		ended := make(chan error, 1)
+		go func() {
+			_, err := one.Read(make([]byte, 10))
+			ended <- err
+		}()
+		synctest.Wait()
+		one.Close()
+		two, err := u.Open()
+		if err != nil {
+			t.Fatal(err)
+		}
+		all, err := io.ReadAll(two)
+		if string(all) != "firstsecond" || err != nil {
+			t.Errorf("the second attempt read %q, %v", all, err)
+		}
+		if err := <-ended; err != ErrClosed {
+			t.Errorf("the first ended with %v", err)
+		}
+		if w := u.Waited(); w != 3*time.Second {
+			t.Errorf("waited %v for the client, want 3 s", w)
+		}
+		if u.Trailer().Get("X-T") != "t" {
+			t.Error("the trailer is lost")
+		}
+		u.Close()
+	})
+}
+
+// A client is held to a least rate beyond its idle time, and to the idle time itself.
+func TestSlowClientsAreGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		idle, slow time.Duration
+		rate       int64
+		ok         bool
+	}{
+		{"in time", time.Second, 500 * time.Millisecond, 0, true},
+		{"silent", time.Second, 2 * time.Second, 0, false},
+		{"drips", 5 * time.Second, time.Second, 100, false},
+		{"slow and steady", 5 * time.Second, time.Second, 10, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				src := &script{err: io.EOF, slow: c.slow}
+				for range 20 {
+					src.parts = append(src.parts, make([]byte, 10))
+				}
+				u := NewUpload(Config{Source: src, Room: &room{most: 1000}, Bounds: body.Bounds{Memory: 1000, Length: -1}, Idle: c.idle, Rate: c.rate}, nil)
+				in, _ := u.Open()
+				_, err := io.ReadAll(in)
+				if c.ok != (err == nil) || !c.ok && !errors.Is(err, ErrSlow) {
+					t.Errorf("ended with %v", err)
+				}
+				u.Close()
+			})
+		})
+	}
+}
+
+func TestFillStopsAtItsBound(t *testing.T) {
+	for _, size := range []int{0, 9, 10, 11} {
+		r := &room{most: 100}
+		u := NewUpload(Config{Source: &script{parts: [][]byte{make([]byte, size)}, err: io.EOF}, Room: r, Bounds: body.Bounds{Memory: 10, Length: -1}}, nil)
+		whole, err := u.Fill(10)
+		if err != nil || whole != (size < 10) || u.Touched() || u.State() == body.Dropped {
+			t.Errorf("%d bytes: whole %v, state %v, touched %v, %v", size, whole, u.State(), u.Touched(), err)
+		}
+		if whole {
+			if b := u.Whole(); len(b) != size || r.used != int64(size) {
+				t.Errorf("%d bytes: handed over %d, %d held", size, len(b), r.used)
+			}
+		}
+		u.Close()
+	}
+}
