--- a/internal/config/bodies.go
+++ b/internal/config/bodies.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"frostshift/internal/route"
 )
 
 // BodyMode says how the bodies of requests go to hosts.
@@ -146,6 +148,22 @@
 	return b
 }
 
+// upgrades checks that protocols are switched at hosts that can.
+func (d *doc) upgrades(key string, b *Bodies, r *route.Route, m *Model) {
+	if b == nil || len(b.Upgrades) == 0 {
+		return
+	}
+	names := []string{r.Fallback}
+	for _, w := range r.Pools {
+		names = append(names, w.Pool)
+	}
+	for _, name := range names {
+		if p := m.PoolNamed(name); p != nil && p.Protocol == HTTP2 {
+			d.fail(key+".upgrades", "hosts of pool %q speak HTTP/2, which has no Upgrade", name)
+		}
+	}
+}
+
 // isToken says whether a protocol's name is one (RFC 9110 section 5.6.2, and a slash).
 func isToken(s string) bool {
 	if s == "" || len(s) > 64 {
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -650,7 +650,11 @@
 		key := fmt.Sprintf("route[%d]", i)
 		r := d.route(key, &f.Routes[i], m)
 		d.moved(key, r, m)
-		m.Policies = append(m.Policies, d.policy(key, &f.Routes[i], r, sets, &m.Spool))
+		policy := d.policy(key, &f.Routes[i], r, sets, &m.Spool)
+		m.Policies = append(m.Policies, policy)
+		if policy != nil {
+			d.upgrades(key+".bodies", policy.Bodies, r, m)
+		}
 		warnings = append(warnings, d.unsafeMethods(key, r, m)...)
 		if at := m.ClassIndex(r.Class); r.Fallback != "" && at >= 0 && m.Classes[at].Effect == frostshift.Keyed {
 			warnings = append(warnings, Error{File: d.file, Line: d.line(key + ".fallback"), Key: key + ".fallback",
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -56,7 +56,8 @@
 	c := &conn{s: s, nc: nc, remote: nc.RemoteAddr(), resets: resets, empties: empties, updates: updates,
 		refuse: allStreams, gone: make(chan struct{})}
 	c.all = front.Of(nc)
-	c.link = h2.New(nc, h2.Config{StreamWindow: maxBody + 1, ConnWindow: connWindow, MaxStreams: s.streams})
+	c.link = h2.New(nc, h2.Config{StreamWindow: maxBody + 1, ConnWindow: connWindow, MaxStreams: s.streams,
+		Connect: s.cfg.Connect != nil && s.cfg.Connect()})
 	return c
 }
 
--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -1,10 +1,14 @@
 package http2
 
 import (
+	"crypto/rand"
+	"crypto/sha1"
+	"encoding/base64"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -39,6 +43,33 @@
 // Trailer is what followed the body.
 func (s *source) Trailer() http.Header { return message.Trailers(s.trailer) }
 
+// connect turns an extended CONNECT into the request to switch protocols that a host over
+// HTTP/1.1 knows, and says whether there is such a one.
+func (s *stream) connect(r *h2.Request) bool {
+	if s.c.s.cfg.Connect == nil || !s.c.s.cfg.Connect() {
+		return false
+	}
+	r.Method, r.Length = http.MethodGet, -1
+	r.Header["Connection"], r.Header["Upgrade"] = []string{"Upgrade"}, []string{r.Protocol}
+	if strings.EqualFold(r.Protocol, "websocket") { // section 5: over HTTP/2 there is no key
+		var key [16]byte
+		rand.Read(key[:])
+		r.Header["Sec-Websocket-Key"] = []string{base64.StdEncoding.EncodeToString(key[:])}
+		s.key = r.Header["Sec-Websocket-Key"][0]
+	}
+	return true
+}
+
+// connected turns the host's answer into the client's, and says whether it is one to the key
+// (RFC 6455 section 4.2.2).
+func (s *stream) connected(a *message.Answer) bool {
+	a.Status = http.StatusOK
+	accept := a.Header.Get("Sec-Websocket-Accept")
+	delete(a.Header, "Sec-Websocket-Accept")
+	sum := sha1.Sum([]byte(s.key + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"))
+	return s.key == "" || accept == base64.StdEncoding.EncodeToString(sum[:])
+}
+
 // flow sees a request to its end whose body or answer may flow.
 func (s *stream) flow() {
 	over := make(chan struct{})
@@ -56,7 +87,7 @@
 			case <-over:
 			}
 		}()
-		if s.ticket.Flow.Requests == config.BodiesAuto {
+		if s.ticket.Flow.Requests == config.BodiesAuto && s.ticket.Upgrade == "" {
 			whole, err := up.Fill(s.ticket.Flow.Replay)
 			switch {
 			case err != nil:
@@ -104,6 +135,10 @@
 	if up != nil && up.Broken() && r.Answer == nil { // that is why there is none
 		a = front.BodyError(up.Err(), up.Touched()).Answer()
 	}
+	if a.Status == http.StatusSwitchingProtocols && a.Stream != nil && !s.connected(a) {
+		a.Stream.Close()
+		a = (&front.Error{Status: http.StatusBadGateway, Text: "the host has not agreed to the protocol"}).Answer()
+	}
 	if a.Stream == nil {
 		if by := time.Now().Add(sendWithin); up != nil && deadline.Before(by) {
 			deadline = by // the body may have taken longer than that
--- a/internal/front/http2/server.go
+++ b/internal/front/http2/server.go
@@ -44,6 +44,9 @@
 	// Pressed says that bodies fill most of the memory that they may: connections then have
 	// windows of a quarter. nil: never.
 	Pressed func() bool
+	// Connect says that a route lets clients ask for another protocol on a stream (RFC 8441).
+	// nil: none does.
+	Connect func() bool
 }
 
 // Server serves connections that speak HTTP/2. The listener is the caller's.
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -27,6 +27,7 @@
 	// Of the reader:
 	length int64   // told; -1: none
 	whole  bool    // its last byte has come, or nobody waits for it any more
+	key    string  // that a host must answer, of a WebSocket
 	src    *source // its body need not be whole; nil: it is taken whole
 	ended  bool    // the client has sent END_STREAM
 
@@ -60,6 +61,12 @@
 		return nil
 	}
 	path, query, _ := strings.Cut(r.Path, "?")
+	if r.Protocol != "" {
+		if !s.connect(r) {
+			s.reject(&front.Error{Status: http.StatusNotImplemented, Text: "this protocol is not spoken here"})
+			return nil
+		}
+	}
 	s.length, s.method = r.Length, r.Method
 	head := &front.Head{Method: r.Method, Authority: r.Authority, Path: path, Query: query, Header: r.Header, Body: max(r.Length, 0), Proto: "2", Listener: s.c.s.cfg.Name,
 		Encrypted: s.c.all != nil && s.c.all.Encrypted}
@@ -74,7 +81,12 @@
 		return nil
 	}
 	flow, most := s.ticket.Flow, int64(maxBody)
-	flows := flow != nil && flow.Requests != config.BodiesWhole
+	flows := flow != nil && (flow.Requests != config.BodiesWhole || s.ticket.Upgrade != "")
+	if r.Protocol != "" && s.ticket.Upgrade == "" {
+		s.ticket.Release()
+		s.reject(&front.Error{Status: http.StatusNotImplemented, Text: "this protocol is not spoken here"})
+		return nil
+	}
 	if flows {
 		most = flow.Most
 	}
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -385,9 +385,13 @@
 	}
 	repeat := h.Header.Get("X-Repeat") == "1"
 	var account *contract.Account
+	held := h.Body
 	if terms != nil {
 		var v *contract.Violation
-		if account, v = in.enter(terms, class, h, left, repeat); v != nil {
+		if policy != nil && policy.Bodies != nil && policy.Bodies.Requests != config.BodiesWhole {
+			held = min(held, policy.Bodies.Replay) // more is never in memory
+		}
+		if account, v = in.enter(terms, class, h, held, left, repeat); v != nil {
 			return nil, violated(v)
 		}
 		if terms.LongestDeadline > 0 {
@@ -414,7 +418,7 @@
 	if s.moves[r.Index] != nil {
 		if placed, err = s.place(h, client, r, classAt, repeat); err != nil {
 			if terms != nil {
-				in.door.Leave(account, h.Body)
+				in.door.Leave(account, held)
 			}
 			return nil, err
 		}
@@ -466,7 +470,7 @@
 	}
 	if terms != nil {
 		header.Del("Authorization") // a token is between the team and the gateway
-		t.door, t.body = in.door, h.Body
+		t.door, t.body = in.door, held
 		t.item = contract.Item{Terms: terms, Account: account, Class: classAt, Priority: terms.Classes[class.Name].Priority, Key: keyOf(h)}
 	}
 	// Hosts of another pool drop no repeats of this one's: a key that has gone on would come
@@ -527,7 +531,7 @@
 }
 
 // enter holds a request against its team's contract and lets it in, or not.
-func (in *Intake) enter(terms *contract.Terms, class *config.Class, h *Head, left time.Duration, repeat bool) (*contract.Account, *contract.Violation) {
+func (in *Intake) enter(terms *contract.Terms, class *config.Class, h *Head, held int64, left time.Duration, repeat bool) (*contract.Account, *contract.Violation) {
 	now := in.exchange.Clock().Now()
 	ask := contract.Ask{Class: class.Name, Effect: class.Effect, Body: h.Body, Repeat: repeat}
 	if h.Header.Get("X-Time-Left") != "" {
@@ -537,7 +541,7 @@
 		in.door.Outside(terms, v.Cause, now)
 		return nil, v
 	}
-	return in.door.Enter(terms, h.Body, repeat, now)
+	return in.door.Enter(terms, held, repeat, now)
 }
 
 // keyOf is what a request is about, as far as its cost goes: its path and, where it names
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/sha1"
 	"crypto/sha256"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +14,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -745,3 +749,188 @@
 		idle(t, g)
 	}
 }
+
+// A WebSocket over a stream of HTTP/2 (RFC 8441) is one over HTTP/1.1 for the host, whose word
+// on the key is checked.
+func TestSwitchOnAStream(t *testing.T) {
+	for _, honest := range []bool{true, false} {
+		addr, _ := rawHost(t, func(_ int, c net.Conn, r *standin.Request) bool {
+			sum := sha1.Sum([]byte(r.Header.Get("Sec-Websocket-Key") + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"))
+			if !honest {
+				sum[0]++
+			}
+			fmt.Fprintf(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Accept: %s\r\n\r\n",
+				base64.StdEncoding.EncodeToString(sum[:]))
+			io.Copy(c, c)
+			return false
+		})
+		g := launch(t, flowing(t, "http2", "http1", "unsafe", `upgrades = ["websocket"]`, addr))
+		c := h2client(t, g)
+		if err := c.Head(1, false, ":method", "CONNECT", ":protocol", "websocket", ":scheme", "http", ":authority", "a", ":path", "/chat"); err != nil {
+			t.Fatal(err)
+		}
+		c.Data(1, false, []byte("ping"))
+		status, heard, ended := "", "", false
+		for !ended {
+			f, err := c.Read()
+			if err != nil {
+				t.Fatal(err)
+			}
+			switch f := f.(type) {
+			case *http2.SettingsFrame:
+				if v, ok := f.Value(http2.SettingEnableConnectProtocol); !f.IsAck() && (!ok || v != 1) {
+					t.Error("the protocol is not offered")
+				}
+			case *http2.MetaHeadersFrame:
+				status = f.PseudoValue("status")
+				ended = f.StreamEnded()
+			case *http2.DataFrame:
+				heard += string(f.Data())
+				ended = f.StreamEnded()
+				if heard == "ping" && !ended {
+					c.Data(1, true, nil)
+				}
+			case *http2.RSTStreamFrame:
+				ended = true
+			}
+		}
+		if honest && (status != "200" || heard != "ping") || !honest && status != "502" {
+			t.Errorf("honest %v: answered %s, heard %q", honest, status, heard)
+		}
+		idle(t, g)
+	}
+}
+
+// What comes ahead of an answer is passed on where the route says so, and in no number that
+// could hold the gateway up.
+func TestHintsAhead(t *testing.T) {
+	for _, client := range protocols {
+		for _, hints := range []string{"true", "false"} {
+			addr := netHost(t, "http1", func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Link", "</style.css>; rel=preload")
+				w.WriteHeader(http.StatusEarlyHints)
+				<-r.Context().Done()
+			})
+			g := launch(t, flowing(t, client, "http1", "safe", "answers = \"stream\"\nhints = "+hints, addr))
+			got := make(chan int, 1)
+			ctx, cancel := context.WithCancel(httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+				Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+					if h.Get("Link") != "" {
+						got <- code
+					}
+					return nil
+				}}))
+			done := make(chan struct{})
+			go func() {
+				r, _ := http.NewRequestWithContext(ctx, http.MethodGet, g.url+"/x", nil)
+				if resp, err := talker(t, client).Do(r); err == nil {
+					resp.Body.Close()
+				}
+				close(done)
+			}()
+			if hints == "true" {
+				if code := await(t, got, "the hint"); code != http.StatusEarlyHints {
+					t.Errorf("%s: %d came ahead", client, code)
+				}
+			}
+			cancel()
+			<-done
+			idle(t, g)
+		}
+	}
+	addr, _ := rawHost(t, func(_ int, c net.Conn, r *standin.Request) bool {
+		for {
+			if _, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"); err != nil {
+				return false
+			}
+		}
+	})
+	g := launch(t, flowing(t, "http1", "http1", "unsafe", `answers = "stream"`, addr))
+	if status, _, _ := ask(t, g, "GET", "/x"); status != http.StatusBadGateway {
+		t.Errorf("hints without end: answered %d", status)
+	}
+	idle(t, g)
+}
+
+// What a host may do to an answer that flows, byte by byte.
+func TestSpoiltAnswers(t *testing.T) {
+	long := strings.Repeat("x", 100000)
+	for _, c := range []struct {
+		answer string
+		whole  bool
+		body   string
+	}{
+		{"Connection: close\r\n\r\n" + long, true, long}, // its end is the close: there is no other sign
+		{"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true, "hello"},
+		{"Transfer-Encoding: chunked\r\n\r\n5;x=\"y\"\r\nhello\r\n0\r\n\r\n", true, "hello"},
+		{"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nzz\r\n", false, "hello"},
+		{"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n-1\r\n", false, "hello"},
+		{"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nffffffffffffffffff\r\n", false, "hello"},
+		{"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", false, "hello"},
+		{"Content-Length: 100001\r\n\r\n" + long, false, long},
+	} {
+		addr, _ := rawHost(t, func(_ int, conn net.Conn, r *standin.Request) bool {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.answer)
+			return false
+		})
+		for _, client := range protocols {
+			g := launch(t, flowing(t, client, "http1", "unsafe", `answers = "stream"`, addr))
+			resp, err := talker(t, client).Get(g.url + "/x")
+			if err != nil {
+				if c.whole {
+					t.Errorf("%.60q: %v", c.answer, err)
+				}
+				continue
+			}
+			got, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if (err == nil) != c.whole || !strings.HasPrefix(c.body, string(got)) || c.whole && string(got) != c.body {
+				t.Errorf("%s, %.60q: %d bytes, %v", client, c.answer, len(got), err)
+			}
+			idle(t, g)
+		}
+	}
+}
+
+// A host over HTTP/2 that goes away in mid-body finishes the streams it has taken, and a reset
+// of one is a broken answer.
+func TestHostGoesAwayWithinABody(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		h := h2host(t, nil, nil, func(s *standin.H2Stream) {
+			s.Conn.Head(s.ID, false, ":status", "200")
+			s.Conn.Write(func(f *http2.Framer) error { return f.WriteData(s.ID, false, []byte("half")) })
+			s.Conn.Write(func(f *http2.Framer) error { return f.WriteGoAway(s.ID, http2.ErrCodeNo, nil) })
+			if reset {
+				s.Conn.Write(func(f *http2.Framer) error { return f.WriteRSTStream(s.ID, http2.ErrCodeInternal) })
+			} else {
+				s.Conn.Write(func(f *http2.Framer) error { return f.WriteData(s.ID, true, []byte("rest")) })
+			}
+		})
+		g := launch(t, flowing(t, "http1", "http2", "unsafe", `answers = "stream"`, h.Addr()))
+		resp, err := talker(t, "http1").Get(g.url + "/x")
+		if err != nil {
+			if !reset {
+				t.Error(err)
+			}
+			continue
+		}
+		got, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if reset && err == nil || !reset && (err != nil || string(got) != "halfrest") {
+			t.Errorf("reset %v: %q, %v", reset, got, err)
+		}
+		idle(t, g)
+	}
+}
+
+// Where requests are whole they have the bounds that they ever had.
+func TestWholeStaysAsItWas(t *testing.T) {
+	addr := netHost(t, "http1", func(w http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) })
+	g := launch(t, flowing(t, "http1", "http1", "unsafe", `answers = "stream"`, addr))
+	if answer := talk(t, g, "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"); !strings.HasPrefix(answer, "HTTP/1.1 411") {
+		t.Errorf("chunked: %.40q", answer)
+	}
+	if answer := talk(t, g, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 65537\r\n\r\n"); !strings.HasPrefix(answer, "HTTP/1.1 413") {
+		t.Errorf("long: %.40q", answer)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"frostshift/internal/config"
@@ -74,7 +75,8 @@
 	budgets  budgets
 	door     *contract.Door
 	moves    *moves.Set
-	state    *save.Dir // nil: there is none
+	state    *save.Dir   // nil: there is none
+	upgrades atomic.Bool // a route lets clients switch protocols
 
 	mu    sync.Mutex // guards what follows; held for the whole of a reload
 	model *config.Model
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -71,7 +71,7 @@
 	s.ln = g.conns.Listen(ln)
 	if l.Protocol == config.HTTP2 || l.Certificate != "" {
 		s.two = http2.New(http2.Config{Intake: g.intake, Log: g.log, Name: l.Name, SendWithin: g.opt.SendWithin,
-			MostOpen: g.budgets.requests.Total(), Streams: g.streams, Pressed: g.pressed, RoundTrip: g.opt.RoundTrip})
+			MostOpen: g.budgets.requests.Total(), Streams: g.streams, Pressed: g.pressed, RoundTrip: g.opt.RoundTrip, Connect: g.upgrades.Load})
 	}
 	if l.Protocol == config.HTTP1 {
 		under := net.Listener(s.ln)
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -108,6 +108,9 @@
 	g.conns.KeepHeads(slices.ContainsFunc(m.Policies, func(p *config.Policy) bool {
 		return p != nil && p.Bodies != nil && p.Bodies.Requests != config.BodiesWhole
 	}))
+	g.upgrades.Store(slices.ContainsFunc(m.Policies, func(p *config.Policy) bool {
+		return p != nil && p.Bodies != nil && len(p.Bodies.Upgrades) > 0
+	}))
 	old := g.pools
 	g.pools, g.model = next, m
 	led := g.moves.Use(m.Moves)
--- a/internal/h2/fields.go
+++ b/internal/h2/fields.go
@@ -13,7 +13,8 @@
 type Request struct {
 	Method, Scheme, Authority, Path string
 	Header                          http.Header
-	Length                          int64 // Content-Length; -1: none is told
+	Length                          int64  // Content-Length; -1: none is told
+	Protocol                        string // of an extended CONNECT (RFC 8441); "": it is none
 }
 
 // Errors of a head that is malformed (RFC 9113 section 8.1.1). They end the stream.
@@ -28,7 +29,7 @@
 var connectionFields = map[string]bool{"connection": true, "proxy-connection": true, "keep-alive": true, "transfer-encoding": true, "upgrade": true}
 
 // ReadRequest reads the fields of a request, which a Framer has decoded and found in
-// order. CONNECT has no path, and none of the other methods goes without.
+// order. CONNECT has no path, unless it is extended, and none of the other methods goes without.
 func ReadRequest(fields []hpack.HeaderField) (*Request, error) {
 	r := &Request{Header: make(http.Header, len(fields)), Length: -1}
 	host := ""
@@ -45,6 +46,8 @@
 				to = &r.Authority
 			case ":path":
 				to = &r.Path
+			case ":protocol":
+				to = &r.Protocol
 			default:
 				return nil, errPseudo
 			}
@@ -79,7 +82,7 @@
 		r.Header[name] = append(r.Header[name], f.Value)
 	}
 	switch {
-	case r.Method == "" || r.Method == http.MethodConnect || r.Scheme != "http" && r.Scheme != "https" || r.Path == "":
+	case r.Method == "" || (r.Method == http.MethodConnect) != (r.Protocol != "") || r.Scheme != "http" && r.Scheme != "https" || r.Path == "":
 		return nil, errPseudo
 	case !strings.HasPrefix(r.Path, "/") && !(r.Path == "*" && r.Method == http.MethodOptions):
 		return nil, errPseudo
--- a/internal/h2/link.go
+++ b/internal/h2/link.go
@@ -40,6 +40,7 @@
 	StreamWindow, ConnWindow uint32
 	MaxStreams               uint32 // that the peer may open at once
 	Client                   bool   // this end opens the streams
+	Connect                  bool   // the peer may ask for other protocols on a stream (RFC 8441)
 }
 
 // Link is one HTTP/2 connection. Its methods are safe for concurrent use, but ReadFrame
@@ -157,6 +158,9 @@
 			settings = append(settings, http2.Setting{ID: http2.SettingEnablePush, Val: 0})
 		} else {
 			settings = append(settings, http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: l.cfg.MaxStreams})
+			if l.cfg.Connect {
+				settings = append(settings, http2.Setting{ID: http2.SettingEnableConnectProtocol, Val: 1})
+			}
 		}
 		return f.WriteSettings(settings...)
 	})
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -27,13 +27,15 @@
 	{"lists", "what is served while the list of hosts lies, beside following it blindly", runLists},
 	{"answers", "what answers mean: poison, 404, a host that fails fast, 503 everywhere", runAnswers},
 	{"move", "traffic moves to a pool that fails slowly: time of the return beside the emulator's forecast, and the rules of keys", runMove},
+	{"bodies", "bodies that flow: throughput and CPU a byte beside httputil.ReverseProxy, memory, small requests beside large streams", runBodies},
 	{"pools", "throughput of two pools on two cores, beside one pool", runPools},
 }
 
 // children are programs that a rig starts as processes of their own.
 var children = map[string]func() error{
-	"gateway": gatewayChild,
-	"reverse": reverseChild,
+	"gateway":       gatewayChild,
+	"reverse":       reverseChild,
+	"reversebodies": reverseBodiesChild,
 }
 
 // childVariable names, in its environment, what a child process is.
