--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -24,7 +24,7 @@
 // message.Stream for the way back.
 
 // buffers are for answers on their way.
-var buffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+var buffers = sync.Pool{New: func() any { b := make([]byte, 64<<10); return &b }}
 
 // source is a client's body.
 type source struct {
@@ -236,18 +236,7 @@
 	for {
 		a.Stream.Wait()
 		buffer := buffers.Get().(*[]byte)
-		n, err := a.Stream.Read(*buffer)
-		if n > 0 {
-			due()
-			_, e := w.Write((*buffer)[:n])
-			if e == nil && n < len(*buffer) { // there was no more for now
-				e = rc.Flush()
-			}
-			if e != nil {
-				buffers.Put(buffer)
-				return false
-			}
-		}
+		err := s.burst(w, rc, *buffer, a.Stream, due)
 		buffers.Put(buffer)
 		switch {
 		case err == io.EOF:
@@ -261,6 +250,26 @@
 	}
 }
 
+// burst passes on what there is now, and ends with io.EOF behind the last byte. While nothing
+// comes no buffer is held.
+func (s *Server) burst(w http.ResponseWriter, rc *http.ResponseController, buffer []byte, from message.Stream, due func()) error {
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			due()
+			if _, e := w.Write(buffer[:n]); e != nil {
+				return e
+			}
+		}
+		if err != nil || n < len(buffer) { // there is no more for now
+			if e := rc.Flush(); e != nil && err == nil {
+				err = e
+			}
+			return err
+		}
+	}
+}
+
 // switched is the client's side of a connection that is to speak another protocol: there is
 // nothing to read before it does.
 type switched struct {
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -21,7 +21,7 @@
 	resets = h2.Bucket{Rate: 20, Burst: 100}
 	// Frames that carry nothing: settings, pings, priorities, empty data, unknown ones.
 	empties = h2.Bucket{Rate: 100, Burst: 500}
-	// Window updates, which a reader of long answers sends by rights.
+	// Window updates beyond those that a reader of long answers needs.
 	updates = h2.Bucket{Rate: 20_000, Burst: 20_000}
 )
 
@@ -154,7 +154,7 @@
 		data := f.Data
 		c.link.Control(func(fr *http2.Framer) error { return fr.WritePing(true, data) })
 	case *http2.WindowUpdateFrame:
-		if !c.updates.Take(now) {
+		if !c.link.Earned() && !c.updates.Take(now) {
 			return calm
 		}
 		if c.idle(f.StreamID) {
--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -32,7 +32,7 @@
 )
 
 // buffers are for answers on their way. One that may still be written is not given back.
-var buffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+var buffers = sync.Pool{New: func() any { b := make([]byte, 64<<10); return &b }}
 
 // source is a client's body.
 type source struct {
@@ -78,6 +78,7 @@
 	var failed <-chan struct{}
 	if up != nil {
 		failed = up.Failed()
+		defer s.src.Drop()
 		defer up.Close()
 		src := s.src
 		go func() { // a connection that ends leaves its streams' bodies unfinished
--- a/internal/front/http2/server.go
+++ b/internal/front/http2/server.go
@@ -26,7 +26,7 @@
 
 	mostStreams = 250       // of one connection
 	streamPart  = 4         // one part in so many of all open requests is the most for one connection
-	connWindow  = 256 << 10 // bytes of bodies that a connection may have under way
+	connWindow  = 1 << 20   // bytes of bodies that a connection may have under way
 	heldBodies  = 256 << 10 // bytes of bodies of open requests beyond which room comes back only as they end
 )
 
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -96,7 +96,7 @@
 		return nil
 	}
 	if flows && !f.StreamEnded() {
-		s.src = &source{Queue: s.c.link.NewQueue(s.h2)}
+		s.src = &source{Queue: s.c.link.NewQueue(s.h2, s.ticket.Bodies)}
 		s.ticket.NewUpload(s.src, r.Length)
 		if names := message.Announce(r.Header["Trailer"]); names != nil {
 			s.ticket.Message.Header["Trailer"] = names
--- a/internal/h2/flow.go
+++ b/internal/h2/flow.go
@@ -50,6 +50,22 @@
 	return nil
 }
 
+const (
+	perUpdate  = 256      // bytes of bodies that a peer may give credit for with one update
+	mostEarned = 64 << 20 // ... and up to so many, later
+)
+
+// Earned says whether a window update is one of those that a reader of what was sent needs.
+func (l *Link) Earned() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.earned < perUpdate {
+		return false
+	}
+	l.earned -= perUpdate
+	return true
+}
+
 // WindowUpdate takes in more room from the peer.
 func (l *Link) WindowUpdate(f *http2.WindowUpdateFrame) error {
 	l.mu.Lock()
@@ -96,7 +112,7 @@
 	l.mu.Lock()
 	var stream int64
 	if !s.forgotten {
-		if s.consumed += int64(n); s.consumed >= int64(l.cfg.StreamWindow)/4 {
+		if s.consumed += int64(n); s.consumed >= s.window/4 {
 			stream, s.consumed = s.consumed, 0
 			s.recvWindow += stream
 		}
@@ -108,6 +124,20 @@
 	}
 }
 
+// Widen offers the peer a larger window for a stream.
+func (l *Link) Widen(s *Stream, more int64) {
+	l.mu.Lock()
+	gone := s.forgotten
+	if !gone {
+		s.window += more
+		s.recvWindow += more
+	}
+	l.mu.Unlock()
+	if id := s.ID; !gone {
+		l.Control(func(f *http2.Framer) error { return f.WriteWindowUpdate(id, uint32(more)) })
+	}
+}
+
 // Credit gives the peer back room that was taken by bytes of a DATA frame: on the whole
 // connection, and on the stream unless it is nil. Small amounts are gathered.
 func (l *Link) Credit(s *Stream, n int) {
@@ -121,7 +151,7 @@
 		l.recvWindow += conn
 	}
 	if s != nil && !s.forgotten {
-		if s.consumed += int64(n); s.consumed >= int64(l.cfg.StreamWindow)/4 {
+		if s.consumed += int64(n); s.consumed >= s.window/4 {
 			stream, s.consumed = s.consumed, 0
 			s.recvWindow += stream
 		}
--- a/internal/h2/link.go
+++ b/internal/h2/link.go
@@ -70,6 +70,7 @@
 	peerInitial int64
 	peerStreams uint32 // that the peer lets this end open
 	peerFrame   int
+	earned      int64  // bytes of bodies sent that no window update has been counted against
 	written     uint64 // turns that streams have had
 	flushed     uint64 // of them, those whose frames have been handed to the connection
 	closed      bool
@@ -94,6 +95,7 @@
 	link       *Link
 	sendWindow int64
 	recvWindow int64
+	window     int64 // what it was offered in all
 	consumed   int64
 	out        *Out
 	inReady    bool
@@ -134,7 +136,7 @@
 	l.wake = sync.NewCond(&l.mu)
 	l.limit.R = c
 	l.in = bufio.NewReaderSize(&l.limit, 4<<10)
-	l.out = bufio.NewWriterSize(c, 8<<10)
+	l.out = bufio.NewWriterSize(c, 2*(MaxFrame+9)) // two whole frames of a long body
 	l.framer = http2.NewFramer(l.out, l.in)
 	l.framer.SetReuseFrames()
 	l.framer.SetMaxReadFrameSize(MaxFrame)
@@ -200,7 +202,7 @@
 func (l *Link) Open(id uint32, owner any) *Stream {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := &Stream{ID: id, Owner: owner, link: l, sendWindow: l.peerInitial, recvWindow: int64(l.cfg.StreamWindow)}
+	s := &Stream{ID: id, Owner: owner, link: l, sendWindow: l.peerInitial, recvWindow: int64(l.cfg.StreamWindow), window: int64(l.cfg.StreamWindow)}
 	l.streams[id] = s
 	return s
 }
--- a/internal/h2/queue.go
+++ b/internal/h2/queue.go
@@ -1,6 +1,7 @@
 package h2
 
 import (
+	"errors"
 	"io"
 	"os"
 	"sync"
@@ -10,20 +11,65 @@
 // Queue is what has come of a body on a stream and has not been read yet. The stream's window
 // bounds it: the peer gets credit as Read takes bytes out. Put, End and Fail belong to the
 // link's reader, Read and Wait to one other goroutine; SetReadDeadline is for any.
+//
+// What waits counts in a Room. A stream that is read as it comes gets a window of wide bytes
+// while there is room for that.
 type Queue struct {
 	link   *Link
 	stream *Stream
+	room   Room
 
 	mu       sync.Mutex
-	parts    [][]byte
+	parts    []part
+	held     int64 // bytes of them
+	read     int64
+	wide     bool
 	err      error // after the parts
 	deadline time.Time
 	wake     chan struct{} // holds one: something has changed
 }
 
+// Room bounds the bytes that wait.
+type Room interface {
+	Take(n int64) bool
+	Give(n int64)
+}
+
+const (
+	wideWindow = 512 << 10
+	widenAfter = 64 << 10 // bytes that have been read
+)
+
+// ErrRoom says that there was no room for what came.
+var ErrRoom = errors.New("h2: there is no room for the body")
+
+// part is bytes that came, up to a frame's or a few small ones'.
+type part struct {
+	b      []byte
+	read   int
+	pooled *[]byte // where b is from; nil: it is its own
+}
+
+// frames are buffers for parts of more than a little.
+var frames = sync.Pool{New: func() any { b := make([]byte, MaxFrame); return &b }}
+
+func newPart(data []byte) part {
+	if len(data) < MaxFrame/4 || len(data) > MaxFrame {
+		return part{b: append(make([]byte, 0, max(len(data), 512)), data...)}
+	}
+	f := frames.Get().(*[]byte)
+	return part{b: append((*f)[:0], data...), pooled: f}
+}
+
+func (p *part) free() {
+	if p.pooled != nil {
+		frames.Put(p.pooled)
+	}
+}
+
 // NewQueue returns the queue of a stream's body.
-func (l *Link) NewQueue(s *Stream) *Queue {
-	return &Queue{link: l, stream: s, wake: make(chan struct{}, 1)}
+func (l *Link) NewQueue(s *Stream, room Room) *Queue {
+	return &Queue{link: l, stream: s, room: room, wake: make(chan struct{}, 1)}
 }
 
 func (q *Queue) poke() {
@@ -44,11 +90,15 @@
 		return
 	}
 	q.mu.Lock()
+	if q.err == nil && !q.room.Take(int64(len(data))) {
+		q.err = ErrRoom
+	}
 	if q.err == nil {
-		if n := len(q.parts); n > 0 && cap(q.parts[n-1])-len(q.parts[n-1]) >= len(data) {
-			q.parts[n-1] = append(q.parts[n-1], data...)
+		q.held += int64(len(data))
+		if n := len(q.parts); n > 0 && cap(q.parts[n-1].b)-len(q.parts[n-1].b) >= len(data) {
+			q.parts[n-1].b = append(q.parts[n-1].b, data...)
 		} else {
-			q.parts = append(q.parts, append(make([]byte, 0, max(len(data), 512)), data...))
+			q.parts = append(q.parts, newPart(data))
 		}
 	}
 	q.mu.Unlock()
@@ -72,7 +122,12 @@
 // Drop lets go of what has not been read, and of what still comes.
 func (q *Queue) Drop() {
 	q.mu.Lock()
+	for i := range q.parts {
+		q.parts[i].free()
+	}
 	q.parts = nil
+	q.room.Give(q.held)
+	q.held = 0
 	if q.err == nil || q.err == io.EOF {
 		q.err = io.ErrClosedPipe
 	}
@@ -133,17 +188,33 @@
 	q.mu.Lock()
 	n := 0
 	for n < len(p) && len(q.parts) > 0 {
-		k := copy(p[n:], q.parts[0])
+		at := &q.parts[0]
+		k := copy(p[n:], at.b[at.read:])
 		n += k
-		if k < len(q.parts[0]) {
-			q.parts[0] = q.parts[0][k:]
-		} else {
-			q.parts[0] = nil
+		if at.read += k; at.read == len(at.b) {
+			at.free()
+			*at = part{}
 			q.parts = q.parts[1:]
 		}
 	}
+	if len(q.parts) == 0 {
+		q.parts = nil // an idle stream holds nothing
+	}
+	q.held -= int64(n)
+	q.read += int64(n)
 	err := q.err
+	widen := !q.wide && q.read >= widenAfter && err == nil && q.room.Take(wideWindow)
+	if widen {
+		q.room.Give(wideWindow)
+		q.wide = true
+	}
 	q.mu.Unlock()
+	if n > 0 {
+		q.room.Give(int64(n))
+	}
+	if widen {
+		q.link.Widen(q.stream, wideWindow-q.stream.offered())
+	}
 	switch {
 	case n > 0:
 		q.link.CreditStream(q.stream, n)
@@ -153,3 +224,10 @@
 	}
 	return 0, os.ErrDeadlineExceeded
 }
+
+// offered is the stream's window as it was at first.
+func (s *Stream) offered() int64 {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	return s.window
+}
--- a/internal/h2/writer.go
+++ b/internal/h2/writer.go
@@ -254,6 +254,7 @@
 			o.sent += int(room)
 			s.sendWindow -= room
 			l.sendWindow -= room
+			l.earned = min(l.earned+room, mostEarned)
 		}
 		last = o.sent == len(o.Body) && !o.More
 		l.written++
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -194,9 +194,24 @@
 		return false, err
 	}
 	defer r.Close()
-	p := make([]byte, min(n, 8<<10))
-	for err == nil && r.at < n {
-		_, err = r.Read(p[:min(int64(len(p)), n-r.at)])
+	told := u.Length()
+	for err == nil && (r.at < n || r.at == told) {
+		// What comes is read to where it is kept, which grows with what has come and not with
+		// what was announced.
+		u.mu.Lock()
+		if len(u.kept) == cap(u.kept) {
+			next := max(4*int64(cap(u.kept)), 2<<10)
+			if told >= 0 {
+				next = min(next, told+1) // one byte more, for the end to be seen
+			}
+			u.kept = append(make([]byte, 0, min(next, n+1)), u.kept...)
+		}
+		p := u.kept[len(u.kept):cap(u.kept)]
+		u.mu.Unlock()
+		if r.at < n {
+			p = p[:min(int64(len(p)), n-r.at)]
+		}
+		_, err = r.Read(p)
 	}
 	u.mu.Lock()
 	u.touched = false
--- a/internal/upstream/http1/attempt.go
+++ b/internal/upstream/http1/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -116,6 +117,39 @@
 	return n == len(text)
 }
 
+// send writes the request, as far as it is whole, and says whether all of that has been written.
+func (t *attempt) send(c *conn, req *message.Request, address string) bool {
+	text := texts.Get().(*[]byte)
+	*text = appendRequest((*text)[:0], req, address, t.Left)
+	written := false
+	if len(req.Body) <= keptText {
+		*text = append(*text, req.Body...)
+		written = t.write(c, *text)
+	} else { // head and body with one call, but not by way of one more copy
+		written = t.writeBoth(c, *text, req.Body)
+	}
+	if cap(*text) <= 2*keptText {
+		texts.Put(text)
+	}
+	return written
+}
+
+// writeBoth is write for a head and its body.
+func (t *attempt) writeBoth(c *conn, head, body []byte) bool {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	t.mu.Lock()
+	off := t.off || t.cut
+	t.mu.Unlock()
+	if off {
+		return false
+	}
+	parts := net.Buffers{head, body}
+	n, _ := parts.WriteTo(c.Conn)
+	t.wrote = t.wrote || n > 0
+	return n == int64(len(head)+len(body))
+}
+
 // texts are buffers for requests as they go out.
 var texts = sync.Pool{New: func() any { return new([]byte) }}
 
@@ -137,13 +171,7 @@
 	}
 	c.SetDeadline(t.Until)
 	req := t.Message.(*message.Request)
-	text := texts.Get().(*[]byte)
-	*text = appendRequest((*text)[:0], req, h.address, t.Left)
-	written := t.write(c, *text)
-	if cap(*text) <= keptText {
-		texts.Put(text)
-	}
-	if !written {
+	if !t.send(c, req, h.address) {
 		c.Close()
 		return t.unsent(), nil, errBroken
 	}
@@ -179,7 +207,7 @@
 	return frostshift.ConnectFailed
 }
 
-// appendRequest is the request as it goes to the host at an address.
+// appendRequest is the head of the request as it goes to the host at an address.
 func appendRequest(b []byte, r *message.Request, address string, left time.Duration) []byte {
 	b = append(b, r.Method...)
 	b = append(b, ' ')
@@ -210,8 +238,7 @@
 		b = append(b, "\r\n"...)
 	}
 	b = appendFields(b, r.Header)
-	b = append(b, "\r\n"...)
-	return append(b, r.Body...)
+	return append(b, "\r\n"...)
 }
 
 // appendFields is header fields as they go out.
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -92,6 +92,19 @@
 	return n <= 0 && errors.Is(err, syscall.EAGAIN)
 }
 
+// await waits until there is something to read, within the deadline. It takes up no buffer.
+func (c *conn) await() {
+	if c.raw == nil {
+		c.in.Peek(1)
+		return
+	}
+	var one [1]byte
+	c.raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+}
+
 // closeWrite says that nothing more is sent.
 func (c *conn) closeWrite() {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -23,7 +23,7 @@
 // answer's comes as whoever gives it to the client reads it.
 
 // chunks are buffers for bodies on their way.
-var chunks = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+var chunks = sync.Pool{New: func() any { b := make([]byte, 64<<10); return &b }}
 
 // feeder sends the body of one attempt, in a goroutine of its own: the answer may come first.
 type feeder struct {
@@ -61,6 +61,7 @@
 	const room = 16 // for the size of a chunk ahead and its end behind
 	space := *buffer
 	var digits [room]byte
+	var set time.Time
 	chunked := f.up.Length() < 0 && !f.up.Raw()
 	for {
 		asked := time.Now()
@@ -84,8 +85,9 @@
 			return
 		}
 		if len(out) > 0 {
-			if f.idle > 0 {
-				f.c.SetWriteDeadline(time.Now().Add(f.idle))
+			if now := time.Now(); f.idle > 0 && now.Sub(set) > f.idle/8 { // a call for each write is many
+				set = now
+				f.c.SetWriteDeadline(now.Add(f.idle))
 			}
 			if !f.t.write(f.c, out) {
 				return
@@ -177,13 +179,7 @@
 	} else {
 		c.SetDeadline(time.Time{})
 	}
-	text := texts.Get().(*[]byte)
-	*text = appendRequest((*text)[:0], req, h.address, t.Left)
-	written := t.write(c, *text)
-	if cap(*text) <= keptText {
-		texts.Put(text)
-	}
-	if !written {
+	if !t.send(c, req, h.address) {
 		if r != nil {
 			r.Close()
 		}
@@ -242,8 +238,12 @@
 			err = errOdd
 		} else {
 			var held int64
+			var ok bool
 			c.limit.N = maxAnswer + maxHeader
-			if a.Body, held, err = readBody(resp, t.up.cfg.Bytes); err != nil {
+			if a.Body, held, a.Again, ok, err = readWhole(resp, t.up.cfg.Bytes); !ok {
+				a.Body, held, err = readBody(resp, t.up.cfg.Bytes)
+			}
+			if err != nil {
 				t.up.cfg.Bytes.Give(held)
 			} else if held > 0 {
 				room := t.up.cfg.Bytes
@@ -368,7 +368,7 @@
 func (s *answerFlow) Wait() {
 	if !s.eof && s.c.in.Buffered() == 0 {
 		s.due()
-		s.c.in.Peek(1)
+		s.c.await()
 		s.gave = time.Now()
 	}
 }
--- a/internal/upstream/http2/flow.go
+++ b/internal/upstream/http2/flow.go
@@ -47,7 +47,7 @@
 func (f *feeder) done() { close(f.sent) }
 
 // chunks are buffers for bodies on their way. One that may still be written is not given back.
-var chunks = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+var chunks = sync.Pool{New: func() any { b := make([]byte, 64<<10); return &b }}
 
 // run copies until the body has ended, on either side. A body that breaks off ends with a
 // reset, and so can't pass for a shorter one.
@@ -156,14 +156,13 @@
 		return false
 	}
 	m := t.Answers.Judge(t.status, t.header)
-	if m.Gives != verdict.Final || !t.u.cfg.Bytes.Take(streamWindow) {
+	if m.Gives != verdict.Final {
 		return false // it is taken whole, or not at all
 	}
-	fl := &answerFlow{Queue: t.conn.link.NewQueue(t.stream), t: t, idle: req.Flow.Idle, until: req.Flow.Ends, gave: time.Now()}
+	fl := &answerFlow{Queue: t.conn.link.NewQueue(t.stream, t.u.cfg.Bytes), t: t, idle: req.Flow.Idle, until: req.Flow.Ends, gave: time.Now()}
 	t.mu.Lock()
 	if t.ended {
 		t.mu.Unlock()
-		t.u.cfg.Bytes.Give(streamWindow)
 		return false
 	}
 	t.fl = fl
@@ -300,7 +299,6 @@
 			t.stop()
 			t.mu.Unlock()
 			t.conn.give()
-			t.u.cfg.Bytes.Give(streamWindow)
 			t.Flowed(result)
 		}()
 	})
