--- a/internal/h2/link.go
+++ b/internal/h2/link.go
@@ -21,14 +21,15 @@
 
 // Sizes of a link.
 const (
-	MaxFrame    = 16 << 10 // bytes of a frame's payload, both ways
+	MaxFrame    = 64 << 10 // bytes of a frame's payload, both ways: fewer calls for long bodies, and no turn longer than that
+	firstFrame  = 16 << 10 // ... before the peer has said what it takes in
 	MaxHeader   = 16 << 10 // bytes of a header list, counted as RFC 9113 section 10.5.1 says
 	FirstWindow = 65535    // of each stream and connection before any settings
 	maxWindow   = 1<<31 - 1
 	mostControl = 1000 // control frames that wait to be written
 	// mostRead bounds the bytes of one frame with all CONTINUATION frames that belong to it:
 	// frames without end, however small, must not keep a reader busy (CVE-2024-27316).
-	mostRead = 4 * MaxHeader
+	mostRead = max(4*MaxHeader, MaxFrame+1<<10)
 	// WriteWithin is how long the peer may take to take in what is written.
 	WriteWithin = 5 * time.Second
 )
@@ -129,14 +130,14 @@
 // New returns a link over a connection; Start begins it.
 func New(c net.Conn, cfg Config) *Link {
 	l := &Link{Conn: c, cfg: cfg, streams: map[uint32]*Stream{}, sendWindow: FirstWindow, recvWindow: FirstWindow,
-		peerInitial: FirstWindow, peerStreams: 100, peerFrame: MaxFrame, ended: make(chan struct{}), pen: make(chan struct{}, 1)}
+		peerInitial: FirstWindow, peerStreams: 100, peerFrame: firstFrame, ended: make(chan struct{}), pen: make(chan struct{}, 1)}
 	if !cfg.Client {
 		l.peerStreams = 0
 	}
 	l.wake = sync.NewCond(&l.mu)
 	l.limit.R = c
 	l.in = bufio.NewReaderSize(&l.limit, 4<<10)
-	l.out = bufio.NewWriterSize(c, 2*(MaxFrame+9)) // two whole frames of a long body
+	l.out = bufio.NewWriterSize(c, 8<<10) // longer parts go past it
 	l.framer = http2.NewFramer(l.out, l.in)
 	l.framer.SetReuseFrames()
 	l.framer.SetMaxReadFrameSize(MaxFrame)
--- a/internal/h2/queue.go
+++ b/internal/h2/queue.go
@@ -50,20 +50,34 @@
 	pooled *[]byte // where b is from; nil: it is its own
 }
 
-// frames are buffers for parts of more than a little.
-var frames = sync.Pool{New: func() any { b := make([]byte, MaxFrame); return &b }}
+// frames are buffers for parts of more than a little, of the sizes that frames have mostly.
+var frames [2]sync.Pool
+
+var frameSizes = [...]int{firstFrame, MaxFrame}
 
 func newPart(data []byte) part {
-	if len(data) < MaxFrame/4 || len(data) > MaxFrame {
+	if len(data) < firstFrame/4 || len(data) > MaxFrame {
 		return part{b: append(make([]byte, 0, max(len(data), 512)), data...)}
 	}
-	f := frames.Get().(*[]byte)
+	at := 0
+	if len(data) > firstFrame {
+		at = 1
+	}
+	f, _ := frames[at].Get().(*[]byte)
+	if f == nil {
+		b := make([]byte, frameSizes[at])
+		f = &b
+	}
 	return part{b: append((*f)[:0], data...), pooled: f}
 }
 
 func (p *part) free() {
-	if p.pooled != nil {
-		frames.Put(p.pooled)
+	switch {
+	case p.pooled == nil:
+	case len(*p.pooled) == MaxFrame:
+		frames[1].Put(p.pooled)
+	default:
+		frames[0].Put(p.pooled)
 	}
 }
 
--- a/internal/h2/writer.go
+++ b/internal/h2/writer.go
@@ -277,7 +277,7 @@
 	}
 	block := l.encoded.b
 	for first := true; first || len(block) > 0; first = false {
-		n := min(len(block), MaxFrame)
+		n := min(len(block), firstFrame)
 		part := block[:n]
 		block = block[n:]
 		var err error
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -75,6 +75,7 @@
 	changed  *sync.Cond
 	replay   *body.Replay
 	kept     []byte
+	pooled   *[]byte // where kept is from; nil: it is its own
 	file     File
 	err      error // io.EOF: it has ended; nil: more may come
 	fetching bool
@@ -179,13 +180,48 @@
 	if len(u.kept) > 0 {
 		u.cfg.Room.Give(int64(len(u.kept)))
 	}
-	u.kept = nil
+	u.shed()
 	if u.file != nil {
 		u.file.Close()
 		u.file = nil
 	}
 }
 
+// beginnings are buffers for what is kept in memory, of the most that is kept mostly: only
+// the upload reads them, so they come back with its end.
+var beginnings sync.Pool
+
+const (
+	beginning   = 64<<10 + 512
+	leastPooled = 16 << 10 // what is shorter is made to measure
+)
+
+// grow makes room for n bytes in all where what is kept is. The lock is held.
+func (u *Upload) grow(n int64) {
+	if n <= leastPooled || n > beginning {
+		next := append(make([]byte, 0, n), u.kept...)
+		u.shed()
+		u.kept = next
+		return
+	}
+	b, _ := beginnings.Get().(*[]byte)
+	if b == nil {
+		made := make([]byte, beginning)
+		b = &made
+	}
+	next := append((*b)[:0:n], u.kept...)
+	u.shed()
+	u.kept, u.pooled = next, b
+}
+
+// shed lets go of the memory of what is kept. The lock is held.
+func (u *Upload) shed() {
+	if u.pooled != nil {
+		beginnings.Put(u.pooled)
+	}
+	u.kept, u.pooled = nil, nil
+}
+
 // Fill reads ahead, until n bytes are kept or the body has ended. It is called before the
 // first Open, and says whether all of it has come.
 func (u *Upload) Fill(n int64) (whole bool, err error) {
@@ -200,11 +236,11 @@
 		// what was announced.
 		u.mu.Lock()
 		if len(u.kept) == cap(u.kept) {
-			next := max(4*int64(cap(u.kept)), 2<<10)
+			next := max(4*int64(cap(u.kept)), 4<<10)
 			if told >= 0 {
 				next = min(next, told+1) // one byte more, for the end to be seen
 			}
-			u.kept = append(make([]byte, 0, min(next, n+1)), u.kept...)
+			u.grow(min(next, n+1))
 		}
 		p := u.kept[len(u.kept):cap(u.kept)]
 		u.mu.Unlock()
@@ -227,7 +263,7 @@
 func (u *Upload) Whole() (body []byte) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	body, u.kept, u.closed = u.kept, nil, true
+	body, u.kept, u.pooled, u.closed = u.kept, nil, nil, true
 	return body
 }
 
@@ -379,6 +415,9 @@
 	switch u.replay.Took(int64(len(p)), needed) {
 	case body.Keep:
 		if u.cfg.Room.Take(int64(len(p))) {
+			if need := int64(len(u.kept) + len(p)); need > int64(cap(u.kept)) {
+				u.grow(max(need, min(4*int64(cap(u.kept)), u.cfg.Bounds.Memory)))
+			}
 			u.kept = append(u.kept, p...)
 			return true
 		}
@@ -424,7 +463,7 @@
 	}
 	if len(u.kept) > 0 {
 		u.cfg.Room.Give(int64(len(u.kept)))
-		u.kept = nil
+		u.shed()
 	}
 	return nil
 }
