--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -118,7 +118,7 @@
 }
 
 // flow sees a request to its end whose body or answer may flow.
-func (s *Server) flow(w http.ResponseWriter, r *http.Request, t *front.Ticket, conn *front.Conn) {
+func (s *Server) flow(w http.ResponseWriter, r *http.Request, t *front.Ticket) {
 	rc := http.NewResponseController(w)
 	up := t.Message.Upload
 	var failed <-chan struct{}
@@ -148,7 +148,8 @@
 			}
 			continue
 		case a := <-call.Reply:
-			s.replyFlow(w, r, t, call, a, deadline, conn)
+			s.replyFlow(w, r, t, call, a, deadline)
+			t.Over(a)
 		case <-failed:
 			call.Gone()
 			w.Header().Set("Connection", "close")
@@ -169,7 +170,7 @@
 }
 
 // replyFlow gives the one final answer.
-func (s *Server) replyFlow(w http.ResponseWriter, r *http.Request, t *front.Ticket, call *exchange.Call, reply exchange.Reply, deadline time.Time, conn *front.Conn) {
+func (s *Server) replyFlow(w http.ResponseWriter, r *http.Request, t *front.Ticket, call *exchange.Call, reply exchange.Reply, deadline time.Time) {
 	a, last := t.Answer(reply)
 	defer a.Release()
 	up := t.Message.Upload
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -179,7 +179,7 @@
 		return
 	}
 	if ticket.Flow != nil {
-		s.flow(w, r, ticket, conn)
+		s.flow(w, r, ticket)
 		return
 	}
 	// The request has come whole: the read that is under way from here on looks out for
--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -108,6 +108,7 @@
 	select {
 	case r := <-call.Reply:
 		s.replyFlow(call, r, deadline, over)
+		s.ticket.Over(r)
 	case <-failed:
 		call.Gone()
 		s.refuse(front.BodyError(up.Err(), up.Touched()))
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -194,6 +194,7 @@
 	asked    bool           // the client said how long it waits
 	spool    *spool.Dir     // nil: nothing is kept on disk
 	hint     func(int, http.Header)
+	again    func() // gives the memory of the body to another; nil: it is not used again
 }
 
 // Hold notes that the body holds n more bytes of room and says whether there are any.
@@ -232,11 +233,20 @@
 
 // Whole makes an Upload that has come whole an ordinary body.
 func (t *Ticket) Whole() {
-	t.Message.Body = t.Message.Upload.Whole()
+	t.Message.Body, t.again = t.Message.Upload.Whole()
 	t.held += int64(len(t.Message.Body))
 	t.Message.Upload = nil
 }
 
+// Over says that the front is done with a request that was answered so: the memory of its
+// body is used again where one attempt was all, and has sent it.
+func (t *Ticket) Over(r exchange.Reply) {
+	if t.again != nil && r.Verdict == exchange.Served && r.Tries == 1 && t.Message.Written.Load() {
+		t.again()
+		t.again = nil
+	}
+}
+
 // Hints has what comes ahead of the answer given to f, where the route allows it.
 func (t *Ticket) Hints(f func(status int, header http.Header)) {
 	if t.Flow != nil && t.Flow.Hints {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"frostshift/internal/stream"
@@ -21,6 +22,8 @@
 	Target    string      // path and query: as they came, unless a route rewrites them
 	Header    http.Header // end-to-end headers only, see EndToEnd
 	Body      []byte
+	// Written is set by an attempt that has sent all of the body and reads it no more.
+	Written atomic.Bool
 	// Upload is the body where it is not whole, and Body is empty then; nil: it is whole.
 	Upload *stream.Upload
 	// Flow says how bodies may flow; nil: an answer is taken whole.
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -259,12 +259,16 @@
 }
 
 // Whole hands over the bytes of a body that has ended and is kept in memory, and the room that
-// they take up; the Upload is of no more use then.
-func (u *Upload) Whole() (body []byte) {
+// they take up; the Upload is of no more use then. again gives their memory to another body,
+// for whoever knows that nobody reads them any more; nil: it is not used again.
+func (u *Upload) Whole() (body []byte, again func()) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if b := u.pooled; b != nil {
+		again = func() { beginnings.Put(b) }
+	}
 	body, u.kept, u.pooled, u.closed = u.kept, nil, nil, true
-	return body
+	return body, again
 }
 
 // Reader is an attempt's view of the body, from the first byte on.
--- a/internal/stream/upload_test.go
+++ b/internal/stream/upload_test.go
@@ -247,7 +247,7 @@
 			t.Errorf("%d bytes: whole %v, state %v, touched %v, %v", size, whole, u.State(), u.Touched(), err)
 		}
 		if whole {
-			if b := u.Whole(); len(b) != size || r.used != int64(size) {
+			if b, _ := u.Whole(); len(b) != size || r.used != int64(size) {
 				t.Errorf("%d bytes: handed over %d, %d held", size, len(b), r.used)
 			}
 		}
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -191,6 +191,7 @@
 		t.End(t.unsent())
 		return
 	}
+	req.Written.Store(true)
 	var f *feeder
 	switch {
 	case req.Upload == nil:
--- a/internal/upstream/http2/attempt.go
+++ b/internal/upstream/http2/attempt.go
@@ -355,6 +355,7 @@
 	}
 	s := t.stream
 	if s.Whole() {
+		t.Message.(*message.Request).Written.Store(true)
 		t.conn.link.Forget(s)
 	} else { // it answered before the request was whole: the rest is not sent
 		t.conn.link.Reset(s, http2.ErrCodeNo)
