--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -436,3 +436,52 @@
 		t.Error("a bad address is taken")
 	}
 }
+
+// What is wrong with how bodies flow is named with its line and key.
+func TestBodiesAreChecked(t *testing.T) {
+	const text = `[[listener]]
+address = "127.0.0.1:0"
+[[class]]
+name = "c"
+effect = "safe"
+aim = "1s"
+deadline = "2s"
+[[pool]]
+name = "p"
+hosts = ["127.0.0.1:1"]
+protocol = "http2"
+[[route]]
+name = "r"
+prefix = "/"
+class = "c"
+pool = "p"
+[route.bodies]
+`
+	for _, c := range []struct{ bodies, key, text string }{
+		{`requests = "later"`, "route[0].bodies.requests", "none of whole, stream, auto"},
+		{`answers = "auto"`, "route[0].bodies.answers", "neither whole nor stream"},
+		{`replay = 5`, "route[0].bodies.requests", "whole bodies need no replay"},
+		{"requests = \"auto\"\nreplay = \"1GiB\"", "route[0].bodies.replay", "is not from 0"},
+		{`hold = -1`, "route[0].bodies.hold", "is not from 0"},
+		{`most = "many"`, "route[0].bodies.most", "no number of bytes"},
+		{`most = true`, "route[0].bodies.most", "a number of bytes"},
+		{`idle = "1ms"`, "route[0].bodies.idle", "is not from 10ms"},
+		{"requests = \"stream\"\nspool = \"1MiB\"", "route[0].bodies.spool", "there is no [spool]"},
+		{"requests = \"stream\"\nfull = \"wait\"", "route[0].bodies.full", "neither stream nor refuse"},
+		{"requests = \"stream\"\nfull = \"refuse\"", "route[0].bodies.full", "belongs to spool"},
+		{`upgrades = ["h2c"]`, "route[0].bodies.upgrades[0]", "no protocol to switch to"},
+		{`upgrades = ["websocket"]`, "route[0].bodies.upgrades", "speak HTTP/2"},
+		{"requests = \"stream\"\n[spool]\nmost = 0", "spool.dir", "needs a folder"},
+		{"requests = \"stream\"\n[spool]\ndir = \"x\"\nmost = 10\nteam = 11", "spool.team", "is not from 0 to most"},
+	} {
+		_, _, err := Parse("gw.toml", []byte(text+c.bodies+"\n"))
+		var errs Errors
+		if !errors.As(err, &errs) {
+			t.Errorf("%s: %v", c.bodies, err)
+			continue
+		}
+		if !slices.ContainsFunc(errs, func(e Error) bool { return e.Key == c.key && strings.Contains(e.Text, c.text) && e.Line > 0 }) {
+			t.Errorf("%s: %v", c.bodies, errs)
+		}
+	}
+}
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -32,11 +32,24 @@
 // flowing is a gateway whose one route takes bodies as they come.
 func flowing(t testing.TB, client, host, class, bodies string, hosts ...string) *config.Model {
 	t.Helper()
+	return parsed(t, flowingText(client, host, class, bodies, hosts...))
+}
+
+func parsed(t testing.TB, text string) *config.Model {
+	t.Helper()
+	m, _, err := config.Parse(t.TempDir()+"/gw.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func flowingText(client, host, class, bodies string, hosts ...string) string {
 	quoted := make([]string, len(hosts))
 	for i, h := range hosts {
 		quoted[i] = strconv.Quote(h)
 	}
-	text := fmt.Sprintf(`
+	return fmt.Sprintf(`
 [[listener]]
 name = "clients"
 address = "127.0.0.1:0"
@@ -61,11 +74,6 @@
 dir = "spool"
 most = 1000000
 `, client, class, strings.Join(quoted, ", "), host, bodies)
-	m, _, err := config.Parse(t.TempDir()+"/gw.toml", []byte(text))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return m
 }
 
 // netHost is a host of net/http, over the protocol.
@@ -934,3 +942,49 @@
 		t.Errorf("long: %.40q", answer)
 	}
 }
+
+// A request of which nothing has reached a host goes on to the fallback, its body with it; one
+// whose beginning is gone does not, and is refused, since its host said that it did not begin.
+func TestStreamsAndFallbacks(t *testing.T) {
+	second := netHost(t, "http1", func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(w, n)
+	})
+	refuses := h2host(t, nil, func(s *standin.H2Stream) {
+		s.Conn.Write(func(f *http2.Framer) error { return f.WriteWindowUpdate(0, 1<<20) })
+		s.Conn.Write(func(f *http2.Framer) error { return f.WriteWindowUpdate(s.ID, 1<<20) })
+	}, func(s *standin.H2Stream) {
+		s.Conn.Write(func(f *http2.Framer) error { return f.WriteRSTStream(s.ID, http2.ErrCodeRefusedStream) })
+	})
+	for _, c := range []struct {
+		name, first, protocol string
+		replay, status        int
+	}{
+		{"no host takes a connection", "127.0.0.1:1", "http1", 1000, 200},
+		{"refused, the beginning is kept", refuses.Addr(), "http2", 1 << 20, 503},
+		{"refused, the beginning is gone", refuses.Addr(), "http2", 1000, 503},
+	} {
+		text := flowingText("http1", c.protocol, "unsafe", fmt.Sprintf("requests = \"stream\"\nreplay = %d", c.replay), c.first)
+		text = strings.Replace(text, "[[route]]", fmt.Sprintf("[[pool]]\nname = \"second\"\nhosts = [%q]\n[[route]]", second), 1)
+		text = strings.Replace(text, "pool = \"hosts\"\n", "pool = \"hosts\"\nfallback = \"second\"\n", 1)
+		g := launch(t, parsed(t, text))
+		status, body := 0, ""
+		// The first request may find that a host is gone only by asking it.
+		for range 10 {
+			r, _ := http.NewRequest(http.MethodPost, g.url+"/x", unsized{bytes.NewReader(make([]byte, 100000))})
+			resp, err := talker(t, "http1").Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, _ := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if status, body = resp.StatusCode, string(got); status == c.status {
+				break
+			}
+		}
+		if status != c.status || status == 200 && body != "100000" {
+			t.Errorf("%s: answered %d %q, want %d", c.name, status, body, c.status)
+		}
+		idle(t, g)
+	}
+}
--- a/internal/nginx/known.go
+++ b/internal/nginx/known.go
@@ -9,7 +9,7 @@
 	"master_process", "events", "use", "multi_accept", "accept_mutex", "error_log", "access_log", "log_format", "log_not_found", "sendfile", "tcp_nopush",
 	"tcp_nodelay", "keepalive_timeout", "keepalive_requests", "keepalive_time", "types_hash_max_size", "types_hash_bucket_size", "server_names_hash_bucket_size", "server_names_hash_max_size",
 	"variables_hash_max_size", "variables_hash_bucket_size", "map_hash_bucket_size", "map_hash_max_size", "proxy_headers_hash_max_size", "proxy_headers_hash_bucket_size", "types", "default_type",
-	"server_tokens", "proxy_http_version", "proxy_buffering", "proxy_buffers", "proxy_buffer_size", "proxy_busy_buffers_size", "proxy_request_buffering",
+	"server_tokens", "proxy_http_version", "proxy_buffering", "proxy_buffers", "proxy_buffer_size", "proxy_busy_buffers_size",
 	"proxy_temp_path", "proxy_max_temp_file_size", "proxy_temp_file_write_size", "client_body_buffer_size", "client_header_buffer_size", "large_client_header_buffers",
 	"client_body_temp_path", "reset_timedout_connection", "lingering_close", "lingering_time", "lingering_timeout", "ignore_invalid_headers", "underscores_in_headers",
 	"zone", "keepalive", "open_file_cache", "open_file_cache_valid", "open_file_cache_min_uses", "open_file_cache_errors", "resolver_timeout", "charset", "env",
--- a/internal/nginx/lift.go
+++ b/internal/nginx/lift.go
@@ -97,6 +97,9 @@
 	addHeaders    []*Directive
 	hide          []*Directive
 	errorPages    []*Directive
+	mostBody      int64 // client_max_body_size, if mostSaid; 0: any
+	mostSaid      bool
+	unbuffered    bool // proxy_request_buffering off
 }
 
 type step struct {
@@ -175,7 +178,7 @@
 }
 
 var inherited = set("proxy_read_timeout", "proxy_connect_timeout", "proxy_send_timeout", "proxy_next_upstream", "proxy_next_upstream_tries", "proxy_next_upstream_timeout",
-	"proxy_set_header", "add_header", "proxy_hide_header", "proxy_pass_header", "client_max_body_size", "error_page")
+	"proxy_set_header", "add_header", "proxy_hide_header", "proxy_pass_header", "client_max_body_size", "proxy_request_buffering", "error_page")
 
 // inherit is what holds at a level: what it says itself in place of what the level above
 // does. Headers are taken over only where a level sets none.
@@ -218,10 +221,15 @@
 		case "proxy_pass_header":
 			m.report.say(d, Differs, "all but hop-by-hop fields are passed on")
 		case "client_max_body_size":
-			if n, ok := size(d.Text(0)); ok && n > 0 && n <= 64<<10 {
-				m.report.say(d, Differs, "64 KiB is the bound wherever")
+			if n, ok := size(d.Text(0)); ok && n >= 0 {
+				c.mostBody, c.mostSaid = n, true
 			} else {
-				m.report.say(d, Left, "bodies of requests hold 64 KiB at most: larger ones are answered 413")
+				m.report.say(d, Left, "%q is no size", d.Text(0))
+			}
+		case "proxy_request_buffering":
+			c.unbuffered = d.Text(0) == "off"
+			if !c.unbuffered {
+				m.report.say(d, Differs, "bodies come whole up to 64 KiB before a host gets them, and go on as they come beyond that")
 			}
 		}
 	}
--- a/internal/nginx/write.go
+++ b/internal/nginx/write.go
@@ -333,10 +333,34 @@
 	if f := m.fallback(s, l); f != "" {
 		fmt.Fprintf(&b, "fallback = %s\n", str(f))
 	}
-	m.headers(&b, l)
+	upgrades := m.headers(&b, l)
+	b.WriteString(l.conf.bodies(upgrades))
 	return b.String()
 }
 
+// bodies is how bodies of a location flow: as nginx has it but for disks, on which it keeps
+// what its memory does not hold.
+func (c *conf) bodies(upgrades bool) string {
+	most, mode, idle := int64(1<<20), "auto", 60*time.Second
+	if c.mostSaid {
+		most = c.mostBody
+	}
+	if c.unbuffered {
+		mode = "stream"
+	}
+	if c.read > 0 {
+		idle = max(c.read, 10*time.Millisecond)
+	}
+	text := fmt.Sprintf("bodies = { requests = %s, answers = \"stream\", idle = %s", str(mode), str(idle.String()))
+	if most > 0 {
+		text += fmt.Sprintf(", most = %d", most)
+	}
+	if upgrades {
+		text += ", upgrades = [\"websocket\"]"
+	}
+	return text + " }\n"
+}
+
 // fallback is the pool of the named location that error_page leads to where no server of the
 // location's own answers; "": there is none.
 func (m *importer) fallback(s *server, l *location) (pool string) {
@@ -464,7 +488,7 @@
 }
 
 // headers is what a location changes in headers.
-func (m *importer) headers(b *strings.Builder, l *location) {
+func (m *importer) headers(b *strings.Builder, l *location) (upgrades bool) {
 	authority := l.pass.name // $proxy_host
 	var request, response []string
 	for _, d := range l.conf.setHeaders {
@@ -489,9 +513,15 @@
 			authority = value
 			m.report.say(d, Taken, "")
 		case lower == "connection" || lower == "upgrade":
-			if value == "" || strings.EqualFold(value, "close") || strings.EqualFold(value, "keep-alive") {
+			switch {
+			case value == "" || strings.EqualFold(value, "close") || strings.EqualFold(value, "keep-alive"):
 				m.report.say(d, Needless, "connections are the gateway's own")
-			} else {
+			case lower == "connection" && (strings.EqualFold(value, "upgrade") || value == "$http_connection"):
+				m.report.say(d, Needless, "it goes with Upgrade")
+			case lower == "upgrade" && value == "$http_upgrade":
+				upgrades = true
+				m.report.say(d, Differs, "to WebSocket alone")
+			default:
 				m.report.say(d, Left, "connections are not upgraded")
 			}
 		case lower == "x-forwarded-for" || lower == "x-forwarded-proto" || lower == "x-forwarded-host":
@@ -536,6 +566,7 @@
 	if len(response) > 0 {
 		fmt.Fprintf(b, "response_headers = [%s]\n", strings.Join(response, ", "))
 	}
+	return upgrades
 }
 
 func (m *importer) pool(u *upstream) {
