--- a/internal/front/http2/server.go
+++ b/internal/front/http2/server.go
@@ -26,7 +26,7 @@
 
 	mostStreams = 250       // of one connection
 	streamPart  = 4         // one part in so many of all open requests is the most for one connection
-	connWindow  = 256 << 10 // bytes of bodies that a connection may have under way
+	connWindow  = 1 << 20   // bytes of bodies that a connection may have under way
 	heldBodies  = 256 << 10 // bytes of bodies of open requests beyond which room comes back only as they end
 )
 
@@ -44,6 +44,9 @@
 	// Pressed says that bodies fill most of the memory that they may: connections then have
 	// windows of a quarter. nil: never.
 	Pressed func() bool
+	// Connect says that a route lets clients ask for another protocol on a stream (RFC 8441).
+	// nil: none does.
+	Connect func() bool
 }
 
 // Server serves connections that speak HTTP/2. The listener is the caller's.
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -194,6 +194,7 @@
 	asked    bool           // the client said how long it waits
 	spool    *spool.Dir     // nil: nothing is kept on disk
 	hint     func(int, http.Header)
+	again    func() // gives the memory of the body to another; nil: it is not used again
 }
 
 // Hold notes that the body holds n more bytes of room and says whether there are any.
@@ -232,11 +233,20 @@
 
 // Whole makes an Upload that has come whole an ordinary body.
 func (t *Ticket) Whole() {
-	t.Message.Body = t.Message.Upload.Whole()
+	t.Message.Body, t.again = t.Message.Upload.Whole()
 	t.held += int64(len(t.Message.Body))
 	t.Message.Upload = nil
 }
 
+// Over says that the front is done with a request that was answered so: the memory of its
+// body is used again where one attempt was all, and has sent it.
+func (t *Ticket) Over(r exchange.Reply) {
+	if t.again != nil && r.Verdict == exchange.Served && r.Tries == 1 && t.Message.Written.Load() {
+		t.again()
+		t.again = nil
+	}
+}
+
 // Hints has what comes ahead of the answer given to f, where the route allows it.
 func (t *Ticket) Hints(f func(status int, header http.Header)) {
 	if t.Flow != nil && t.Flow.Hints {
@@ -385,9 +395,13 @@
 	}
 	repeat := h.Header.Get("X-Repeat") == "1"
 	var account *contract.Account
+	held := h.Body
 	if terms != nil {
 		var v *contract.Violation
-		if account, v = in.enter(terms, class, h, left, repeat); v != nil {
+		if policy != nil && policy.Bodies != nil && policy.Bodies.Requests != config.BodiesWhole {
+			held = min(held, policy.Bodies.Replay) // more is never in memory
+		}
+		if account, v = in.enter(terms, class, h, held, left, repeat); v != nil {
 			return nil, violated(v)
 		}
 		if terms.LongestDeadline > 0 {
@@ -414,7 +428,7 @@
 	if s.moves[r.Index] != nil {
 		if placed, err = s.place(h, client, r, classAt, repeat); err != nil {
 			if terms != nil {
-				in.door.Leave(account, h.Body)
+				in.door.Leave(account, held)
 			}
 			return nil, err
 		}
@@ -466,7 +480,7 @@
 	}
 	if terms != nil {
 		header.Del("Authorization") // a token is between the team and the gateway
-		t.door, t.body = in.door, h.Body
+		t.door, t.body = in.door, held
 		t.item = contract.Item{Terms: terms, Account: account, Class: classAt, Priority: terms.Classes[class.Name].Priority, Key: keyOf(h)}
 	}
 	// Hosts of another pool drop no repeats of this one's: a key that has gone on would come
@@ -527,7 +541,7 @@
 }
 
 // enter holds a request against its team's contract and lets it in, or not.
-func (in *Intake) enter(terms *contract.Terms, class *config.Class, h *Head, left time.Duration, repeat bool) (*contract.Account, *contract.Violation) {
+func (in *Intake) enter(terms *contract.Terms, class *config.Class, h *Head, held int64, left time.Duration, repeat bool) (*contract.Account, *contract.Violation) {
 	now := in.exchange.Clock().Now()
 	ask := contract.Ask{Class: class.Name, Effect: class.Effect, Body: h.Body, Repeat: repeat}
 	if h.Header.Get("X-Time-Left") != "" {
@@ -537,7 +551,7 @@
 		in.door.Outside(terms, v.Cause, now)
 		return nil, v
 	}
-	return in.door.Enter(terms, h.Body, repeat, now)
+	return in.door.Enter(terms, held, repeat, now)
 }
 
 // keyOf is what a request is about, as far as its cost goes: its path and, where it names
--- a/internal/h2/link.go
+++ b/internal/h2/link.go
@@ -21,14 +21,15 @@
 
 // Sizes of a link.
 const (
-	MaxFrame    = 16 << 10 // bytes of a frame's payload, both ways
+	MaxFrame    = 64 << 10 // bytes of a frame's payload, both ways: fewer calls for long bodies, and no turn longer than that
+	firstFrame  = 16 << 10 // ... before the peer has said what it takes in
 	MaxHeader   = 16 << 10 // bytes of a header list, counted as RFC 9113 section 10.5.1 says
 	FirstWindow = 65535    // of each stream and connection before any settings
 	maxWindow   = 1<<31 - 1
 	mostControl = 1000 // control frames that wait to be written
 	// mostRead bounds the bytes of one frame with all CONTINUATION frames that belong to it:
 	// frames without end, however small, must not keep a reader busy (CVE-2024-27316).
-	mostRead = 4 * MaxHeader
+	mostRead = max(4*MaxHeader, MaxFrame+1<<10)
 	// WriteWithin is how long the peer may take to take in what is written.
 	WriteWithin = 5 * time.Second
 )
@@ -40,6 +41,7 @@
 	StreamWindow, ConnWindow uint32
 	MaxStreams               uint32 // that the peer may open at once
 	Client                   bool   // this end opens the streams
+	Connect                  bool   // the peer may ask for other protocols on a stream (RFC 8441)
 }
 
 // Link is one HTTP/2 connection. Its methods are safe for concurrent use, but ReadFrame
@@ -69,6 +71,7 @@
 	peerInitial int64
 	peerStreams uint32 // that the peer lets this end open
 	peerFrame   int
+	earned      int64  // bytes of bodies sent that no window update has been counted against
 	written     uint64 // turns that streams have had
 	flushed     uint64 // of them, those whose frames have been handed to the connection
 	closed      bool
@@ -93,6 +96,7 @@
 	link       *Link
 	sendWindow int64
 	recvWindow int64
+	window     int64 // what it was offered in all
 	consumed   int64
 	out        *Out
 	inReady    bool
@@ -126,14 +130,14 @@
 // New returns a link over a connection; Start begins it.
 func New(c net.Conn, cfg Config) *Link {
 	l := &Link{Conn: c, cfg: cfg, streams: map[uint32]*Stream{}, sendWindow: FirstWindow, recvWindow: FirstWindow,
-		peerInitial: FirstWindow, peerStreams: 100, peerFrame: MaxFrame, ended: make(chan struct{}), pen: make(chan struct{}, 1)}
+		peerInitial: FirstWindow, peerStreams: 100, peerFrame: firstFrame, ended: make(chan struct{}), pen: make(chan struct{}, 1)}
 	if !cfg.Client {
 		l.peerStreams = 0
 	}
 	l.wake = sync.NewCond(&l.mu)
 	l.limit.R = c
 	l.in = bufio.NewReaderSize(&l.limit, 4<<10)
-	l.out = bufio.NewWriterSize(c, 8<<10)
+	l.out = bufio.NewWriterSize(c, 8<<10) // longer parts go past it
 	l.framer = http2.NewFramer(l.out, l.in)
 	l.framer.SetReuseFrames()
 	l.framer.SetMaxReadFrameSize(MaxFrame)
@@ -157,6 +161,9 @@
 			settings = append(settings, http2.Setting{ID: http2.SettingEnablePush, Val: 0})
 		} else {
 			settings = append(settings, http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: l.cfg.MaxStreams})
+			if l.cfg.Connect {
+				settings = append(settings, http2.Setting{ID: http2.SettingEnableConnectProtocol, Val: 1})
+			}
 		}
 		return f.WriteSettings(settings...)
 	})
@@ -196,7 +203,7 @@
 func (l *Link) Open(id uint32, owner any) *Stream {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := &Stream{ID: id, Owner: owner, link: l, sendWindow: l.peerInitial, recvWindow: int64(l.cfg.StreamWindow)}
+	s := &Stream{ID: id, Owner: owner, link: l, sendWindow: l.peerInitial, recvWindow: int64(l.cfg.StreamWindow), window: int64(l.cfg.StreamWindow)}
 	l.streams[id] = s
 	return s
 }
--- a/internal/h2/writer.go
+++ b/internal/h2/writer.go
@@ -254,6 +254,7 @@
 			o.sent += int(room)
 			s.sendWindow -= room
 			l.sendWindow -= room
+			l.earned = min(l.earned+room, mostEarned)
 		}
 		last = o.sent == len(o.Body) && !o.More
 		l.written++
@@ -276,7 +277,7 @@
 	}
 	block := l.encoded.b
 	for first := true; first || len(block) > 0; first = false {
-		n := min(len(block), MaxFrame)
+		n := min(len(block), firstFrame)
 		part := block[:n]
 		block = block[n:]
 		var err error
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -75,6 +75,7 @@
 	changed  *sync.Cond
 	replay   *body.Replay
 	kept     []byte
+	pooled   *[]byte // where kept is from; nil: it is its own
 	file     File
 	err      error // io.EOF: it has ended; nil: more may come
 	fetching bool
@@ -179,13 +180,48 @@
 	if len(u.kept) > 0 {
 		u.cfg.Room.Give(int64(len(u.kept)))
 	}
-	u.kept = nil
+	u.shed()
 	if u.file != nil {
 		u.file.Close()
 		u.file = nil
 	}
 }
 
+// beginnings are buffers for what is kept in memory, of the most that is kept mostly: only
+// the upload reads them, so they come back with its end.
+var beginnings sync.Pool
+
+const (
+	beginning   = 64<<10 + 512
+	leastPooled = 16 << 10 // what is shorter is made to measure
+)
+
+// grow makes room for n bytes in all where what is kept is. The lock is held.
+func (u *Upload) grow(n int64) {
+	if n <= leastPooled || n > beginning {
+		next := append(make([]byte, 0, n), u.kept...)
+		u.shed()
+		u.kept = next
+		return
+	}
+	b, _ := beginnings.Get().(*[]byte)
+	if b == nil {
+		made := make([]byte, beginning)
+		b = &made
+	}
+	next := append((*b)[:0:n], u.kept...)
+	u.shed()
+	u.kept, u.pooled = next, b
+}
+
+// shed lets go of the memory of what is kept. The lock is held.
+func (u *Upload) shed() {
+	if u.pooled != nil {
+		beginnings.Put(u.pooled)
+	}
+	u.kept, u.pooled = nil, nil
+}
+
 // Fill reads ahead, until n bytes are kept or the body has ended. It is called before the
 // first Open, and says whether all of it has come.
 func (u *Upload) Fill(n int64) (whole bool, err error) {
@@ -194,9 +230,24 @@
 		return false, err
 	}
 	defer r.Close()
-	p := make([]byte, min(n, 8<<10))
-	for err == nil && r.at < n {
-		_, err = r.Read(p[:min(int64(len(p)), n-r.at)])
+	told := u.Length()
+	for err == nil && (r.at < n || r.at == told) {
+		// What comes is read to where it is kept, which grows with what has come and not with
+		// what was announced.
+		u.mu.Lock()
+		if len(u.kept) == cap(u.kept) {
+			next := max(4*int64(cap(u.kept)), 4<<10)
+			if told >= 0 {
+				next = min(next, told+1) // one byte more, for the end to be seen
+			}
+			u.grow(min(next, n+1))
+		}
+		p := u.kept[len(u.kept):cap(u.kept)]
+		u.mu.Unlock()
+		if r.at < n {
+			p = p[:min(int64(len(p)), n-r.at)]
+		}
+		_, err = r.Read(p)
 	}
 	u.mu.Lock()
 	u.touched = false
@@ -208,12 +259,16 @@
 }
 
 // Whole hands over the bytes of a body that has ended and is kept in memory, and the room that
-// they take up; the Upload is of no more use then.
-func (u *Upload) Whole() (body []byte) {
+// they take up; the Upload is of no more use then. again gives their memory to another body,
+// for whoever knows that nobody reads them any more; nil: it is not used again.
+func (u *Upload) Whole() (body []byte, again func()) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	body, u.kept, u.closed = u.kept, nil, true
-	return body
+	if b := u.pooled; b != nil {
+		again = func() { beginnings.Put(b) }
+	}
+	body, u.kept, u.pooled, u.closed = u.kept, nil, nil, true
+	return body, again
 }
 
 // Reader is an attempt's view of the body, from the first byte on.
@@ -364,6 +419,9 @@
 	switch u.replay.Took(int64(len(p)), needed) {
 	case body.Keep:
 		if u.cfg.Room.Take(int64(len(p))) {
+			if need := int64(len(u.kept) + len(p)); need > int64(cap(u.kept)) {
+				u.grow(max(need, min(4*int64(cap(u.kept)), u.cfg.Bounds.Memory)))
+			}
 			u.kept = append(u.kept, p...)
 			return true
 		}
@@ -409,7 +467,7 @@
 	}
 	if len(u.kept) > 0 {
 		u.cfg.Room.Give(int64(len(u.kept)))
-		u.kept = nil
+		u.shed()
 	}
 	return nil
 }
