A host that stops taking a body in is given up

The attempt noticed that nothing could be written and went on waiting for the answer's head, up to the longest time of the route. Parts of long bodies are written by whoever has them where the writer is idle; windows are wide at once for bodies that are told to be long.

--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -97,6 +97,9 @@
 	}
 	if flows && !f.StreamEnded() {
 		s.src = &source{Queue: s.c.link.NewQueue(s.h2, s.ticket.Bodies)}
+		if r.Length > maxBody {
+			s.src.Widen()
+		}
 		s.ticket.NewUpload(s.src, r.Length)
 		if names := message.Announce(r.Header["Trailer"]); names != nil {
 			s.ticket.Message.Header["Trailer"] = names
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -988,3 +988,89 @@
 		idle(t, g)
 	}
 }
+
+// A host that stops taking a body in is given up after its idle time, and the client's sending
+// with it; the request may have run.
+func TestHostStopsReading(t *testing.T) {
+	for _, client := range protocols {
+		over := make(chan struct{})
+		t.Cleanup(func() { close(over) })
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() { // it reads the head, and nothing more
+					c.Read(make([]byte, 100))
+					<-over
+					c.Close()
+				}()
+			}
+		}()
+		g := launch(t, flowing(t, client, "http1", "unsafe", "requests = \"stream\"\nreplay = 1000\nidle = \"300ms\"", ln.Addr().String()))
+		r, _ := http.NewRequest(http.MethodPost, g.url+"/x", io.LimitReader(endlessly{}, 1<<30))
+		resp, err := talker(t, client).Do(r)
+		if err == nil { // a client that still sends may lose its answer with the connection
+			if resp.StatusCode != http.StatusBadGateway {
+				t.Errorf("%s: answered %d", client, resp.StatusCode)
+			}
+			resp.Body.Close()
+		}
+		idle(t, g)
+	}
+}
+
+type endlessly struct{}
+
+func (endlessly) Read(p []byte) (int, error) { return len(p), nil }
+
+// 100 Continue comes once a host takes the body, never ahead of a refusal; a client may also
+// send without it, or never.
+func TestContinueIsSaidWhenABodyIsWanted(t *testing.T) {
+	addr := netHost(t, "http1", func(w http.ResponseWriter, r *http.Request) { io.Copy(w, r.Body) })
+	g := launch(t, flowing(t, "http1", "http1", "unsafe", "requests = \"stream\"\nidle = \"200ms\"\nmost = 1000", addr))
+	head := "POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: "
+	c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	in := bufio.NewReader(c)
+	fmt.Fprintf(c, "%s5\r\n\r\n", head)
+	if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 100 {
+		t.Fatalf("ahead of the body: %v, %v", resp, err)
+	}
+	fmt.Fprint(c, "hello")
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("behind the body: %v, %v", resp, err)
+	}
+	if body, _ := io.ReadAll(resp.Body); string(body) != "hello" {
+		t.Errorf("the body came back as %q", body)
+	}
+	fmt.Fprintf(c, "%s5\r\n\r\nhello", head) // it does not wait
+	for status := 100; status == 100; {
+		if resp, err = http.ReadResponse(in, nil); err != nil {
+			t.Fatal(err)
+		}
+		status = resp.StatusCode
+	}
+	if body, _ := io.ReadAll(resp.Body); resp.StatusCode != 200 || string(body) != "hello" {
+		t.Errorf("without waiting: %d %q", resp.StatusCode, body)
+	}
+	for want, length := range map[string]int{"HTTP/1.1 413": 1001, "HTTP/1.1 100": 5} {
+		if answer := talk(t, g, fmt.Sprintf("%s%d\r\n\r\n", head, length)); !strings.HasPrefix(answer, want) {
+			t.Errorf("%d bytes announced: %.40q, want %s", length, answer, want)
+		} else if length == 5 && !strings.Contains(answer, "HTTP/1.1 400") && !strings.Contains(answer, "HTTP/1.1 408") {
+			t.Errorf("a body that never came: %q", answer)
+		}
+	}
+	idle(t, g)
+}
--- a/internal/h2/queue.go
+++ b/internal/h2/queue.go
@@ -217,17 +217,13 @@
 	q.held -= int64(n)
 	q.read += int64(n)
 	err := q.err
-	widen := !q.wide && q.read >= widenAfter && err == nil && q.room.Take(wideWindow)
-	if widen {
-		q.room.Give(wideWindow)
-		q.wide = true
-	}
+	widen := !q.wide && q.read >= widenAfter && err == nil
 	q.mu.Unlock()
 	if n > 0 {
 		q.room.Give(int64(n))
 	}
 	if widen {
-		q.link.Widen(q.stream, wideWindow-q.stream.offered())
+		q.Widen()
 	}
 	switch {
 	case n > 0:
@@ -239,6 +235,22 @@
 	return 0, os.ErrDeadlineExceeded
 }
 
+// Widen offers the wide window, if there is room for what could come of it: once a part has
+// been read, or before, where the peer has told of more than the first window holds.
+func (q *Queue) Widen() {
+	if !q.room.Take(wideWindow) {
+		return
+	}
+	q.room.Give(wideWindow)
+	q.mu.Lock()
+	done := q.wide
+	q.wide = true
+	q.mu.Unlock()
+	if !done {
+		q.link.Widen(q.stream, wideWindow-q.stream.offered())
+	}
+}
+
 // offered is the stream's window as it was at first.
 func (s *Stream) offered() int64 {
 	s.link.mu.Lock()
--- a/internal/h2/writer.go
+++ b/internal/h2/writer.go
@@ -67,16 +67,50 @@
 // Append gives the next part of what a stream sends, whose Out was sent with More. All that
 // was given before must have been Taken; part belongs to the link until it is, too. end says
 // that nothing follows but the trailer.
+//
+// It is written here and now where nothing else is being written: to hand each part of a long
+// body to the writer's goroutine and back costs as much as a fifth of all that is done about it.
 func (l *Link) Append(s *Stream, part []byte, end bool, trailer []hpack.HeaderField) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	o := s.out
 	if s.forgotten || o == nil || !o.More {
+		l.mu.Unlock()
 		return
 	}
 	o.Body, o.sent, o.More, o.Trailer = part, 0, !end, trailer
 	l.ready.push(s)
-	l.wake.Signal()
+	l.mu.Unlock()
+	select {
+	case l.pen <- struct{}{}:
+	default:
+		l.wake.Signal()
+		return
+	}
+	var done []func()
+	var err error
+	for wrote := true; wrote && err == nil; {
+		if wrote, err = l.writeNext(&done); !wrote && err == nil {
+			err = l.flush()
+		}
+	}
+	<-l.pen
+	if err != nil {
+		l.fail()
+		return
+	}
+	for _, f := range done {
+		f()
+	}
+	l.wake.Signal() // for what has come up meanwhile
+}
+
+// fail ends the writing, which has met an error.
+func (l *Link) fail() {
+	l.mu.Lock()
+	l.closed, l.control = true, nil
+	l.ready = streamList{}
+	l.wake.Broadcast()
+	l.mu.Unlock()
 }
 
 // Reset forgets a stream, as Forget does, and tells the peer, if it can know of it.
@@ -127,10 +161,7 @@
 		}
 		<-l.pen
 		if err != nil {
-			l.mu.Lock()
-			l.closed, l.control = true, nil
-			l.ready = streamList{}
-			l.mu.Unlock()
+			l.fail()
 			return
 		}
 		if unflushed = wrote; wrote {
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -90,6 +90,7 @@
 				f.c.SetWriteDeadline(now.Add(f.idle))
 			}
 			if !f.t.write(f.c, out) {
+				f.headWithin(restLeast) // an answer that has come already still counts
 				return
 			}
 		}
@@ -99,16 +100,21 @@
 			}
 			f.whole = true
 			f.t.Fed()
-			f.mu.Lock()
-			if !f.head { // it is due from here on
-				f.c.SetReadDeadline(f.t.headBy())
-			}
-			f.mu.Unlock()
+			f.headWithin(time.Until(f.t.headBy())) // it is due from here on
 			return
 		}
 	}
 }
 
+// headWithin sets when the answer's head is due, unless it has come.
+func (f *feeder) headWithin(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.head {
+		f.c.SetReadDeadline(time.Now().Add(d))
+	}
+}
+
 // stop ends the sending, and says whether all had gone out. It does not wait for the goroutine,
 // which may be waiting for the client: whatever that sends goes nowhere.
 func (f *feeder) stop() bool {
