--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -141,6 +141,7 @@
 	for {
 		select {
 		case h := <-hints:
+			rc.SetWriteDeadline(time.Now().Add(s.cfg.SendWithin))
 			maps.Copy(w.Header(), h.header)
 			w.WriteHeader(h.status)
 			for name := range h.header {
@@ -152,6 +153,7 @@
 			t.Over(a)
 		case <-failed:
 			call.Gone()
+			rc.SetWriteDeadline(time.Now().Add(s.cfg.SendWithin)) // the body may have taken longer than that
 			w.Header().Set("Connection", "close")
 			write(w, r.Method, front.BodyError(up.Err(), up.Touched()).Answer())
 			up.Close()
@@ -162,6 +164,7 @@
 				continue
 			}
 			call.Gone()
+			rc.SetWriteDeadline(time.Now().Add(s.cfg.SendWithin))
 			w.Header().Set("Connection", "close")
 			http.Error(w, "client closed", http.StatusBadGateway)
 		}
--- a/internal/h2/flow.go
+++ b/internal/h2/flow.go
@@ -112,7 +112,7 @@
 	l.mu.Lock()
 	var stream int64
 	if !s.forgotten {
-		if s.consumed += int64(n); s.consumed >= s.window/4 {
+		if s.consumed += int64(n); s.consumed >= s.window/2 {
 			stream, s.consumed = s.consumed, 0
 			s.recvWindow += stream
 		}
@@ -146,12 +146,12 @@
 	}
 	l.mu.Lock()
 	var conn, stream int64
-	if l.consumed += int64(n); l.consumed >= int64(l.cfg.ConnWindow)/4 || l.recvWindow < int64(l.cfg.ConnWindow)/4 {
+	if l.consumed += int64(n); l.consumed >= int64(l.cfg.ConnWindow)/2 || l.recvWindow < int64(l.cfg.ConnWindow)/4 {
 		conn, l.consumed = l.consumed, 0
 		l.recvWindow += conn
 	}
 	if s != nil && !s.forgotten {
-		if s.consumed += int64(n); s.consumed >= s.window/4 {
+		if s.consumed += int64(n); s.consumed >= s.window/2 {
 			stream, s.consumed = s.consumed, 0
 			s.recvWindow += stream
 		}
--- a/internal/h2/queue.go
+++ b/internal/h2/queue.go
@@ -12,8 +12,9 @@
 // bounds it: the peer gets credit as Read takes bytes out. Put, End and Fail belong to the
 // link's reader, Read and Wait to one other goroutine; SetReadDeadline is for any.
 //
-// What waits counts in a Room. A stream that is read as it comes gets a window of wide bytes
-// while there is room for that.
+// What waits counts in a Room. A stream that is read as it comes gets a wide window, all of
+// which counts as held until the end: so a slow reader's stream is never broken for want of room
+// that its window had promised.
 type Queue struct {
 	link   *Link
 	stream *Stream
@@ -21,7 +22,7 @@
 
 	mu       sync.Mutex
 	parts    []part
-	held     int64 // bytes of them
+	held     int64 // bytes that count as held
 	read     int64
 	wide     bool
 	err      error // after the parts
@@ -104,11 +105,14 @@
 		return
 	}
 	q.mu.Lock()
-	if q.err == nil && !q.room.Take(int64(len(data))) {
-		q.err = ErrRoom
+	if q.err == nil && !q.wide {
+		if q.room.Take(int64(len(data))) {
+			q.held += int64(len(data))
+		} else {
+			q.err = ErrRoom
+		}
 	}
 	if q.err == nil {
-		q.held += int64(len(data))
 		if n := len(q.parts); n > 0 && cap(q.parts[n-1].b)-len(q.parts[n-1].b) >= len(data) {
 			q.parts[n-1].b = append(q.parts[n-1].b, data...)
 		} else {
@@ -214,14 +218,14 @@
 	if len(q.parts) == 0 {
 		q.parts = nil // an idle stream holds nothing
 	}
-	q.held -= int64(n)
+	if !q.wide {
+		q.held -= int64(n)
+		q.room.Give(int64(n))
+	}
 	q.read += int64(n)
 	err := q.err
 	widen := !q.wide && q.read >= widenAfter && err == nil
 	q.mu.Unlock()
-	if n > 0 {
-		q.room.Give(int64(n))
-	}
 	if widen {
 		q.Widen()
 	}
@@ -235,20 +239,23 @@
 	return 0, os.ErrDeadlineExceeded
 }
 
-// Widen offers the wide window, if there is room for what could come of it: once a part has
-// been read, or before, where the peer has told of more than the first window holds.
+// Widen offers the wide window, if there is ample room for what could come of it: once a part
+// has been read, or before, where the peer has told of more than the first window holds.
 func (q *Queue) Widen() {
-	if !q.room.Take(wideWindow) {
+	if r, ok := q.room.(interface{ Roomy() bool }); ok && !r.Roomy() || !q.room.Take(wideWindow) {
 		return
 	}
-	q.room.Give(wideWindow)
 	q.mu.Lock()
-	done := q.wide
+	if q.wide || q.err != nil {
+		q.room.Give(wideWindow)
+		q.mu.Unlock()
+		return
+	}
 	q.wide = true
+	q.room.Give(q.held)
+	q.held = wideWindow
 	q.mu.Unlock()
-	if !done {
-		q.link.Widen(q.stream, wideWindow-q.stream.offered())
-	}
+	q.link.Widen(q.stream, wideWindow-q.stream.offered())
 }
 
 // offered is the stream's window as it was at first.
