--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -87,7 +87,7 @@
 	if names := message.Announce(slices.Collect(maps.Keys(r.Trailer))); names != nil {
 		t.Message.Header["Trailer"] = names
 	}
-	if t.Flow.Requests != config.BodiesAuto {
+	if t.Flow.Requests != config.BodiesAuto || length > t.Flow.Replay { // it won't be whole anyway
 		return nil
 	}
 	whole, err := up.Fill(t.Flow.Replay)
--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -88,7 +88,7 @@
 			case <-over:
 			}
 		}()
-		if s.ticket.Flow.Requests == config.BodiesAuto && s.ticket.Upgrade == "" {
+		if f := s.ticket.Flow; f.Requests == config.BodiesAuto && s.ticket.Upgrade == "" && up.Length() <= f.Replay {
 			whole, err := up.Fill(s.ticket.Flow.Replay)
 			switch {
 			case err != nil:
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -107,7 +107,7 @@
 	}
 	if f.StreamEnded() {
 		err = s.lastByte()
-	} else if strings.EqualFold(r.Header.Get("Expect"), "100-continue") && (s.src == nil || flow.Requests == config.BodiesAuto) {
+	} else if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		s.c.link.Interim(s.h2, &h2.Out{Fields: []hpack.HeaderField{{Name: ":status", Value: "100"}}})
 	}
 	go s.run()
