--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -88,7 +88,7 @@
 			case <-over:
 			}
 		}()
-		if s.ticket.Flow.Requests == config.BodiesAuto && s.ticket.Upgrade == "" {
+		if f := s.ticket.Flow; f.Requests == config.BodiesAuto && s.ticket.Upgrade == "" && up.Length() <= f.Replay {
 			whole, err := up.Fill(s.ticket.Flow.Replay)
 			switch {
 			case err != nil:
@@ -181,6 +181,11 @@
 	defer late.Stop()
 	s.c.link.Send(s.h2, o)
 	wait := func(c <-chan struct{}) bool {
+		select {
+		case <-c: // it was written at once, mostly
+			return true
+		default:
+		}
 		late.Reset(idle)
 		select {
 		case <-c:
