--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -141,7 +141,6 @@
 	bounds Bounds
 	state  State
 	came   int64
-	ended  bool
 }
 
 // NewReplay returns the replay of a body of which nothing has come.
@@ -153,9 +152,6 @@
 // Came is how many bytes have.
 func (r *Replay) Came() int64 { return r.came }
 
-// Ended says whether the last byte has come.
-func (r *Replay) Ended() bool { return r.ended }
-
 // TooLong says whether n more bytes would be more than the body may have, and OffLength
 // whether they would be more than the client has announced.
 func (r *Replay) TooLong(n int64) bool { return r.bounds.Most > 0 && r.came+n > r.bounds.Most }
@@ -189,7 +185,6 @@
 
 // End notes that the last byte has come, and says whether there were as many as announced.
 func (r *Replay) End() bool {
-	r.ended = true
 	if r.state == Partial {
 		r.state = Whole
 	}
