--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -371,6 +371,9 @@
 		{"safe, kept, all read", "safe", `requests = "stream"`, 32 << 10, 32 << 10, 200, 2},
 		{"safe, gone", "safe", `requests = "stream"` + "\nreplay = 1000", 256 << 10, 200 << 10, 503, 1},
 		{"safe, on disk", "safe", `requests = "stream"` + "\nreplay = 1000\nspool = 900000", 256 << 10, 200 << 10, 200, 2},
+		{"keyed, kept", "keyed", `requests = "stream"`, 32 << 10, 1000, 200, 2},
+		{"keyed, on disk", "keyed", `requests = "stream"` + "\nreplay = 1000\nspool = 900000", 256 << 10, 200 << 10, 200, 2},
+		{"keyed, gone", "keyed", `requests = "stream"` + "\nreplay = 1000", 256 << 10, 200 << 10, 502, 1},
 		{"unsafe, kept", "unsafe", `requests = "stream"`, 32 << 10, 1000, 502, 1},
 		{"unsafe, on disk", "unsafe", `requests = "stream"` + "\nspool = 900000", 256 << 10, 200 << 10, 502, 1},
 		{"unsafe, gone", "unsafe", `requests = "stream"` + "\nreplay = 0", 256 << 10, 1, 502, 1},
@@ -387,7 +390,11 @@
 					t.Errorf("the second host had %d bytes, %v", n, err)
 				}
 			}
-			g := launch(t, flowing(t, "http1", "http1", c.class, c.bodies, netHost(t, "http1", serve), netHost(t, "http1", serve)))
+			text := flowingText("http1", "http1", c.class, c.bodies, netHost(t, "http1", serve), netHost(t, "http1", serve))
+			if c.class == "keyed" {
+				text = strings.Replace(text, "effect = \"keyed\"\n", "effect = \"keyed\"\nwindow = \"20s\"\n", 1)
+			}
+			g := launch(t, parsed(t, text))
 			// The client sends no more than it must before the host has died.
 			in, out := io.Pipe()
 			go func() {
@@ -398,6 +405,7 @@
 				out.Close()
 			}()
 			r, _ := http.NewRequest(http.MethodPost, g.url+"/x", in)
+			r.Header.Set("Idempotency-Key", "k")
 			resp, err := talker(t, "http1").Do(r)
 			if err != nil {
 				t.Fatal(err)
