Crowded hosts rest on several answers, and nobody waits for a list that is known

At fault: crowded in balancer.go blended each answer at a half, so that one costly request by chance (5 times the lowest mean of ten) rested its host for 1.5 s and more, at every gateway for itself. Ruled out: ejections (1 of 9), in-flight limits, discovery.

Also at fault: warmRate began at nothing with each start (7.4 a second against 21 before a release killed 56 gateways), so cold hosts got a tenth of what they could do; and /ready waited two seconds for a list from discovery, which serves 12 calls a second, although the last list was told in known.

Change: an answer counts a sixth in what a host's crowd is judged by, and a quarter of a subset rests at once at most; the rate is made up for the time before its first answer; a gateway with a known list is ready at once.

--- a/balancer.go
+++ b/balancer.go
@@ -18,8 +18,7 @@
 	"slices"
 )
 
-// The constants, each relative to settings or to what is measured.
-const (
+const ( // each relative to settings or to what is measured
 	decayAims   = 8        // the estimate's decay, in shortest aims: it outlasts a gap between samples
 	decayGaps   = 8        // ... and at least so many gaps between own samples of a host
 	seedShare   = 0.25     // RTT of an unknown host, in shortest aims: it must not look free
@@ -33,6 +32,7 @@
 	backoffMax  = 5        // doublings of an ejection at most
 	coldChance  = 3.0      // deviations of what the bank sends by chance that the cold budget leaves room for
 	rateFalls   = 4        // span of the rate of answers, in Falls
+	rateLeast   = 1.0 / 8  // ... of which the first answers stand for this part at least
 	quotaBurst  = 1.0      // seconds of its quota a tenant may save up
 	sweepShare  = 1.0 / 16 // time between looks at waiting requests and silent hosts, in shortest aims
 	limitAims   = 0.375    // mean RTT that the in-flight limit of a host steers to, in shortest aims
@@ -51,6 +51,8 @@
 	admitStep   = 0.1      // share of all that an answer in no time would admit again
 	crowdRatio  = 5        // RTTs of calmer times that an answer takes when its host counts as crowded
 	calmDrift   = 0.0005   // how an answer lets calmer times fade: they last some thousand answers
+	crowdWeight = 1.0 / 6  // weight of an answer in that: one costly request by chance is no crowd
+	restPart    = 0.25     // part of a subset that rests at once at most: the others must carry it
 	restAims    = 12       // first rest of a crowded host, in shortest aims: many requests' time
 	shedSharers = 8        // instances at a host above which its in-flight limit leaves each less than one
 	admitStart  = 0.6      // share admitted at the start, when all of a bank may know nothing at once
@@ -68,9 +70,9 @@
 	tokenSweep = iota + 1 // look at queue and hosts
 	tokenWatch            // ask discovery
 	tokenAnswer
-)
 
-const tokenShift = 56 // a token is its kind above the request ID
+	tokenShift = 56 // a token is its kind above the request ID
+)
 
 // New returns a Balancer for the settings, or an error if they cannot be served.
 func New(set Settings, seed uint64) (*Balancer, error) {
@@ -458,8 +460,7 @@
 
 // Stood says that the gateway itself stood still, or was behind, for d until now. What its
 // hosts answered meanwhile was seen late, which is no slowness of theirs: taken for one, it
-// would cut what they may hold, so that requests are refused and come again, and cost the
-// gateway what it was short of, long after.
+// would cut what they may hold, and requests refused for that would come again.
 func (b *Balancer) Stood(now, d Time) {
 	b.now = now
 	b.stood += d
@@ -507,7 +508,7 @@
 // crowded rests a host whose answers take several times the RTT of calmer times. A
 // host that turned slow when crowded recovers only once it is left nearly idle, and
 // where all have, no choice of two tells them apart. Acts where a host is shared by so
-// many that in-flight limits cannot hold.
+// many that in-flight limits cannot hold, on several answers and for a part of its hosts only.
 func (b *Balancer) crowded(h *host, class int, rtt float64) {
 	calm := b.calm[class] * (1 + calmDrift)
 	if m := b.lat[class].mean; calm == 0 || m < calm {
@@ -516,12 +517,12 @@
 	if b.calm[class] = calm; calm == 0 {
 		return
 	}
-	h.crowd += (rtt/calm - h.crowd) / 2
+	h.crowd += (rtt/calm - h.crowd) * crowdWeight
 	switch {
 	case b.sharers <= shedSharers || b.now < h.restUntil:
 	case h.crowd < crowdRatio/2:
 		h.rests = 0
-	case h.crowd > crowdRatio:
+	case h.crowd > crowdRatio && b.resting() < restPart*float64(b.subset):
 		d := float64(restAims*b.aim) * float64(int(1)<<min(h.rests, 2))
 		h.restUntil = b.now + Time(d*(0.75+0.5*b.float()))
 		h.rests++
@@ -914,12 +915,14 @@
 // warmRate is the mean rate of good answers of a warm host to the bank: this
 // instance's own, times the instances, over the warm hosts listed when they came. All
 // count, also those that are out: the rate of the rest would pass for any host's. With
-// no warm host listed, what was last learnt stays.
+// no warm host listed, what was last learnt stays. One that began lately is made up for the
+// time before, or cold hosts would get next to nothing of instances that start together.
 func (b *Balancer) warmRate() float64 {
-	if b.warm == 0 {
-		return b.served
+	rate, since := b.served, (b.now - b.servedFrom).Seconds()
+	if b.warm > 0 {
+		rate *= math.Exp(-(b.now - b.servedAt).Seconds() / b.span)
 	}
-	return b.served * math.Exp(-(b.now-b.servedAt).Seconds()/b.span)
+	return rate / max(rateLeast, 1-math.Exp(-since/b.span))
 }
 
 // send starts an attempt.
@@ -958,7 +961,11 @@
 		b.crowded(h, a.req.Class, rtt)
 		b.adjust(h, rtt, a.sent)
 		if !h.cold {
-			b.served = b.warmRate() + b.bank/float64(max(b.warm, 1))/b.span
+			if b.servedAt == 0 {
+				b.servedFrom, b.servedAt = a.sent, b.now
+			}
+			kept := b.served * math.Exp(-(b.now-b.servedAt).Seconds()/b.span)
+			b.served = kept + b.bank/float64(max(b.warm, 1))/b.span
 			b.servedAt = b.now
 		}
 		b.readmit(h)
@@ -1123,9 +1130,8 @@
 // listen looks for silent hosts: those that have answered nothing since their
 // oldest attempt was sent, longer ago than such a request should take. They are
 // ejected until they answer or a trial does. It guards against hosts that take
-// requests and answer none; a host that is only slow, or has one costly request,
-// answers others meanwhile. What waits there stays: most often it is answered
-// yet, and sending it again costs more than it saves.
+// requests and answer none; one that is only slow answers others meanwhile. What
+// waits there stays: most often it is answered yet, and sent again it costs more.
 func (b *Balancer) listen() {
 	b.outNow = 0
 	for _, h := range b.hosts {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -200,7 +200,7 @@
 	}
 	g.mu.Unlock()
 	g.running.Go(func() {
-		late := time.NewTimer(readyAfter)
+		late := time.NewTimer(g.readyWait())
 		defer late.Stop()
 		for _, h := range heard {
 			select {
@@ -240,6 +240,20 @@
 	return err
 }
 
+// readyWait is how long clients wait for the lists of all pools. A gateway that was told its
+// pools' last lists starts on them at once: they are as good as what other gateways go by
+// while discovery is busy, and a gateway that waits is one less for the clients of all.
+func (g *Gateway) readyWait() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.pools {
+		if p.def.Known == nil || len(p.def.Known.Endpoints) == 0 {
+			return readyAfter
+		}
+	}
+	return 0
+}
+
 // serve runs a server until it is shut down. The lock is held.
 func (g *Gateway) serve(s *server) {
 	g.running.Go(func() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -411,6 +411,27 @@
 	}
 }
 
+// A release that killed most of a fleet at once: what they had of discovery's time went to
+// one after another, and those that waited for their list were missing for two seconds.
+func TestNobodyWaitsForAListThatIsKnown(t *testing.T) {
+	d := discover(t)
+	for known, want := range map[string]time.Duration{"null": readyAfter, listOf(1, true): readyAfter,
+		listOf(1, true, entry("a", "127.0.0.1:1", "active")): 0} {
+		g, err := New(parse(t, d.Addr(), known), slog.New(slog.DiscardHandler), Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := g.readyWait(); got != want {
+			t.Errorf("known %s: clients wait up to %v, want %v", known, got, want)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		stop()
+		if err := g.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // Nothing new goes to a host that drains. That the list with the drain has been
 // heard shows in the first request at a host that the same list brings.
 func TestDrainIsKept(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -31,31 +31,32 @@
 	stood   Time // how long the gateway itself has stood still in all
 	outNow  int  // attempts out at the last sweep or sent since
 
-	aim      Time      // shortest aim of any class
-	gap      mean      // seconds between samples of a host
-	lat      []mean    // RTT of good answers by class
-	calm     []float64 // lowest mean of lat, drifting up
-	all      mean      // RTT of good answers
-	kinds    []mean    // RTT of a kind's warm hosts over that of its class at any host
-	warm     int       // warm hosts listed
-	served   float64   // rate of good answers of a warm host to the bank, a second, as of servedAt
-	servedAt Time
-	span     float64 // of served, seconds
-	quota    []bucket
-	sweepAt  Time
-	places   []*host // ready hosts in the order of their places
-	near     []*host // scratch of layRing
-	ring     []*host // ready hosts in the order of this instance's preference
-	backups  int     // hosts that are used only where no other can be
-	weighted bool    // hosts have weights that differ from 1
-	nearby   []*host // those of the subset that stand in the own zone, where they are preferred
-	subset   int     // how many of them it draws from
-	sharers  float64 // instances that draw from one host
-	bank     float64 // instances that share the hosts listed
-	ready    []*host // scratch of pick
-	out      []*host // scratch of pick
-	freeReq  []*request
-	freeAtt  []*attempt
+	aim        Time      // shortest aim of any class
+	gap        mean      // seconds between samples of a host
+	lat        []mean    // RTT of good answers by class
+	calm       []float64 // lowest mean of lat, drifting up
+	all        mean      // RTT of good answers
+	kinds      []mean    // RTT of a kind's warm hosts over that of its class at any host
+	warm       int       // warm hosts listed
+	served     float64   // rate of good answers of a warm host to the bank, a second, as of servedAt
+	servedAt   Time
+	servedFrom Time    // when the first of them was sent
+	span       float64 // of served, seconds
+	quota      []bucket
+	sweepAt    Time
+	places     []*host // ready hosts in the order of their places
+	near       []*host // scratch of layRing
+	ring       []*host // ready hosts in the order of this instance's preference
+	backups    int     // hosts that are used only where no other can be
+	weighted   bool    // hosts have weights that differ from 1
+	nearby     []*host // those of the subset that stand in the own zone, where they are preferred
+	subset     int     // how many of them it draws from
+	sharers    float64 // instances that draw from one host
+	bank       float64 // instances that share the hosts listed
+	ready      []*host // scratch of pick
+	out        []*host // scratch of pick
+	freeReq    []*request
+	freeAtt    []*attempt
 
 	watching   bool
 	watchAt    Time
@@ -268,6 +269,16 @@
 	}
 }
 
+// resting is how many hosts of the subset rest.
+func (b *Balancer) resting() (n float64) {
+	for _, h := range b.ring[:min(b.subset, len(b.ring))] {
+		if b.now < h.restUntil {
+			n++
+		}
+	}
+	return n
+}
+
 // take uses one request of a tenant's quota; false means the tenant is over it.
 func (t *bucket) take(now Time) bool {
 	if t.rate <= 0 {
