Few instances share a host, hosts that warmed up count at once, no more rests

In-flight limits were at their least, but an instance may always hold one attempt, and 12 to 17 instances shared a host: 400 ms of work ahead of an aim of 130 ms.

Also seen: 28 of 60 hosts passed for warm where 42 were, as layRing counted flags that only a pick of that host cleared; instances thought a host shared by 17 where 6 did.

--- a/balancer.go
+++ b/balancer.go
@@ -49,15 +49,10 @@
 	pressWeight = 0.2      // weight of an answer of mean worth in the lateness: hosts tip within seconds
 	shedStep    = 0.2      // share of what is admitted that an answer at twice that sheds
 	admitStep   = 0.1      // share of all that an answer in no time would admit again
-	crowdRatio  = 5        // RTTs of calmer times that an answer takes when its host counts as crowded
-	calmDrift   = 0.0005   // how an answer lets calmer times fade: they last some thousand answers
-	crowdWeight = 1.0 / 6  // weight of an answer in that: one costly request by chance is no crowd
-	restPart    = 0.25     // part of a subset that rests at once at most: the others must carry it
-	restAims    = 12       // first rest of a crowded host, in shortest aims: many requests' time
-	shedSharers = 8        // instances at a host above which its in-flight limit leaves each less than one
+	shedSharers = 3        // instances at a host above which its in-flight limit leaves each less than one
 	admitStart  = 0.6      // share admitted at the start, when all of a bank may know nothing at once
 	admitLeast  = 0.02     // share always admitted: answers must go on telling
-	subsetMeet  = 12       // instances that draw from a host: their connections and handshakes load it
+	subsetMeet  = 4        // instances that draw from a host: their connections and handshakes load it
 	subsetLeast = 4        // hosts in a subset at least: a choice of two while some are out
 	drawLeast   = 32       // hosts in a subset from which on they are drawn and not walked
 	drawTries   = 12       // draws before the walk: with half of the hosts out they do in 99.7%
@@ -91,7 +86,6 @@
 		b.quota = append(b.quota, bucket{tokens: r * quotaBurst, rate: r})
 	}
 	b.lat = make([]mean, len(set.Classes))
-	b.calm = make([]float64, len(set.Classes))
 	b.layBands()
 	return b, nil
 }
@@ -172,13 +166,15 @@
 // other half anywhere, as a zone may have more traffic than its hosts can carry.
 func (b *Balancer) layRing() {
 	b.layPlaces()
-	b.warm, b.backups, b.weighted = 0, 0, false
+	b.warm, b.backups, b.weighted, b.warmAt = 0, 0, false, 0
 	near := b.near[:0]
 	zone := map[int]float64{} // hosts in each
 	for _, h := range b.places {
 		zone[h.Zone]++
-		if !h.cold {
+		if warmAt := h.coldAt + b.set.WarmAfter; !h.cold || b.now >= warmAt {
 			b.warm++
+		} else if b.warmAt == 0 || warmAt < b.warmAt {
+			b.warmAt = warmAt
 		}
 		if h.Backup {
 			b.backups++
@@ -218,7 +214,7 @@
 	b.sharers = min(1, float64(b.subset)/float64(max(b.warm, 1))) * float64(b.set.Instances)
 	// What instances of its own zone and all instances walk past is what shares a cold host.
 	bank, half := float64(b.set.Instances), float64(b.subset/2)
-	anywhere := min(1, float64(b.subset*3/2)/float64(max(all, 1)))
+	anywhere := min(1, float64(b.subset)/float64(max(all, 1)))
 	for _, h := range b.ring {
 		h.sharers = bank * anywhere
 		if b.set.Zones > 1 {
@@ -486,6 +482,10 @@
 	case tokenSweep:
 		if now >= b.sweepAt {
 			b.sweepAt = 0
+			if b.warmAt > 0 && now >= b.warmAt {
+				b.layRing()
+				b.layNearby()
+			}
 			b.listen()
 			b.relieve()
 			b.pump()
@@ -505,31 +505,6 @@
 	}
 }
 
-// crowded rests a host whose answers take several times the RTT of calmer times. A
-// host that turned slow when crowded recovers only once it is left nearly idle, and
-// where all have, no choice of two tells them apart. Acts where a host is shared by so
-// many that in-flight limits cannot hold, on several answers and for a part of its hosts only.
-func (b *Balancer) crowded(h *host, class int, rtt float64) {
-	calm := b.calm[class] * (1 + calmDrift)
-	if m := b.lat[class].mean; calm == 0 || m < calm {
-		calm = m
-	}
-	if b.calm[class] = calm; calm == 0 {
-		return
-	}
-	h.crowd += (rtt/calm - h.crowd) * crowdWeight
-	switch {
-	case b.sharers <= shedSharers || b.now < h.restUntil:
-	case h.crowd < crowdRatio/2:
-		h.rests = 0
-	case h.crowd > crowdRatio && b.resting() < restPart*float64(b.subset):
-		d := float64(restAims*b.aim) * float64(int(1)<<min(h.rests, 2))
-		h.restUntil = b.now + Time(d*(0.75+0.5*b.float()))
-		h.rests++
-		b.log(logRest, "host %x rests: it answers %.0f times slower than in calmer times", h.ID, h.crowd)
-	}
-}
-
 // overdue learns from a request that has no answer at its deadline as from a
 // time-out: called off, its attempts would tell nothing of hosts that are so late.
 func (b *Balancer) overdue(r *request) {
@@ -537,7 +512,6 @@
 		if !a.ended && !a.away {
 			rtt := b.took(a, b.now-a.sent).Seconds()
 			b.press(r.class, rtt)
-			b.crowded(a.host, r.Class, rtt)
 			b.sample(a.host, rtt)
 			b.adjust(a.host, rtt, a.sent)
 		}
@@ -623,9 +597,9 @@
 		if h.Backup != backups {
 			continue
 		}
-		// The walk ends at half more than the subset, however few are of use: were each
-		// instance to seek on, those few would meet more connections than they accept.
-		if n := len(b.ready) + full; n == b.subset || n > 1 && i >= b.subset*3/2 {
+		// The walk ends with the subset, however few are of use: were each instance to seek
+		// on, those few would hold one attempt of every instance, and all be late.
+		if n := len(b.ready) + full; n == b.subset || n > 1 && i >= b.subset {
 			break
 		}
 		switch {
@@ -633,8 +607,8 @@
 		case b.ejected(r, h) && h.down:
 		case b.ejected(r, h):
 			b.out = append(b.out, h)
-		case b.now < h.restUntil || b.coldHold(h):
-		case h.cold && i >= b.subset*3/2: // those further on have other sharers
+		case b.coldHold(h):
+		case h.cold && i >= b.subset: // those further on have other sharers
 		case b.atLimit(h):
 			full++
 		default:
@@ -690,7 +664,7 @@
 		h := from[b.rand(len(from))]
 		switch {
 		case h == one || h.Backup || h.State != Ready || !b.allows(r, h) || b.ejected(r, h):
-		case b.now < h.restUntil || b.coldHold(h) || b.atLimit(h):
+		case b.coldHold(h) || b.atLimit(h):
 		case one != nil:
 			return one, h
 		default:
@@ -830,7 +804,7 @@
 		if h.Backup != backups {
 			continue
 		}
-		if h.State == Ready && !(h.fails > 0 && b.now < h.ejectUntil) && b.now >= h.restUntil {
+		if h.State == Ready && !(h.fails > 0 && b.now < h.ejectUntil) {
 			n += max(1, h.limit/b.sharers)
 		}
 	}
@@ -958,7 +932,6 @@
 			b.kinds[h.Kind].add(rtt / m)
 		}
 		b.press(a.req.class, rtt)
-		b.crowded(h, a.req.Class, rtt)
 		b.adjust(h, rtt, a.sent)
 		if !h.cold {
 			if b.servedAt == 0 {
--- a/state.go
+++ b/state.go
@@ -31,14 +31,14 @@
 	stood   Time // how long the gateway itself has stood still in all
 	outNow  int  // attempts out at the last sweep or sent since
 
-	aim        Time      // shortest aim of any class
-	gap        mean      // seconds between samples of a host
-	lat        []mean    // RTT of good answers by class
-	calm       []float64 // lowest mean of lat, drifting up
-	all        mean      // RTT of good answers
-	kinds      []mean    // RTT of a kind's warm hosts over that of its class at any host
-	warm       int       // warm hosts listed
-	served     float64   // rate of good answers of a warm host to the bank, a second, as of servedAt
+	aim        Time    // shortest aim of any class
+	gap        mean    // seconds between samples of a host
+	lat        []mean  // RTT of good answers by class
+	all        mean    // RTT of good answers
+	kinds      []mean  // RTT of a kind's warm hosts over that of its class at any host
+	warmAt     Time    // when the next of the cold hosts is warm; 0: none is cold
+	warm       int     // warm hosts listed
+	served     float64 // rate of good answers of a warm host to the bank, a second, as of servedAt
 	servedAt   Time
 	servedFrom Time    // when the first of them was sent
 	span       float64 // of served, seconds
@@ -81,12 +81,9 @@
 	lat     mean          // RTT of answers and time-outs, not decayed
 	cutAt   Time          // last cut of the limit
 
-	fails      int     // ejections since the last good answer
-	down       bool    // it took no connection
-	good       int     // answers since its last error
-	crowd      float64 // own answers of late, in RTTs of calmer times
-	restUntil  Time
-	rests      int // in a row
+	fails      int  // ejections since the last good answer
+	down       bool // it took no connection
+	good       int  // answers since its last error
 	ejectUntil Time
 	trialOut   bool // the one attempt of a host on trial is out
 
@@ -269,16 +266,6 @@
 	}
 }
 
-// resting is how many hosts of the subset rest.
-func (b *Balancer) resting() (n float64) {
-	for _, h := range b.ring[:min(b.subset, len(b.ring))] {
-		if b.now < h.restUntil {
-			n++
-		}
-	}
-	return n
-}
-
 // take uses one request of a tenant's quota; false means the tenant is over it.
 func (t *bucket) take(now Time) bool {
 	if t.rate <= 0 {
@@ -359,7 +346,6 @@
 	logFailOpen
 	logRefuse
 	logShed
-	logRest
 	logLost
 	logFound
 	logKinds
