--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1406,6 +1406,37 @@
 	}
 }
 
+// Lists of odd sizes: none, one host named twice, and far more than any fleet has.
+func TestListsOfOddSizes(t *testing.T) {
+	set := basic()
+	set.Instances, set.Rank = 200, 199
+	g := start(t, set)
+	g.b.admit = 1
+	id := g.request(0, time.Second)
+	var answers int
+	for _, a := range append(slices.Clone(g.acts), g.advance(time.Second)...) {
+		if a.Kind == Refuse && a.Request == id {
+			answers++
+		}
+	}
+	if answers != 1 {
+		t.Errorf("without hosts a request is refused %d times, want once", answers)
+	}
+	g.list(ListFull, Host{ID: 7}, Host{ID: 7, Kind: 1})
+	if len(g.b.hosts) != 1 || len(g.b.ring) != 1 || g.b.hosts[0].Kind != 1 {
+		t.Errorf("a host that is named twice is %d hosts, %d to draw from", len(g.b.hosts), len(g.b.ring))
+	}
+	g.list(ListFull, hosts(100_000)...)
+	g.b.pick(&request{class: &g.b.set.Classes[0]})
+	if n, want := g.b.subset, 100_000*subsetMeet/200; n != want {
+		t.Errorf("a subset of %d of 100,000 hosts, want %d", n, want)
+	}
+	g.list(ListFull)
+	if len(g.b.hosts)+len(g.b.ring)+len(g.b.places)+len(g.b.byID) > 0 {
+		t.Error("hosts are kept that no list names")
+	}
+}
+
 // However many instances and hosts there are and however few of the hosts are of use, an
 // instance keeps to a few of them: what each of many may hold is one attempt at least, and
 // that of twelve instances together made every answer late.
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -38,6 +39,9 @@
 type Totals struct {
 	Requests, InTime, Late, Failed int
 	Tries, Attempts, Near          int
+	Connects                       int // connections to hosts that were opened
+	// ColdLoad is the most that came to a cold host, as a part of what makes it fall over.
+	ColdLoad float64
 	// Twice are effects that ran more often than they may: unsafe ones that ran again, keyed ones
 	// in two pools.
 	Twice int
@@ -122,6 +126,12 @@
 	w.Totals.Tries++
 	to := w.spec.Pool
 	q.placed = false
+	if q.g = w.alive(q.g.n); q.g == nil {
+		q.g = w.gateways[0]
+		q.ended(exchange.Ending{At: w.now, Verdict: exchange.Failed})
+		return
+	}
+	q.g.open = append(q.g.open, q)
 	if m := q.g.move; m != nil {
 		a := shift.Ask{Key: mix(q.Key), Named: c.Effect != frostshift.Safe, Keyed: c.Effect != frostshift.Safe, Repeat: q.tries > 1, Class: q.Class, Worth: 1, Aim: c.Aim, Draw: w.r.Float64()}
 		if len(w.keyWork) > 0 {
@@ -164,7 +174,7 @@
 	q.call = q.g.x.Submit(r, p.Pool, fallback)
 	out := q.out
 	w.queue.push(q.deadline, func() { // the client waits no longer
-		if !q.decided && q.out == out {
+		if !q.decided && q.out == out && !q.g.dead {
 			q.call.Gone()
 			for _, p := range q.g.pools { // it may have been handed on
 				p.turn()
@@ -199,6 +209,9 @@
 func (q *Request) ended(e exchange.Ending) {
 	w, c := q.w, &q.w.spec.Classes[q.Class]
 	q.out = 0
+	if i := slices.Index(q.g.open, q); i >= 0 {
+		q.g.open = slices.Delete(q.g.open, i, i+1)
+	}
 	good := e.Verdict == exchange.Served && !e.Fault && !e.Left
 	inTime := good && w.now <= q.Began+c.Aim
 	if q.placed {
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -12,6 +12,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"frostshift"
@@ -124,6 +125,14 @@
 			}
 		}
 	}
+	for _, t := range s.Troubles {
+		if !(t.Gateways >= 0 && t.Gateways <= 1) {
+			return fmt.Errorf("trouble.gateways: %v is not a part", t.Gateways)
+		}
+		if t.Gateways > 0 && (s.Move != nil || t.Hosts > 0 || t.Pool != "") {
+			return fmt.Errorf("trouble.gateways: goes with no hosts and no move")
+		}
+	}
 	if s.Move != nil {
 		if err := s.Move.Check(); err != nil {
 			return err
@@ -159,6 +168,7 @@
 	unlisted map[frostshift.HostID]bool
 	gateways []*gateway
 	terms    []*contract.Terms
+	classes  []frostshift.Class
 	ids      uint64
 	Totals   Totals
 }
@@ -172,6 +182,8 @@
 	move  *shift.Move
 	door  *contract.Door
 	log   []shift.Decision
+	dead  bool
+	open  []*Request // in the order of their tries
 }
 
 // pool is a pool as one gateway runs it.
@@ -185,6 +197,7 @@
 	belief *belief.Belief
 	seen   map[string]belief.Seen
 	listed map[string]bool
+	out    []*port // attempts, in the order of their starts
 }
 
 const lookEvery = 100 * time.Millisecond
@@ -213,9 +226,8 @@
 	for range s.Keys {
 		w.keyWork = append(w.keyWork, w.work())
 	}
-	classes := make([]frostshift.Class, len(s.Classes))
-	for i, c := range s.Classes {
-		classes[i] = c.Class
+	for _, c := range s.Classes {
+		w.classes = append(w.classes, c.Class)
 	}
 	for p := range s.Pools {
 		var list []*Host
@@ -241,8 +253,9 @@
 	if w.terms != nil {
 		contract.NewBook(w.terms)
 	}
+	w.gateways = make([]*gateway, s.Gateways)
 	for n := range s.Gateways {
-		if err := w.gateway(n, classes); err != nil {
+		if err := w.gateway(n); err != nil {
 			return nil, err
 		}
 	}
@@ -251,14 +264,14 @@
 	return w, nil
 }
 
-// gateway makes one with its pools.
-func (w *World) gateway(n int, classes []frostshift.Class) error {
+// gateway makes one with its pools, at the beginning or in the place of one that was killed.
+func (w *World) gateway(n int) error {
 	s := &w.spec
 	g := &gateway{n: n, x: exchange.New(exchange.NewHandClock(&w.now)), door: contract.NewDoor(1<<20, 1<<40)}
 	if s.GatewayZones != nil {
 		g.zone = s.GatewayZones[n]
 	}
-	w.gateways = append(w.gateways, g)
+	w.gateways[n] = g
 	silent := slog.New(slog.NewTextHandler(io.Discard, nil))
 	instances := s.Instances
 	if instances == 0 {
@@ -267,7 +280,7 @@
 	for i := range s.Pools {
 		h := &s.Pools[i].Hosts[0]
 		p := &pool{w: w, g: g, n: i}
-		set := frostshift.Settings{Instances: instances, Rank: n % instances, Zone: g.zone, Zones: max(s.Zones, 1), Classes: classes, Step: time.Millisecond, MaxAttempts: s.MaxAttempts,
+		set := frostshift.Settings{Instances: instances, Rank: n % instances, Zone: g.zone, Zones: max(s.Zones, 1), Classes: w.classes, Step: time.Millisecond, MaxAttempts: s.MaxAttempts,
 			Cancel: true, MaxRetryAfter: time.Second, PreferNear: s.PreferNear, CrossPrice: s.CrossPrice, ColdFrom: h.Cold, WarmAfter: h.WarmIn,
 			OverloadFactor: fallFactor, Fall: fallSlots * fallSlot}
 		cfg := exchange.PoolConfig{Name: s.Pools[i].Name, Settings: set, Seed: s.Seed + uint64(n*len(s.Pools)+i), Log: silent, Upstream: p}
@@ -295,7 +308,7 @@
 
 // turn lets the pool do what has come and is due, and plans its next turn.
 func (p *pool) turn() {
-	if p.inTurn { // it is called back: what is new is done before it returns
+	if p.inTurn || p.g.dead { // it is called back: what is new is done before it returns
 		return
 	}
 	p.inTurn = true
@@ -317,15 +330,17 @@
 
 // list lets a gateway hear of a pool's hosts, after a delay that differs between gateways.
 func (w *World) list(g, pool int, delay time.Duration) {
-	if g >= len(w.gateways) {
+	if w.gateways[g] == nil {
 		return
 	}
 	if delay > 0 {
 		delay += time.Duration(w.dice.Int64N(int64(delay)))
 	}
 	w.after(delay, func() {
-		w.tell(g, pool)
-		w.gateways[g].pools[pool].turn()
+		if !w.gateways[g].dead {
+			w.tell(g, pool)
+			w.gateways[g].pools[pool].turn()
+		}
 	})
 }
 
@@ -473,7 +488,12 @@
 	if h.Zone != p.g.zone {
 		way = w.spec.Far
 	}
-	o.job = &job{q: q, work: q.Work + h.connection(p.g.n)}
+	extra := h.connection(p.g.n)
+	if extra > 0 {
+		w.Totals.Connects++
+	}
+	o.job = &job{q: q, work: q.Work + extra}
+	p.out = append(p.out, o)
 	w.Totals.Attempts++
 	if h.Zone == p.g.zone {
 		w.Totals.Near++
@@ -501,7 +521,7 @@
 		o.end(frostshift.Reset)
 		return
 	}
-	o.done = true
+	o.ends()
 	o.h.release(o.p.g.n)
 	o.a.Answered(o.a.Answers.Judge(status, nil), 0, nothing{})
 	o.p.turn()
@@ -511,11 +531,20 @@
 	if o.done {
 		return
 	}
-	o.done, o.job.gone = true, true
+	o.ends()
+	o.job.gone = true
 	o.a.End(r)
 	o.p.turn()
 }
 
+// ends takes the attempt from those that are out.
+func (o *port) ends() {
+	o.done = true
+	if i := slices.Index(o.p.out, o); i >= 0 {
+		o.p.out = slices.Delete(o.p.out, i, i+1)
+	}
+}
+
 // CallOff ends the attempt; the host works on if it has begun.
 func (o *port) CallOff() {
 	o.job.gone = true
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -89,7 +89,9 @@
 	for _, v := range h.offered {
 		sum += v
 	}
-	return sum > fallFactor*float64(h.Cores)*h.speed(now)*(fallSlots*fallSlot).Seconds()
+	load := sum / (fallFactor * float64(h.Cores) * h.speed(now) * (fallSlots * fallSlot).Seconds())
+	h.world.Totals.ColdLoad = max(h.world.Totals.ColdLoad, load)
+	return load > 1
 }
 
 // arrive takes an attempt that has reached the host.
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"frostshift/internal/exchange"
 )
 
 // Trouble is what goes wrong with hosts of a pool for a time. The zero value of what narrows it
@@ -27,6 +29,10 @@
 	Silent bool          // no answer comes
 	Dead   bool          // nothing listens, and all is back at Until, cold
 	Gone   bool          // they are not listed any more
+
+	// Gateways is the part of the gateways, the first, that are killed at From and start anew,
+	// knowing nothing but the list, at Until. Hosts are not concerned.
+	Gateways float64
 }
 
 // suffers is what a request meets at a host.
@@ -44,6 +50,7 @@
 	for i := range w.spec.Troubles {
 		t := &w.spec.Troubles[i]
 		switch {
+		case t.Gateways > 0:
 		case since < t.From || t.Until > 0 && since >= t.Until || !w.meets(t, h):
 		case t.Class != "" && t.Class != w.spec.Classes[q.Class].Name, t.Costly && q.Work < 2*w.spec.meanWork(), t.Retries && q.tries < 2, t.Cold && !h.cold(w.now):
 		default:
@@ -78,6 +85,15 @@
 func (w *World) script() {
 	for i := range w.spec.Troubles {
 		t := &w.spec.Troubles[i]
+		if t.Gateways > 0 {
+			for n := range int(t.Gateways*float64(len(w.gateways)) + 0.5) {
+				w.after(t.From, func() { w.kill(n) })
+				if t.Until > 0 {
+					w.after(t.Until, func() { w.gateway(n) })
+				}
+			}
+			continue
+		}
 		if !t.Dead && !t.Gone {
 			continue
 		}
@@ -88,6 +104,34 @@
 	}
 }
 
+// kill ends a gateway with all that it holds: its clients see their connections break, its
+// hosts too. Clients come to the others from then on.
+func (w *World) kill(n int) {
+	g := w.gateways[n]
+	g.dead = true
+	open := g.open
+	g.open = nil
+	for _, p := range g.pools {
+		for _, o := range p.out {
+			o.done, o.job.gone = true, true
+		}
+		p.out = nil
+	}
+	for _, q := range open {
+		q.ended(exchange.Ending{At: w.now, Verdict: exchange.Failed})
+	}
+}
+
+// alive is a gateway for a client: the one thrown, or the next that runs; nil: none does.
+func (w *World) alive(n int) *gateway {
+	for i := range w.gateways {
+		if g := w.gateways[(n+i)%len(w.gateways)]; !g.dead {
+			return g
+		}
+	}
+	return nil
+}
+
 func (w *World) each(t *Trouble, f func(*Host)) {
 	for p := range w.hosts {
 		met := false
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -130,6 +130,8 @@
 		Silent  bool    `toml:"silent"`
 		Dead    bool    `toml:"dead"`
 		Gone    bool    `toml:"gone"`
+
+		Gateways float64 `toml:"gateways"`
 	} `toml:"trouble"`
 	Variants []struct {
 		Name string         `toml:"name"`
@@ -340,7 +342,7 @@
 			}
 		}
 		s.Troubles = append(s.Troubles, emulator.Trouble{Pool: t.Pool, Hosts: t.Hosts, From: time.Duration(t.From), Until: time.Duration(t.Until), Class: t.Class, Costly: t.Costly,
-			Retries: t.Retries, Cold: t.Cold, Errors: t.Errors, Growth: t.Growth, Quick: t.Quick, Slow: t.Slow, Tail: t.Tail, TailBy: time.Duration(t.TailBy), Silent: t.Silent, Dead: t.Dead, Gone: t.Gone})
+			Retries: t.Retries, Cold: t.Cold, Errors: t.Errors, Growth: t.Growth, Quick: t.Quick, Slow: t.Slow, Tail: t.Tail, TailBy: time.Duration(t.TailBy), Silent: t.Silent, Dead: t.Dead, Gone: t.Gone, Gateways: t.Gateways})
 	}
 	return s, nil
 }
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -91,6 +91,8 @@
 		}
 		return n
 	}},
+	{"cold_load", "the most that came to a cold host, as a part of what makes it fall over", func(p *played) float64 { return p.w.Totals.ColdLoad }},
+	{"connects", "connections to hosts that were opened, a request", func(p *played) float64 { return p.per(p.w.Totals.Connects) }},
 	{"share", "of the new pool at the end", func(p *played) float64 {
 		if list := p.w.Moves(); list != nil {
 			return list[0].Share()
