Tests: discovery that fails in turn, a full table of connections, lists of odd sizes

Discovery that breaks off, ends and says noise leaves the last good list standing and is asked for what came after it, and the drain it tells then is kept; 80 instances whose watches break at once ask in turn within the time allowed; a host with a full table is not ejected, nothing unsafe counts as run.

--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1437,6 +1437,86 @@
 	}
 }
 
+// All watches of a fleet break in one instant, again and again: the instances ask in turn, not
+// in step, and each asks within the time that the settings allow.
+func TestFleetAsksDiscoveryInTurn(t *testing.T) {
+	const n, within = 80, 10 * time.Second
+	var fleet []*gateway
+	for rank := range n {
+		set := basic()
+		set.Ask, set.AskWithin, set.Instances, set.Rank = true, within, n, rank
+		g := start(t, set, hosts(1)...)
+		g.b.rng = uint64(rank)
+		g.b.watching, g.b.watchFails = true, 0
+		fleet = append(fleet, g)
+	}
+	for round := range 4 {
+		calls := map[int]int{} // by tenths of a second
+		for rank, g := range fleet {
+			g.list(ListFailed)
+			asked := false
+			for tenth := 0; !asked && tenth < int(within/(100*ms)); tenth++ {
+				for _, a := range g.advance(100 * ms) {
+					if a.Kind == Watch {
+						calls[tenth]++
+						asked = true
+					}
+				}
+			}
+			if !asked {
+				t.Errorf("round %d: instance %d does not ask within %v", round, rank, within)
+			}
+		}
+		for tenth, c := range calls {
+			if c > n/3 {
+				t.Errorf("round %d: %d of %d instances ask in one tenth of a second, the %d.", round, c, n, tenth)
+			}
+		}
+	}
+}
+
+// A host whose table of connections is full turns requests away unseen: it is not broken, those
+// requests may go elsewhere whatever their class, and next to nothing more comes to it.
+func TestFullTableIsNoBrokenHost(t *testing.T) {
+	set := basic()
+	set.Instances = 80
+	g := start(t, set, hosts(60)...)
+	g.b.admit = 1
+	full := g.b.ring[0]
+	sent, served := 0, 0
+	for range 300 {
+		id := g.request(2, time.Second) // unsafe
+		for n := 0; n < 4; n++ {
+			to := HostID(0)
+			for _, a := range g.acts {
+				switch {
+				case a.Kind == Send && a.Request == id:
+					to = a.Host
+				case a.Kind == Fail:
+					t.Fatal("a request that was turned away unseen counts as one that may have run")
+				}
+			}
+			if to == 0 {
+				break
+			}
+			if to != full.ID {
+				g.outcome(id, n, OK, 20*ms)
+				served++
+				break
+			}
+			sent++
+			g.outcome(id, n, Full, ms)
+		}
+		g.advance(10 * ms)
+	}
+	if full.fails > 0 {
+		t.Error("a host with a full table is ejected as broken")
+	}
+	if served < 295 || sent > 30 {
+		t.Errorf("%d of 300 are served, %d attempts at the full host", served, sent)
+	}
+}
+
 // However many instances and hosts there are and however few of the hosts are of use, an
 // instance keeps to a few of them: what each of many may hold is one attempt at least, and
 // that of twelve instances together made every answer late.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -432,6 +432,54 @@
 	}
 }
 
+// Discovery that breaks off, ends watches and says what can't be read: the last good list
+// stands, it is asked for what came after that, and a drain that it tells then is kept.
+func TestLastGoodListStandsThroughABadDiscovery(t *testing.T) {
+	a, gotA := serving(t, "a")
+	b, gotB := serving(t, "b")
+	d := discover(t)
+	g := launch(t, parse(t, d.Addr(), "null"))
+	w := await(t, d.Watches, "a watch")
+	say(t, w, listOf(5, true, entry("a", a, "active")))
+	for end := time.Now().Add(patience); ; {
+		if _, body, _ := do(t, request(t, g.url, "lookup", "")); body == "a" {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the host gets nothing")
+		}
+	}
+	for name, spoil := range map[string]func(){
+		"half a list":  func() { say(t, w, listOf(6, true, entry("b", b, "active"))[:40]) },
+		"noise":        func() { say(t, w, "\x00\xff{]") },
+		"no name":      func() { say(t, w, listOf(6, true, entry("", b, "active"))) },
+		"a broken one": d.CloseClientConnections,
+		"an end":       func() { close(w.Lines) },
+	} {
+		spoil()
+		w = await(t, d.Watches, "another watch after "+name)
+		if w.From != "5" {
+			t.Errorf("%s: asked from %s, want from the last good list, 5", name, w.From)
+		}
+		if _, body, _ := do(t, request(t, g.url, "lookup", "")); body != "a" {
+			t.Errorf("%s: answered %q, want by the host of the last good list", name, body)
+		}
+	}
+	say(t, w, listOf(6, false, entry("a", a, "leaving"), entry("b", b, "active")))
+	for end := time.Now().Add(patience); len(gotB) == 0; {
+		if do(t, request(t, g.url, "lookup", "")); time.Now().After(end) {
+			t.Fatal("the new host gets nothing")
+		}
+	}
+	before := len(gotA)
+	for range 20 {
+		do(t, request(t, g.url, "lookup", ""))
+	}
+	if n := len(gotA) - before; n > 0 {
+		t.Errorf("%d requests went to a host that drains", n)
+	}
+}
+
 // Nothing new goes to a host that drains. That the list with the drain has been
 // heard shows in the first request at a host that the same list brings.
 func TestDrainIsKept(t *testing.T) {
