--- a/balancer.go
+++ b/balancer.go
@@ -45,7 +45,7 @@
 	repeatWorth = 0.5      // worth of a client's repeat while others wait, as a share: it may come late
 	lineWeight  = 0.02     // weight of an arrival in the shares of the lines: about the last fifty count
 	meanWeight  = 0.1      // weight of a sample in a mean: about the last ten count
-	pressAims   = 0.40     // mean RTT, in aims, above which requests are shed: just above what limits steer to
+	pressAims   = 0.45     // mean RTT, in aims, above which requests are shed: most are still in time
 	pressWeight = 0.2      // weight of an answer of mean worth in the lateness: hosts tip within seconds
 	shedStep    = 0.2      // share of what is admitted that an answer at twice that sheds
 	admitStep   = 0.1      // share of all that an answer in no time would admit again
