The emulator spreads the clients of gateways that were killed over those that run

They all went to the next gateway that ran: of seven in ten killed, one got the clients of all. Now each client draws by its own key.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -126,7 +126,7 @@
 	w.Totals.Tries++
 	to := w.spec.Pool
 	q.placed = false
-	if q.g = w.alive(q.g.n); q.g == nil {
+	if q.g = w.alive(q.g, mix(q.Key)); q.g == nil {
 		q.g = w.gateways[0]
 		q.ended(exchange.Ending{At: w.now, Verdict: exchange.Failed})
 		return
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -122,14 +122,21 @@
 	}
 }
 
-// alive is a gateway for a client: the one thrown, or the next that runs; nil: none does.
-func (w *World) alive(n int) *gateway {
-	for i := range w.gateways {
-		if g := w.gateways[(n+i)%len(w.gateways)]; !g.dead {
-			return g
+// alive is a gateway for a client: its own, or one of those that run, by its draw; nil: none does.
+func (w *World) alive(own *gateway, draw uint64) *gateway {
+	if own = w.gateways[own.n]; !own.dead {
+		return own
+	}
+	var list []*gateway
+	for _, g := range w.gateways {
+		if !g.dead {
+			list = append(list, g)
 		}
 	}
-	return nil
+	if len(list) == 0 {
+		return nil
+	}
+	return list[draw%uint64(len(list))]
 }
 
 func (w *World) each(t *Trouble, f func(*Host)) {
