Bodies flow on the platform's routes, short answers of untold length are held whole

The platform's routes now have the Bodies that [route.bodies] gives elsewhere; the client's time bounds the head, not the body. An answer of untold length is held back for 150 ms or 64 KiB, so that one which breaks early is asked for again. HTTP/1.0 is served where its head shows no Transfer-Encoding.

--- a/internal/config/bodies.go
+++ b/internal/config/bodies.go
@@ -31,12 +31,16 @@
 	Replay, Spool int64
 	Strict        bool
 	Hold          int64         // bytes of an answer of told length up to which it is held whole
+	Ahead         time.Duration // that the beginning of one of untold length is held back for
 	Most          int64         // bytes of a request; 0: any
 	Idle          time.Duration // that either side may let pass without a byte
 	Longest       time.Duration // of a request with all of its answer
 	Rate          int64         // bytes a second that a client must send in the long run; 0: any
 	Hints         bool          // 103 is passed on
 	Upgrades      []string      // protocols that may be switched to, in lower case
+	// HeadTimed says that the time which a client gives its request is for the head of the
+	// answer, and not for the whole of a body that flows.
+	HeadTimed bool
 }
 
 // Spool is where bodies are kept on disk.
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -18,6 +18,13 @@
 // platformPool is the name of the one pool that the platform's configuration makes.
 const platformPool = "hosts"
 
+const (
+	platformIdle    = 10 * time.Second // peers take seconds to read or write
+	platformLongest = 10 * time.Minute // 32 MB at 64 kB a second
+	platformAhead   = 150 * time.Millisecond
+	platformRate    = 8 << 10 // bytes a second: an eighth of what slow clients send
+)
+
 // Platform reads the configuration that the platform's environment names. GW_LISTEN and
 // GW_DISCOVERY win over the same entries of the file.
 func Platform(getenv func(string) string) (*Model, error) {
@@ -157,6 +164,13 @@
 	return nil
 }
 
+// platformBodies is how bodies go on there: what is no longer than the protocol's usual 64 KiB
+// is whole, so that another attempt may be made, and what is longer flows.
+func platformBodies() *Bodies {
+	return &Bodies{Requests: BodiesAuto, Answers: true, Replay: MostWhole, Hold: MostWhole, Ahead: platformAhead, Idle: platformIdle, Longest: platformLongest,
+		Rate: platformRate, HeadTimed: true}
+}
+
 // platformRoutes makes a route of each class: it is the first part of the path.
 func (m *Model) platformRoutes() error {
 	var list []*route.Route
@@ -171,5 +185,8 @@
 		}
 	}
 	m.Table, m.Policies = table, make([]*Policy, len(list))
+	for i := range m.Policies {
+		m.Policies[i] = &Policy{Bodies: platformBodies()}
+	}
 	return nil
 }
--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -24,7 +24,7 @@
 // message.Stream for the way back.
 
 // buffers are for answers on their way.
-var buffers = sync.Pool{New: func() any { b := make([]byte, 64<<10); return &b }}
+var buffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
 
 // source is a client's body.
 type source struct {
@@ -68,7 +68,7 @@
 		case !ok || !bytes.HasPrefix(head, []byte(r.Method+" "+r.RequestURI+" ")):
 			// It came close behind another body, so that nobody can tell what stood in it.
 			return &front.Error{Status: http.StatusLengthRequired, Text: "Content-Length is needed here"}
-		case hasLength(head):
+		case hasField(head, "Content-Length"):
 			return &front.Error{Status: http.StatusBadRequest, Text: "Content-Length beside Transfer-Encoding"}
 		}
 		length = -1
@@ -101,10 +101,10 @@
 	return nil
 }
 
-// hasLength says whether a head as it came has a Content-Length.
-func hasLength(head []byte) bool {
+// hasField says whether a head as it came has a field.
+func hasField(head []byte, field string) bool {
 	for _, line := range bytes.Split(head, []byte("\n")) {
-		if name, _, ok := bytes.Cut(line, []byte(":")); ok && textproto.CanonicalMIMEHeaderKey(string(bytes.TrimSpace(name))) == "Content-Length" {
+		if name, _, ok := bytes.Cut(line, []byte(":")); ok && textproto.CanonicalMIMEHeaderKey(string(bytes.TrimSpace(name))) == field {
 			return true
 		}
 	}
@@ -194,12 +194,17 @@
 			deadline = by // the body may have taken longer than that
 		}
 		rc.SetWriteDeadline(deadline)
+		conn := r.Context().Value(connKey{}).(*front.Conn)
+		conn.Cork()
 		write(w, r.Method, a)
+		err := rc.Flush()
+		if e := conn.Uncork(); err == nil {
+			err = e
+		}
 		if a.Again != nil {
-			rc.Flush()
 			a.Again()
 		}
-		if err := rc.Flush(); err != nil {
+		if err != nil {
 			call.Undelivered(reply)
 		}
 	} else if !s.pass(w, r, rc, t, a) {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -4,6 +4,7 @@
 package http1
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -295,14 +296,17 @@
 	if err != nil {
 		return nil, err
 	}
+	flows := t.Flow != nil && (t.Upgrade != "" || t.Flow.Requests != config.BodiesWhole)
+	old := !r.ProtoAtLeast(1, 1) // its Transfer-Encoding would go unread
+	fits := !old || flows && t.Upgrade == "" && lengthOnly(conn, r)
 	if r.TransferEncoding == nil {
 		conn.Headed(r.ContentLength > 0)
 	}
 	switch {
-	case t.Flow != nil && r.ProtoAtLeast(1, 1) && (t.Upgrade != "" || t.Flow.Requests != config.BodiesWhole):
-		err = s.begin(w, t, r, conn)
-	case !r.ProtoAtLeast(1, 1): // its Transfer-Encoding would go unread
+	case !fits:
 		err = &front.Error{Status: http.StatusHTTPVersionNotSupported, Text: "this version of HTTP is not spoken here"}
+	case flows:
+		err = s.begin(w, t, r, conn)
 	case r.TransferEncoding != nil:
 		// A Content-Length beside it has been dropped by now; those who go by it would
 		// find another request in this body.
@@ -318,6 +322,14 @@
 	return t, nil
 }
 
+// lengthOnly says whether a request of HTTP/1.0 is known to have no Transfer-Encoding, which
+// that version does not have and whose presence would hide where its body ends (RFC 9112
+// section 6.1).
+func lengthOnly(conn *front.Conn, r *http.Request) bool {
+	head, ok := conn.Recorded()
+	return ok && r.ProtoAtLeast(1, 0) && bytes.HasPrefix(head, []byte(r.Method+" "+r.RequestURI+" ")) && !hasField(head, "Transfer-Encoding")
+}
+
 func addressOf(remote string) netip.Addr {
 	a, _ := netip.ParseAddrPort(remote) // what is none belongs to no range
 	return a.Addr()
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -37,6 +37,7 @@
 type Flow struct {
 	Answers bool          // answers may flow
 	Hold    int64         // bytes of an answer up to which it is held whole all the same
+	Ahead   time.Duration // that one of untold length is held back for to be whole; 0: it is not
 	Idle    time.Duration // that either side may let pass without a byte
 	Ends    time.Time     // when all of it must be over
 	// Hint is given what comes ahead of an answer (103); nil: it is thrown away. It must not
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -207,7 +207,11 @@
 		c.SetReadDeadline(t.Until)
 		f = t.feed(c, req.Upload, r, req.Flow.Idle)
 	}
-	c.beginFlow()
+	if req.Upload != nil || t.up.flows.Load() > fewFlows {
+		c.beginFlow()
+	} else {
+		c.begin()
+	}
 	c.limit.N = maxHeader
 	resp, err := c.head(req)
 	if f != nil {
@@ -227,7 +231,7 @@
 		if m = (verdict.Meaning{}); r != nil {
 			f = t.feed(c, req.Upload, r, req.Flow.Idle)
 		}
-		t.flowing(c, f, req, &http.Response{Body: io.NopCloser(c.in), ContentLength: -1, Close: true}, a, m)
+		t.flowing(c, f, req, &http.Response{Body: io.NopCloser(c.in), ContentLength: -1, Close: true}, a, m, nil)
 		return
 	case bodilessAnswer(req.Method, resp.StatusCode):
 		if resp.StatusCode != http.StatusNoContent {
@@ -235,8 +239,20 @@
 		}
 	case m.Gives == verdict.Final && req.Flow.Answers && (resp.ContentLength < 0 || resp.ContentLength > req.Flow.Hold):
 		a.Length = resp.ContentLength
-		t.flowing(c, f, req, resp, a, m)
-		return
+		ahead, whole, err := t.ahead(c, req, resp)
+		if err != nil {
+			t.lost(c, f, r, err)
+			return
+		}
+		if !whole {
+			t.flowing(c, f, req, resp, a, m, ahead)
+			return
+		}
+		a.Length = -1
+		if ahead != nil {
+			a.Body = ahead.rest
+			a.Free, a.Again = ahead.free, ahead.again
+		}
 	default:
 		now := time.Now()
 		c.SetReadDeadline(now.Add(max(restLeast, t.Left/restPart)))
@@ -333,6 +349,64 @@
 	}
 }
 
+// fewFlows is how many answers may flow at once up to which a reader that takes in a whole
+// answer with one read is worth its memory, though it may be held for long.
+const fewFlows = 64
+
+// beginningOf is the beginning of an answer of untold length that has been read ahead.
+type beginningOf struct {
+	rest  []byte
+	free  func()
+	again func()
+}
+
+// ahead holds the beginning of an answer of untold length back for a moment: one that proves
+// to be short is whole then, and can be asked for again where it breaks.
+func (t *attempt) ahead(c *conn, req *message.Request, resp *http.Response) (b *beginningOf, whole bool, err error) {
+	room := t.up.cfg.Bytes
+	if req.Flow.Ahead <= 0 || resp.ContentLength >= 0 || len(resp.Trailer) > 0 || !room.Take(wholePart) {
+		return nil, false, nil
+	}
+	buffer, _ := buffers[1].Get().(*[]byte)
+	if buffer == nil {
+		made := make([]byte, wholePart)
+		buffer = &made
+	}
+	b = &beginningOf{free: sync.OnceFunc(func() { room.Give(wholePart) }), again: func() { buffers[1].Put(buffer) }}
+	give := func() { b.free(); b.again() }
+	c.limit.N = 1<<63 - 1
+	late := time.Now().Add(req.Flow.Ahead)
+	got := 0
+	for got < wholePart {
+		if c.in.Buffered() == 0 {
+			c.SetReadDeadline(late)
+			if c.await(); !time.Now().Before(late) {
+				break
+			}
+		}
+		c.SetReadDeadline(t.Until) // for what has begun to come, were it the size of a chunk
+		n, err := resp.Body.Read((*buffer)[got:wholePart])
+		got += n
+		if err == io.EOF {
+			whole = true
+			break
+		}
+		if err != nil {
+			give()
+			if err = odd(c, err); errors.Is(err, os.ErrDeadlineExceeded) {
+				err = errOdd
+			}
+			return nil, false, err
+		}
+	}
+	b.rest = (*buffer)[:got]
+	if got == 0 {
+		give()
+		return nil, whole, nil
+	}
+	return b, whole, nil
+}
+
 // answerFlow is the body of an answer on its way. Its reader is the front's goroutine; Close
 // may come from any.
 type answerFlow struct {
@@ -342,6 +416,8 @@
 	req  *message.Request
 	resp *http.Response
 
+	ahead *beginningOf // that has been read and not given; nil: nothing
+	first *beginningOf // that was, for Close
 	idle  time.Duration
 	until time.Time
 	gave  time.Time // when the last Read returned
@@ -357,8 +433,9 @@
 }
 
 // flowing hands an answer's head on, with its body to follow.
-func (t *attempt) flowing(c *conn, f *feeder, req *message.Request, resp *http.Response, a *message.Answer, m verdict.Meaning) {
-	s := &answerFlow{t: t, c: c, f: f, req: req, resp: resp, idle: req.Flow.Idle, until: req.Flow.Ends, gave: time.Now()}
+func (t *attempt) flowing(c *conn, f *feeder, req *message.Request, resp *http.Response, a *message.Answer, m verdict.Meaning, ahead *beginningOf) {
+	t.up.flows.Add(1)
+	s := &answerFlow{ahead: ahead, first: ahead, t: t, c: c, f: f, req: req, resp: resp, idle: req.Flow.Idle, until: req.Flow.Ends, gave: time.Now()}
 	c.limit.N = 1<<63 - 1
 	if names := message.Announce(slices.Collect(maps.Keys(resp.Trailer))); names != nil {
 		a.Header["Trailer"] = names
@@ -372,7 +449,7 @@
 
 // Wait waits for something to read.
 func (s *answerFlow) Wait() {
-	if !s.eof && s.c.in.Buffered() == 0 {
+	if !s.eof && s.ahead == nil && s.c.in.Buffered() == 0 {
 		s.due()
 		s.c.await()
 		s.gave = time.Now()
@@ -398,6 +475,16 @@
 	if s.eof {
 		return 0, io.EOF
 	}
+	if b := s.ahead; b != nil {
+		n := copy(p, b.rest)
+		if b.rest = b.rest[n:]; len(b.rest) == 0 {
+			s.ahead = nil
+			b.free()
+			b.again()
+		}
+		s.total += int64(n)
+		return n, nil
+	}
 	s.due()
 	n, err := s.resp.Body.Read(p)
 	s.gave = time.Now()
@@ -429,6 +516,10 @@
 // elsewhere ends with an error.
 func (s *answerFlow) Close() {
 	s.once.Do(func() {
+		s.t.up.flows.Add(-1)
+		if s.first != nil {
+			s.first.free()
+		}
 		s.mu.Lock()
 		whole, broken, late := s.eof, s.broken, s.late
 		s.mu.Unlock()
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -13,6 +13,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,6 +44,8 @@
 type Upstream struct {
 	cfg  upstream.Config
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// flows are the answers whose bodies flow.
+	flows atomic.Int64
 
 	mu    sync.Mutex // guards what follows and what hosts hold
 	hosts map[frostshift.HostID]*host
