Operators call at a second address: hosts out by hand, drains that can be called back

internal/operate answers calls (one a connection, 32 at most, the oldest without a whole call makes room); the module keeps bans apart from lists (Ban): a host is used where both allow it, and called back it is cold, as new and owed work. internal/drain is the state machine of giving clients up and taking them back; fronts end connections with answers, and idle ones are half-closed spread over 1.3 s.

--- a/balancer.go
+++ b/balancer.go
@@ -153,7 +153,6 @@
 	}
 	b.forgetAll()
 	b.layRing()
-	b.layNearby()
 	b.pump()
 }
 
@@ -165,6 +164,7 @@
 // instances share a host. Half a subset is of the own zone, as crossing costs, the
 // other half anywhere, as a zone may have more traffic than its hosts can carry.
 func (b *Balancer) layRing() {
+	defer b.layNearby()
 	b.layPlaces()
 	b.warm, b.backups, b.weighted, b.warmAt = 0, 0, false, 0
 	near := b.near[:0]
@@ -267,15 +267,53 @@
 		b.hosts = append(b.hosts, h)
 	}
 	started := h.Started
-	h.Host = e
+	h.Host, h.listed = e, e.State
+	b.heed(h)
 	for len(b.kinds) <= e.Kind {
 		b.kinds = append(b.kinds, mean{})
 	}
 	if e.Started > 0 && e.Started != started {
-		b.chill(h, e.Started)
+		b.chill(h, max(e.Started, h.coldAt))
 	}
 }
 
+// heed makes a host what its list and the operators allow together: one that was taken out by
+// hand finishes its work and gets nothing new, whatever the list says.
+func (b *Balancer) heed(h *host) {
+	if h.State = h.listed; b.banned[h.ID] && h.State == Ready {
+		h.State = Draining
+	}
+}
+
+// Ban takes a host out by hand, or has it used again: the list and the operators must both
+// allow it. One that comes back was worked on: nothing that was learnt of it holds, it is cold
+// as of now, and it is owed work as soon as its budget has any.
+func (b *Balancer) Ban(now Time, id HostID, out bool) {
+	b.now = now
+	if h := b.byID[id]; b.banned[id] != out {
+		if b.ban(id, out); h != nil && !out {
+			b.chill(h, now)
+		}
+		if h != nil && h.State != Removed {
+			b.heed(h)
+			b.layRing()
+		}
+		b.pump()
+	}
+}
+
+// owed is a host that was called back and has answered nothing yet, if the request may go
+// there now and nothing else is out there. An unsafe one is not risked on it.
+func (b *Balancer) owed(r *request) *host {
+	for _, h := range b.owing {
+		if r.class.Effect != Unsafe && h.State == Ready && h.pending == 0 && b.allows(r, h) &&
+			!b.ejected(r, h) && !b.coldHold(h) {
+			return h
+		}
+	}
+	return nil
+}
+
 // chill marks a host cold as of its start.
 func (b *Balancer) chill(h *host, since Time) {
 	if b.set.ColdFrom < 1 && b.now-since < b.set.WarmAfter {
@@ -363,12 +401,10 @@
 // Started says that a stream has begun: the request belongs to that attempt.
 func (b *Balancer) Started(now Time, id RequestID, n int) {
 	b.now = now
-	r := b.reqs[id]
-	if r == nil || r.done || n < 0 || n >= len(r.atts) {
-		return
+	if r := b.reqs[id]; r != nil && !r.done && n >= 0 && n < len(r.atts) {
+		r.bound = true
+		b.cancelOthers(r, n)
 	}
-	r.bound = true
-	b.cancelOthers(r, n)
 }
 
 // Feeding says that the body of an attempt's request is still coming from the client: how
@@ -484,7 +520,6 @@
 			b.sweepAt = 0
 			if b.warmAt > 0 && now >= b.warmAt {
 				b.layRing()
-				b.layNearby()
 			}
 			b.listen()
 			b.relieve()
@@ -551,6 +586,9 @@
 }
 
 func (b *Balancer) pickAny(r *request) *host {
+	if h := b.owed(r); h != nil {
+		return h
+	}
 	if h := b.draw(r); h != nil {
 		return h
 	}
@@ -793,22 +831,17 @@
 // the limits of those that are in use. Backups count where there is nothing else.
 func (b *Balancer) Capacity(now Time) (n float64) {
 	b.now = now
-	if n = b.capacity(false); n == 0 {
-		n = b.capacity(true)
-	}
-	return n
-}
-
-func (b *Balancer) capacity(backups bool) (n float64) {
+	backups := 0.0
 	for _, h := range b.hosts {
-		if h.Backup != backups {
-			continue
-		}
-		if h.State == Ready && !(h.fails > 0 && b.now < h.ejectUntil) {
-			n += max(1, h.limit/b.sharers)
+		switch room := max(1, h.limit/b.sharers); {
+		case h.State != Ready || h.fails > 0 && b.now < h.ejectUntil:
+		case h.Backup:
+			backups += room
+		default:
+			n += room
 		}
 	}
-	return n
+	return cmp.Or(n, backups)
 }
 
 // Pace is how many requests a second this instance may send while all hosts that it may use
@@ -847,12 +880,8 @@
 // Fall (or where it is the only credit of the bank) lapses. Credit that waited would
 // be spent by all instances at once.
 func (b *Balancer) coldHold(h *host) bool {
-	if !h.cold {
-		return false
-	}
 	age := b.now - h.coldAt
-	if age >= b.set.WarmAfter {
-		h.cold = false
+	if h.cold = h.cold && age < b.set.WarmAfter; !h.cold {
 		return false
 	}
 	if dt := b.now - h.creditAt; dt > 0 {
@@ -925,6 +954,7 @@
 	switch a.result {
 	case OK:
 		h.good++
+		b.paid(h)
 		b.sample(h, rtt)
 		b.lat[a.req.Class].add(rtt)
 		b.all.add(rtt)
@@ -1068,10 +1098,7 @@
 			b.answer(n.item)
 		}
 	}
-	for i := range b.bands {
-		if full := b.serve(&b.bands[i]); full {
-			break
-		}
+	for i := 0; i < len(b.bands) && !b.serve(&b.bands[i]); i++ {
 	}
 	b.sweepSoon()
 }
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -27,10 +27,11 @@
 
 // file is the form of our own configuration.
 type file struct {
-	Name   string `toml:"name"`
-	Views  string `toml:"views"`
-	State  string `toml:"state"`
-	Limits struct {
+	Name       string `toml:"name"`
+	Views      string `toml:"views"`
+	Management string `toml:"management"`
+	State      string `toml:"state"`
+	Limits     struct {
 		Cores       float64 `toml:"cores"`
 		MemoryMB    int     `toml:"memory_mb"`
 		Descriptors int     `toml:"descriptors"`
@@ -251,7 +252,7 @@
 	if len(d.errs) > 0 && d.places == nil { // not even TOML
 		return nil, nil, d.errs
 	}
-	m := &Model{Name: f.Name, Views: d.beside(f.Views), State: d.beside(f.State), Seed: rand.Uint64(),
+	m := &Model{Name: f.Name, Management: d.management(f.Management), Views: d.beside(f.Views), State: d.beside(f.State), Seed: rand.Uint64(),
 		Limits: Limits{Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Descriptors: f.Limits.Descriptors, Streams: f.Limits.Streams}}
 	if m.Name == "" {
 		m.Name = "stilespool"
@@ -799,3 +800,11 @@
 	}
 	return out
 }
+
+// management is the address at which operators call; "": there is none.
+func (d *doc) management(address string) string {
+	if _, err := netip.ParseAddrPort(address); address != "" && err != nil {
+		d.fail("management", "%v", err)
+	}
+	return address
+}
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -46,8 +46,10 @@
 	State     string           // folder that lasts, for what must outlive the process; "": there is none
 	Moves     []shift.Plan     // of traffic between pools
 	Spool     Spool            // for bodies that are kept on disk
-	Views     string           // folder where a running gateway shows what it knows of hosts; "": nowhere
-	Instances int              // gateways that share the contracts' absolute figures; 0: 1
+	// Management is where operators call; "": nowhere.
+	Management string
+	Views      string // folder where a running gateway shows what it knows of hosts; "": nowhere
+	Instances  int    // gateways that share the contracts' absolute figures; 0: 1
 	// Platform says that clients speak the platform's protocol: they must name class and
 	// id in headers, and the method follows from the class.
 	Platform bool
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if s := getenv("GW_MANAGEMENT"); s != "" {
+		m.Management = s
+	}
 	for _, v := range []struct {
 		env, name string
 		to        *string
@@ -56,6 +59,14 @@
 			return nil, fmt.Errorf("%s address: %w", name, err)
 		}
 	}
+	if a := m.Management; a != "" {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return nil, fmt.Errorf("management address: %w", err)
+		}
+		if a == m.Listeners[0].Address {
+			return nil, fmt.Errorf("management address: %s is where clients connect", a)
+		}
+	}
 	return m, nil
 }
 
@@ -82,8 +93,8 @@
 // ParsePlatform reads the text of the platform's configuration file.
 func ParsePlatform(text []byte) (*Model, error) {
 	var in struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery, Seed, Management string
+		Limits                                    struct {
 			Cores    float64
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
@@ -109,7 +120,7 @@
 	if p.Settings, err = wire.ParseSettings(in.Settings); err != nil {
 		return nil, err
 	}
-	m := &Model{Name: in.Name, Seed: seed, Platform: true, Pools: []*Pool{p},
+	m := &Model{Name: in.Name, Management: in.Management, Seed: seed, Platform: true, Pools: []*Pool{p},
 		Limits:    Limits{Cores: l.Cores, MemoryMB: l.MemoryMB, Descriptors: l.Sockets},
 		Listeners: []Listener{{Name: "clients", Address: in.Listen}}}
 	if err := m.platformNames(in.Settings); err != nil {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -21,6 +21,8 @@
 	Upstream Upstream
 	Room     Room   // for open requests; nil: not bounded
 	Watch    func() // the balancer asks for the host list; nil: nobody is asked
+	// Banned are the hosts that operators have taken out.
+	Banned []frostshift.HostID
 	// Saw is told of each attempt that shows whether its host is there: it has answered, or
 	// could not be connected to. It is called in the loop; nil: nobody asks.
 	Saw func(id frostshift.HostID, answered bool)
@@ -126,6 +128,9 @@
 	if p.room == nil {
 		p.room = Unbounded{}
 	}
+	for _, id := range c.Banned {
+		b.Ban(0, id, true)
+	}
 	if p.watch == nil {
 		p.watch = func() {}
 	}
@@ -173,6 +178,16 @@
 	}})
 }
 
+// Ban takes a host out by hand, or has it used again. apply runs first, in the loop, and done
+// once it holds; it does not run where the loop has ended.
+func (p *Pool) Ban(id frostshift.HostID, out bool, apply, done func()) {
+	p.post(event{kind: do, run: func(now frostshift.Time) {
+		apply()
+		p.b.Ban(now, id, out)
+		done()
+	}})
+}
+
 // Behind runs f in the loop, behind all that has been posted so far.
 func (p *Pool) Behind(f func()) {
 	p.post(event{kind: do, run: func(frostshift.Time) { f() }})
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -103,25 +103,64 @@
 // Listen makes a listener's connections count among all. What it accepts is a *Conn.
 func (l *Conns) Listen(ln net.Listener) *Listener { return &Listener{Listener: ln, all: l} }
 
+// End has each connection over HTTP/1.1 end with its next answer, or takes that back.
+func (ln *Listener) End(on bool) { ln.leaving.Store(on) }
+
 // Leave gives up the connections over HTTP/1.1 on which no request is open, and each other
 // one once its request has its answer. Connections that have said nothing yet may ask once.
 func (ln *Listener) Leave() {
-	ln.leaving.Store(true)
+	ln.End(true)
+	ln.GiveUp(ln.Idle(), false, 0)
+}
+
+// Idle is how many connections over HTTP/1.1 have had an answer and hold no request.
+func (ln *Listener) Idle() (n int) {
 	ln.all.mu.Lock()
-	var given []*Conn
-	for _, phase := range [...]int{once, idle} {
+	defer ln.all.mu.Unlock()
+	ln.quiet(func(*Conn) bool { n++; return true }, once, idle)
+	return n
+}
+
+// quiet calls f with the connections over HTTP/1.1 that are in one of the phases, those that
+// have been for the longest first, until it says no. The lock is held.
+func (ln *Listener) quiet(f func(*Conn) bool, phases ...int) {
+	for _, phase := range phases {
 		for e := ln.all.quiet[phase].Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*Conn); c.from == ln && c.giveUp == nil {
-				given = append(given, c)
+			if c := e.Value.(*Conn); c.from == ln && c.giveUp == nil && !f(c) {
+				break
 			}
 		}
 	}
+}
+
+// GiveUp gives up so many of the idle connections, those first that have asked once, and with
+// silent those that have said nothing for so long. What crosses the close is not answered with
+// a reset: the client sees the end, and may send again.
+func (ln *Listener) GiveUp(most int, silently bool, silentFor time.Duration) {
+	now := time.Now()
+	var given []*Conn
+	ln.all.mu.Lock()
+	ln.quiet(func(c *Conn) bool {
+		if len(given) < most {
+			given = append(given, c)
+		}
+		return len(given) < most
+	}, once, idle)
+	if silently {
+		ln.quiet(func(c *Conn) bool {
+			old := now.Sub(c.since) >= silentFor
+			if old {
+				given = append(given, c)
+			}
+			return old
+		}, silent)
+	}
 	for _, c := range given {
 		c.condemn()
 	}
 	ln.all.mu.Unlock()
 	for _, c := range given {
-		c.end()
+		c.endSoftly()
 	}
 }
 
@@ -333,6 +372,20 @@
 	}
 }
 
+// leaveWithin is how long a client may take to see the end of a connection that is given up.
+const leaveWithin = 500 * time.Millisecond
+
+// endSoftly ends a connection that has been condemned, in two steps: its reader waits for the
+// client's own close, and for whatever crosses ours, before it closes as well.
+func (c *Conn) endSoftly() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if c.giveUp != nil || !ok || half.CloseWrite() != nil {
+		c.end()
+		return
+	}
+	c.Conn.SetReadDeadline(time.Now().Add(leaveWithin))
+}
+
 func (c *Conn) end() {
 	if c.giveUp != nil {
 		c.giveUp()
--- a/internal/front/http2/server.go
+++ b/internal/front/http2/server.go
@@ -146,6 +146,13 @@
 	}
 }
 
+// Stay takes Leave back for connections that come from now on.
+func (s *Server) Stay() {
+	s.mu.Lock()
+	s.leaving = false
+	s.mu.Unlock()
+}
+
 // Shutdown waits until all connections have ended, after Leave, or the context ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	for {
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -120,6 +120,7 @@
 	door     *contract.Door
 	now      atomic.Pointer[Snapshot]
 	ready    atomic.Bool
+	leaves   atomic.Bool
 	ids      atomic.Uint64
 	idBase   [8]byte
 	spool    *spool.Dir
@@ -148,8 +149,14 @@
 // SetReady says that the gateway is ready for clients.
 func (in *Intake) SetReady() { in.ready.Store(true) }
 
-// Ready says whether it is.
-func (in *Intake) Ready() bool { return in.ready.Load() }
+// SetLeaving says whether the gateway gives its clients up.
+func (in *Intake) SetLeaving(on bool) { in.leaves.Store(on) }
+
+// Leaving says whether it does.
+func (in *Intake) Leaving() bool { return in.leaves.Load() }
+
+// Ready says whether the gateway wants new clients.
+func (in *Intake) Ready() bool { return in.ready.Load() && !in.leaves.Load() }
 
 // hold returns the present snapshot, held once more.
 func (in *Intake) hold() *Snapshot {
--- /dev/null
+++ b/internal/gateway/calls_test.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"frostshift/internal/operate"
+)
+
+// operated is a gateway with an address for operators.
+func operated(t *testing.T, hosts ...string) (g *running, call func(path string) int) {
+	t.Helper()
+	d := discover(t)
+	var entries []string
+	for i := 0; i < len(hosts); i += 2 {
+		entries = append(entries, entry(hosts[i], hosts[i+1], "active"))
+	}
+	m := parse(t, d.Addr(), listOf(1, true, entries...))
+	m.Management = "127.0.0.1:0"
+	g = launch(t, m)
+	return g, func(path string) int {
+		t.Helper()
+		method := http.MethodPost
+		if path == "/healthcheck" {
+			method = http.MethodGet
+		}
+		r, err := http.NewRequest(method, "http://"+g.desk.Addr().String()+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		status, _, _ := do(t, r)
+		return status
+	}
+}
+
+func TestHostsAreTakenOut(t *testing.T) {
+	a, gotA := serving(t, "a")
+	b, gotB := serving(t, "b")
+	g, call := operated(t, "a", a, "b", b)
+	ask := func(n int) {
+		t.Helper()
+		for range n {
+			if status, _, _ := do(t, request(t, g.url, "lookup", "")); status != 200 {
+				t.Fatalf("answered %d", status)
+			}
+		}
+	}
+	ask(40)
+	if len(gotA) == 0 || len(gotB) == 0 {
+		t.Fatal("one of the hosts got nothing")
+	}
+	for _, c := range []struct {
+		path string
+		want int
+	}{{"/hosts/a/maint", 200}, {"/hosts/a/maint", 200}, {"/hosts/c/maint", 404}, {"/hosts/c/ready", 404}} {
+		if status := call(c.path); status != c.want {
+			t.Errorf("%s: answered %d, want %d", c.path, status, c.want)
+		}
+	}
+	before := len(gotA)
+	g.moveTo(t, discover(t).Addr()) // a reload ends no ban
+	ask(40)
+	if len(gotA) != before {
+		t.Errorf("%d requests to a host that is out", len(gotA)-before)
+	}
+	if call("/hosts/a/ready") != 200 {
+		t.Error("one call back is not enough")
+	}
+	for end := time.Now().Add(patience); len(gotA) == before; {
+		if ask(1); time.Now().After(end) {
+			t.Fatal("the host gets nothing again")
+		}
+	}
+	if err := g.out(context.Background(), strings.Repeat("x", 300), true); !errors.Is(err, operate.ErrName) {
+		t.Errorf("a long name: %v", err)
+	}
+}
+
+// A gateway that is drained ends each connection with its answer or while it is idle, answers
+// what still comes, and is called back at any stage.
+func TestDrainAndBack(t *testing.T) {
+	host, _ := serving(t, "a")
+	g, call := operated(t, "a", host)
+	ready := func() int {
+		r, _ := http.NewRequest(http.MethodGet, g.url+"/ready", nil)
+		status, _, _ := do(t, r)
+		return status
+	}
+	for end := time.Now().Add(patience); call("/healthcheck") != 200; {
+		if time.Now().After(end) {
+			t.Fatal("it never serves")
+		}
+	}
+	for _, stay := range []time.Duration{0, 700 * time.Millisecond, 2 * time.Second} {
+		keeps := &http.Client{Transport: &http.Transport{}}
+		ask := func() *http.Response {
+			t.Helper()
+			resp, err := keeps.Do(request(t, g.url, "lookup", ""))
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatalf("%v, %+v", err, resp)
+			}
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			return resp
+		}
+		if ask().Close {
+			t.Fatal("a connection does not stay")
+		}
+		if call("/healthcheck/fail") != 200 || ready() == 200 || call("/healthcheck") == 200 {
+			t.Fatal("drained, it is ready")
+		}
+		if stay == 2*time.Second {
+			for end := time.Now().Add(patience); g.conns.Busy() > 0 || opened(g) > 0; time.Sleep(5 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("a connection is held idle")
+				}
+			}
+		}
+		if !ask().Close {
+			t.Error("drained, an answer leaves its connection open")
+		}
+		if call("/healthcheck/ok") != 200 || ready() != 200 || call("/healthcheck") != 200 || ask().Close {
+			t.Fatal("called back, it is not as before")
+		}
+		keeps.CloseIdleConnections()
+	}
+	call("/healthcheck/fail")
+	g.stop()
+	if err := await(t, g.end, "the end"); err != nil {
+		t.Error(err)
+	}
+}
+
+func opened(g *running) int {
+	open, _ := g.conns.Counts()
+	return open
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,12 +4,14 @@
 // request.
 //
 // gateway.go runs the whole, listen.go is listeners, reload.go takes over a configuration,
-// pool.go runs one pool, accounts.go tells of teams.
+// pool.go runs one pool, accounts.go tells of teams, clients.go gives clients up and takes them
+// back, calls.go is what operators may call.
 package gateway
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"sync"
@@ -21,6 +23,7 @@
 	"frostshift/internal/exchange"
 	"frostshift/internal/front"
 	"frostshift/internal/moves"
+	"frostshift/internal/operate"
 	"frostshift/internal/save"
 	"frostshift/internal/share"
 	"frostshift/internal/spool"
@@ -88,9 +91,14 @@
 	serving   bool // Run has begun
 	stopped   bool
 
+	ended   chan struct{}  // closed once no client is left
 	halt    chan struct{}  // closed at the order to stop: a reload waits for nothing any more
 	running sync.WaitGroup // whatever was started and must end
 	failed  chan error     // a listener that failed
+
+	clients clients         // given up, or not
+	banned  map[string]bool // hosts that operators took out, by name; under mu
+	desk    *operate.Server // nil: operators have no address
 }
 
 // New prepares a gateway for the configuration: its listeners are open and its pools run
@@ -101,7 +109,7 @@
 	}
 	x := exchange.New(exchange.NewClock())
 	g := &Gateway{log: log, opt: opt, exchange: x, conns: opt.Conns,
-		pools: map[string]*pool{}, servers: map[config.Listener]*server{}, failed: make(chan error, 1), halt: make(chan struct{})}
+		banned: map[string]bool{}, pools: map[string]*pool{}, servers: map[config.Listener]*server{}, failed: make(chan error, 1), halt: make(chan struct{}), ended: make(chan struct{})}
 	requests, conns, clients, asked := int64(1<<20), int64(1<<20), 1<<20, 1<<20
 	if n := m.Limits.Descriptors; n > 0 {
 		requests = int64(float64(n) * requestShare)
@@ -135,9 +143,19 @@
 			g.intake.Spool(d)
 		}
 	}
+	g.clients.gateway = g
+	if m.Management != "" {
+		var err error
+		if g.desk, err = operate.Listen(m.Management, commands{g}, nil, log.With("for", "operators")); err != nil {
+			return nil, fmt.Errorf("management: %w", err)
+		}
+	}
 	g.moves = moves.New(moves.Config{Clock: x.Clock(), Log: log, Dir: g.state, Pool: g.pool})
 	if err := g.apply(m, 0); err != nil {
 		g.closeState()
+		if g.desk != nil {
+			g.desk.Close()
+		}
 		return nil, err
 	}
 	return g, nil
@@ -213,6 +231,16 @@
 		g.intake.SetReady()
 	})
 	g.running.Go(func() { g.tellAccounts() })
+	if g.desk != nil {
+		g.running.Go(func() {
+			if err := g.desk.Serve(); err != nil {
+				select {
+				case g.failed <- err:
+				default:
+				}
+			}
+		})
+	}
 	turns, end := context.WithCancel(context.Background()) // up to the last request's end
 	var moving sync.WaitGroup
 	if !platform {
@@ -276,9 +304,7 @@
 		servers = append(servers, s)
 	}
 	g.mu.Unlock()
-	for _, s := range servers {
-		s.Leave()
-	}
+	g.clients.stop()
 	g.opt.Linger()
 	if !shutdown(servers, stopWithin) {
 		// What is still held would be lost at the kill that follows: it fails instead.
@@ -294,7 +320,11 @@
 			}
 		}
 	}
+	close(g.ended)
 	g.intake.Use(nil)
+	if g.desk != nil {
+		g.desk.Close()
+	}
 	g.running.Wait()
 }
 
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -23,6 +23,8 @@
 type hosts interface {
 	exchange.Upstream
 	Update(whole bool, list []upstream.Endpoint)
+	// Renew has what is open to a host serve nothing new: the host is worked on.
+	Renew(frostshift.HostID)
 	Run(context.Context)
 	Open() int
 }
@@ -54,6 +56,7 @@
 	ready chan struct{} // closed behind the first list
 	first sync.Once
 	refs  atomic.Int64 // configurations that name it and are still held
+	known roster
 
 	requests, conns, bodies, answers *share.Holder
 }
@@ -72,6 +75,9 @@
 	}
 	pc := exchange.PoolConfig{Name: def.Name, Settings: def.Settings, Seed: m.Seed ^ uint64(membership.HostID(def.Name)),
 		Log: p.log, Upstream: p.up, Room: p.requests, Repeats: def.Repeats}
+	for name := range g.banned {
+		pc.Banned = append(pc.Banned, membership.HostID(name))
+	}
 	if def.Belief != nil {
 		kc := keeper.Config{Specs: def.Sources, Belief: *def.Belief, Part: def.Part, Log: p.log, List: sink{p}.List, Silence: g.opt.Silence, Every: g.opt.LookEvery}
 		if m.Views != "" {
@@ -137,6 +143,7 @@
 			Gone: h.State == frostshift.Removed})
 	}
 	p.up.Update(l.Snapshot, list)
+	p.known.learn(l)
 }
 
 // sink passes lists on to the pool's loop.
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -173,6 +173,9 @@
 	}
 	for _, s := range opened {
 		g.servers[s.Listener] = s
+		if g.intake.Leaving() {
+			s.endsNext(true)
+		}
 		if g.serving {
 			g.serve(s)
 		}
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -107,6 +107,16 @@
 	delete(u.hosts, id)
 }
 
+// Renew has the connections that are open to a host serve nothing new.
+func (u *Upstream) Renew(id frostshift.HostID) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if h := u.hosts[id]; h != nil {
+		u.drop(id)
+		u.hosts[id] = &host{address: h.address, started: h.started}
+	}
+}
+
 // Open is how many connections there are.
 func (u *Upstream) Open() int {
 	u.mu.Lock()
--- a/internal/upstream/http2/upstream.go
+++ b/internal/upstream/http2/upstream.go
@@ -90,6 +90,22 @@
 			}
 		}
 	}
+	u.leave(drop)
+}
+
+// Renew has the connections that are open to a host serve nothing new.
+func (u *Upstream) Renew(id frostshift.HostID) {
+	u.mu.Lock()
+	var drop []*host
+	if h := u.hosts[id]; h != nil {
+		drop = append(drop, h)
+		u.hosts[id] = &host{address: h.address, started: h.started}
+	}
+	u.leave(drop)
+}
+
+// leave ends the connections of hosts with the streams that are open. It lets go of the lock.
+func (u *Upstream) leave(drop []*host) {
 	var idle []*conn
 	for _, h := range drop {
 		h.gone = true
--- a/state.go
+++ b/state.go
@@ -20,6 +20,8 @@
 
 	hosts   []*host // in order of first listing, so that nothing depends on map order
 	byID    map[HostID]*host
+	banned  map[HostID]bool // taken out by hand, listed or not
+	owing   []*host         // called back by hand, and no answer since
 	reqs    map[RequestID]*request
 	bands   []list[request] // waiting requests, most worth first
 	band    [][4]int
@@ -67,11 +69,12 @@
 // host is what this instance knows of one host.
 type host struct {
 	Host
-	fresh   bool    // no sample yet
-	place   uint64  // in the ring
-	laid    bool    // it is among the places
-	near    bool    // scratch of layRing
-	rtt     float64 // peak EWMA in seconds, as of rttAt
+	listed  HostState // what the list says; State is what holds
+	fresh   bool      // no sample yet
+	place   uint64    // in the ring
+	laid    bool      // it is among the places
+	near    bool      // scratch of layRing
+	rtt     float64   // peak EWMA in seconds, as of rttAt
 	rttAt   Time
 	pending int
 	streams int           // answers whose bodies flow
@@ -94,6 +97,37 @@
 	creditAt Time
 }
 
+// ban notes that a host is out by hand, or that it is called back and nothing that was learnt
+// of it holds.
+func (b *Balancer) ban(id HostID, out bool) {
+	h := b.byID[id]
+	if out && b.banned == nil {
+		b.banned = map[HostID]bool{}
+	}
+	if out {
+		b.banned[id] = true
+	} else {
+		delete(b.banned, id)
+	}
+	if h == nil {
+		return
+	}
+	b.paid(h)
+	if !out {
+		h.fresh, h.rtt, h.rttAt, h.heard = true, 0, b.now, b.now
+		h.limit, h.lat, h.cutAt, h.good = limitStart, mean{}, 0, errorGap
+		h.fails, h.down, h.ejectUntil, h.trialOut = 0, false, 0, false
+		b.owing = append(b.owing, h)
+	}
+}
+
+// paid notes that a host is owed nothing.
+func (b *Balancer) paid(h *host) {
+	if len(b.owing) > 0 {
+		b.owing = slices.DeleteFunc(b.owing, func(o *host) bool { return o == h })
+	}
+}
+
 func (h *host) weight() float64 {
 	if h.Weight > 0 {
 		return h.Weight
@@ -214,6 +248,7 @@
 		return
 	}
 	delete(b.byID, h.ID)
+	b.paid(h)
 	for i := range b.hosts {
 		if b.hosts[i] == h {
 			b.hosts = append(b.hosts[:i], b.hosts[i+1:]...)
@@ -232,6 +267,7 @@
 		gone := b.forgotten(h)
 		if gone {
 			delete(b.byID, h.ID)
+			b.paid(h)
 		}
 		return gone
 	})
