A second process takes over from the first: links, ids, bans, what was learned

The clients' socket is inherited (GW_INHERITED_FD, checked at the start). internal/handover is the link on a Unix socket in TMPDIR: framed, checksummed, versioned, bounded. The process that starts is told hosts with their index, bans, what the module has learned (Memory, Restore), ids that are open or may have run; while both live each tells the other of ids and of operators' calls, keeps to half of the limits and of what cold hosts may get (Twins). Once the new one serves, the old one accepts nothing, gives its clients up as in a drain and ends. If the new one dies it goes on. Ruled out: closing the listener at the order to stop (the queue is common to both, so accepting is paused instead and can be resumed).

--- a/balancer.go
+++ b/balancer.go
@@ -907,7 +907,7 @@
 // (of a count of requests of exponential work: the root of twice the mean, or of the
 // mean alone where one instance paces them evenly) under the budget.
 func (b *Balancer) coldRate(h *host, age Time) float64 {
-	bank, fall := max(1, h.sharers), b.set.Fall.Seconds()
+	bank, fall := max(1, h.sharers)*max(1, b.twins), b.set.Fall.Seconds()
 	share := b.set.ColdFrom + (1-b.set.ColdFrom)*float64(age)/float64(b.set.WarmAfter)
 	capacity := max(b.warmRate()/max(1, b.kinds[h.Kind].mean), 1/b.aim.Seconds())
 	c := coldChance * coldChance / 2 * (1 - 1/(2*bank))
--- a/cmd/stilespool/run.go
+++ b/cmd/stilespool/run.go
@@ -54,7 +54,13 @@
 	for _, w := range warnings {
 		log.Warn("configuration", "problem", w.Error())
 	}
-	g, err := gateway.New(m, log, gateway.Options{})
+	opt := gateway.Options{}
+	if m.Limits.MemoryMB > 0 {
+		opt.Memory = func(part float64) {
+			debug.SetMemoryLimit(int64(part * heapShare * float64(m.Limits.MemoryMB) * (1 << 20)))
+		}
+	}
+	g, err := gateway.New(m, log, opt)
 	if err != nil {
 		return err
 	}
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -46,6 +46,9 @@
 	State     string           // folder that lasts, for what must outlive the process; "": there is none
 	Moves     []shift.Plan     // of traffic between pools
 	Spool     Spool            // for bodies that are kept on disk
+	// Handover is the path at which a process that takes over finds the one that runs; "": none
+	// takes over.
+	Handover string
 	// Management is where operators call; "": nowhere.
 	Management string
 	Views      string // folder where a running gateway shows what it knows of hosts; "": nowhere
@@ -78,6 +81,8 @@
 	// Protocol is what clients speak there; with TLS they choose between both.
 	Protocol         Protocol
 	Certificate, Key string // files; "": no TLS
+	// Descriptor is that of a listening socket which the process was given; 0: it opens its own.
+	Descriptor int
 }
 
 // Protocol is what is spoken over a connection.
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strconv"
 	"time"
 
@@ -21,6 +22,8 @@
 const (
 	platformIdle    = 10 * time.Second // peers take seconds to read or write
 	platformLongest = 10 * time.Minute // 32 MB at 64 kB a second
+	firstDescriptor = 3                // below are the standard ones
+	handoverName    = "stilespool.sock"
 	platformAhead   = 150 * time.Millisecond
 	platformRate    = 8 << 10 // bytes a second: an eighth of what slow clients send
 )
@@ -40,6 +43,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if text := getenv("GW_INHERITED_FD"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < firstDescriptor {
+			return nil, fmt.Errorf("GW_INHERITED_FD: %q is no descriptor from %d on", text, firstDescriptor)
+		}
+		m.Listeners[0].Descriptor = n
+		if dir := getenv("TMPDIR"); dir != "" {
+			m.Handover = filepath.Join(dir, handoverName)
+		}
+	}
 	if s := getenv("GW_MANAGEMENT"); s != "" {
 		m.Management = s
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,8 +14,9 @@
 package exchange
 
 import (
-	"hash/maphash"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"frostshift"
@@ -28,7 +29,7 @@
 // Exchange takes requests for all pools. It is safe for concurrent use.
 type Exchange struct {
 	clock Clock
-	seed  maphash.Seed
+	seed  atomic.Uint64 // of the hashes of ids
 	ids   [16]idShard
 }
 
@@ -39,6 +40,9 @@
 	open map[string]struct{}
 	// lost are requests that may have run and whose clients have had no answer: see recall.
 	lost *recall.Memory
+	// remote are the hashes of those that are open at the gateway's other process.
+	remote map[uint64]struct{}
+	twin   Twin // nil: there is none
 }
 
 const (
@@ -50,7 +54,8 @@
 
 // New returns an exchange with no request open.
 func New(clock Clock) *Exchange {
-	x := &Exchange{clock: clock, seed: maphash.MakeSeed()}
+	x := &Exchange{clock: clock}
+	x.seed.Store(rand.Uint64())
 	for i := range x.ids {
 		x.ids[i].open = map[string]struct{}{}
 		x.ids[i].lost = recall.New(lostFor, mostLost)
@@ -63,8 +68,8 @@
 
 // shard is where an id belongs, with its hash there.
 func (x *Exchange) shard(id string) (*idShard, uint64) {
-	h := maphash.String(x.seed, id)
-	return &x.ids[h%uint64(len(x.ids))], h
+	h := x.hashOf(id)
+	return x.shardOf(h), h
 }
 
 // claim marks an id as open. It fails with Duplicate if it is open already, and, where the
@@ -77,17 +82,22 @@
 	if _, taken := s.open[id]; taken {
 		return Duplicate, false
 	}
+	if _, taken := s.remote[h]; taken {
+		return Duplicate, false
+	}
 	if effect != frostshift.Safe && s.lost.Has(x.clock.Now(), h) {
 		return Failed, false
 	}
 	s.open[id] = struct{}{}
+	s.tell(noteOpen, h)
 	return 0, true
 }
 
 func (x *Exchange) free(id string) {
-	s, _ := x.shard(id)
+	s, h := x.shard(id)
 	s.mu.Lock()
 	delete(s.open, id)
+	s.tell(noteEnd, h)
 	s.mu.Unlock()
 }
 
@@ -97,6 +107,7 @@
 	s, h := x.shard(id)
 	s.mu.Lock()
 	s.lost.Note(x.clock.Now(), h)
+	s.tell(noteLost, h)
 	s.mu.Unlock()
 }
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -21,6 +21,8 @@
 	Upstream Upstream
 	Room     Room   // for open requests; nil: not bounded
 	Watch    func() // the balancer asks for the host list; nil: nobody is asked
+	// Learned is what another process had learned; nil: nothing is known.
+	Learned *frostshift.Memory
 	// Banned are the hosts that operators have taken out.
 	Banned []frostshift.HostID
 	// Saw is told of each attempt that shows whether its host is there: it has answered, or
@@ -48,7 +50,8 @@
 	room     Room
 	watch    func()
 	saw      func(frostshift.HostID, bool)
-	advice   time.Duration // when to come back where the pool itself is full; 0: none
+	learned  *frostshift.Memory // to be taken over behind the saved list
+	advice   time.Duration      // when to come back where the pool itself is full; 0: none
 
 	sched    *contract.Scheduler // nil: no contracts
 	part     *contract.Part
@@ -122,7 +125,7 @@
 		return nil, err
 	}
 	p := &Pool{name: c.Name, set: c.Settings, log: c.Log, clock: x.clock, x: x, b: b, upstream: c.Upstream,
-		room: c.Room, watch: c.Watch, saw: c.Saw, sched: c.Scheduler, part: c.Part, door: c.Door, advice: c.Settings.MaxRetryAfter,
+		room: c.Room, watch: c.Watch, saw: c.Saw, learned: c.Learned, sched: c.Scheduler, part: c.Part, door: c.Door, advice: c.Settings.MaxRetryAfter,
 		events: make(chan event, 1024), quit: make(chan struct{}), done: make(chan struct{}),
 		calls: map[frostshift.RequestID]*Call{}, jury: verdict.NewJury(), repeats: verdict.NewBudget(c.Repeats)}
 	if p.room == nil {
@@ -244,6 +247,10 @@
 		apply()
 		p.b.Hosts(p.clock.Now(), frostshift.ListSaved, saved)
 	}
+	if p.learned != nil {
+		p.b.Restore(p.clock.Now(), p.learned)
+		p.learned = nil
+	}
 	p.carryOut()
 }
 
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -70,6 +71,13 @@
 	return &Conns{most: most, room: room, spare: spare}
 }
 
+// Bound changes how many connections are allowed, and how many of those that have asked.
+func (l *Conns) Bound(most, room int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most, l.room = most, room
+}
+
 // Counts are the connections that are open, and those of them that have asked something
 // and are not at their end.
 func (l *Conns) Counts() (open, asked int) {
@@ -98,10 +106,59 @@
 	net.Listener
 	all     *Conns
 	leaving atomic.Bool
+
+	mu     sync.Mutex
+	paused chan struct{} // closed: connections are accepted again; nil: they are
+	closed chan struct{}
 }
 
 // Listen makes a listener's connections count among all. What it accepts is a *Conn.
-func (l *Conns) Listen(ln net.Listener) *Listener { return &Listener{Listener: ln, all: l} }
+func (l *Conns) Listen(ln net.Listener) *Listener {
+	return &Listener{Listener: ln, all: l, closed: make(chan struct{})}
+}
+
+// Pause has nothing accepted, or takes that back: a listening socket that other processes hold
+// as well keeps what comes meanwhile for them.
+func (ln *Listener) Pause(on bool) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	due, ok := ln.Listener.(interface{ SetDeadline(time.Time) error })
+	switch {
+	case !ok:
+	case on && ln.paused == nil:
+		ln.paused = make(chan struct{})
+		due.SetDeadline(time.Unix(1, 0)) // ends an Accept that waits
+	case !on && ln.paused != nil:
+		due.SetDeadline(time.Time{})
+		close(ln.paused)
+		ln.paused = nil
+	}
+}
+
+// resumed waits while nothing is to be accepted.
+func (ln *Listener) resumed() {
+	ln.mu.Lock()
+	paused := ln.paused
+	ln.mu.Unlock()
+	if paused != nil {
+		select {
+		case <-paused:
+		case <-ln.closed:
+		}
+	}
+}
+
+// Close ends the listening.
+func (ln *Listener) Close() error {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	select {
+	case <-ln.closed:
+	default:
+		close(ln.closed)
+	}
+	return ln.Listener.Close()
+}
 
 // End has each connection over HTTP/1.1 end with its next answer, or takes that back.
 func (ln *Listener) End(on bool) { ln.leaving.Store(on) }
@@ -220,7 +277,11 @@
 func (ln *Listener) Accept() (net.Conn, error) {
 	l := ln.all
 	for {
+		ln.resumed()
 		c, err := ln.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) { // paused meanwhile
+			continue
+		}
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			if !l.shed() {
 				time.Sleep(fullWait)
@@ -245,13 +306,16 @@
 
 // crowded says whether clients hold as many connections as they may.
 func (l *Conns) crowded() bool {
-	open, _ := l.Counts()
-	return open >= l.most
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open >= l.most
 }
 
 // full says whether those that have asked something hold as many as they should.
 func (l *Conns) full() bool {
-	_, asked := l.Counts()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, asked := l.counts()
 	return asked >= l.room
 }
 
@@ -616,7 +680,9 @@
 // the listener leaves, or where connections that ask are nearly as many as there may be:
 // silent ones make room by themselves.
 func (c *Conn) Stays() bool {
-	_, asked := c.all.Counts()
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	_, asked := c.all.counts()
 	return !c.from.leaving.Load() && asked < int(politeAt*float64(c.all.most))
 }
 
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -19,7 +19,7 @@
 type commands struct{ *Gateway }
 
 // Serving says whether this process takes clients.
-func (c commands) Serving() bool { return c.intake.Ready() }
+func (c commands) Serving() bool { return c.succession.serves() && c.intake.Ready() }
 
 // Out takes a host out of use, or has it used again, in each pool that has heard of it.
 func (c commands) Out(ctx context.Context, name string, out bool) error {
@@ -27,9 +27,9 @@
 }
 
 // Drain gives the clients up, or takes some again.
-func (c commands) Drain(_ context.Context, on bool) error {
-	c.clients.give(on)
-	return nil
+func (c commands) Drain(ctx context.Context, on bool) error {
+	c.clients.ask(on)
+	return c.succession.everywhere(ctx, call{Drain: &on})
 }
 
 func (g *Gateway) out(ctx context.Context, name string, out bool) error {
@@ -41,10 +41,20 @@
 	for _, p := range g.pools {
 		known = known || p.known.has(name)
 	}
-	switch {
-	case !known:
-		g.mu.Unlock()
+	g.mu.Unlock()
+	if !known {
 		return operate.ErrUnknown
+	}
+	if err := g.outHere(ctx, name, out); err != nil {
+		return err
+	}
+	return g.succession.everywhere(ctx, call{Host: name, Out: out})
+}
+
+// outHere does it in this process, also for a name that none of its pools has heard of yet.
+func (g *Gateway) outHere(ctx context.Context, name string, out bool) error {
+	g.mu.Lock()
+	switch {
 	case out && !g.banned[name] && len(g.banned) >= mostBanned:
 		g.mu.Unlock()
 		return fmt.Errorf("%d hosts are out already", mostBanned)
@@ -67,14 +77,19 @@
 			return fmt.Errorf("it does not hold yet: %w", ctx.Err())
 		}
 	}
+	if err := g.succession.writeBans(); err != nil {
+		g.log.Warn("hosts that are out are not kept for a restart", "err", err)
+	}
 	return nil
 }
 
 // roster is the names of hosts that a pool has heard of. The zero value is empty.
 type roster struct {
-	mu     sync.Mutex
-	listed map[string]bool // false: it has left
-	gone   int
+	mu      sync.Mutex
+	listed  map[string]bool // false: it has left
+	index   *uint64
+	entries map[string]membership.Endpoint
+	gone    int
 }
 
 // learn takes over a list, the whole one or changes.
@@ -82,7 +97,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.listed == nil {
-		r.listed = map[string]bool{}
+		r.listed, r.entries = map[string]bool{}, map[string]membership.Endpoint{}
+	}
+	r.index = l.Index
+	if l.Snapshot {
+		clear(r.entries)
+	}
+	for _, e := range l.Endpoints {
+		if r.entries[e.Name] = e; e.Status == membership.Left {
+			delete(r.entries, e.Name)
+		}
 	}
 	if l.Snapshot {
 		for name := range r.listed {
@@ -103,6 +127,20 @@
 	}
 }
 
+// list is the hosts that are listed now, as discovery would; nil: there is no version to it.
+func (r *roster) list() *membership.List {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.index == nil {
+		return nil
+	}
+	l := &membership.List{Index: r.index, Snapshot: true}
+	for _, e := range r.entries {
+		l.Endpoints = append(l.Endpoints, e)
+	}
+	return l
+}
+
 // has says whether a name is that of a host which is listed or was lately.
 func (r *roster) has(name string) bool {
 	r.mu.Lock()
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -16,6 +16,8 @@
 	machine drain.Machine
 	steps   bool // a goroutine steps the machine
 	stopped bool
+	asked   bool // operators want them given up
+	handed  bool // another process has them
 }
 
 // give gives the clients up, or takes new ones again. It holds when it returns.
@@ -26,7 +28,7 @@
 	switch {
 	case up:
 		c.machine.Drain(g.exchange.Clock().Now())
-	case c.stopped:
+	case c.stopped || c.handed:
 		return
 	default:
 		c.machine.Back()
@@ -41,6 +43,30 @@
 	}
 }
 
+// hand gives the clients up to another process, or takes them back from one that has gone.
+func (c *clients) hand(over bool) {
+	c.mu.Lock()
+	c.handed = over
+	up := over || c.asked
+	c.mu.Unlock()
+	c.give(up)
+}
+
+// ask is an operator's order.
+func (c *clients) ask(up bool) {
+	c.mu.Lock()
+	c.asked = up
+	c.mu.Unlock()
+	c.give(up)
+}
+
+// isAsked says whether operators have ordered that clients are given up.
+func (c *clients) isAsked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked
+}
+
 // stop is the order to stop: nothing leads back, and idle connections are closed at once
 // unless they are being given up already.
 func (c *clients) stop() {
@@ -56,13 +82,6 @@
 	}
 }
 
-// draining says whether clients are being given up.
-func (c *clients) draining() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.machine.Ready()
-}
-
 // step moves the machine on until the clients are taken back or the gateway ends.
 func (c *clients) step() {
 	tick := time.NewTicker(drain.Every)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"frostshift"
 	"frostshift/internal/config"
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
@@ -58,7 +59,9 @@
 	Silence    time.Duration // of discovery
 	LookEvery  time.Duration // at files of hosts
 	TellEvery  time.Duration // what teams have had
-	RoundTrip  time.Duration // for the first notice of an HTTP/2 drain to be answered
+	// Memory is told the part of the limit on memory that this process may use; nil: nobody is.
+	Memory    func(part float64)
+	RoundTrip time.Duration // for the first notice of an HTTP/2 drain to be answered
 	// Conns bounds the connections of clients, where the limits do not.
 	Conns *front.Conns
 }
@@ -76,6 +79,8 @@
 	intake   *front.Intake
 	conns    *front.Conns
 	budgets  budgets
+	whole    wholes
+	bounded  bool // conns keep to the limit on descriptors
 	door     *contract.Door
 	moves    *moves.Set
 	state    *save.Dir   // nil: there is none
@@ -96,9 +101,11 @@
 	running sync.WaitGroup // whatever was started and must end
 	failed  chan error     // a listener that failed
 
-	clients clients         // given up, or not
-	banned  map[string]bool // hosts that operators took out, by name; under mu
-	desk    *operate.Server // nil: operators have no address
+	succession *succession
+	learned    map[string]*frostshift.Memory // by pool, of the process that ran before
+	clients    clients                       // given up, or not
+	banned     map[string]bool               // hosts that operators took out, by name; under mu
+	desk       *operate.Server               // nil: operators have no address
 }
 
 // New prepares a gateway for the configuration: its listeners are open and its pools run
@@ -111,6 +118,7 @@
 	g := &Gateway{log: log, opt: opt, exchange: x, conns: opt.Conns,
 		banned: map[string]bool{}, pools: map[string]*pool{}, servers: map[config.Listener]*server{}, failed: make(chan error, 1), halt: make(chan struct{}), ended: make(chan struct{})}
 	requests, conns, clients, asked := int64(1<<20), int64(1<<20), 1<<20, 1<<20
+	g.bounded = opt.Conns == nil
 	if n := m.Limits.Descriptors; n > 0 {
 		requests = int64(float64(n) * requestShare)
 		conns = int64(float64(n-ownSockets) * hostShare)
@@ -127,6 +135,7 @@
 		g.conns = front.NewConns(clients, asked, front.SpareAfter)
 	}
 	g.budgets = budgets{share.New(requests), share.New(conns), share.New(bodies), share.New(answers)}
+	g.whole = wholes{conns, bodies, answers, clients, asked}
 	g.instances, g.streams = m.Instances, m.Limits.Streams
 	if m.State != "" {
 		var err error
@@ -144,14 +153,19 @@
 		}
 	}
 	g.clients.gateway = g
+	g.learned = map[string]*frostshift.Memory{}
+	g.succession = newSuccession(g, m.Handover)
+	m = g.succession.join(m)
 	if m.Management != "" {
 		var err error
 		if g.desk, err = operate.Listen(m.Management, commands{g}, nil, log.With("for", "operators")); err != nil {
+			g.succession.end()
 			return nil, fmt.Errorf("management: %w", err)
 		}
 	}
 	g.moves = moves.New(moves.Config{Clock: x.Clock(), Log: log, Dir: g.state, Pool: g.pool})
 	if err := g.apply(m, 0); err != nil {
+		g.succession.end()
 		g.closeState()
 		if g.desk != nil {
 			g.desk.Close()
@@ -167,6 +181,34 @@
 	}
 }
 
+// wholes are the bounds of a gateway that is one process.
+type wholes struct {
+	conns, bodies, answers int64
+	clients, asked         int
+}
+
+// bound keeps this process to one part in n of what the gateway may hold.
+func (g *Gateway) bound(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.whole
+	g.budgets.conns.Resize(w.conns / int64(n))
+	g.budgets.bodies.Resize(w.bodies / int64(n))
+	g.budgets.answers.Resize(w.answers / int64(n))
+	if g.bounded {
+		g.conns.Bound(w.clients/n, w.asked/n)
+	}
+	if err := g.divide(g.model, g.pools); err != nil {
+		g.log.Error("the limits are not divided anew", "err", err)
+	}
+	for _, p := range g.pools {
+		go p.ex.Twins(n) // a loop that is behind holds up nobody
+	}
+	if g.opt.Memory != nil {
+		g.opt.Memory(1 / float64(n))
+	}
+}
+
 // pool is a running pool of the present configuration by its name; nil: there is none.
 func (g *Gateway) pool(name string) *exchange.Pool {
 	g.mu.Lock()
@@ -208,7 +250,9 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	g.mu.Lock()
 	g.serving = true
+	waits := g.succession.begin()
 	for _, s := range g.servers {
+		s.ln.Pause(waits)
 		g.serve(s)
 	}
 	platform := g.model.Platform // nothing moves there, whatever is reloaded
@@ -228,8 +272,11 @@
 			case <-ctx.Done():
 			}
 		}
-		g.intake.SetReady()
+		g.succession.serve()
 	})
+	if waits {
+		g.succession.share()
+	}
 	g.running.Go(func() { g.tellAccounts() })
 	if g.desk != nil {
 		g.running.Go(func() {
@@ -261,6 +308,8 @@
 	var err error
 	select {
 	case err = <-g.failed:
+	case <-g.succession.retired:
+		g.log.Info("another process has taken over")
 	case <-ctx.Done():
 		g.log.Info("stopping")
 	}
@@ -305,7 +354,9 @@
 	}
 	g.mu.Unlock()
 	g.clients.stop()
-	g.opt.Linger()
+	if !g.succession.isHanded() { // else new connections are another process's
+		g.opt.Linger()
+	}
 	if !shutdown(servers, stopWithin) {
 		// What is still held would be lost at the kill that follows: it fails instead.
 		g.mu.Lock()
@@ -321,6 +372,7 @@
 		}
 	}
 	close(g.ended)
+	g.succession.end()
 	g.intake.Use(nil)
 	if g.desk != nil {
 		g.desk.Close()
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -75,6 +75,8 @@
 	}
 	pc := exchange.PoolConfig{Name: def.Name, Settings: def.Settings, Seed: m.Seed ^ uint64(membership.HostID(def.Name)),
 		Log: p.log, Upstream: p.up, Room: p.requests, Repeats: def.Repeats}
+	pc.Learned = g.learned[def.Name]
+	delete(g.learned, def.Name)
 	for name := range g.banned {
 		pc.Banned = append(pc.Banned, membership.HostID(name))
 	}
--- a/internal/recall/recall.go
+++ b/internal/recall/recall.go
@@ -61,3 +61,15 @@
 }
 
 func (m *Memory) next() { m.young, m.old = nil, m.young }
+
+// All is the numbers that are remembered, in no order; some may stand in it twice.
+func (m *Memory) All(now frostshift.Time) []uint64 {
+	m.turn(now)
+	out := make([]uint64, 0, len(m.young)+len(m.old))
+	for _, generation := range [...]map[uint64]struct{}{m.young, m.old} {
+		for key := range generation {
+			out = append(out, key)
+		}
+	}
+	return out
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -33,7 +33,19 @@
 }
 
 // Total is the amount that is divided.
-func (b *Budget) Total() int64 { return b.total }
+func (b *Budget) Total() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.total
+}
+
+// Resize changes the amount. What is held stays held; while that is more than there is, nothing
+// is lent. Guarantees are for Divide to change.
+func (b *Budget) Resize(total int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.total = total
+}
 
 // Holder returns one that has nothing and is guaranteed nothing until Divide says so.
 func (b *Budget) Holder() *Holder { return &Holder{b: b} }
--- /dev/null
+++ b/memory.go
@@ -0,0 +1,146 @@
+package frostshift
+
+import (
+	"math"
+	"time"
+)
+
+// What a Balancer has learned, as another one takes it over: that of a process which takes the
+// place of this one. Nothing here decides anything. Times are ages, as the two need not share
+// a clock; requests are not part of it.
+
+// MemoryVersion is that of Memory. One of another version is not for Restore.
+const MemoryVersion = 1
+
+// Memory is what has been learned of hosts and of the load.
+type Memory struct {
+	Version int
+	Hosts   []HostMemory
+	Banned  []HostID
+	Admit   float64
+	Late    MeanMemory
+	Worth   MeanMemory
+	Gap     MeanMemory
+	All     MeanMemory
+	Classes []MeanMemory
+	Kinds   []MeanMemory
+	Served  float64
+	Warm    int
+	// ServedAge and ServedFor are how long ago the rate was read and first began.
+	ServedAge, ServedFor time.Duration
+}
+
+// HostMemory is what has been learned of a host.
+type HostMemory struct {
+	ID       HostID
+	Fresh    bool
+	RTT      float64
+	Age      time.Duration // of RTT
+	Limit    float64
+	Lat      MeanMemory
+	Fails    int
+	Down     bool
+	Good     int
+	Out      time.Duration // left of its ejection
+	Cold     bool
+	ColdFor  time.Duration // since its start
+	Owed     bool
+	Started  Time
+	HeardAge time.Duration
+}
+
+// MeanMemory is a moving average.
+type MeanMemory struct {
+	Mean, Dev float64
+	Seen      bool
+	Age       time.Duration
+}
+
+func (m *mean) memory(now Time) MeanMemory { return MeanMemory{m.mean, m.dev, m.seen, now - m.at} }
+
+func (m MeanMemory) mean(now Time) mean {
+	if !sane(m.Mean) || !sane(m.Dev) {
+		return mean{}
+	}
+	return mean{m.Mean, m.Dev, m.Seen, now - max(m.Age, 0)}
+}
+
+// sane says whether a figure can be one that was learned.
+func sane(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
+
+// Memory is what has been learned up to now.
+func (b *Balancer) Memory(now Time) Memory {
+	m := Memory{Version: MemoryVersion, Admit: b.admit, Late: b.late.memory(now), Worth: b.worth.memory(now), Gap: b.gap.memory(now),
+		All: b.all.memory(now), Served: b.served, Warm: b.warm}
+	if b.servedAt > 0 {
+		m.ServedAge, m.ServedFor = now-b.servedAt, now-b.servedFrom
+	}
+	for i := range b.lat {
+		m.Classes = append(m.Classes, b.lat[i].memory(now))
+	}
+	for i := range b.kinds {
+		m.Kinds = append(m.Kinds, b.kinds[i].memory(now))
+	}
+	for id := range b.banned {
+		m.Banned = append(m.Banned, id)
+	}
+	for _, h := range b.hosts {
+		o := HostMemory{ID: h.ID, Fresh: h.fresh, RTT: h.rtt, Age: now - h.rttAt, Limit: h.limit, Lat: h.lat.memory(now), Fails: h.fails,
+			Down: h.down, Good: h.good, Out: max(0, h.ejectUntil-now), Cold: h.cold, ColdFor: now - h.coldAt, Started: h.Started, HeardAge: now - h.heard}
+		for _, owed := range b.owing {
+			o.Owed = o.Owed || owed == h
+		}
+		m.Hosts = append(m.Hosts, o)
+	}
+	return m
+}
+
+// Restore takes over what another balancer had learned: of the hosts that are listed already
+// and have not started anew since. It is called once, behind the first list and before the
+// first request; what makes no sense is left out.
+func (b *Balancer) Restore(now Time, m *Memory) {
+	b.now = now
+	if m.Version != MemoryVersion {
+		return
+	}
+	for _, id := range m.Banned {
+		b.Ban(now, id, true)
+	}
+	if m.Admit > 0 && m.Admit <= 1 {
+		b.admit = m.Admit
+	}
+	b.late, b.worth, b.gap, b.all = m.Late.mean(now), m.Worth.mean(now), m.Gap.mean(now), m.All.mean(now)
+	for i := range m.Classes[:min(len(m.Classes), len(b.lat))] {
+		b.lat[i] = m.Classes[i].mean(now)
+	}
+	for i := range m.Kinds[:min(len(m.Kinds), len(b.kinds))] {
+		b.kinds[i] = m.Kinds[i].mean(now)
+	}
+	if sane(m.Served) && m.ServedFor > 0 && m.ServedAge >= 0 {
+		b.served, b.servedAt, b.servedFrom = m.Served, now-m.ServedAge, now-m.ServedFor
+	}
+	for i := range m.Hosts {
+		o := &m.Hosts[i]
+		h := b.byID[o.ID]
+		if h == nil || h.Started != o.Started || !sane(o.RTT) || !(o.Limit >= limitLeast) || o.Age < 0 || o.ColdFor < 0 || o.HeardAge < 0 || o.Fails < 0 {
+			continue
+		}
+		h.fresh, h.rtt, h.rttAt, h.limit, h.lat = o.Fresh, o.RTT, now-o.Age, o.Limit, o.Lat.mean(now)
+		h.fails, h.down, h.good, h.ejectUntil = o.Fails, o.Down, o.Good, now+min(max(o.Out, 0), time.Minute)
+		h.heard = now - o.HeardAge
+		if h.cold = h.cold || o.Cold; o.Cold {
+			h.coldAt = now - o.ColdFor
+		}
+		if o.Owed {
+			b.owing = append(b.owing, h)
+		}
+	}
+	b.layRing()
+}
+
+// Twins says how many processes are this one instance now: they share its part of what cold
+// hosts may get.
+func (b *Balancer) Twins(now Time, n int) {
+	b.now = now
+	b.twins = float64(max(1, n))
+}
--- a/state.go
+++ b/state.go
@@ -55,6 +55,7 @@
 	subset     int     // how many of them it draws from
 	sharers    float64 // instances that draw from one host
 	bank       float64 // instances that share the hosts listed
+	twins      float64 // processes that are this instance; 0: one
 	ready      []*host // scratch of pick
 	out        []*host // scratch of pick
 	freeReq    []*request
