--- a/cmd/stilespool/run.go
+++ b/cmd/stilespool/run.go
@@ -37,8 +37,16 @@
 func serve(path string, errs io.Writer) error {
 	hup := make(chan os.Signal, 1) // one more while one is waiting asks for the same
 	signal.Notify(hup, syscall.SIGHUP)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	// The signals stay caught to the end: an order to stop that comes while the gateway ends by
+	// itself must not look like a death.
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	go func() {
+		<-term
+		stop()
+	}()
 	m, warnings, err := load(path)
 	if err != nil {
 		return err
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -6,10 +6,8 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"frostshift/internal/config"
@@ -88,32 +86,10 @@
 
 // socket is the listening socket of a listener: its own, or one that the process was given.
 func socket(l config.Listener) (net.Listener, error) {
-	if l.Descriptor == 0 {
-		return net.Listen("tcp", l.Address)
+	if l.Descriptor > 0 {
+		return inherit(l.Descriptor)
 	}
-	on, err := syscall.GetsockoptInt(l.Descriptor, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
-	if err != nil {
-		return nil, fmt.Errorf("inherited descriptor %d: %w", l.Descriptor, err)
-	}
-	if on == 0 {
-		return nil, fmt.Errorf("inherited descriptor %d: the socket does not listen", l.Descriptor)
-	}
-	// The descriptor itself stays as it is: another listener may be made of it.
-	n, err := syscall.Dup(l.Descriptor)
-	if err != nil {
-		return nil, fmt.Errorf("inherited descriptor %d: %w", l.Descriptor, err)
-	}
-	f := os.NewFile(uintptr(n), l.Name)
-	defer f.Close()
-	ln, err := net.FileListener(f)
-	if err != nil {
-		return nil, fmt.Errorf("inherited descriptor %d: %w", l.Descriptor, err)
-	}
-	if _, tcp := ln.(*net.TCPListener); !tcp {
-		ln.Close()
-		return nil, fmt.Errorf("inherited descriptor %d: it is no TCP socket", l.Descriptor)
-	}
-	return ln, nil
+	return net.Listen("tcp", l.Address)
 }
 
 // pressed says that bodies hold more than half of what they may.
