--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -277,7 +277,7 @@
 	case r.Method != http.MethodGet && r.Method != http.MethodHead:
 		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
 	case !s.cfg.Intake.Ready():
-		http.Error(w, "starting", http.StatusServiceUnavailable)
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
 	default:
 		io.WriteString(w, "ready\n")
 	}
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -327,7 +327,7 @@
 	s.whole, s.ended = true, whole
 	status, text := http.StatusOK, "ready\n"
 	if !s.c.s.cfg.Intake.Ready() {
-		status, text = http.StatusServiceUnavailable, "starting\n"
+		status, text = http.StatusServiceUnavailable, "not ready\n"
 	}
 	go func() {
 		defer s.finish()
