A request whose body has just come is not overdue

Cause: relieve (balancer.go) goes by the arrival of the head, which a slow body puts seconds back; fedUp moved the deadline and not that. Ruled out by a line for each attempt that did not end well: time-outs, broken hosts, malformed answers (none).

--- a/balancer.go
+++ b/balancer.go
@@ -434,7 +434,7 @@
 
 // fedUp gives a request that was fed its whole time from now on.
 func (b *Balancer) fedUp(r *request) {
-	r.feeding, r.moved = false, true
+	r.feeding, r.moved, r.arrived = false, true, b.now
 	r.deadline = b.now + min(max(r.Left, 0), r.class.Deadline)
 	b.wake(r.deadline-answerSteps*b.set.Step, tokenAnswer<<tokenShift|uint64(r.ID))
 }
