Figures for operators at /stats, in Prometheus' text form

By prometheus/client_golang, read from the counters that exist where they are asked for: labels are classes and three outcomes, so memory is bounded. Ruled out: the library's own runtime figures (a stop of the world at each call) and a counter for each host (names come and go). Test over the second address.

--- a/cmd/stilespool/run.go
+++ b/cmd/stilespool/run.go
@@ -75,6 +75,7 @@
 	go func() {
 		for range hup {
 			if next, err := reload(m, path, log); err != nil {
+				g.Unread()
 				log.Error("new configuration not taken over, the old one stays", "err", err)
 			} else if err := g.Reload(next); err != nil {
 				log.Error("new configuration not taken over, the old one stays", "err", err)
--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -337,6 +337,9 @@
 
 // count counts how a request ended.
 func (p *Pool) count(c *Call, r *Reply) {
+	if r.Verdict <= Failed {
+		p.ended[c.Class][r.Verdict].Add(1)
+	}
 	switch r.Verdict {
 	case Served:
 		p.counts.Served.Add(1)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -73,6 +73,7 @@
 	acts     []frostshift.Action
 
 	counts Counts
+	ended  [][Failed + 1]atomic.Int64 // requests, by class and how
 }
 
 // Counts are a pool's totals since its start.
@@ -140,6 +141,7 @@
 	if p.saw == nil {
 		p.saw = func(frostshift.HostID, bool) {}
 	}
+	p.ended = make([][Failed + 1]atomic.Int64, len(c.Settings.Classes))
 	for _, c := range c.Settings.Classes {
 		p.advice = min(p.advice, c.Aim/2)
 	}
@@ -152,6 +154,14 @@
 // Counts are the totals so far.
 func (p *Pool) Counts() *Counts { return &p.counts }
 
+// Ended is how many requests of a class have ended so.
+func (p *Pool) Ended(class int, v Verdict) int64 {
+	if class >= len(p.ended) || v > Failed {
+		return 0
+	}
+	return p.ended[class][v].Load()
+}
+
 // Done is closed once the loop has ended.
 func (p *Pool) Done() <-chan struct{} { return p.done }
 
@@ -300,6 +310,8 @@
 	Ready    bool    // a host can take requests
 	Capacity float64 // attempts that its hosts can hold at once
 	Open     int     // requests
+	Members  int     // hosts that are listed
+	Away     int     // ... and get nothing
 	Pace     float64 // requests a second that hosts which are all cold may get from here; 0: not bounded
 }
 
@@ -307,6 +319,7 @@
 func (p *Pool) Look(f func(Load)) {
 	p.post(event{kind: do, run: func(now frostshift.Time) {
 		l := Load{Capacity: p.b.Capacity(now), Open: len(p.calls), Pace: p.b.Pace(now)}
+		l.Members, l.Away = p.b.Members(now)
 		for i := range p.set.Classes {
 			l.Ready = l.Ready || p.b.Usable(now, i)
 		}
--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -76,6 +76,18 @@
 			t.Fatal("the host gets nothing again")
 		}
 	}
+	resp, err := http.Get("http://" + g.desk.Addr().String() + "/stats")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	for _, want := range []string{"edge_gw_members 2\n", "edge_gw_members_unavailable 0\n", "edge_gw_pending 0\n", "edge_gw_config_reloads 1\n",
+		"edge_gw_downstream_requests{lane=\"lookup\",result=\"completed\"} ", "edge_gw_downstream_requests{lane=\"book\",result=\"failed\"} 0\n"} {
+		if !strings.Contains(string(text), want) {
+			t.Errorf("%q is not among the figures:\n%s", want, text)
+		}
+	}
 	if err := g.out(context.Background(), strings.Repeat("x", 300), true); !errors.Is(err, operate.ErrName) {
 		t.Errorf("a long name: %v", err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,7 @@
 	running sync.WaitGroup // whatever was started and must end
 	failed  chan error     // a listener that failed
 
+	reloads    reloads
 	succession *succession
 	learned    map[string]*frostshift.Memory // by pool, of the process that ran before
 	clients    clients                       // given up, or not
@@ -158,7 +159,7 @@
 	m = g.succession.join(m)
 	if m.Management != "" {
 		var err error
-		if g.desk, err = operate.Listen(m.Management, commands{g}, nil, log.With("for", "operators")); err != nil {
+		if g.desk, err = operate.Listen(m.Management, commands{g}, stats{g}.handler(), log.With("for", "operators")); err != nil {
 			g.succession.end()
 			return nil, fmt.Errorf("management: %w", err)
 		}
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -20,9 +20,18 @@
 // that are open keep the one they began with; a pool that is as it was goes on running.
 // Limits are those of the start: changing them wants a restart.
 func (g *Gateway) Reload(m *config.Model) error {
-	return g.apply(m, heardWithin)
+	err := g.apply(m, heardWithin)
+	if err != nil {
+		g.reloads.refused.Add(1)
+	} else {
+		g.reloads.taken.Add(1)
+	}
+	return err
 }
 
+// Unread notes that a configuration could not be read, and was not taken over.
+func (g *Gateway) Unread() { g.reloads.refused.Add(1) }
+
 // apply takes over a configuration. It waits so long for the lists of new pools.
 func (g *Gateway) apply(m *config.Model, wait time.Duration) error {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/gateway/stats.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"frostshift/internal/exchange"
+)
+
+// The figures that operators see, in Prometheus' text form: read where they stand when they are
+// asked for. Their labels are the configuration's classes and three outcomes, so that neither
+// clients nor hosts can make them grow.
+var (
+	requestsDesc  = prometheus.NewDesc("edge_gw_downstream_requests", "requests of clients that have their answer", []string{"lane", "result"}, nil)
+	attemptsDesc  = prometheus.NewDesc("edge_gw_upstream_requests", "attempts at hosts", nil, nil)
+	pendingDesc   = prometheus.NewDesc("edge_gw_pending", "requests of clients that are owed an answer", nil, nil)
+	membersDesc   = prometheus.NewDesc("edge_gw_members", "hosts that are listed", nil, nil)
+	awayDesc      = prometheus.NewDesc("edge_gw_members_unavailable", "hosts that are listed and get nothing: draining, ejected or out by hand", nil, nil)
+	reloadsDesc   = prometheus.NewDesc("edge_gw_config_reloads", "configurations taken over", nil, nil)
+	badReloadDesc = prometheus.NewDesc("edge_gw_config_reload_errors", "configurations turned down", nil, nil)
+)
+
+// lookWithin is how long pools may take to say how their hosts stand; what they do not say then
+// is left out.
+const lookWithin = 300 * time.Millisecond
+
+// reloads counts configurations.
+type reloads struct{ taken, refused atomic.Int64 }
+
+// stats collects the figures.
+type stats struct{ *Gateway }
+
+// handler answers with them.
+func (s stats) handler() http.Handler {
+	r := prometheus.NewRegistry()
+	r.MustRegister(s)
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: 4})
+}
+
+// Describe names the figures.
+func (s stats) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, pendingDesc, membersDesc, awayDesc, reloadsDesc, badReloadDesc} {
+		out <- d
+	}
+}
+
+// Collect reads them.
+func (s stats) Collect(out chan<- prometheus.Metric) {
+	s.mu.Lock()
+	model := s.model
+	pools := make([]*exchange.Pool, 0, len(s.pools))
+	for _, p := range s.pools {
+		pools = append(pools, p.ex)
+	}
+	s.mu.Unlock()
+	if model == nil {
+		return
+	}
+	count := func(d *prometheus.Desc, v int64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+	}
+	gauge := func(d *prometheus.Desc, v int) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(v))
+	}
+	results := [...]string{exchange.Served: "completed", exchange.Refused: "rejected", exchange.Failed: "failed"}
+	sums := map[string]*[len(results)]int64{} // a class by method stands in the model twice
+	var attempts int64
+	for _, p := range pools {
+		attempts += p.Counts().Attempts.Load()
+		for i := range model.Classes {
+			sum := sums[model.Classes[i].Name]
+			if sum == nil {
+				sum = new([len(results)]int64)
+				sums[model.Classes[i].Name] = sum
+			}
+			for v := range results {
+				sum[v] += p.Ended(i, exchange.Verdict(v))
+			}
+		}
+	}
+	for name, sum := range sums {
+		for v, result := range results {
+			count(requestsDesc, sum[v], name, result)
+		}
+	}
+	count(attemptsDesc, attempts)
+	gauge(pendingDesc, s.exchange.Open())
+	if members, away, ok := look(pools); ok {
+		gauge(membersDesc, members)
+		gauge(awayDesc, away)
+	}
+	count(reloadsDesc, s.reloads.taken.Load())
+	count(badReloadDesc, s.reloads.refused.Load())
+}
+
+// look asks the pools how their hosts stand; ok is false where one did not answer in time.
+func look(pools []*exchange.Pool) (members, away int, ok bool) {
+	answers := make(chan exchange.Load, len(pools))
+	for _, p := range pools {
+		go p.Look(func(l exchange.Load) { answers <- l })
+	}
+	late := time.After(lookWithin)
+	for range pools {
+		select {
+		case l := <-answers:
+			members += l.Members
+			away += l.Away
+		case <-late:
+			return 0, 0, false
+		}
+	}
+	return members, away, true
+}
--- a/state.go
+++ b/state.go
@@ -317,6 +317,21 @@
 	return true
 }
 
+// Members is how many hosts are listed, and how many of them get nothing now.
+func (b *Balancer) Members(now Time) (listed, away int) {
+	b.now = now
+	for _, h := range b.hosts {
+		if h.State == Removed {
+			continue
+		}
+		listed++
+		if h.State != Ready || h.fails > 0 && now < h.ejectUntil {
+			away++
+		}
+	}
+	return listed, away
+}
+
 // release forgets an ended request once its last attempt has ended.
 func (b *Balancer) release(r *request) {
 	if !r.done || r.out > 0 {
