--- /dev/null
+++ b/cmd/stilespool/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package main
+
+const raced = false
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -478,6 +478,35 @@
 	return n, err
 }
 
+// Await waits until the client has sent something, or has gone, and says whether there is
+// anything to serve. Until then the connection costs no buffer and no server.
+func (c *Conn) Await(within time.Duration) bool {
+	raw := syscall.RawConn(nil)
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		raw, _ = s.SyscallConn()
+	}
+	if raw == nil {
+		return true // whoever reads finds out
+	}
+	c.Conn.SetReadDeadline(time.Now().Add(within))
+	var one [1]byte
+	var n int
+	if err := raw.Read(func(fd uintptr) bool {
+		var err error
+		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	}); err != nil || n <= 0 {
+		return false
+	}
+	c.Conn.SetReadDeadline(time.Time{})
+	if c.took() {
+		return true
+	}
+	var crossed [4 << 10]byte // a close above what is unread would be a reset
+	c.Conn.Read(crossed[:])
+	return false
+}
+
 // mostRecorded is how much of what comes is kept for Recorded: a head, at the most.
 const mostRecorded = 16 << 10
 
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -51,11 +51,14 @@
 	cfg  Config
 	http *http.Server
 	ln   net.Listener
+	// plain says that bytes come as clients send them: without TLS, which has spoken before.
+	plain bool
 
 	mu      sync.Mutex
 	open    int           // connections
 	changed chan struct{} // closed and replaced when one ends
-	served  chan struct{} // closed once no further one is accepted
+	taken   chan struct{} // closed once no further one is accepted
+	served  chan struct{} // closed once none waits for its first byte either
 	began   bool
 	// switched are the connections that speak another protocol now; nil: none may any more.
 	switched map[net.Conn]struct{}
@@ -66,7 +69,8 @@
 	if cfg.SendWithin == 0 {
 		cfg.SendWithin = SendWithin
 	}
-	s := &Server{cfg: cfg, ln: ln, changed: make(chan struct{}), served: make(chan struct{}), switched: map[net.Conn]struct{}{}}
+	_, plain := ln.(*front.Listener)
+	s := &Server{cfg: cfg, ln: ln, plain: plain, changed: make(chan struct{}), taken: make(chan struct{}), served: make(chan struct{}), switched: map[net.Conn]struct{}{}}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: cfg.SendWithin,
@@ -96,6 +100,9 @@
 	defer s.mu.Unlock()
 	switch to {
 	case http.StateNew:
+		if s.plain { // it counts since it was accepted
+			break
+		}
 		s.open++
 	case http.StateClosed: // one that switches protocols is open until that ends
 		s.ended()
@@ -115,7 +122,72 @@
 	s.began = true
 	s.mu.Unlock()
 	defer close(s.served)
-	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+	if !s.plain {
+		defer close(s.taken)
+		return s.serveAll(s.ln)
+	}
+	w := waiting{conns: make(chan net.Conn), over: make(chan struct{}), ln: s.ln}
+	accepted := make(chan error, 1)
+	go func() { accepted <- s.accept(w) }()
+	err := s.serveAll(w)
+	return errors.Join(err, <-accepted)
+}
+
+// waiting is a listener of connections whose clients have sent something.
+type waiting struct {
+	conns chan net.Conn
+	over  chan struct{} // closed: no further one comes
+	ln    net.Listener
+}
+
+func (w waiting) Accept() (net.Conn, error) {
+	select {
+	case c := <-w.conns:
+		return c, nil
+	case <-w.over:
+		return nil, net.ErrClosed
+	}
+}
+
+func (w waiting) Close() error   { return w.ln.Close() }
+func (w waiting) Addr() net.Addr { return w.ln.Addr() }
+
+// accept takes connections and hands on those on which something has come: the others, of which
+// there may be thousands, cost no buffers. It returns when the listener is closed and none waits.
+func (s *Server) accept(w waiting) error {
+	var all sync.WaitGroup
+	defer func() {
+		all.Wait()
+		close(w.over)
+	}()
+	defer close(s.taken)
+	for {
+		nc, err := s.ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				err = nil
+			}
+			return err
+		}
+		s.mu.Lock()
+		s.open++
+		s.mu.Unlock()
+		all.Go(func() {
+			if front.Of(nc).Await(s.cfg.SendWithin) {
+				w.conns <- nc
+				return
+			}
+			nc.Close()
+			s.mu.Lock()
+			s.ended()
+			s.mu.Unlock()
+		})
+	}
+}
+
+// serveAll serves a listener's connections to its end.
+func (s *Server) serveAll(ln net.Listener) error {
+	if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("serve clients: %w", err)
 	}
 	return nil
@@ -130,7 +202,7 @@
 	began := s.began
 	s.mu.Unlock()
 	if began {
-		<-s.served
+		<-s.taken
 	}
 	for {
 		s.mu.Lock()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -28,6 +28,7 @@
 	{"answers", "what answers mean: poison, 404, a host that fails fast, 503 everywhere", runAnswers},
 	{"move", "traffic moves to a pool that fails slowly: time of the return beside the emulator's forecast, and the rules of keys", runMove},
 	{"bodies", "bodies that flow: throughput and CPU a byte beside httputil.ReverseProxy, memory, small requests beside large streams", runBodies},
+	{"crowd", "what a connection costs that says nothing, stops half way, or stays after its answer", runCrowd},
 	{"pools", "throughput of two pools on two cores, beside one pool", runPools},
 }
 
