A close that is given up between requests is an end to its client, never a reset

A test that drains a gateway again and again under clients with kept connections met resets (three in 6 s). Cause: beforeRead in front/conns.go gave a connection up whose answer had gone out without a word of the close, without reading what its client had sent by then; closing above unread bytes is a reset (RFC 9112 section 9.6), which takes an answer on its way with it. Ruled out: idle connections closed by the drain's steps (their reader takes in what crosses). The reader now half-closes and takes in what crosses for half a second.

--- a/cmd/stilespool/commands_test.go
+++ b/cmd/stilespool/commands_test.go
@@ -131,6 +131,7 @@
 		{"hosts -config ../../deploy/membership.toml -wait 1m", 0, []string{"pool rota\n", "hosts.json: names 2", "source 2  static: names 2",
 			"rota-2                   127.0.0.1:9002         leaving  from 1", "not used: rota-1 counts at this address"}, nil},
 		{"check ../../deploy/move.toml", 0, []string{"is good"}, nil},
+		{"check ../../deploy/operations.toml", 0, []string{"is good"}, nil},
 		{"move", exitUsage, nil, []string{"status, pause, resume or undo"}},
 		{"move status", exitUsage, nil, []string{"--config"}},
 		{"move status --config " + example, exitFailed, nil, []string{"names no state folder"}},
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -225,6 +225,10 @@
 	for _, c := range []struct{ from, to, want string }{
 		{"[limits]", "[limits", "gw.toml:3"}, // no TOML
 		{`name = "gw"`, "name = \"gw\"\nname = \"gx\"", "gw.toml"},
+		{`name = "gw"`, "name = \"gw\"\nmanagement = \"here\"", "gw.toml:2: management"},
+		{`name = "gw"`, "name = \"gw\"\nmanagement = \"127.0.0.1:5000\"", "where clients connect"},
+		{`name = "gw"`, "name = \"gw\"\nhandover = \"run/s\"", "gw.toml:2: handover: listener \"main\" has no descriptor"},
+		{`address = "127.0.0.1:5000"`, "address = \"127.0.0.1:5000\"\ndescriptor = 2", "listener[0].descriptor"},
 		{`prefix = "/rota"`, "prefix = \"/rota\"\npath = \"/rota\"", "one of prefix, path, expression and starts"},
 		{`pool = "rota"` + "\nservice", `pools = []` + "\nservice", "a route needs a pool"},
 		{`hosts = ["127.0.0.1:6001", "127.0.0.1:6002"]`, `hosts = ["127.0.0.1:6001", "127.0.0.1:6001"]`, "stands twice"},
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -30,6 +30,7 @@
 	Name       string `toml:"name"`
 	Views      string `toml:"views"`
 	Management string `toml:"management"`
+	Handover   string `toml:"handover"`
 	State      string `toml:"state"`
 	Limits     struct {
 		Cores       float64 `toml:"cores"`
@@ -52,8 +53,9 @@
 		Name    string `toml:"name"`
 		Address string `toml:"address"`
 		// http1 or http2; with TLS both, and this is left out
-		Protocol string `toml:"protocol"`
-		TLS      struct {
+		Protocol   string `toml:"protocol"`
+		Descriptor int    `toml:"descriptor"`
+		TLS        struct {
 			Certificate string `toml:"certificate"`
 			Key         string `toml:"key"`
 		} `toml:"tls"`
@@ -252,7 +254,7 @@
 	if len(d.errs) > 0 && d.places == nil { // not even TOML
 		return nil, nil, d.errs
 	}
-	m := &Model{Name: f.Name, Management: d.management(f.Management), Views: d.beside(f.Views), State: d.beside(f.State), Seed: rand.Uint64(),
+	m := &Model{Name: f.Name, Management: d.management(&f), Views: d.beside(f.Views), State: d.beside(f.State), Seed: rand.Uint64(),
 		Limits: Limits{Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Descriptors: f.Limits.Descriptors, Streams: f.Limits.Streams}}
 	if m.Name == "" {
 		m.Name = "stilespool"
@@ -356,7 +358,10 @@
 			d.fail(key+".address", "another listener has %s", l.Address)
 		}
 		names[l.Name], addresses[l.Address] = true, true
-		out := Listener{Name: l.Name, Address: l.Address, Protocol: d.protocol(key+".protocol", l.Protocol)}
+		out := Listener{Name: l.Name, Address: l.Address, Protocol: d.protocol(key+".protocol", l.Protocol), Descriptor: l.Descriptor}
+		if l.Descriptor != 0 && l.Descriptor < firstDescriptor {
+			d.fail(key+".descriptor", "%d is none from %d on", l.Descriptor, firstDescriptor)
+		}
 		if l.TLS.Certificate != "" || l.TLS.Key != "" {
 			if l.Protocol != "" {
 				d.fail(key+".protocol", "with tls clients choose: leave it out")
@@ -368,6 +373,7 @@
 		}
 		m.Listeners = append(m.Listeners, out)
 	}
+	m.Handover = d.handover(f.Handover, m.Listeners)
 }
 
 // protocols by their names in the file.
@@ -802,9 +808,29 @@
 }
 
 // management is the address at which operators call; "": there is none.
-func (d *doc) management(address string) string {
+func (d *doc) management(f *file) string {
+	address := f.Management
+	for _, l := range f.Listeners {
+		if address != "" && l.Address == address {
+			d.fail("management", "%s is where clients connect", address)
+		}
+	}
 	if _, err := netip.ParseAddrPort(address); address != "" && err != nil {
 		d.fail("management", "%v", err)
 	}
 	return address
 }
+
+// handover is the path at which a process that takes over finds the one that runs. It needs
+// listening sockets that both have.
+func (d *doc) handover(path string, listeners []Listener) string {
+	if path == "" {
+		return ""
+	}
+	for _, l := range listeners {
+		if l.Descriptor == 0 {
+			d.fail("handover", "listener %q has no descriptor: a second process could not listen there", l.Name)
+		}
+	}
+	return d.beside(path)
+}
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -71,11 +71,14 @@
 	return &Conns{most: most, room: room, spare: spare}
 }
 
-// Bound changes how many connections are allowed, and how many of those that have asked.
+// Bound changes how many connections are allowed, and how many of those that have asked. Spare
+// ones beyond it go at once, others as new ones come.
 func (l *Conns) Bound(most, room int) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.most, l.room = most, room
+	l.mu.Unlock()
+	for l.crowded() && l.shedSpare() {
+	}
 }
 
 // Counts are the connections that are open, and those of them that have asked something
@@ -439,6 +442,9 @@
 // leaveWithin is how long a client may take to see the end of a connection that is given up.
 const leaveWithin = 500 * time.Millisecond
 
+// mostCrossed is how many bytes are taken in of what crosses a close.
+const mostCrossed = 64 << 10
+
 // endSoftly ends a connection that has been condemned, in two steps: its reader waits for the
 // client's own close, and for whatever crosses ours, before it closes as well.
 func (c *Conn) endSoftly() {
@@ -450,6 +456,23 @@
 	c.Conn.SetReadDeadline(time.Now().Add(leaveWithin))
 }
 
+// lastRead waits for the client to see the end of a connection that is given up, and takes in
+// what crosses it: a close above what is unread would be a reset, which an answer that is on its
+// way does not survive.
+func (c *Conn) lastRead() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	c.Conn.SetReadDeadline(time.Now().Add(leaveWithin))
+	var crossed [1 << 10]byte
+	for range mostCrossed / len(crossed) {
+		if n, err := c.Conn.Read(crossed[:]); n == 0 || err != nil {
+			return
+		}
+	}
+}
+
 func (c *Conn) end() {
 	if c.giveUp != nil {
 		c.giveUp()
@@ -462,11 +485,13 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	if c.phase.Load() != busy || c.answered {
 		if err := c.beforeRead(); err != nil {
+			c.lastRead()
 			return 0, err
 		}
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 && c.phase.Load() != busy && !c.took() {
+		c.lastRead()
 		return 0, ErrCondemned
 	}
 	if n > 0 && len(b) == 1 {
@@ -502,8 +527,7 @@
 	if c.took() {
 		return true
 	}
-	var crossed [4 << 10]byte // a close above what is unread would be a reset
-	c.Conn.Read(crossed[:])
+	c.lastRead()
 	return false
 }
 
--- a/internal/front/conns_test.go
+++ b/internal/front/conns_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,20 +18,37 @@
 	net.Conn
 	bytes  chan string
 	closed chan struct{}
+	late   chan struct{} // the deadline of reads has passed
 }
 
-func newWire() *wire { return &wire{bytes: make(chan string), closed: make(chan struct{}, 9)} }
+func newWire() *wire {
+	return &wire{bytes: make(chan string), closed: make(chan struct{}, 9), late: make(chan struct{}, 1)}
+}
 
 func (w *wire) Read(b []byte) (int, error) {
-	text, ok := <-w.bytes
-	if !ok {
-		return 0, io.EOF
+	select {
+	case text, ok := <-w.bytes:
+		if !ok {
+			return 0, io.EOF
+		}
+		return copy(b, text), nil
+	case <-w.late:
+		return 0, os.ErrDeadlineExceeded
+	}
+}
+func (w *wire) Close() error      { w.closed <- struct{}{}; return nil }
+func (w *wire) CloseWrite() error { return nil }
+func (w *wire) SetReadDeadline(at time.Time) error {
+	if !at.IsZero() {
+		time.AfterFunc(time.Until(at), func() {
+			select {
+			case w.late <- struct{}{}:
+			default:
+			}
+		})
 	}
-	return copy(b, text), nil
+	return nil
 }
-func (w *wire) Close() error                    { w.closed <- struct{}{}; return nil }
-func (w *wire) CloseWrite() error               { return nil }
-func (w *wire) SetReadDeadline(time.Time) error { return nil }
 
 // wires is a listener of such connections.
 type wires chan net.Conn
--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -1,11 +1,17 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"frostshift/internal/standin"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,3 +158,90 @@
 	open, _ := g.conns.Counts()
 	return open
 }
+
+// Clients that ask all the time over kept connections, while the gateway is drained and called
+// back again and again: a close between requests is an end and never a reset, what it crosses
+// has not run, and no request is answered twice or not at all.
+func TestDrainsMeetNoRequest(t *testing.T) {
+	var mu sync.Mutex
+	ran := map[string]int{}
+	addr, _ := rawHost(t, func(_ int, c net.Conn, r *standin.Request) bool {
+		mu.Lock()
+		ran[r.Header.Get("X-Correlation-Id")]++
+		mu.Unlock()
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	g, call := operated(t, "a", addr)
+	halt := make(chan struct{})
+	var all sync.WaitGroup
+	var crossed, answered atomic.Int64
+	for i := range 12 {
+		all.Go(func() {
+			var c net.Conn
+			var in *bufio.Reader
+			id := ""
+			for n := 0; ; n++ {
+				select {
+				case <-halt:
+					if c != nil {
+						c.Close()
+					}
+					return
+				default:
+				}
+				if c == nil {
+					var err error
+					if c, err = net.Dial("tcp", g.Addr("clients").String()); err != nil {
+						t.Error(err)
+						return
+					}
+					in = bufio.NewReader(c)
+				}
+				if id == "" {
+					id = fmt.Sprintf("d-%d-%d", i, n)
+				}
+				c.SetDeadline(time.Now().Add(patience))
+				fmt.Fprintf(c, "POST /book HTTP/1.1\r\nHost: x\r\nX-Service-Class: book\r\nX-Correlation-Id: %s\r\nX-Time-Left: 9000m\r\nContent-Length: 0\r\n\r\n", id)
+				resp, err := http.ReadResponse(in, nil)
+				switch {
+				case err == nil && resp.StatusCode == 200:
+					io.Copy(io.Discard, resp.Body)
+					answered.Add(1)
+					id = ""
+					if resp.Close {
+						c.Close()
+						c = nil
+					}
+				case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF): // it crossed a close: again, on another
+					crossed.Add(1)
+					c.Close()
+					c = nil
+				default:
+					t.Errorf("%v, %+v", err, resp)
+					return
+				}
+				if i%2 == 0 { // others pause, so that their connections are idle
+					time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+				}
+			}
+		})
+	}
+	for i := range 6 {
+		call("/healthcheck/fail")
+		time.Sleep(time.Duration(200+300*i) * time.Millisecond)
+		call("/healthcheck/ok")
+	}
+	close(halt)
+	all.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	for id, n := range ran {
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	if int64(len(ran)) < answered.Load() || answered.Load() == 0 {
+		t.Errorf("%d ran, %d answered, %d crossed a close", len(ran), answered.Load(), crossed.Load())
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,7 +155,7 @@
 	}
 	g.clients.gateway = g
 	g.learned = map[string]*frostshift.Memory{}
-	g.succession = newSuccession(g, m.Handover)
+	g.succession = newSuccession(g, m)
 	m = g.succession.join(m)
 	if m.Management != "" {
 		var err error
@@ -204,6 +204,7 @@
 	}
 	for _, p := range g.pools {
 		go p.ex.Twins(n) // a loop that is behind holds up nobody
+		p.up.Trim(int(w.conns) / n)
 	}
 	if g.opt.Memory != nil {
 		g.opt.Memory(1 / float64(n))
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -25,6 +25,8 @@
 	Update(whole bool, list []upstream.Endpoint)
 	// Renew has what is open to a host serve nothing new: the host is worked on.
 	Renew(frostshift.HostID)
+	// Trim closes idle connections beyond so many: another process needs the descriptors.
+	Trim(most int)
 	Run(context.Context)
 	Open() int
 }
--- a/internal/gateway/succession.go
+++ b/internal/gateway/succession.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,7 @@
 type succession struct {
 	gateway *Gateway
 	path    string // where the process that runs is found; "": no other one comes
+	file    string // where the hosts that are out stand for one that finds none running; "": nowhere
 
 	mu      sync.Mutex
 	links   map[*link]struct{}
@@ -80,8 +82,8 @@
 	flushWithin  = 200 * time.Millisecond
 )
 
-func newSuccession(g *Gateway, path string) *succession {
-	s := &succession{gateway: g, path: path, links: map[*link]struct{}{}, retired: make(chan struct{})}
+func newSuccession(g *Gateway, m *config.Model) *succession {
+	s := &succession{gateway: g, path: m.Handover, file: bansFile(m), links: map[*link]struct{}{}, retired: make(chan struct{})}
 	s.tell()
 	return s
 }
@@ -91,6 +93,7 @@
 func (s *succession) join(m *config.Model) *config.Model {
 	g := s.gateway
 	if s.path == "" {
+		s.readBans()
 		return m
 	}
 	peer, text, err := handover.Join(s.path)
@@ -422,12 +425,21 @@
 	}
 }
 
-// bansFile is where the hosts that are out stand for a process that finds none running.
-func (s *succession) bansFile() string { return s.path + ".out" }
+// bansFile is where the hosts that are out are kept: beside the socket, or in the folder for
+// what is remembered.
+func bansFile(m *config.Model) string {
+	switch {
+	case m.Handover != "":
+		return m.Handover + ".out"
+	case m.State != "":
+		return filepath.Join(m.State, "hosts.out")
+	}
+	return ""
+}
 
 // writeBans writes them.
 func (s *succession) writeBans() error {
-	if s.path == "" {
+	if s.file == "" {
 		return nil
 	}
 	s.files.Lock()
@@ -443,9 +455,9 @@
 	if err != nil {
 		return err
 	}
-	fresh := s.bansFile() + ".new"
+	fresh := s.file + ".new"
 	if err = os.WriteFile(fresh, handover.AppendFrame(nil, handover.State, text), 0o600); err == nil {
-		err = os.Rename(fresh, s.bansFile())
+		err = os.Rename(fresh, s.file)
 	}
 	return err
 }
@@ -453,7 +465,10 @@
 // readBans reads them; what is damaged is no file.
 func (s *succession) readBans() {
 	g := s.gateway
-	text, err := os.ReadFile(s.bansFile())
+	if s.file == "" {
+		return
+	}
+	text, err := os.ReadFile(s.file)
 	if errors.Is(err, fs.ErrNotExist) {
 		return
 	}
@@ -465,7 +480,7 @@
 		err = json.Unmarshal(text, &k)
 	}
 	if err != nil || k.Version != stateVersion {
-		g.log.Warn("the file of hosts that are out can't be read, none is", "file", s.bansFile(), "err", err)
+		g.log.Warn("the file of hosts that are out can't be read, none is", "file", s.file, "err", err)
 		return
 	}
 	for _, name := range k.Banned[:min(len(k.Banned), mostBanned)] {
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -32,7 +32,7 @@
 }
 
 const (
-	mostConns = 32 // at once; beyond that the oldest without a whole call makes room
+	mostConns = 16 // at once; beyond that the oldest without a whole call makes room
 	// within is how long a command may take: an answer is owed in a second.
 	within   = 800 * time.Millisecond
 	headWait = 5 * time.Second // for a caller that is slow to say what it wants
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// Trim closes idle connections, those idle the longest first, while there are more than so many.
+func (u *Upstream) Trim(most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for u.open > most && u.shed() {
+	}
+}
+
 // Open is how many connections there are.
 func (u *Upstream) Open() int {
 	u.mu.Lock()
--- a/internal/upstream/http2/upstream.go
+++ b/internal/upstream/http2/upstream.go
@@ -122,6 +122,9 @@
 	}
 }
 
+// Trim does nothing: there are few connections to a host, and each carries many requests.
+func (u *Upstream) Trim(int) {}
+
 // Open is how many connections there are.
 func (u *Upstream) Open() int {
 	u.mu.Lock()
