Heads that stopped make room before connections that serve

Where descriptors were short a head that stopped half way kept its connection for 2.5 s, and idle ones that are in use went in its place. A connection is now halfway from its first byte until its head is whole, and goes after a second without a byte, behind silent ones; a whole head is taken only on a connection that has not been given up. A head may take 3 s from its first byte (2.5 before: one client in 2,600 that took 2 s was cut off). Ruled out: the age of the head's first byte (a slow client would go before one that has stopped).

--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -19,7 +19,10 @@
 	// quietFirst is how long a new connection may say nothing before it is closed ahead
 	// of idle ones, where descriptors are short.
 	quietFirst = 200 * time.Millisecond
-	fullWait   = 5 * time.Millisecond // between looks for a descriptor, where there is none
+	// stalledAfter is how long nothing may have come of a head that has begun: slow clients
+	// pause for less.
+	stalledAfter = time.Second
+	fullWait     = 5 * time.Millisecond // between looks for a descriptor, where there is none
 	// SpareAfter is how long a connection has been idle for before it is taken for one that
 	// its client does without. Closing those that are in use makes their clients connect
 	// anew, which would close others in use, without end.
@@ -60,7 +63,7 @@
 
 	mu    sync.Mutex
 	open  int
-	quiet [4]list.List // by phase: silent, once, idle, ending; the longest first
+	quiet [5]list.List // by phase: silent, once, idle, ending, halfway; the longest first
 	idle  []*Conn      // those of quiet[idle], in no order
 	again float64      // share of trials that were used again, of late
 }
@@ -95,7 +98,9 @@
 	defer l.mu.Unlock()
 	n := l.open
 	for i := range l.quiet {
-		n -= l.quiet[i].Len()
+		if i != halfway {
+			n -= l.quiet[i].Len()
+		}
 	}
 	return n
 }
@@ -224,13 +229,14 @@
 	}
 }
 
-// The phases of a connection. It is quiet in the first four, and can be given up.
+// The phases of a connection. It is quiet in the first five, and can be given up.
 const (
 	silent    = iota // nothing has come yet
 	once             // answered a single time, and nothing has come since
 	idle             // answered more often, and nothing has come since
 	ending           // answered for good, kept for a moment so that the answer is read
-	busy             // something has come that has had no answer
+	halfway          // a part of a head has come, and nothing since
+	busy             // a request has come that has had no answer
 	condemned        // given up or closed: nothing that comes is taken
 )
 
@@ -323,7 +329,7 @@
 }
 
 // shed gives up the connection that is missed least, and says whether there was one: the
-// ones at their end first, silent ones that are not new, those that have asked once, those
+// ones at their end first, silent ones that are not new, those that stopped within a head, those that have asked once, those
 // idle for so long that their clients do without them. Among idle ones that are in use any is as good as another, and
 // chance does better than their age: the one idle the longest is the next in use where
 // clients take theirs in turn. A new one that is closed loses the request that may be on its way.
@@ -334,6 +340,9 @@
 	if c == nil {
 		c = l.oldest(silent, now, quietFirst)
 	}
+	if c == nil {
+		c = l.oldest(halfway, now, stalledAfter)
+	}
 	if c == nil {
 		c = l.oldest(once, now, min(onceAfter, l.spare))
 	}
@@ -410,7 +419,7 @@
 		if c.trial {
 			c.trial = false
 			switch aged := time.Since(c.since) >= onceAfter; {
-			case to == busy && aged:
+			case (to == halfway || to == busy) && aged:
 				c.all.again += trialWeight * (1 - c.all.again)
 			case to == condemned && aged && !c.closing:
 				c.all.again -= trialWeight * c.all.again
@@ -630,10 +639,13 @@
 	if c.giveUp != nil { // frames are read to the end, what they open is taken with Active
 		return true
 	}
-	if c.phase.Load() != ending {
-		c.wake(busy)
+	switch {
+	case c.closed:
+		return false
+	case c.phase.Load() != ending:
+		c.rest(halfway)
 	}
-	return !c.closed
+	return true
 }
 
 // mostHeld is how much of an answer waits for the rest of it: what an http.Server writes
@@ -709,7 +721,7 @@
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
 	c.giveUp = giveUp
-	if c.phase.Load() == busy { // its first bytes came with a handshake
+	if p := c.phase.Load(); p == busy || p == halfway { // its first bytes came with a handshake
 		c.rest(silent)
 	}
 }
@@ -756,6 +768,14 @@
 	}
 }
 
+// Taken says whether a request whose head is whole may be taken: its connection has not been
+// given up while the head came.
+func (c *Conn) Taken() bool {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	return !c.closed
+}
+
 // Of is the connection of all behind one that a front serves; nil: it is none.
 func Of(nc net.Conn) *Conn {
 	switch c := nc.(type) {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -31,7 +31,7 @@
 	mostLate  = 1 << 20  // bytes that are thrown away of a request that has had its answer
 	// SendWithin is how long a client may take to send its request, head and body, from its
 	// first byte (or the connection's start) on: one that drips holds a connection no longer.
-	SendWithin  = 2500 * time.Millisecond
+	SendWithin  = 3 * time.Second
 	leaveWithin = 300 * time.Millisecond // for a client that sent a bad request to read what is wrong
 	idleWithin  = 5 * time.Second        // for a connection to stay without a request
 )
@@ -234,6 +234,9 @@
 // serve answers one request of a client.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	conn := r.Context().Value(connKey{}).(*front.Conn)
+	if !conn.Taken() {
+		panic(http.ErrAbortHandler) // its client has seen the end, and may send again
+	}
 	w = &leavingWriter{ResponseWriter: w, conn: conn}
 	if r.URL.Path == "/ready" {
 		s.serveReady(w, r)
