--- a/internal/gateway/platform_test.go
+++ b/internal/gateway/platform_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"frostshift"
+	"frostshift/internal/membership"
 	"frostshift/internal/standin"
 )
 
@@ -91,3 +94,81 @@
 		t.Errorf("answered %q, %d at the host", answer, len(got))
 	}
 }
+
+// A host goes and another starts at its address, again and again, with unsafe requests under
+// way at each: every one runs once and has its answer, no connection of a host that has gone
+// carries a request of the one that came, and nothing is kept of those that have gone.
+func TestReplacedAtTheSameAddress(t *testing.T) {
+	var mu sync.Mutex
+	ran := map[string]int{}
+	era := map[net.Conn]int{} // when each connection came
+	now := 0
+	taken, release := make(chan struct{}, 64), make(chan struct{})
+	addr, _ := rawHost(t, func(_ int, c net.Conn, r *standin.Request) bool {
+		mu.Lock()
+		ran[r.Header.Get("X-Correlation-Id")]++
+		if from, known := era[c]; known && from != now {
+			t.Errorf("a connection of host %d carries a request of host %d", from, now)
+		}
+		era[c] = now
+		mu.Unlock()
+		if strings.HasPrefix(r.Target, "/book") {
+			taken <- struct{}{}
+			<-release
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	d := discover(t)
+	g := launch(t, parse(t, d.Addr(), listOf(1, true, entry("h0", addr, "active"))))
+	w := await(t, d.Watches, "a watch")
+	var all sync.WaitGroup
+	const times = 6
+	for i := range times {
+		if status, _, _ := do(t, request(t, g.url, "lookup", "")); status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+		all.Go(func() {
+			if status, _, _ := do(t, request(t, g.url, "book", "x")); status != 200 {
+				t.Errorf("a booking under way at host %d was answered %d", i, status)
+			}
+		})
+		await(t, taken, "the booking at the host")
+		mu.Lock()
+		now++
+		mu.Unlock()
+		say(t, w, listOf(i+2, false, entry(fmt.Sprintf("h%d", i), addr, "left"), entry(fmt.Sprintf("h%d", i+1), addr, "active")))
+		for end := time.Now().Add(patience); !knows(g, fmt.Sprintf("h%d", i+1)); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the list is not taken over")
+			}
+		}
+	}
+	close(release)
+	all.Wait()
+	mu.Lock()
+	for id, n := range ran {
+		if n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	mu.Unlock()
+	learned := make(chan frostshift.Memory, 1)
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		g.pools["hosts"].ex.Memory(func(m frostshift.Memory) { learned <- m })
+		if m := await(t, learned, "what is known"); len(m.Hosts) == 1 {
+			break
+		} else if time.Now().After(end) {
+			t.Fatalf("%d hosts are kept, one is listed", len(m.Hosts))
+		}
+	}
+}
+
+// knows says whether the balancer has a host listed.
+func knows(g *running, name string) bool {
+	learned := make(chan bool, 1)
+	g.pools["hosts"].ex.Memory(func(m frostshift.Memory) {
+		learned <- slices.ContainsFunc(m.Hosts, func(h frostshift.HostMemory) bool { return h.ID == membership.HostID(name) })
+	})
+	return <-learned
+}
