What a pool has heard of hosts costs what a list changes, not what it holds

roster.learn (gateway/calls.go) went over all names at each change to bound those that have left: with 10,000 hosts that was more than the change itself. Listed and gone hosts are now two maps, and the bound is on the second.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -83,50 +83,49 @@
 	return nil
 }
 
-// roster is the names of hosts that a pool has heard of. The zero value is empty.
+// roster is the hosts that a pool has heard of. The zero value is empty.
 type roster struct {
 	mu      sync.Mutex
-	listed  map[string]bool // false: it has left
-	index   *uint64
-	entries map[string]membership.Endpoint
-	gone    int
+	index   *uint64                        // of the last list; nil: it had none
+	entries map[string]membership.Endpoint // that are listed
+	gone    map[string]struct{}            // that were; so many are remembered
 }
 
 // learn takes over a list, the whole one or changes.
 func (r *roster) learn(l *membership.List) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.listed == nil {
-		r.listed, r.entries = map[string]bool{}, map[string]membership.Endpoint{}
+	if r.entries == nil {
+		r.entries, r.gone = map[string]membership.Endpoint{}, map[string]struct{}{}
 	}
 	r.index = l.Index
 	if l.Snapshot {
-		clear(r.entries)
-	}
-	for _, e := range l.Endpoints {
-		if r.entries[e.Name] = e; e.Status == membership.Left {
-			delete(r.entries, e.Name)
-		}
-	}
-	if l.Snapshot {
-		for name := range r.listed {
-			r.listed[name] = false
+		for name := range r.entries {
+			r.leave(name)
 		}
 	}
-	for i := range l.Endpoints {
-		r.listed[l.Endpoints[i].Name] = l.Endpoints[i].Status != membership.Left
-	}
-	gone := 0
-	for name, here := range r.listed {
-		if here {
+	for _, e := range l.Endpoints {
+		if e.Status == membership.Left {
+			r.leave(e.Name)
 			continue
 		}
-		if gone++; gone > mostGone {
-			delete(r.listed, name)
+		delete(r.gone, e.Name)
+		r.entries[e.Name] = e
+	}
+	for name := range r.gone { // any: they are as good as one another
+		if len(r.gone) <= mostGone {
+			break
 		}
+		delete(r.gone, name)
 	}
 }
 
+// leave notes that a host is listed no more. The lock is held.
+func (r *roster) leave(name string) {
+	delete(r.entries, name)
+	r.gone[name] = struct{}{}
+}
+
 // list is the hosts that are listed now, as discovery would; nil: there is no version to it.
 func (r *roster) list() *membership.List {
 	r.mu.Lock()
@@ -145,6 +144,7 @@
 func (r *roster) has(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, known := r.listed[name]
-	return known
+	_, here := r.entries[name]
+	_, was := r.gone[name]
+	return here || was
 }
