What was said last of the processes that share a part holds

Two changes in quick succession could reach a pool's loop in the other order (a goroutine each), and leave a lone process with half of what cold hosts may get. The loop now reads what was said last. A gateway whose second address is in use lets go of its state folder.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -69,6 +69,7 @@
 	lastID   frostshift.RequestID
 	timers   timers
 	begun    bool            // Turn has been called
+	twins    atomic.Int32    // processes that share this instance's part
 	behindAt frostshift.Time // up to when stalls have been told of
 	acts     []frostshift.Action
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,6 +161,7 @@
 		var err error
 		if g.desk, err = operate.Listen(m.Management, commands{g}, stats{g}.handler(), log.With("for", "operators")); err != nil {
 			g.succession.end()
+			g.closeState()
 			return nil, fmt.Errorf("management: %w", err)
 		}
 	}
@@ -203,7 +204,7 @@
 		g.log.Error("the limits are not divided anew", "err", err)
 	}
 	for _, p := range g.pools {
-		go p.ex.Twins(n) // a loop that is behind holds up nobody
+		p.ex.Twins(n)
 		p.up.Trim(int(w.conns) / n)
 	}
 	if g.opt.Memory != nil {
