--- a/internal/handover/peer.go
+++ b/internal/handover/peer.go
@@ -36,7 +36,6 @@
 	wake chan struct{} // holds one: something waits to be written
 	done chan struct{} // closed: the link has ended
 	once sync.Once
-	idle sync.WaitGroup // the writer
 
 	mu      sync.Mutex
 	held    bool // the state has yet to go ahead of what waits
@@ -47,7 +46,7 @@
 
 func newPeer(c net.Conn, held bool) *Peer {
 	p := &Peer{conn: c, in: bufio.NewReader(c), wake: make(chan struct{}, 1), done: make(chan struct{}), held: held, calls: map[uint32]chan error{}}
-	p.idle.Go(p.write)
+	go p.write() // ends with the link
 	return p
 }
 
