Operators' words for the whole fleet decided without I/O: the last by version, out first at par

A ban had to be called at each gateway; who was cut off, stood still or started kept or forgot it. Raft has no word on the smaller side of a cut, clocks that are off bring bans back. internal/edict keeps one word a host by version, out before back at par: any order and number of deliveries give the same (rapid, 1,500 drawn schedules).

--- /dev/null
+++ b/internal/edict/edict_test.go
@@ -0,0 +1,349 @@
+package edict
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fleet is gateways that tell each other words over a network that loses, doubles, delays and is cut, on one
+// clock set by hand. All follows from a seed.
+type fleet struct {
+	r     *rand.Rand
+	now   Time
+	names []string
+	books []*Book
+	does  []map[string]Word // what each gateway has carried out
+	side  []int             // those of one side hear each other
+	loss  float64
+	mail  []letter
+	sent  int
+}
+
+type letter struct {
+	at   Time
+	to   string
+	from int
+	data []byte
+}
+
+func newFleet(seed uint64, n int) *fleet {
+	f := &fleet{r: rand.New(rand.NewPCG(seed, 41)), now: time.Second, side: make([]int, n)}
+	for g := range n {
+		f.names = append(f.names, fmt.Sprintf("g%03d", g))
+	}
+	for g := range n {
+		f.books = append(f.books, nil)
+		f.does = append(f.does, nil)
+		f.restart(g)
+	}
+	f.see()
+	return f
+}
+
+// restart has a gateway begin with nothing.
+func (f *fleet) restart(g int) { f.books[g], f.does[g] = New(f.names[g]), map[string]Word{} }
+
+// see gives each gateway its view.
+func (f *fleet) see() {
+	for g, b := range f.books {
+		var alive []string
+		for i, n := range f.names {
+			if f.side[i] == f.side[g] {
+				alive = append(alive, n)
+			}
+		}
+		b.View(alive)
+	}
+}
+
+func (f *fleet) send(g int, out []Packet) {
+	f.sent += len(out)
+	for _, p := range out {
+		for f.r.Float64() >= f.loss {
+			f.mail = append(f.mail, letter{f.now + time.Duration(f.r.IntN(20))*time.Millisecond, p.To, g, p.Data})
+			if f.r.IntN(10) > 0 { // the rest comes twice, or more often
+				break
+			}
+		}
+	}
+}
+
+func (f *fleet) do(g int, w Word) {
+	f.does[g][w.Host] = w
+	f.books[g].Holds(w)
+}
+
+func (f *fleet) say(g int, host string, out bool) Word {
+	w, err := f.books[g].Say(f.now, host, out)
+	if err != nil {
+		panic(err)
+	}
+	f.do(g, w)
+	return w
+}
+
+func (f *fleet) run(length time.Duration, over func() bool) bool {
+	for end := f.now + length; f.now < end; f.now += 5 * time.Millisecond {
+		var due []letter
+		f.mail = slices.DeleteFunc(f.mail, func(l letter) bool {
+			if l.at > f.now {
+				return false
+			}
+			due = append(due, l)
+			return true
+		})
+		for _, l := range due {
+			to := slices.Index(f.names, l.to)
+			if f.side[to] != f.side[l.from] {
+				continue
+			}
+			out, words := f.books[to].Take(f.now, l.data)
+			f.send(to, slices.Clone(out))
+			for _, w := range words {
+				f.do(to, w)
+			}
+		}
+		for g, b := range f.books {
+			if (f.now/(5*time.Millisecond)+Time(g))%Time(Step/(5*time.Millisecond)) == 0 {
+				f.send(g, slices.Clone(b.Tick(f.now)))
+			}
+		}
+		if over != nil && over() {
+			return true
+		}
+	}
+	return over == nil
+}
+
+// alike says whether all do the same.
+func (f *fleet) alike() bool {
+	for g := range f.does {
+		if f.books[g].digests != f.books[0].digests || len(f.does[g]) != len(f.does[0]) {
+			return false
+		}
+		for host, w := range f.does[0] {
+			if f.does[g][host] != w {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Words of operators at any gateways, through loss, doubles, cuts in up to three sides and restarts: all who hear each other
+// do the same within the stated time, and it is the last word by version; what was said to all is true.
+func TestAllDoTheLastWord(t *testing.T) {
+	for seed := uint64(1); seed <= 1500; seed++ {
+		r := rand.New(rand.NewPCG(seed, 1))
+		n := 2 + r.IntN(8)
+		f := newFleet(seed, n)
+		f.loss = []float64{0, 0.1, 0.3}[r.IntN(3)]
+		last := map[string]Word{}
+		began := map[Word]Time{}
+		for range 3 + r.IntN(12) {
+			switch r.IntN(5) {
+			case 0:
+				for g := range f.side {
+					f.side[g] = r.IntN(3)
+				}
+				f.see()
+			case 1: // one begins anew: what it alone knew is gone, what others have comes back to it
+				g := r.IntN(n)
+				if status := f.books[g].Status(f.now); !slices.ContainsFunc(status, func(s Status) bool { return s.By == f.names[g] }) {
+					f.restart(g)
+					f.see()
+				}
+			default:
+				g := r.IntN(n)
+				w := f.say(g, fmt.Sprintf("h%d", r.IntN(3)), r.IntN(2) == 0)
+				if w.after(last[w.Host]) {
+					last[w.Host] = w
+				}
+				began[w] = f.now
+			}
+			f.run(time.Duration(r.IntN(400))*time.Millisecond, func() bool {
+				for w := range began { // a yes is true of all who were alive and are
+					s, ok := f.books[slices.Index(f.names, w.By)].Of(f.now, w.Host)
+					if !ok || s.Word != w || !s.Asked || !s.Holds || len(s.Lack)+len(s.Away) > 0 {
+						continue
+					}
+					for g, does := range f.does {
+						if d := does[w.Host]; w.after(d) && f.side[g] == f.side[slices.Index(f.names, w.By)] && d.Host != "" {
+							t.Fatalf("seed %d: %+v holds at all, and %s does %+v", seed, w, f.names[g], d)
+						}
+					}
+					delete(began, w)
+				}
+				return false
+			})
+		}
+		for g := range f.side {
+			f.side[g] = 0
+		}
+		f.see()
+		healed := f.now
+		if !f.run(20*Every, f.alike) {
+			t.Fatalf("seed %d: they do not agree 20 s after healing", seed)
+		}
+		if took := f.now - healed; f.loss == 0 && took > 2*Every {
+			t.Errorf("seed %d: agreed after %v", seed, took)
+		}
+		for host, w := range last {
+			if got := f.does[0][host]; got != w {
+				t.Errorf("seed %d: all do %+v, the last word is %+v", seed, got, w)
+			}
+		}
+	}
+}
+
+// A ban and a call back in the instant of a cut are of one version: the ban counts. One who had heard the ban calls back for
+// good, whoever comes late with it.
+func TestALateWordUndoesNothing(t *testing.T) {
+	f := newFleet(1, 3)
+	f.side = []int{0, 1, 1}
+	f.see()
+	f.say(0, "h", true)
+	f.say(1, "h", false)
+	f.run(time.Second, nil)
+	if f.does[2]["h"].Out || !f.does[0]["h"].Out {
+		t.Fatal("each side goes by its own word")
+	}
+	f.side = []int{0, 0, 0}
+	f.see()
+	f.run(3*Every, f.alike)
+	for g := range f.does {
+		if !f.does[g]["h"].Out {
+			t.Errorf("%s uses it", f.names[g])
+		}
+	}
+	f.side = []int{0, 1, 1} // the first keeps the ban, the others call back and ban and call back
+	f.see()
+	for _, out := range []bool{false, true, false} {
+		f.say(2, "h", out)
+		f.run(200*time.Millisecond, nil)
+	}
+	f.side = []int{0, 0, 0}
+	f.see()
+	f.run(3*Every, f.alike)
+	for g := range f.does {
+		if f.does[g]["h"].Out {
+			t.Errorf("%s: a ban that was held up counts", f.names[g])
+		}
+	}
+}
+
+// Three hundred with a thousand words cost a digest a second each when nothing is said, and one that begins anew has all
+// within some rounds; a yes comes from all who live.
+func TestManyWords(t *testing.T) {
+	f := newFleet(1, 300)
+	for i := range 1000 {
+		w := Word{Host: fmt.Sprintf("h%04d", i), Out: true, Version: 1, By: "g000"}
+		for g, b := range f.books {
+			b.keep(w)
+			f.do(g, w)
+		}
+	}
+	f.run(time.Second, nil)
+	if f.sent = 0; !f.run(10*time.Second, func() bool { return f.sent > 300*11 }) && f.sent > 300*11 {
+		t.Errorf("%d packets in 10 s of 300 gateways with nothing new", f.sent)
+	}
+	w := f.say(0, "h0007", false)
+	if !f.run(400*time.Millisecond, func() bool {
+		s, _ := f.books[0].Of(f.now, "h0007")
+		return s.Word == w && len(s.Lack) == 0
+	}) {
+		t.Error("not all 300 have said that it holds")
+	}
+	f.restart(7)
+	f.see()
+	if !f.run(6*Every, f.alike) {
+		t.Errorf("one that began anew has %d words of 1000", len(f.does[7]))
+	}
+}
+
+// There is a bound, and words that call back make room.
+func TestWordsAreBounded(t *testing.T) {
+	b := New("g")
+	now := time.Second
+	for i := range MostHosts {
+		if _, err := b.Say(now, fmt.Sprint(i), i != 5); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := b.Say(now, "one more", true); err != nil {
+		t.Errorf("%v, though one word calls back", err)
+	}
+	if _, err := b.Say(now, "and another", true); err != ErrFull {
+		t.Errorf("%v beyond the bound", err)
+	}
+	b.Say(now, "7", false)
+	b.View([]string{"h"})
+	b.Tick(now + keepBack)
+	if _, kept := b.Of(now+keepBack, "7"); kept {
+		t.Error("a word that calls back is kept for ever")
+	}
+	again := New("h")
+	for _, e := range b.words {
+		again.keep(e.Word)
+	}
+	if again.digests != b.digests {
+		t.Error("the digests are not those of the words")
+	}
+}
+
+// Words come in any order, any number of times, through anybody: what counts is the same.
+func TestWordsMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Word {
+			return Word{Host: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host"), Out: rapid.Bool().Draw(t, "out"),
+				Version: rapid.Uint64Range(1, 3).Draw(t, "version"), By: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "by")}
+		}), 1, 12).Draw(t, "words")
+		var books [2]*Book
+		for i := range books {
+			b := New("me")
+			b.View([]string{"x", "y"})
+			list := rapid.Permutation(words).Draw(t, "order")
+			for _, w := range append(list, list[:rapid.IntRange(0, len(list)).Draw(t, "twice")]...) {
+				m := message{kind: tells, from: "x", words: []Word{w}}
+				b.Take(time.Second, m.encode())
+			}
+			books[i] = b
+		}
+		if books[0].digests != books[1].digests {
+			t.Fatalf("%+v and %+v", books[0].Status(0), books[1].Status(0))
+		}
+	})
+}
+
+// What comes from a socket neither breaks nor grows a book beyond its bound, and what is a message keeps its form.
+func FuzzTake(f *testing.F) {
+	for _, m := range []message{{kind: asks, from: "x", words: []Word{{Host: "h", Out: true, Version: 1, By: "x"}}},
+		{kind: holds, from: "x", words: []Word{{Host: "h", Version: 9, By: "y"}, {Host: "i", Version: 1, By: "y"}}}, {kind: compares, from: "x"}, {kind: answers, from: "x"}} {
+		f.Add(m.encode())
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b := New("me")
+		b.View([]string{"x"})
+		b.Say(0, "h", true)
+		out, words := b.Take(time.Second, data)
+		for _, p := range out {
+			if len(p.Data) > 1300 {
+				t.Errorf("a packet of %d bytes", len(p.Data))
+			}
+		}
+		for _, w := range words {
+			b.Holds(w)
+		}
+		var m message
+		if m.decode(data) {
+			if again := m.encode(); string(again) != string(data) {
+				t.Errorf("%x became %x", data, again)
+			}
+		}
+	})
+}
