--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -32,7 +32,7 @@
 // Host is a scripted server. Its methods are safe for concurrent use.
 type Host struct {
 	counts
-	addr  string
+	place *Place
 	serve func(*Request) bool
 	ended chan struct{}
 	wg    sync.WaitGroup
@@ -47,13 +47,15 @@
 // NewHost starts a host that hands each request to serve, which says whether to go on
 // with the connection.
 func NewHost(serve func(*Request) bool) (*Host, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	place, err := Reserve()
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{counts: newCounts(), addr: ln.Addr().String(), serve: serve, ended: make(chan struct{}), ln: ln,
-		conns: map[net.Conn]bool{}}
-	h.accept(ln)
+	h := &Host{counts: newCounts(), place: place, serve: serve, ended: make(chan struct{}), conns: map[net.Conn]bool{}}
+	if err := h.Return(); err != nil {
+		place.Close()
+		return nil, err
+	}
 	return h, nil
 }
 
@@ -65,6 +67,11 @@
 				return
 			}
 			h.mu.Lock()
+			if h.ln != ln { // refused in the moment in which it came
+				h.mu.Unlock()
+				Reset(c)
+				continue
+			}
 			h.conns[c] = true
 			h.mu.Unlock()
 			h.wg.Go(func() { h.run(c) })
@@ -143,7 +150,7 @@
 }
 
 // Addr is where the host listens.
-func (h *Host) Addr() string { return h.addr }
+func (h *Host) Addr() string { return h.place.Addr }
 
 // Conns is how many connections are open.
 func (h *Host) Conns() int {
@@ -176,9 +183,9 @@
 	}
 }
 
-// Return listens again where Refuse had stopped.
+// Return listens again where Refuse had stopped. The address stayed the host's own meanwhile.
 func (h *Host) Return() error {
-	ln, err := net.Listen("tcp", h.addr)
+	ln, err := h.place.Listen()
 	if err != nil {
 		return err
 	}
@@ -202,6 +209,7 @@
 	h.mu.Unlock()
 	h.Refuse()
 	h.wg.Wait()
+	h.place.Close()
 }
 
 // Reset closes a connection with a reset.
--- /dev/null
+++ b/internal/standin/place.go
@@ -0,0 +1,43 @@
+package standin
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+)
+
+// Place is a loopback address that the kernel chose and that nobody else gets until Close: a
+// socket is bound there and does not listen. Whoever knows the address, a child included, may
+// listen there; connections are refused while nobody does.
+type Place struct {
+	Addr string
+	fd   int
+	once sync.Once
+}
+
+// Reserve makes a place.
+func Reserve() (*Place, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	sa := syscall.Sockaddr(&syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	err = errors.Join(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1), syscall.Bind(fd, sa))
+	if err == nil {
+		sa, err = syscall.Getsockname(fd)
+	}
+	if err != nil {
+		syscall.Close(fd)
+		return nil, err
+	}
+	in := sa.(*syscall.SockaddrInet4)
+	return &Place{Addr: netip.AddrPortFrom(netip.AddrFrom4(in.Addr), uint16(in.Port)).String(), fd: fd}, nil
+}
+
+// Listen listens at the place.
+func (p *Place) Listen() (net.Listener, error) { return net.Listen("tcp", p.Addr) }
+
+// Close gives the address up.
+func (p *Place) Close() { p.once.Do(func() { syscall.Close(p.fd) }) }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -107,6 +108,19 @@
 		c.Close()
 		t.Error("a host that refuses takes connections")
 	}
+	// Its address is its own still: one that asks for it alone is told that it is in use.
+	alone := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 0)
+		})
+		return err
+	}}
+	if ln, err := alone.Listen(t.Context(), "tcp", h.Addr()); !errors.Is(err, syscall.EADDRINUSE) {
+		if err == nil {
+			ln.Close()
+		}
+		t.Errorf("somebody else may have the address of a host that refuses: %v", err)
+	}
 	if err := h.Return(); err != nil {
 		t.Fatal(err)
 	}
