--- a/api.go
+++ b/api.go
@@ -107,6 +107,15 @@
 	Least, Most int     // instances there may be, this one included
 }
 
+// Hearsay is what other instances' outcomes say of a host, as whoever puts them together judges.
+type Hearsay struct {
+	Host  HostID
+	Doubt float64 // that it is in order, from 0 to 1
+	Down  bool    // several were refused a connection, and nobody was answered since
+	Wait  bool    // others try it, where it is down
+	Until Time    // worth nothing later
+}
+
 // HostState is what the host list says of a host.
 type HostState uint8
 
--- a/balancer.go
+++ b/balancer.go
@@ -66,6 +66,8 @@
 	drawTries   = 12       // draws before the walk: with half of the hosts out they do in 99.7%
 	stoodLeast  = 8        // part of an attempt's time that counts however long the gateway stood still
 	streamPart  = 0.125    // what a flowing body holds of a host, in attempts: it waits for its client mostly
+	doubtLoad   = 3        // times more that a host which others doubt whole counts as slower
+	saidAims    = 2        // others' refusals do not count so long after an own answer, in shortest aims
 	answerSteps = 2        // steps ahead of its deadline that a request is answered at the latest
 )
 
@@ -216,22 +218,9 @@
 	b.near = near
 	b.ring = b.turn(b.ring[:0], near)
 	b.ring = b.ring[:min(len(near), b.subset/2)]
-	for _, h := range b.ring {
-		h.near = true
-	}
-	first := len(b.ring)
+	first, all := len(b.ring), len(b.places)
 	b.ring = b.turn(b.ring, b.places)
-	all := len(b.ring) - first
-	rest := b.ring[first:first]
-	for _, h := range b.ring[first:] {
-		if !h.near {
-			rest = append(rest, h)
-		}
-	}
-	b.ring = b.ring[:first+len(rest)]
-	for _, h := range b.ring[:first] {
-		h.near = false
-	}
+	b.ring = b.ring[:first+len(without(b.ring[first:], b.ring[:first]))]
 	b.sharers = min(1, float64(b.subset)/float64(max(b.warm, 1))) * b.bank
 	// What instances of its own zone and all instances walk past is what shares a cold host. Where
 	// views differ cold hosts are used within the part by Most alone, and by one more for places
@@ -295,6 +284,7 @@
 		b.kinds = append(b.kinds, evidence.Mean{})
 	}
 	if e.Started > 0 && e.Started != started {
+		h.doubt = 0 // of another start
 		b.chill(h, max(e.Started, h.coldAt))
 	}
 }
@@ -324,6 +314,42 @@
 	}
 }
 
+// Hear is news of what other instances met at a host. It never takes the place of own outcomes: a
+// doubt makes the host look slower and spares it requests that must not run twice, and refusals that
+// several met eject it as one of its own would, until a trial of its own, or while others try it.
+// That acts where it has had no answer of late, and for half of the hosts at most.
+func (b *Balancer) Hear(now Time, k Hearsay) {
+	b.now = now
+	h := b.byID[k.Host]
+	if h == nil {
+		return
+	}
+	h.doubt, h.doubtUntil = min(max(k.Doubt, 0), 1), k.Until
+	if h.waits && !(k.Down && k.Wait) { // others were answered: all may try, not all at once
+		h.waits, h.ejectUntil = false, min(h.ejectUntil, now+Time(saidAims*float64(b.aim)*b.float()))
+	}
+	switch {
+	case !k.Down || now >= k.Until || now-h.heard < saidAims*b.aim:
+		return
+	case h.fails == 0 && 2*(b.saidOut()+1) > len(b.hosts):
+		return
+	case h.fails == 0:
+		b.eject(h, "others are refused")
+		h.down, h.said = true, true
+	}
+	if k.Wait {
+		h.ejectUntil, h.waits = max(h.ejectUntil, k.Until), true
+	}
+}
+
+// doubted is how far others' outcomes speak against a host.
+func (b *Balancer) doubted(h *host) float64 {
+	if b.now >= h.doubtUntil {
+		return 0
+	}
+	return h.doubt
+}
+
 // owed is a host that was called back and has answered nothing yet, if the request may go
 // there now and nothing else is out there. An unsafe one is not risked on it.
 func (b *Balancer) owed(r *request) *host {
@@ -460,10 +486,8 @@
 func (b *Balancer) Feeding(now Time, id RequestID, n int) {
 	b.now = now
 	if a := b.attempt(id, n); a != nil && !a.away {
-		a.req.feeding, a.away = true, true
-		a.host.flight.remove(&a.link)
-		a.host.pending--
-		a.host.streams++
+		a.req.feeding = true
+		a.flow()
 	}
 }
 
@@ -471,10 +495,8 @@
 func (b *Balancer) Fed(now Time, id RequestID, n int) {
 	b.now = now
 	if a := b.attempt(id, n); a != nil && a.req.feeding {
-		a.away, a.sent, a.stood = false, now, b.stood
-		a.host.flight.pushBack(&a.link)
-		a.host.pending++
-		a.host.streams--
+		a.sent, a.stood = now, b.stood
+		a.stay()
 		b.fedUp(a.req)
 	}
 }
@@ -495,12 +517,8 @@
 	if a == nil || a.flows {
 		return
 	}
-	if !a.away {
-		a.host.flight.remove(&a.link)
-		a.host.pending--
-		a.host.streams++
-	}
-	a.req.bound, a.req.feeding, a.away, a.flows, a.result = true, false, true, true, result
+	a.flow()
+	a.req.bound, a.req.feeding, a.flows, a.result = true, false, true, result
 	b.observe(a, max(took, 0).Seconds())
 	b.pump()
 }
@@ -516,12 +534,7 @@
 	a.ended, a.result = true, o.Result
 	a.hint = min(o.After, hintAims*b.aim).Seconds()
 	r.out--
-	if a.away {
-		a.host.streams--
-	} else {
-		a.host.pending--
-		a.host.flight.remove(&a.link)
-	}
+	a.leave()
 	if a.flows && o.Result == Reset { // a body that breaks off is a connection that does
 		b.sample(a.host, b.penalty())
 		b.eject(a.host, "connections fail")
@@ -659,6 +672,8 @@
 	if n == 1 {
 		return b.ready[0]
 	}
+	// By weights the two draws are independent, and the first stands unless the second is much
+	// lighter: peaks of a host that gets more are higher, and would share work out evenly.
 	if b.weighted {
 		x, y := b.byWeight(b.ready), b.byWeight(b.ready)
 		if b.load(x) > yieldsAt*b.load(y) {
@@ -715,23 +730,6 @@
 	return full
 }
 
-// byWeight draws a host by weights. The two draws are then independent, and the first stands
-// unless the second is much lighter: peaks of a host that gets more are higher, and would share
-// work out evenly against the weights.
-func (b *Balancer) byWeight(from []*host) *host {
-	sum := 0.0
-	for _, h := range from {
-		sum += h.weight()
-	}
-	at := b.float() * sum
-	for _, h := range from {
-		if at -= h.weight(); at < 0 {
-			return h
-		}
-	}
-	return from[len(from)-1]
-}
-
 // lighter is the less loaded of two hosts.
 func (b *Balancer) lighter(x, y *host) *host {
 	if b.load(y) < b.load(x) {
@@ -784,6 +782,7 @@
 	if b.remote(h) {
 		rtt += b.set.CrossPrice * b.aim.Seconds()
 	}
+	rtt *= 1 + doubtLoad*b.doubted(h)
 	return rtt * ((float64(h.pending)+streamPart*float64(h.streams))/h.weight() + 1)
 }
 
@@ -912,8 +911,9 @@
 // ends, and then for all but one trial at a time. The trial is a request that may be
 // sent again, while there are such: one that may not would be lost to a failing host.
 func (b *Balancer) ejected(r *request, h *host) bool {
-	return h.fails > 0 && (b.now < h.ejectUntil || h.trialOut ||
-		r.class.Effect == Unsafe && b.now < h.ejectUntil+trialAims*b.aim)
+	unsafe := r.class.Effect == Unsafe
+	return unsafe && b.doubted(h) == 1 || h.fails > 0 && (b.now < h.ejectUntil || h.trialOut ||
+		unsafe && b.now < h.ejectUntil+trialAims*b.aim)
 }
 
 // Usable says whether a request of the class could be sent to any host now, were none
@@ -1114,7 +1114,7 @@
 	if h.fails == 0 {
 		return
 	}
-	h.fails, h.down = 0, false
+	h.fails, h.down, h.said, h.waits = 0, false, false, false
 	b.log(logReturn, "host %x is back", h.ID)
 }
 
--- a/cmd/stilespool/commands_test.go
+++ b/cmd/stilespool/commands_test.go
@@ -15,11 +15,13 @@
 	"time"
 
 	"frostshift"
+	"frostshift/internal/config"
 	"frostshift/internal/gateway"
 	"frostshift/internal/membership"
 	"frostshift/internal/membership/belief"
 	"frostshift/internal/membership/keeper"
 	"frostshift/internal/membership/view"
+	"frostshift/internal/quota"
 	"frostshift/internal/standin"
 )
 
@@ -334,3 +336,58 @@
 		t.Errorf("nobody to ask: %d, %s", status, &errs)
 	}
 }
+
+// Who asks about limits of the fleet where there are none, or nobody to ask, is told why; a team's
+// part is told in words.
+func TestQuotaCommand(t *testing.T) {
+	file := func(text string) string {
+		path := filepath.Join(t.TempDir(), "gw.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	text := "name = \"g\"\n[bank]\ntalk = \"127.0.0.1:0\"\n[quota]\n[[listener]]\naddress = \"127.0.0.1:0\"\n[[class]]\nname = \"c\"\neffect = \"safe\"\ndeadline = \"1s\"\n[[pool]]\nname = \"p\"\nhosts = [\"127.0.0.1:1\"]\n[[route]]\nname = \"r\"\nclass = \"c\"\npool = \"p\"\n"
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"quota", "status"}, "needs --config"},
+		{[]string{"limits"}, "limits needs --config"},
+		{[]string{"limits", "explain", "http://x/"}, "limits explain needs --config"},
+		{[]string{"verdicts"}, "verdicts needs --config"},
+		{[]string{"memory"}, "memory needs --config"},
+		{[]string{"memory", "--config", file(text)}, "state is not set"},
+		{[]string{"memory", "--config", file(strings.Replace(text, "[bank]", "state = \""+t.TempDir()+"\"\n[bank]", 1))}, "nothing was learned"},
+		{[]string{"maint", "out", "h"}, "maint out needs --config"},
+		{[]string{"maint", "out", "h", "--config", file(text)}, "management is not set"},
+		{[]string{"maint", "show", "--config", file(text)}, "bank.bans is not set"},
+		{[]string{"quota", "status", "--config", file(strings.Replace(text, "[quota]\n", "", 1))}, "quota is not set"},
+		{[]string{"quota", "explain", "a", "--config", file(text)}, "management is not set"},
+	} {
+		var out, errs bytes.Buffer
+		if status := dispatch(c.args, &out, &errs); status == 0 || !strings.Contains(errs.String(), c.want) {
+			t.Errorf("%v: %d, %s", c.args, status, &errs)
+		}
+	}
+	m, _, err := config.Load("../../deploy/quota.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := gateway.QuotaStatus{Alive: 2, Most: 3, Typed: 3, Times: 1 + 1.0/3, Short: 1.0 / 3, Limits: []quota.LimitStatus{
+		{Name: gateway.TeamLimit("rota", "bins"), Amount: 0.6, Here: 0.5, Kept: 0.3, Wanted: 1, Owner: "gw-2"},
+		{Name: gateway.TeamLimit("rota", "payments"), Mode: quota.NeverOver, Amount: 3, Here: 1, Kept: 1}}}
+	for team, want := range map[string]string{"bins": "0.2 more is granted by gw-2", "payments": "up to 0.333 of it is missing"} {
+		var out bytes.Buffer
+		if err := explainQuota(s, m, team, &out); err != nil || !strings.Contains(out.String(), want) {
+			t.Errorf("%s: %s, %v", team, &out, err)
+		}
+	}
+	var out bytes.Buffer
+	if showQuota(s, &out); !strings.Contains(out.String(), "mostly_full up to 1.33 times") {
+		t.Error(out.String())
+	}
+	if err := explainQuota(s, m, "nobody", &out); err == nil {
+		t.Error("a team without a contract is explained")
+	}
+}
--- a/internal/bank/bank.go
+++ b/internal/bank/bank.go
@@ -39,12 +39,21 @@
 	Typed     int      // gateways that the configuration names; 0: none
 	Place     float64
 	Probe     time.Duration // between two probes; 0: 500 ms
+	Verdicts  bool          // what they meet at hosts is told among them
+	Bans      bool          // operators' words on hosts hold for all of them where asked for
 	Window    time.Duration // see roster.Config; 0: its default
 	Started   time.Time
 	// View gets each change of the view, with roster.Places, from one goroutine, changes within
 	// viewEvery together.
 	View func(v roster.View, places []uint64)
-	Log  *slog.Logger
+	// Alive gets the members that are held alive, without this one, when they have changed, from
+	// the same goroutine at once. Heard gets what Send sent, from any, and must not wait. Either
+	// may be nil.
+	Alive func(members []roster.Member, v roster.View)
+	Heard func(data []byte)
+	// RoundTrip gets how long each probe took, and must not wait; nil: nobody asks.
+	RoundTrip func(rtt time.Duration)
+	Log       *slog.Logger
 }
 
 const (
@@ -159,6 +168,7 @@
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	last, told := roster.View{Version: -1}, time.Time{}
+	var known []roster.Member
 	for {
 		select {
 		case <-ctx.Done():
@@ -173,6 +183,12 @@
 		b.compare(now, r)
 		r.Tick(now)
 		b.tell(r.Changes())
+		if b.cfg.Alive != nil {
+			if list := living(r.Members(now), b.cfg.Name); !slices.EqualFunc(list, known, func(x, y roster.Member) bool { return x.Name == y.Name && x.Zone == y.Zone }) {
+				known = list
+				b.cfg.Alive(known, r.View())
+			}
+		}
 		if v := r.View(); v.Version != last.Version && time.Since(told) >= viewEvery {
 			if v.Typed != last.Typed && last.Version >= 0 {
 				b.log.Info("bank: whose figures count has changed", "typed", v.Typed, "count", v.Count)
@@ -188,6 +204,29 @@
 	}
 }
 
+// living are the members that are taken to live, by name.
+func living(members []roster.Status, self string) (list []roster.Member) {
+	for _, m := range members {
+		if m.Name != self && (m.State == roster.Alive || m.State == roster.Suspected) {
+			list = append(list, m.Member)
+		}
+	}
+	slices.SortFunc(list, func(x, y roster.Member) int { return strings.Compare(x.Name, y.Name) })
+	return list
+}
+
+// Send sends some bytes to a member, at most mostBytes: as one packet that may be lost. False: it
+// is not known, or it can't be sent.
+func (b *Bank) Send(name string, data []byte) bool {
+	b.mu.Lock()
+	n, there := b.nodes[name]
+	b.mu.Unlock()
+	return there && len(data) <= mostBytes && b.list.SendToAddress(memberlist.Address{Addr: n.addr, Name: name}, data) == nil
+}
+
+// mostBytes keeps a packet with what seals it in one frame.
+const mostBytes = 1300
+
 // node is a member as detection holds it: memberlist changes its own at any time.
 type node struct {
 	addr string
@@ -354,8 +393,12 @@
 	return nil
 }
 
-// NotifyMsg takes nothing: members say no more than that they live.
-func (b *Bank) NotifyMsg([]byte) {}
+// NotifyMsg hears what another sent with Send.
+func (b *Bank) NotifyMsg(data []byte) {
+	if b.cfg.Heard != nil && len(data) <= mostBytes {
+		b.cfg.Heard(data)
+	}
+}
 
 // GetBroadcasts has nothing to say.
 func (b *Bank) GetBroadcasts(int, int) [][]byte { return nil }
@@ -414,10 +457,13 @@
 // NotifyPingComplete hears how long a probe took.
 func (b *Bank) NotifyPingComplete(n *memberlist.Node, rtt time.Duration, _ []byte) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	if len(b.rtts) < mostKept {
 		b.rtts[n.Name] = rtt
 	}
+	b.mu.Unlock()
+	if b.cfg.RoundTrip != nil {
+		b.cfg.RoundTrip(rtt)
+	}
 }
 
 // quiet passes on what memberlist logs as errors, within the bound on lines; the rest says less
--- a/internal/config/contracts.go
+++ b/internal/config/contracts.go
@@ -31,6 +31,7 @@
 	Burst           time.Duration `toml:"burst"`
 	Ceiling         float64       `toml:"ceiling"`
 	RetryRatio      *float64      `toml:"retry_ratio"`
+	LimitMode       string        `toml:"limit_mode"`
 	Classes         []struct {
 		Name     string `toml:"name"`
 		Priority int    `toml:"priority"`
@@ -105,6 +106,7 @@
 	if in.RetryRatio != nil {
 		t.RetryRatio = *in.RetryRatio
 	}
+	d.sharing(in.LimitMode, m, t)
 	if in.LargestBody < 0 {
 		d.fail("largest_body", "%d is negative", in.LargestBody)
 	}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -53,16 +53,25 @@
 		Zone      string        `toml:"zone"`
 		Probe     time.Duration `toml:"probe"`
 		Window    time.Duration `toml:"window"`
+		Verdicts  bool          `toml:"verdicts"`
+		Bans      bool          `toml:"bans"`
 	} `toml:"bank"`
 	Contracts struct {
 		Dir string `toml:"dir"`
 	} `toml:"contracts"`
+	Quota *struct {
+		Lease time.Duration `toml:"lease"`
+		Mode  string        `toml:"mode"`
+		Drift float64       `toml:"drift"`
+	} `toml:"quota"`
+	Rules     []fileLimit `toml:"limit"`
 	Listeners []struct {
 		Name    string `toml:"name"`
 		Address string `toml:"address"`
 		// http1 or http2; with TLS both, and this is left out
-		Protocol   string `toml:"protocol"`
-		Descriptor int    `toml:"descriptor"`
+		Protocol   string   `toml:"protocol"`
+		Descriptor int      `toml:"descriptor"`
+		Limits     []string `toml:"limits"`
 		TLS        struct {
 			Certificate string `toml:"certificate"`
 			Key         string `toml:"key"`
@@ -189,6 +198,7 @@
 	Headers    []fileCondition `toml:"headers"`
 	Query      []fileCondition `toml:"query"`
 	Service    string          `toml:"service"`
+	Limits     []string        `toml:"limits"`
 	Class      string          `toml:"class"`
 	Pool       string          `toml:"pool"`
 	Pools      []struct {
@@ -279,8 +289,12 @@
 	d.moves(&f, m)
 	m.Spool = d.spool(f.Spool)
 	m.Bank = d.bank(&f, m)
+	m.Quota = d.quota(&f, m)
+	d.rules(&f, m)
+	d.guards(&f, m)
 	warnings = append(warnings, d.routes(&f, m, sets)...)
 	warnings = append(warnings, d.windows(m)...)
+	warnings = append(warnings, d.unmet(m)...)
 	warnings = append(warnings, d.contracts(f.Contracts.Dir, m)...)
 	if len(d.errs) > 0 {
 		slices.SortStableFunc(d.errs, byLine)
@@ -668,6 +682,7 @@
 		d.moved(key, r, m)
 		policy := d.policy(key, &f.Routes[i], r, sets, &m.Spool)
 		m.Policies = append(m.Policies, policy)
+		d.meets(key, f, &f.Routes[i], m)
 		if policy != nil {
 			d.upgrades(key+".bodies", policy.Bodies, r, m)
 		}
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -21,6 +21,7 @@
 	"frostshift/internal/bank"
 	"frostshift/internal/contract"
 	"frostshift/internal/headers"
+	"frostshift/internal/limit"
 	"frostshift/internal/membership"
 	"frostshift/internal/membership/belief"
 	"frostshift/internal/membership/keeper"
@@ -44,6 +45,10 @@
 	Policies  []*Policy        // by route; nil: nothing but pools
 	Forward   *headers.Forward // what hosts are told of clients; nil: nothing is changed
 	Contracts *contract.Book   // nil: anybody may ask for anything
+	Quota     *Quota           // nil: what gateways share of a limit is even
+	Rules     []limit.Config   // limits by key
+	Meets     [][]int          // by route: which of them its requests meet
+	Guards    map[string][]int // by listener: which of them its connections do
 	State     string           // folder that lasts, for what must outlive the process; "": there is none
 	Moves     []shift.Plan     // of traffic between pools
 	Spool     Spool            // for bodies that are kept on disk
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"frostshift"
+	"frostshift/internal/quota"
 )
 
 // Time is an instant on the balancers' clock: Unix time that never goes backward.
@@ -49,6 +50,10 @@
 	Burst       time.Duration // of its guarantee that it may save up
 	Ceiling     float64       // part of a pool's capacity that it never goes beyond; 0: 1
 	RetryRatio  float64       // repeats and further attempts for each first request
+	// Apart says that Rate and Concurrency are divided evenly among gateways, whatever else they
+	// may know; else Mode is what gives where their links fail.
+	Apart bool
+	Mode  quota.Mode
 
 	place int            // in its book
 	Lines map[string]int // where keys stand, by name: "class", "share", ...
@@ -142,6 +147,16 @@
 	return t.Ceiling
 }
 
+// Absolute is what the team is guaranteed of each pool over all gateways, in seconds of work a
+// second; 0: nothing.
+func (t *Terms) Absolute() float64 { return max(t.Rate, t.Concurrency) }
+
+// Right is a gateway's part of an absolute figure, where gateways share it by what comes to each.
+type Right interface {
+	Part(now Time) float64 // from 0 to 1
+	Ask(units float64)     // so much work was wanted here
+}
+
 // leastWeight is what a team without a guarantee weighs: it gets what nobody else wants,
 // and shares that with others like it.
 const leastWeight = 1e-3
@@ -149,5 +164,5 @@
 // weight is the team's guarantee as a part of a pool, one of so many gateways' parts of
 // it, that can hold capacity attempts. part is this gateway's part of absolute figures.
 func (t *Terms) weight(capacity, part float64) float64 {
-	return max(t.Share, max(t.Rate, t.Concurrency)*part/max(capacity, 1), leastWeight)
+	return max(t.Share, t.Absolute()*part/max(capacity, 1), leastWeight)
 }
--- a/internal/contract/estimate.go
+++ b/internal/contract/estimate.go
@@ -18,6 +18,7 @@
 	seen bool
 	slow float64 // the same over more samples
 	calm float64 // its lowest, drifting up: what such requests cost where they do not queue
+	at   Time    // of the last sample
 	n    int
 }
 
@@ -33,19 +34,20 @@
 
 const (
 	slowWeight  = 0.02
-	calmDrift   = 0.0005
-	calmAfter   = 20   // samples
-	queueFades  = 0.99 // of spent and calm, with each sample
-	queueMuch   = 1.8  // times calm above which less is given
-	queueLittle = 1.5  // ... and below which more is
+	calmDrift   = 0.005 // a second: by samples, a flood of them would soon pass for calm
+	calmAfter   = 20    // samples
+	queueFades  = 0.99  // of spent and calm, with each sample
+	queueMuch   = 1.8   // times calm above which less is given
+	queueLittle = 1.5   // ... and below which more is
 	queueEvery  = Time(20 * time.Millisecond)
 	queueLess   = 0.95 // of the part that is given, each time
 	queueMore   = 0.01
 	queueLeast  = 0.25 // of the capacity is given always
+	slowMost    = 8
 )
 
 // sample takes in what a request has cost.
-func (q *queueing) sample(g *guess, work float64) {
+func (q *queueing) sample(now Time, g *guess, work float64) {
 	if g.n == 0 {
 		g.slow = work
 	}
@@ -53,13 +55,32 @@
 	if g.n++; g.n < calmAfter {
 		return
 	}
-	if g.calm *= 1 + calmDrift; g.calm == 0 || g.slow < g.calm {
+	g.calm *= 1 + calmDrift*min((now-g.at).Seconds(), 1)
+	if g.at = now; g.calm == 0 || g.slow < g.calm {
 		g.calm = g.slow
 	}
 	q.spent = q.spent*queueFades + work
 	q.calm = q.calm*queueFades + g.calm
 }
 
+// calmPart is what part of the cost of a class of the line's is work, and not waiting at hosts: what
+// contracts state is work, and gateways whose requests wait longer must not seem to want more.
+func (l *line) calmPart(class int) float64 {
+	if class >= len(l.classes) || l.classes[class].calm == 0 {
+		return 1
+	}
+	// The lowest mean is below the usual one by chance alone; a little longer is no queue.
+	return min(1, queueLittle*l.classes[class].calm/l.classes[class].mean)
+}
+
+// slowness is how many times as long as in calm times requests take now, up to slowMost.
+func (q *queueing) slowness() float64 {
+	if q.calm == 0 {
+		return 1
+	}
+	return min(max(q.spent/q.calm, 1), slowMost)
+}
+
 // part is the part of the capacity that is given.
 func (q *queueing) part(now Time) float64 {
 	if now-q.at >= queueEvery && q.calm > 0 {
@@ -177,7 +198,7 @@
 		l.classes = append(l.classes, guess{})
 	}
 	l.classes[it.Class].add(work)
-	s.queues.sample(&l.classes[it.Class], work)
+	s.queues.sample(s.now, &l.classes[it.Class], work)
 	s.costs.learnKey(it.Key, work, l.classes[it.Class].mean)
 }
 
--- a/internal/contract/scheduler.go
+++ b/internal/contract/scheduler.go
@@ -61,6 +61,7 @@
 	learnt   float64 // ... that it may have out, as its balancer learns it
 	queues   queueing
 	part     float64 // this gateway's part of what contracts state for all
+	rights   func(*Terms) Right
 	v        float64 // virtual time, in seconds of a guarantee
 	out      int
 	seq      uint64
@@ -68,6 +69,7 @@
 	placed   []*line  // the same, by place in the book
 	ready    lineHeap // lines with requests that wait and may go
 	held     []*line  // lines with requests that wait, at their ceiling
+	owing    []*line  // lines with requests that wait, which may be owed an attempt
 	waiting  timeHeap // all requests that wait, by the latest time to send them
 	weights  float64  // of the lines that have requests waiting
 	costs    Costs
@@ -81,6 +83,7 @@
 type line struct {
 	team    string
 	terms   *Terms
+	right   Right // nil: its part of absolute figures is everybody's
 	weight  float64
 	finish  float64 // tag of its last request's end
 	start   float64 // tag of the request that is next, while some wait
@@ -92,6 +95,7 @@
 	tried   float64 // answers of late
 	failed  float64 // of them, errors
 	inReady int     // place in the heap of lines; -1: not there
+	inOwing bool
 	isHeld  bool
 	parked  int // requests that wait for their clients: they are none of out
 	touched Time
@@ -114,6 +118,10 @@
 // SetPart changes this gateway's part.
 func (s *Scheduler) SetPart(part float64) { s.part = part }
 
+// SetRights has teams' parts of their absolute figures follow what comes here, where f has a right
+// for a team; nil: all go by SetPart.
+func (s *Scheduler) SetRights(f func(*Terms) Right) { s.rights = f }
+
 // SetCapacity says how many attempts the pool may have out. A team's weight follows with
 // its next request.
 func (s *Scheduler) SetCapacity(now Time, capacity float64) {
@@ -147,6 +155,9 @@
 	it.line = l
 	s.weigh(l)
 	it.cost = s.estimate(l, it)
+	if l.right != nil {
+		l.right.Ask(it.cost * l.calmPart(it.Class))
+	}
 	it.latest = it.Deadline
 	if it.Aim > 0 {
 		it.latest = min(it.latest, it.Aim)
@@ -161,7 +172,7 @@
 		return Refuse, s.backIn(l)
 	}
 	it.latest = max(it.latest, s.now)
-	if len(l.items.list) == 0 && s.room() && !s.atCeiling(l) && len(s.ready.list) == 0 {
+	if len(l.items.list) == 0 && (s.room() && !s.atCeiling(l) && len(s.ready.list) == 0 || s.owed(l)) {
 		s.begin(l)
 		s.dispatch(l, it)
 		return Go, 0
@@ -182,6 +193,7 @@
 	}
 	l.waits += it.cost
 	s.waiting.push(it)
+	s.mayOwe(l)
 	return Wait, 0
 }
 
@@ -199,7 +211,11 @@
 	if len(l.items.list) == 0 {
 		all += l.weight
 	}
-	rate := min(s.capacity*l.weight/max(all, l.weight), l.terms.ceiling()*s.capacity)
+	rate := s.capacity * l.weight / max(all, l.weight)
+	if l.right != nil {
+		rate = max(rate, s.attempts(l))
+	}
+	rate = min(rate, l.terms.ceiling()*s.capacity)
 	return l.waits / max(rate, 1e-3)
 }
 
@@ -210,7 +226,11 @@
 
 // weigh gives a line its weight, as its contract and the capacity are now.
 func (s *Scheduler) weigh(l *line) {
-	w := l.terms.weight(s.capacity, s.part)
+	part := s.part
+	if l.right != nil {
+		part = l.right.Part(s.now)
+	}
+	w := l.terms.weight(s.capacity, part)
 	if len(l.items.list) > 0 {
 		s.weights += w - l.weight
 	}
@@ -274,20 +294,60 @@
 // Next is the request whose turn it is, or nil if none waits that may go now.
 func (s *Scheduler) Next(now Time) *Item {
 	s.tick(now)
-	if !s.room() || len(s.ready.list) == 0 {
+	var l *line
+	if s.room() && len(s.ready.list) > 0 {
+		l = s.ready.list[0]
+	} else if l = s.nextOwed(); l == nil {
 		return nil
 	}
-	l := s.ready.list[0]
-	s.ready.remove(l)
+	if l.inReady >= 0 {
+		s.ready.remove(l)
+	}
 	it := l.items.list[0]
 	s.take(l, it)
 	s.dispatch(l, it)
 	if len(l.items.list) > 0 {
 		s.enter(l)
+		s.mayOwe(l)
 	}
 	return it
 }
 
+// owed says whether a team has fewer attempts out than its right to absolute figures stands for, in
+// whole ones and as long as they take now. These go whatever holds the capacity here: a gateway to
+// which most of a team's requests come has no larger part of the hosts than the others, and all
+// gateways together owe no more than the contract states.
+func (s *Scheduler) owed(l *line) bool {
+	return l.right != nil && !s.atCeiling(l) && float64(l.out)+1 <= s.attempts(l)
+}
+
+// attempts is how many a line's right stands for, as long as they take now.
+func (s *Scheduler) attempts(l *line) float64 {
+	return l.right.Part(s.now) * l.terms.Absolute() * s.queues.slowness()
+}
+
+// mayOwe has Next look whether a line is owed an attempt.
+func (s *Scheduler) mayOwe(l *line) {
+	if !l.inOwing && len(l.items.list) > 0 && s.owed(l) {
+		l.inOwing = true
+		s.owing = append(s.owing, l)
+	}
+}
+
+// nextOwed is a line that is owed an attempt and waits for it, or nil.
+func (s *Scheduler) nextOwed() *line {
+	for len(s.owing) > 0 {
+		l := s.owing[0]
+		s.owing[0] = nil
+		s.owing = s.owing[1:]
+		if l.inOwing = false; len(l.items.list) > 0 && s.owed(l) {
+			return l
+		}
+	}
+	s.owing = nil
+	return nil
+}
+
 // take takes a waiting request out of its line and of the heap of times. Its line must
 // not be in the heap of lines, or stay right there.
 func (s *Scheduler) take(l *line, it *Item) {
@@ -346,6 +406,7 @@
 			s.out--
 		}
 		s.settle(l, it, max(work.Seconds(), 0), cut)
+		s.mayOwe(l)
 		if l.isHeld {
 			s.release()
 		}
@@ -438,6 +499,12 @@
 		s.lines[t.Team] = l
 		s.names = append(s.names, t.Team)
 	}
+	if l.terms != t {
+		l.right = nil
+		if s.rights != nil && t.Absolute() > 0 {
+			l.right = s.rights(t)
+		}
+	}
 	l.terms, l.touched = t, s.now // requests that wait are served under the newer terms
 	for len(s.placed) <= t.place {
 		s.placed = append(s.placed, nil)
--- a/internal/emulator/bank.go
+++ b/internal/emulator/bank.go
@@ -16,6 +16,8 @@
 	Window time.Duration // see roster.Config
 	// Typed is how many gateways each is told of; 0: one.
 	Typed int
+	// Verdicts has gateways tell each other what they meet at hosts.
+	Verdicts bool
 }
 
 // talkEvery is the time between two looks at a view.
@@ -95,6 +97,7 @@
 		}
 		if v := g.roster.View(); v.Version != last {
 			last = v.Version
+			w.share(g, v)
 			for _, p := range g.pools {
 				p.BankNow(frostshift.Bank{Place: v.Place, Least: v.Least, Most: v.Most}, v.Most)
 				p.turn()
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -39,6 +39,7 @@
 type Totals struct {
 	Requests, InTime, Late, Failed int
 	Tries, Attempts, Near          int
+	Vain                           int // attempts that brought no answer, or an error
 	Connects                       int // connections to hosts that were opened
 	// ColdLoad is the most that came to a cold host, as a part of what makes it fall over.
 	ColdLoad float64
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -19,8 +19,11 @@
 	"frostshift"
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
+	"frostshift/internal/hearsay"
+	"frostshift/internal/learning"
 	"frostshift/internal/membership"
 	"frostshift/internal/membership/belief"
+	"frostshift/internal/quota"
 	"frostshift/internal/roster"
 	"frostshift/internal/shift"
 	"gonum.org/v1/gonum/stat/distuv"
@@ -40,23 +43,27 @@
 	Skew float64
 	// Picker replaces the gateways by a plain rule, to weigh them beside: "all" sees every
 	// host's queue and sends to the shortest, "random" draws. "": the gateways decide.
-	Picker      string
-	Cost        Cost
-	Keys        int // that requests are about; each has a cost of its own. 0: none
-	Clients     Clients
-	Teams       []Team // whose requests they are; nil: there are no contracts
-	Pool        int    // that requests go to where nothing moves
-	Fallback    int    // index + 1; 0: none
-	Move        *shift.Plan
-	Troubles    []Trouble
-	Near, Far   time.Duration // there and back within a zone, and between zones
-	ListDelay   time.Duration // until a gateway hears of a change, twice that at most
-	Believe     bool          // lists are held against what is seen
+	Picker    string
+	Cost      Cost
+	Keys      int // that requests are about; each has a cost of its own. 0: none
+	Clients   Clients
+	Teams     []Team // whose requests they are; nil: there are no contracts
+	Pool      int    // that requests go to where nothing moves
+	Fallback  int    // index + 1; 0: none
+	Move      *shift.Plan
+	Troubles  []Trouble
+	Near, Far time.Duration // there and back within a zone, and between zones
+	ListDelay time.Duration // until a gateway hears of a change, twice that at most
+	Believe   bool          // lists are held against what is seen
+	// Keeps: what a gateway has learned is written down every five seconds, and its next process begins with it.
+	Keeps       bool
 	PreferNear  bool
 	CrossPrice  float64
 	Instances   int   // that gateways believe in; 0: as many as there are
 	MaxAttempts int   // of a request; 0: 3
 	Talk        *Talk // gateways know each other; nil: they share nothing
+	Quota       *Quota
+	Repeats     float64 // share of requests that may be repeated where an attempt may have run; 0: all
 	// Part says whether a gateway uses a host, and how many gateways do; nil: all use all.
 	Part func(gateway int, h *Host) (uses bool, sharers int)
 	// Watch sees each try as it ends; nil: nobody does.
@@ -96,6 +103,7 @@
 	Name  string
 	Part  float64 // of the load
 	Share float64 // of the pool that is guaranteed
+	Rate  float64 // seconds of work a second that are, over all gateways
 }
 
 func (s *Spec) meanWork() time.Duration { return s.Cost.Mean }
@@ -137,6 +145,12 @@
 			}
 		}
 	}
+	if s.Quota != nil && (s.Talk == nil || s.Quota.Lease < 100*time.Millisecond) {
+		return fmt.Errorf("quota: limits are shared by gateways that talk, by leases of 100ms and more")
+	}
+	if !(s.Repeats >= 0 && s.Repeats <= 1) {
+		return fmt.Errorf("repeats: %v is not from 0 to 1", s.Repeats)
+	}
 	for _, t := range s.Troubles {
 		if !(t.Cut >= 0 && t.Cut < 1) || t.Cut > 0 && (s.Talk == nil || t.Gateways > 0 || t.Hosts > 0 || t.Pool != "") {
 			return fmt.Errorf("trouble.cut: %v is not a part of gateways that talk, and goes with nothing else", t.Cut)
@@ -182,7 +196,8 @@
 	byID     []map[frostshift.HostID]*Host
 	unlisted map[frostshift.HostID]bool
 	gateways []*gateway
-	dealt    []float64 // parts of the load up to each gateway, where they are unlike
+	kept     map[keptBy]kept // what gateways have written down
+	dealt    []float64       // parts of the load up to each gateway, where they are unlike
 	terms    []*contract.Terms
 	classes  []frostshift.Class
 	ids      uint64
@@ -204,6 +219,12 @@
 	roster *roster.Roster // where gateways talk
 	hears  []bool         // others that it hears, or will have heard soon
 	until  time.Duration  // its view holds so long if nothing is heard
+
+	said  *hearsay.Book // where gateways talk of hosts
+	lists map[int]map[hearsay.HostID]int64
+
+	book  *quota.Book // where limits are shared
+	boots uint64
 }
 
 // pool is a pool as one gateway runs it.
@@ -268,12 +289,13 @@
 		w.hosts, w.byID = append(w.hosts, list), append(w.byID, byID)
 	}
 	for _, t := range s.Teams {
-		w.terms = append(w.terms, &contract.Terms{Team: t.Name, Share: t.Share, RetryRatio: 1})
+		w.terms = append(w.terms, &contract.Terms{Team: t.Name, Share: t.Share, Rate: t.Rate, RetryRatio: 1})
 	}
 	if w.terms != nil {
 		contract.NewBook(w.terms)
 	}
 	w.gateways = make([]*gateway, s.Gateways)
+	w.kept = map[keptBy]kept{}
 	if s.Skew > 0 {
 		sum := 0.0
 		for n := range s.Gateways {
@@ -299,6 +321,12 @@
 	if s.GatewayZones != nil {
 		g.zone = s.GatewayZones[n]
 	}
+	if s.Quota != nil {
+		w.book(g)
+	}
+	if s.Talk != nil && s.Talk.Verdicts {
+		w.hearing(g)
+	}
 	w.gateways[n] = g
 	silent := slog.New(slog.NewTextHandler(io.Discard, nil))
 	instances := s.Instances
@@ -314,15 +342,25 @@
 		set := frostshift.Settings{Instances: instances, Rank: n % instances, Zone: g.zone, Zones: max(s.Zones, 1), Classes: w.classes, Step: time.Millisecond, MaxAttempts: s.MaxAttempts,
 			Cancel: true, MaxRetryAfter: time.Second, PreferNear: s.PreferNear, CrossPrice: s.CrossPrice, ColdFrom: h.Cold, WarmAfter: h.WarmIn,
 			OverloadFactor: fallFactor, Fall: fallSlots * fallSlot}
-		cfg := exchange.PoolConfig{Name: s.Pools[i].Name, Settings: set, Seed: s.Seed + uint64(n*len(s.Pools)+i), Log: silent, Upstream: p}
+		cfg := exchange.PoolConfig{Name: s.Pools[i].Name, Settings: set, Seed: s.Seed + uint64(n*len(s.Pools)+i), Log: silent, Upstream: p, Met: w.met(g)}
 		if w.terms != nil {
 			cfg.Scheduler, cfg.Part, cfg.Door = contract.NewScheduler(1), contract.NewPart(instances), g.door
 		}
+		cfg.Repeats = s.Repeats
+		if s.Quota != nil {
+			teams, repeats := w.limits(g, s.Pools[i].Name)
+			if cfg.RepeatRight = repeats; cfg.Scheduler != nil {
+				cfg.Scheduler.SetRights(teams)
+			}
+		}
 		if s.Believe {
 			p.belief, p.seen, p.listed = belief.New(belief.Config{}), map[string]belief.Seen{}, map[string]bool{}
 			cfg.Saw = p.saw
 		}
 		var err error
+		if k, has := w.kept[keptBy{n, i}]; has {
+			cfg.Learned = learning.Aged(k.memory, w.now-k.at)
+		}
 		if p.Pool, err = g.x.NewPool(cfg); err != nil {
 			return err
 		}
@@ -333,6 +371,9 @@
 	if s.Talk != nil {
 		w.talk(g)
 	}
+	if s.Keeps {
+		w.keep(g)
+	}
 	if s.Move != nil {
 		g.move = shift.New(w.now, *s.Move)
 		w.after(lookEvery, func() { w.look(g) })
@@ -393,6 +434,9 @@
 			now[h.Name] = true
 		}
 	}
+	if p.g.said != nil {
+		p.g.listed(w.now, n, hosts)
+	}
 	if p.belief == nil {
 		p.News(frostshift.ListFull, hosts, nil)
 		return
--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"container/heap"
 	"sync/atomic"
 	"time"
 
@@ -90,7 +91,23 @@
 	p.lastID++
 	c.id = p.lastID
 	p.calls[c.id] = c
-	if c.fallback != nil && !p.b.Usable(now, c.Class) && p.handOn(c) {
+	if c.Wait > 0 {
+		p.hold(now, c)
+		return
+	}
+	p.place(now, c)
+}
+
+// hold holds a request back. Its client may leave meanwhile, and a stop fails it as any other.
+func (p *Pool) hold(now frostshift.Time, c *Call) {
+	heap.Push(&p.timers, wake{now + c.Wait, tokenHeld | uint64(c.id)})
+	c.Wait = 0
+}
+
+// place gives a request that is no longer held back to whoever decides what comes of it.
+func (p *Pool) place(now frostshift.Time, c *Call) {
+	// Before the first list nothing is known: the request waits for it, as for a host.
+	if c.fallback != nil && p.listed && !p.b.Usable(now, c.Class) && p.handOn(c) {
 		return
 	}
 	if c.Item == nil || p.sched == nil || p.turn(now, c) {
@@ -246,7 +263,14 @@
 	if c.Body != nil && !c.closed {
 		p.checkBody(c, a, e, result)
 	}
-	p.b.Outcome(now, frostshift.Outcome{Request: c.id, Attempt: a.n, Result: p.evidence(c, result), Elapsed: elapsed, After: e.after, Closed: c.closed})
+	result = p.evidence(c, result)
+	if said := result; !a.flows {
+		if result == frostshift.Canceled && c.closed && !e.answered && elapsed >= p.set.Classes[c.Class].Aim {
+			said = frostshift.TimedOut
+		}
+		p.met(a.Host, c.Class, said, elapsed)
+	}
+	p.b.Outcome(now, frostshift.Outcome{Request: c.id, Attempt: a.n, Result: result, Elapsed: elapsed, After: e.after, Closed: c.closed})
 	p.release(c)
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -128,8 +128,10 @@
 	Tenant   int    // index in its Settings.Tenants; -1: none
 	Repeat   bool   // the client marks it as a repeat
 	Deadline frostshift.Time
-	Message  any          // for the upstream, unread here
-	Answers  *verdict.Set // what answers mean; nil: as on the platform
+	// Wait is how long the request is held back first: less than it has until its deadline.
+	Wait    time.Duration
+	Message any          // for the upstream, unread here
+	Answers *verdict.Set // what answers mean; nil: as on the platform
 	// Item is the request in the pool's scheduler; nil: no contract is about it.
 	Item *contract.Item
 	// Body is there where the message is not whole: its body comes as attempts ask for it.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -227,6 +227,64 @@
 	})
 }
 
+// A pool that has had no list yet does not pass for one without hosts: what comes waits for the
+// list, and goes on only if none comes while it may wait.
+func TestFallbackWaitsForTheFirstList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := New(NewClock())
+		u, spare := newUpstream(always(frostshift.OK, time.Millisecond)), newUpstream(always(frostshift.OK, time.Millisecond))
+		a, b := stillPool(t, x, "a", u, nil), newPool(t, x, "b", spare, 1, nil)
+		go a.Run(nil, nil)
+		early := x.ask(1, "early", a, b)
+		synctest.Wait()
+		a.News(frostshift.ListFull, hostsOf(1), nil)
+		if r := <-early.Reply; r.Verdict != Served || r.Pool != "a" {
+			t.Errorf("before the list: %+v", r)
+		}
+		c := stillPool(t, x, "c", u, nil)
+		go c.Run(nil, nil)
+		if r := <-x.ask(1, "never", c, b).Reply; r.Verdict != Served || r.Pool != "b" {
+			t.Errorf("where no list comes: %+v", r)
+		}
+		for _, p := range []*Pool{a, b, c} {
+			p.Drain()
+			<-p.Done()
+		}
+	})
+}
+
+// A request that is held back goes when its time has come and not before; nothing goes out for one
+// whose client left, and one that a stop finds held back has its answer.
+func TestHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := New(NewClock())
+		u := newUpstream(always(frostshift.OK, time.Millisecond))
+		p := newPool(t, x, "a", u, 1, nil)
+		ask := func(id string, wait time.Duration) *Call {
+			return x.Submit(Request{ID: id, Class: 1, Tenant: -1, Deadline: x.clock.Now() + time.Second, Wait: wait, Message: id}, p, nil)
+		}
+		began := x.clock.Now()
+		first, left, last := ask("first", 300*time.Millisecond), ask("left", 200*time.Millisecond), ask("last", 500*time.Millisecond)
+		left.Gone()
+		if r := <-first.Reply; r.Verdict != Served || x.clock.Now()-began < 300*time.Millisecond || x.clock.Now()-began > 310*time.Millisecond {
+			t.Errorf("it is served after %v: %+v", x.clock.Now()-began, r)
+		}
+		p.FailAll()
+		if r := <-last.Reply; r.Verdict != Failed || r.Tries != 0 {
+			t.Errorf("held back at a stop: %+v", r)
+		}
+		time.Sleep(time.Second)
+		if u.tries["left"]+u.tries["last"] > 0 {
+			t.Error("something went out for a request that nobody waits for")
+		}
+		p.Drain()
+		<-p.Done()
+		if x.Open() != 0 {
+			t.Errorf("%d are open", x.Open())
+		}
+	})
+}
+
 // Two pools that are each other's fallback: a request goes on once and is then refused.
 func TestFallbacksDoNotBounce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -580,3 +638,74 @@
 		}
 	})
 }
+
+// Who asks how attempts ended is told of one that had no answer when its request's time was over, and not
+// of one whose client left within the aim.
+func TestMetIsToldOfSilence(t *testing.T) {
+	for _, c := range []struct {
+		leaves time.Duration
+		want   frostshift.Result
+	}{{time.Hour, frostshift.TimedOut}, {300 * time.Millisecond, frostshift.TimedOut}, {50 * time.Millisecond, frostshift.Canceled}} {
+		synctest.Test(t, func(t *testing.T) {
+			x := New(NewClock())
+			p := stillPool(t, x, "a", newUpstream(always(frostshift.OK, time.Hour)), nil)
+			var met []frostshift.Result
+			p.met = func(_ frostshift.HostID, _ int, r frostshift.Result, took frostshift.Time) {
+				if met = append(met, r); took < min(c.leaves, 900*time.Millisecond) {
+					t.Errorf("it took %v", took)
+				}
+			}
+			go p.Run(nil, nil)
+			p.News(frostshift.ListFull, hostsOf(1), nil)
+			call := x.ask(1, "r", p, nil)
+			select {
+			case <-call.Reply:
+			case <-time.After(c.leaves):
+				call.Gone()
+			}
+			p.Drain()
+			<-p.Done()
+			if len(met) != 1 || met[0] != c.want {
+				t.Errorf("a client that leaves after %v: told %v, want %v", c.leaves, met, c.want)
+			}
+		})
+	}
+}
+
+// What another process had learned is taken over behind the first list that names hosts, be that one known at the start or
+// one that comes, and not behind one that comes late.
+func TestLearnedWaitsForTheFirstList(t *testing.T) {
+	for _, c := range []struct {
+		saved bool
+		after time.Duration
+		want  bool
+	}{{true, 0, true}, {false, 0, true}, {false, 2 * time.Second, true}, {false, 2 * recallWithin, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			p := stillPool(t, New(NewClock()), "a", newUpstream(always(frostshift.OK, time.Millisecond)), nil)
+			p.repeats.Begin(2)
+			p.repeats.Begin(99)
+			p.repeats.Begin(-1)
+			p.learned = &frostshift.Memory{Version: frostshift.MemoryVersion, Admit: 1, Hosts: []frostshift.HostMemory{{ID: 1, RTT: 0.25, Limit: 7}}}
+			if c.saved {
+				go p.Run(hostsOf(2), func() {})
+			} else {
+				go p.Run(nil, nil)
+				p.News(frostshift.ListFailed, nil, nil)
+			}
+			time.Sleep(c.after)
+			p.News(frostshift.ListFull, hostsOf(2), nil)
+			got := make(chan frostshift.Memory, 1)
+			p.Memory(func(m frostshift.Memory, repeats float64) {
+				if got <- m; repeats != 2 {
+					t.Errorf("%.1f repeats are saved up", repeats)
+				}
+			})
+			m := <-got
+			if known := m.Hosts[0].RTT == 0.25 && m.Hosts[0].Limit == 7; known != c.want || m.Hosts[1].RTT != 0 {
+				t.Errorf("saved %v, a list after %v: %+v", c.saved, c.after, m.Hosts)
+			}
+			p.Drain()
+			<-p.Done()
+		})
+	}
+}
--- a/internal/exchange/fair.go
+++ b/internal/exchange/fair.go
@@ -16,6 +16,8 @@
 	// tokenPump is a timer of the pool's own. The balancer's tokens have kinds from 1 on in
 	// their upper eight bits.
 	tokenPump = 0xff << 56
+	// tokenHeld is the timer of a request that is held back, with its id.
+	tokenHeld = 0xfe << 56
 	// capacityEvery is how old the scheduler's idea of the capacity may be.
 	capacityEvery = 5 * time.Millisecond
 	pumpEvery     = 10 * time.Millisecond // while requests wait: hosts come back with time alone
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -21,13 +21,19 @@
 	Upstream Upstream
 	Room     Room   // for open requests; nil: not bounded
 	Watch    func() // the balancer asks for the host list; nil: nobody is asked
-	// Learned is what another process had learned; nil: nothing is known.
-	Learned *frostshift.Memory
+	// Learned is what another process had learned; nil: nothing is known. Repeated is what it had saved up of Repeats;
+	// nil: a new pool's.
+	Learned  *frostshift.Memory
+	Repeated *float64
 	// Banned are the hosts that operators have taken out.
 	Banned []frostshift.HostID
 	// Saw is told of each attempt that shows whether its host is there: it has answered, or
 	// could not be connected to. It is called in the loop; nil: nobody asks.
 	Saw func(id frostshift.HostID, answered bool)
+	// Met is told how each attempt at a host ended and how long it took, as the balancer is; one that had no
+	// answer for longer than its class's aim when its request ended is TimedOut here. It is called in
+	// the loop and must not wait; nil: nobody asks.
+	Met func(id frostshift.HostID, class int, result frostshift.Result, took frostshift.Time)
 	// Scheduler, Part and Door share the pool out among teams; all or none.
 	Scheduler *contract.Scheduler
 	Part      *contract.Part
@@ -35,6 +41,8 @@
 	// Repeats is the share of requests that may be tried again after an attempt that may
 	// have run; 0: all.
 	Repeats float64
+	// RepeatRight makes that budget a part of the whole fleet's; nil: it is this gateway's own.
+	RepeatRight verdict.Right
 }
 
 // Pool is a set of hosts with a balancer of its own in an event loop of its own. Hosts,
@@ -50,7 +58,9 @@
 	room     Room
 	watch    func()
 	saw      func(frostshift.HostID, bool)
-	learned  *frostshift.Memory // to be taken over behind the saved list
+	met      func(frostshift.HostID, int, frostshift.Result, frostshift.Time)
+	learned  *frostshift.Memory // to be taken over behind the first list
+	began    frostshift.Time    // when the loop did
 	advice   time.Duration      // when to come back where the pool itself is full; 0: none
 
 	sched    *contract.Scheduler // nil: no contracts
@@ -69,6 +79,7 @@
 	lastID   frostshift.RequestID
 	timers   timers
 	begun    bool                   // Turn has been called
+	listed   bool                   // there was a host list
 	twins    atomic.Int32           // processes that share this instance's part
 	shared   atomic.Pointer[shared] // who shares the hosts, as said last
 	behindAt frostshift.Time        // up to when stalls have been told of
@@ -128,9 +139,15 @@
 		return nil, err
 	}
 	p := &Pool{name: c.Name, set: c.Settings, log: c.Log, clock: x.clock, x: x, b: b, upstream: c.Upstream,
-		room: c.Room, watch: c.Watch, saw: c.Saw, learned: c.Learned, sched: c.Scheduler, part: c.Part, door: c.Door, advice: c.Settings.MaxRetryAfter,
+		room: c.Room, watch: c.Watch, saw: c.Saw, met: c.Met, learned: c.Learned, sched: c.Scheduler, part: c.Part, door: c.Door, advice: c.Settings.MaxRetryAfter,
 		events: make(chan event, 1024), quit: make(chan struct{}), done: make(chan struct{}),
 		calls: map[frostshift.RequestID]*Call{}, jury: verdict.NewJury(), repeats: verdict.NewBudget(c.Repeats)}
+	if c.RepeatRight != nil {
+		p.repeats.Share(c.RepeatRight)
+	}
+	if c.Repeated != nil {
+		p.repeats.Begin(*c.Repeated)
+	}
 	if p.room == nil {
 		p.room = Unbounded{}
 	}
@@ -143,6 +160,9 @@
 	if p.saw == nil {
 		p.saw = func(frostshift.HostID, bool) {}
 	}
+	if p.met == nil {
+		p.met = func(frostshift.HostID, int, frostshift.Result, frostshift.Time) {}
+	}
 	p.ended = make([][Failed + 1]atomic.Int64, len(c.Settings.Classes))
 	for _, c := range c.Settings.Classes {
 		p.advice = min(p.advice, c.Aim/2)
@@ -189,10 +209,26 @@
 		if apply != nil {
 			apply()
 		}
+		p.listed = p.listed || kind != frostshift.ListFailed
 		p.b.Hosts(now, kind, hosts)
+		if len(hosts) > 0 {
+			p.recall(now)
+		}
 	}})
 }
 
+// recall takes over what another process had learned, behind the first list that names hosts. One that comes late finds
+// it worth nothing.
+func (p *Pool) recall(now frostshift.Time) {
+	if p.learned != nil && now-p.began < recallWithin {
+		p.b.Restore(now, p.learned)
+	}
+	p.learned = nil
+}
+
+// recallWithin is how long what was learned waits for hosts: its ages stand still meanwhile.
+const recallWithin = 10 * time.Second
+
 // Ban takes a host out by hand, or has it used again. apply runs first, in the loop, and done
 // once it holds; it does not run where the loop has ended.
 func (p *Pool) Ban(id frostshift.HostID, out bool, apply, done func()) {
@@ -203,6 +239,16 @@
 	}})
 }
 
+// Hear gives the balancer what other gateways' outcomes say of hosts; of those that are not the
+// pool's it takes no notice.
+func (p *Pool) Hear(list []frostshift.Hearsay) {
+	p.post(event{kind: do, run: func(now frostshift.Time) {
+		for _, k := range list {
+			p.b.Hear(now, k)
+		}
+	}})
+}
+
 // Behind runs f in the loop, behind all that has been posted so far.
 func (p *Pool) Behind(f func()) {
 	p.post(event{kind: do, run: func(frostshift.Time) { f() }})
@@ -257,11 +303,11 @@
 	p.b.Start(p.clock.Now())
 	if saved != nil {
 		apply()
+		p.listed = true
 		p.b.Hosts(p.clock.Now(), frostshift.ListSaved, saved)
 	}
-	if p.learned != nil {
-		p.b.Restore(p.clock.Now(), p.learned)
-		p.learned = nil
+	if p.began = p.clock.Now(); len(saved) > 0 {
+		p.recall(p.began)
 	}
 	p.carryOut()
 }
@@ -270,9 +316,15 @@
 func (p *Pool) ring() {
 	for len(p.timers) > 0 && p.timers[0].at <= p.clock.Now() {
 		t := heap.Pop(&p.timers).(wake)
-		if t.token == tokenPump {
+		switch {
+		case t.token == tokenPump:
 			p.pumpAt = 0
-		} else {
+		case t.token&tokenPump == tokenHeld:
+			if c := p.calls[frostshift.RequestID(t.token&^tokenHeld)]; c != nil && !c.closed {
+				p.place(p.clock.Now(), c)
+				p.carryOut()
+			}
+		default:
 			p.b.Timer(p.clock.Now(), t.token)
 			p.carryOut()
 		}
--- a/internal/exchange/twin.go
+++ b/internal/exchange/twin.go
@@ -172,7 +172,8 @@
 	most int
 }
 
-// Memory has the loop give what its balancer has learned to f; it does not where it has ended.
-func (p *Pool) Memory(f func(frostshift.Memory)) {
-	p.post(event{kind: do, run: func(now frostshift.Time) { f(p.b.Memory(now)) }})
+// Memory has the loop give what its balancer has learned, and how many repeats are saved up, to f; it does not where it
+// has ended.
+func (p *Pool) Memory(f func(m frostshift.Memory, repeats float64)) {
+	p.post(event{kind: do, run: func(now frostshift.Time) { f(p.b.Memory(now), p.repeats.Saved()) }})
 }
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -42,6 +42,13 @@
 	return a, false
 }
 
+// tellLimit says what is left of a limit that tells.
+func (t *Ticket) tellLimit(a *message.Answer) {
+	if t.limits[0] != "" {
+		a.Header["Ratelimit-Policy"], a.Header["Ratelimit"] = t.limits[:1:1], t.limits[1:2:2]
+	}
+}
+
 // proxyErrors are the error types of RFC 9209 section 2.3 for requests that failed.
 var proxyErrors = [...]string{exchange.Unsent: "destination_unavailable", exchange.WhyTimedOut: "http_response_timeout",
 	exchange.WhyReset: "connection_terminated", exchange.WhyMalformed: "http_protocol_error", exchange.WhyAnswered: "http_response_incomplete"}
@@ -52,6 +59,7 @@
 		return
 	}
 	a.Header.Add("Via", t.via)
+	t.tellLimit(a)
 	if r.Verdict != exchange.Served { // it was kept until nothing better came
 		a.Header.Add("Proxy-Status", t.name+"; received-status="+strconv.Itoa(a.Status))
 	}
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -116,12 +116,26 @@
 	net.Listener
 	all     *Conns
 	leaving atomic.Bool
+	guard   atomic.Pointer[Guard]
 
 	mu     sync.Mutex
 	paused chan struct{} // closed: connections are accepted again; nil: they are
 	closed chan struct{}
 }
 
+// Guard says whether a connection from an address is let in, and has leave called once it has
+// ended.
+type Guard func(remote net.Addr) (leave func(), ok bool)
+
+// Guard has connections that come from now on let in by a guard; nil: all are.
+func (ln *Listener) Guard(g Guard) {
+	if g == nil {
+		ln.guard.Store(nil)
+		return
+	}
+	ln.guard.Store(&g)
+}
+
 // Listen makes a listener's connections count among all. What it accepts is a *Conn.
 func (l *Conns) Listen(ln net.Listener) *Listener {
 	return &Listener{Listener: ln, all: l, closed: make(chan struct{})}
@@ -265,6 +279,7 @@
 	closing bool
 	many    bool   // it has rested before
 	trial   bool   // it rests for the first time and is let be
+	leave   func() // of a guard; nil: it has been called, or there is none
 	giveUp  func() // how to end it in its protocol; nil: it is closed
 
 	// Of an http.Server's reader. It says that a connection is idle before it has looked
@@ -302,11 +317,19 @@
 		if err != nil {
 			return nil, err
 		}
+		var leave func()
+		if guard := ln.guard.Load(); guard != nil {
+			ok := false
+			if leave, ok = (*guard)(c.RemoteAddr()); !ok {
+				c.Close() // before anybody else's is given up for it
+				continue
+			}
+		}
 		for l.crowded() && l.shed() {
 		}
 		for l.full() && l.shedSpare() {
 		}
-		cc := &Conn{Conn: c, all: l, from: ln}
+		cc := &Conn{Conn: c, all: l, from: ln, leave: leave}
 		l.mu.Lock()
 		l.open++
 		cc.rest(silent)
@@ -447,6 +470,10 @@
 	if !c.closed {
 		c.closed = true
 		c.all.open--
+		if c.leave != nil {
+			c.leave()
+			c.leave = nil
+		}
 	}
 }
 
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -245,11 +245,14 @@
 	ticket, err := s.take(w, r, conn)
 	if err != nil {
 		e := front.AsError(err)
-		if !e.Keeps { // what follows a malformed request may be a part of it
+		// What follows a malformed request may be a part of it. With a body to come net/http would read
+		// that before a small answer goes, for as long as it takes, unless the connection ends.
+		ends := !e.Keeps || r.ContentLength != 0
+		if ends {
 			w.Header().Set("Connection", "close")
 		}
 		write(w, r.Method, e.Answer())
-		if !e.Keeps {
+		if ends {
 			throwAway(w, r)
 		}
 		return
--- a/internal/front/intake.go
+++ b/internal/front/intake.go
@@ -23,6 +23,7 @@
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
 	"frostshift/internal/headers"
+	"frostshift/internal/limit"
 	"frostshift/internal/message"
 	"frostshift/internal/moves"
 	"frostshift/internal/route"
@@ -78,11 +79,12 @@
 // with.
 type Snapshot struct {
 	model     *config.Model
-	name, via string      // of the gateway, in Proxy-Status and in Via
-	classes   []int       // by route
-	targets   [][]*Target // by route and by place among its pools
-	fallbacks []*Target   // by route; nil: none
-	moves     []*moving   // by route; nil: its traffic does not move
+	name, via string       // of the gateway, in Proxy-Status and in Via
+	classes   []int        // by route
+	targets   [][]*Target  // by route and by place among its pools
+	fallbacks []*Target    // by route; nil: none
+	moves     []*moving    // by route; nil: its traffic does not move
+	gates     []limit.Gate // by route: the limits by key that its requests meet
 	refs      atomic.Int64
 	ended     func()
 }
@@ -90,8 +92,8 @@
 // NewSnapshot returns a snapshot that is held once, by the caller. ended is called, on
 // whatever goroutine lets go last, once nobody holds it.
 // led are the moves of the configuration by name, and left those of earlier ones whose keys
-// still belong to a pool.
-func NewSnapshot(m *config.Model, pools map[string]*Target, led map[string]*moves.Move, left []*moves.Move, ended func()) *Snapshot {
+// still belong to a pool. rules are the limits by key, as the model has them.
+func NewSnapshot(m *config.Model, pools map[string]*Target, led map[string]*moves.Move, left []*moves.Move, rules []*limit.Rule, ended func()) *Snapshot {
 	s := &Snapshot{model: m, name: proxyName(m.Name), via: " " + pseudonym(m.Name), ended: ended}
 	s.refs.Store(1)
 	for _, r := range m.Table.Routes() {
@@ -103,6 +105,13 @@
 		s.fallbacks = append(s.fallbacks, pools[r.Fallback])
 		s.classes = append(s.classes, m.ClassIndex(r.Class))
 		s.moves = append(s.moves, movingOf(m, r, led, left))
+		var gate limit.Gate
+		if len(rules) > 0 {
+			for _, i := range m.Meets[r.Index] {
+				gate = append(gate, rules[i])
+			}
+		}
+		s.gates = append(s.gates, gate)
 	}
 	return s
 }
@@ -195,6 +204,9 @@
 	door     *contract.Door // that the request has entered; nil: there is no contract
 	move     *moves.Move    // that has placed the request; nil: none
 	unit     shift.Unit
+	pass     *limit.Pass    // what it holds of limits by key; nil: nothing
+	limits   [2]string      // RateLimit-Policy and RateLimit of its answer; "": nothing is told
+	work     time.Duration  // that it has been for hosts, once it has ended
 	body     int64          // bytes that it announced there
 	Flow     *config.Bodies // how its bodies go on; nil: whole
 	Upgrade  string         // protocol that it may switch to; "": none
@@ -293,11 +305,27 @@
 		t.door.Leave(t.item.Account, t.body)
 		t.door = nil
 	}
+	if t.pass != nil {
+		t.pass.Leave(t.x.Clock().Now(), t.work, t.came())
+		t.pass = nil
+	}
 	t.snapshot.Release()
 }
 
-// Ended tells the move that has placed the request how it ended.
-func (t *Ticket) Ended(e exchange.Ending) { t.move.Ended(&t.unit, e) }
+// Ended tells the move that has placed the request, and limits of work, how it ended.
+func (t *Ticket) Ended(e exchange.Ending) {
+	if t.work = e.Work; t.move != nil {
+		t.move.Ended(&t.unit, e)
+	}
+}
+
+// came is how many bytes of its body have come.
+func (t *Ticket) came() int64 {
+	if t.Message.Upload != nil {
+		return t.Message.Upload.Came()
+	}
+	return int64(len(t.Message.Body))
+}
 
 // Submit hands the request to the exchange: its time counts from now, and the ticket is
 // the exchange's to release. deadline is when the client stops waiting.
@@ -333,15 +361,23 @@
 	if s == nil {
 		return nil, &Error{Status: http.StatusServiceUnavailable, Text: "stopping"}
 	}
-	t, err := in.take(s, h)
+	var pass *limit.Pass
+	t, err := in.take(s, h, &pass)
 	if err != nil {
+		pass.Cancel(in.exchange.Clock().Now())
 		s.Release()
 		return nil, err
 	}
+	if t.pass = pass; pass != nil {
+		t.limits[0], t.limits[1] = pass.Fields()
+		if t.request.Wait = pass.Wait; pass.Costs() {
+			t.request.Watch = t
+		}
+	}
 	return t, nil
 }
 
-func (in *Intake) take(s *Snapshot, h *Head) (*Ticket, error) {
+func (in *Intake) take(s *Snapshot, h *Head, pass **limit.Pass) (*Ticket, error) {
 	m := s.model
 	client := m.Forward.Client(h.Header, h.Address)
 	var terms *contract.Terms
@@ -400,6 +436,13 @@
 		}
 		left, told = min(left, asked), true
 	}
+	if gate := s.gates[r.Index]; len(gate) > 0 {
+		ask := askOf(h, client, r, class.Name, terms)
+		var refusal limit.Refusal
+		if *pass, refusal = gate.Enter(in.exchange.Clock().Now(), &ask, left/2); refusal.Rule != nil {
+			return nil, s.limited(&refusal)
+		}
+	}
 	repeat := h.Header.Get("X-Repeat") == "1"
 	var account *contract.Account
 	held := h.Body
@@ -498,6 +541,54 @@
 	return t, nil
 }
 
+// askOf is a request as limits by key see it.
+func askOf(h *Head, client netip.Addr, r *route.Route, class string, terms *contract.Terms) limit.Ask {
+	a := limit.Ask{Address: client, Class: class, Route: r.Name, Method: h.Method, Host: h.Authority, Path: h.Path, Query: h.Query, Header: h.Header, Body: h.Body}
+	if terms != nil {
+		a.Team = terms.Team
+	}
+	return a
+}
+
+// Explain says how a request would stand against the limits by key that it meets, and charges it
+// nothing; false: no route matches that has any.
+func (in *Intake) Explain(h *Head) (name string, list []limit.Standing, ok bool) {
+	s := in.hold()
+	if s == nil {
+		return "", nil, false
+	}
+	defer s.Release()
+	m := s.model
+	client := m.Forward.Client(h.Header, h.Address)
+	var terms *contract.Terms
+	if m.Contracts != nil {
+		terms, _ = m.Contracts.Identify(&contract.Caller{Authorization: h.Header.Get("Authorization"), Account: h.Header.Get("X-Account"), Address: client})
+	}
+	match, err := m.Table.Match(&route.Request{Method: h.Method, Listener: h.Listener, Host: h.Authority, Path: h.Path, Query: h.Query, Header: h.Header})
+	if err != nil || match.Route == nil {
+		return "", nil, false
+	}
+	class := ""
+	if at := s.classes[match.Route.Index]; at >= 0 {
+		class = m.Classes[at].Name
+	}
+	ask := askOf(h, client, match.Route, class, terms)
+	return match.Route.Name, s.gates[match.Route.Index].Explain(in.exchange.Clock().Now(), &ask), true
+}
+
+// limited is what a request gets that a limit by key turns away. Nothing is wrong with it.
+func (s *Snapshot) limited(r *limit.Refusal) *Error {
+	e := &Error{Status: http.StatusTooManyRequests, Text: "limit " + r.Rule.Name + " is used up", Keeps: true, Header: http.Header{}}
+	if r.After > 0 {
+		e.Header.Set("Retry-After", RetryAfter(r.After, false))
+	}
+	if policy, limit := r.Fields(); policy != "" {
+		e.Header["Ratelimit-Policy"], e.Header["Ratelimit"] = []string{policy}, []string{limit}
+	}
+	e.Header.Set("Proxy-Status", s.name+"; error=http_request_denied")
+	return e
+}
+
 // unmatched is what a request gets that no route matches.
 func (s *Snapshot) unmatched(h *Head) *Error {
 	e := &Error{Status: http.StatusNotFound, Text: "not found"}
--- a/internal/gateway/bank.go
+++ b/internal/gateway/bank.go
@@ -10,6 +10,8 @@
 	"frostshift"
 	"frostshift/internal/bank"
 	"frostshift/internal/config"
+	"frostshift/internal/edict"
+	"frostshift/internal/hearsay"
 	"frostshift/internal/membership/keeper"
 	"frostshift/internal/roster"
 )
@@ -29,6 +31,12 @@
 	}
 	cfg := *m.Bank
 	cfg.View, cfg.Log, cfg.Started = g.share, g.log, time.Now()
+	if g.rights != nil {
+		cfg.RoundTrip = g.rights.tooSlow
+	}
+	if g.rights != nil || g.hearing != nil || g.edicts != nil {
+		cfg.Alive, cfg.Heard = g.alive, g.heard
+	}
 	if !g.succession.joined() {
 		b, err := bank.Start(cfg)
 		if err == nil {
@@ -40,6 +48,9 @@
 		for {
 			b, err := bank.Start(cfg)
 			if err == nil {
+				if g.rights != nil { // the one before it has pledged its last
+					g.rights.begin()
+				}
 				g.hold(b)
 				return
 			}
@@ -53,6 +64,38 @@
 	return nil
 }
 
+// alive passes on who lives, and heard what they say.
+func (g *Gateway) alive(members []roster.Member, v roster.View) {
+	names := make([]string, len(members))
+	for i, m := range members {
+		names[i] = m.Name
+	}
+	if g.rights != nil {
+		g.rights.alive(names, v)
+	}
+	if g.hearing != nil {
+		g.hearing.alive(members)
+	}
+	if g.edicts != nil {
+		g.edicts.alive(names, v)
+	}
+}
+
+func (g *Gateway) heard(data []byte) {
+	switch {
+	case len(data) > 0 && data[0] == hearsay.Mark:
+		if g.hearing != nil {
+			g.hearing.heard(data)
+		}
+	case len(data) > 0 && data[0] == edict.Mark:
+		if g.edicts != nil {
+			g.edicts.heard(data)
+		}
+	case g.rights != nil:
+		g.rights.heard(data)
+	}
+}
+
 // hold keeps a bank that has started, or ends it where the gateway has ended its part in it.
 func (g *Gateway) hold(b *bank.Bank) {
 	g.bankMu.Lock()
@@ -66,13 +109,20 @@
 	}
 }
 
+// talks is the bank over which this process speaks; nil: it is no member, not yet or no longer.
+func (g *Gateway) talks() *bank.Bank {
+	g.bankMu.Lock()
+	defer g.bankMu.Unlock()
+	if g.bankOver {
+		return nil
+	}
+	return g.bank
+}
+
 // leaveBank says to the others that this gateway leaves: it is to be the first thing that a
 // stopping gateway does.
 func (g *Gateway) leaveBank() {
-	g.bankMu.Lock()
-	b, over := g.bank, g.bankOver
-	g.bankMu.Unlock()
-	if b != nil && !over {
+	if b := g.talks(); b != nil {
 		b.Leave()
 	}
 }
@@ -84,6 +134,9 @@
 	b, over := g.bank, g.bankOver
 	g.bankOver = true
 	g.bankMu.Unlock()
+	if g.rights != nil && !over {
+		g.rights.retire()
+	}
 	if b != nil && !over {
 		b.Close()
 	}
@@ -94,6 +147,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.view, g.places = &v, places
+	g.gateways.Store(int64(v.Most))
 	for _, p := range g.pools {
 		p.share(&v, places)
 	}
--- a/internal/gateway/bank_test.go
+++ b/internal/gateway/bank_test.go
@@ -13,6 +13,7 @@
 	"frostshift"
 	"frostshift/internal/bank"
 	"frostshift/internal/config"
+	"frostshift/internal/edict"
 	"frostshift/internal/roster"
 	"frostshift/internal/standin"
 )
@@ -124,3 +125,91 @@
 		return false
 	})
 }
+
+// At a reload a pool gives way to another of its name: what is known of hosts is the new one's, and
+// nothing of the old one's stays behind its end.
+func TestVerdictsKnowThePoolsThatRun(t *testing.T) {
+	model := func(more string) *config.Model {
+		m := bankModel(t, "a", "127.0.0.1:0", "127.0.0.1:1", "127.0.0.1:1", more)
+		m.Bank.Verdicts = true
+		return m
+	}
+	m := model("")
+	g := launch(t, m, func(o *Options) { o.Linger = func() {} })
+	next := model("connect_timeout = \"9ms\"\n")
+	next.Bank, next.Listeners, next.Management = m.Bank, m.Listeners, m.Management
+	old := g.pools["p"]
+	if err := g.Reload(next); err != nil {
+		t.Fatal(err)
+	}
+	if g.pools["p"] == old {
+		t.Fatal("the pool is the same")
+	}
+	await(t, old.ex.Done(), "the old pool's end")
+	until(t, "the new pool's list alone is known", func() bool {
+		g.hearing.mu.Lock()
+		defer g.hearing.mu.Unlock()
+		return len(g.hearing.lists) == 1 && len(g.hearing.lists[g.pools["p"]]) == 1
+	})
+}
+
+// A word for the whole fleet outlives the process: the next one of the gateway begins with it and with its
+// version, so that what is said then counts after it.
+func TestWordsOutliveTheProcess(t *testing.T) {
+	host, _ := serving(t, "h")
+	m := bankModel(t, "g1", "127.0.0.1:0", "127.0.0.1:1", host, "")
+	m.Bank.Bans, m.State = true, t.TempDir()
+	next := func() (*running, func(string) (int, string)) {
+		g := launch(t, m, func(o *Options) { o.Linger = func() {} })
+		return g, func(call string) (int, string) {
+			t.Helper()
+			resp, err := http.Post("http://"+g.desk.Addr().String()+"/hosts/"+host+call, "", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			text, _ := io.ReadAll(resp.Body)
+			return resp.StatusCode, string(text)
+		}
+	}
+	g, call := next()
+	if status, text := call("/maint?fleet=1"); status != 200 || !strings.Contains(text, "at all 1 gateways that are heard") {
+		t.Fatalf("answered %d: %s", status, text)
+	}
+	g.edicts.mu.Lock() // one that came before it and is done late, behind it
+	g.edicts.todo = append(g.edicts.todo, edict.Word{Host: host, Version: 1, By: "g0"})
+	g.edicts.mu.Unlock()
+	g.edicts.carryOut()
+	g.mu.Lock()
+	if !g.banned[host] {
+		t.Error("a word that counts no more was carried out")
+	}
+	g.mu.Unlock()
+	if status, _ := call("/maint?fleet=yes"); status != 400 {
+		t.Errorf("a fleet that is no number: %d", status)
+	}
+	if status, _ := call("/ready?fleet=1"); status != 200 {
+		t.Errorf("called back: %d", status)
+	}
+	if status, _ := call("/maint?fleet=1"); status != 200 {
+		t.Errorf("out again: %d", status)
+	}
+	g.stop()
+	await(t, g.end, "the end")
+	g, _ = next()
+	words := g.edicts.words()
+	if len(words) != 1 || !words[0].Out || words[0].Version != 3 || !g.banned[host] {
+		t.Errorf("it begins with %+v, and out are %v", words, g.banned)
+	}
+	g.stop()
+	await(t, g.end, "the end")
+
+	m.Bank.Bans = false
+	_, call = next()
+	if status, text := call("/ready?fleet=1"); status != 503 || !strings.Contains(text, "bank.bans") {
+		t.Errorf("where bans are not told: %d %s", status, text)
+	}
+	if status, _ := call("/ready"); status != 200 {
+		t.Errorf("called back here: %d", status)
+	}
+}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 
 	"frostshift/internal/membership"
@@ -21,9 +23,16 @@
 // Serving says whether this process takes clients.
 func (c commands) Serving() bool { return c.succession.serves() && c.intake.Ready() }
 
-// Out takes a host out of use, or has it used again, in each pool that has heard of it.
-func (c commands) Out(ctx context.Context, name string, out bool) error {
-	return c.Gateway.out(ctx, name, out)
+// Out takes a host out of use, or has it used again, in each pool that has heard of it; with fleet
+// at all gateways that live.
+func (c commands) Out(ctx context.Context, name string, out, fleet bool) (more string, err error) {
+	if err := c.Gateway.known(name); err != nil {
+		return "", err
+	}
+	if fleet {
+		return c.edicts.say(ctx, name, out)
+	}
+	return "", c.outEverywhere(ctx, name, out)
 }
 
 // Drain gives the clients up, or takes some again.
@@ -32,12 +41,13 @@
 	return c.succession.everywhere(ctx, call{Drain: &on})
 }
 
-func (g *Gateway) out(ctx context.Context, name string, out bool) error {
+// known says why a name is none of a host that pools have heard of or that is out; nil: it is one.
+func (g *Gateway) known(name string) error {
 	if name == "" || len(name) > longName {
 		return operate.ErrName
 	}
 	g.mu.Lock()
-	known := g.banned[name]
+	known := g.banned[name] || g.edicts.has(name)
 	for _, p := range g.pools {
 		known = known || p.known.has(name)
 	}
@@ -45,6 +55,11 @@
 	if !known {
 		return operate.ErrUnknown
 	}
+	return nil
+}
+
+// outEverywhere does it in this process and in the gateway's other one.
+func (g *Gateway) outEverywhere(ctx context.Context, name string, out bool) error {
 	if err := g.outHere(ctx, name, out); err != nil {
 		return err
 	}
@@ -91,6 +106,13 @@
 	gone    map[string]struct{}            // that were; so many are remembered
 }
 
+// names are the hosts that are listed.
+func (r *hostList) names() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.entries))
+}
+
 // learn takes over a list, the whole one or changes.
 func (r *hostList) learn(l *membership.List) {
 	r.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,12 +18,12 @@
 	"sync/atomic"
 	"time"
 
-	"frostshift"
 	"frostshift/internal/bank"
 	"frostshift/internal/config"
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
 	"frostshift/internal/front"
+	"frostshift/internal/learning"
 	"frostshift/internal/moves"
 	"frostshift/internal/operate"
 	"frostshift/internal/roster"
@@ -61,6 +61,7 @@
 	Silence    time.Duration // of discovery
 	LookEvery  time.Duration // at files of hosts
 	TellEvery  time.Duration // what teams have had
+	KeepEvery  time.Duration // between two writes of what was learned
 	// Memory is told the part of the limit on memory that this process may use; nil: nobody is.
 	Memory    func(part float64)
 	RoundTrip time.Duration // for the first notice of an HTTP/2 drain to be answered
@@ -85,8 +86,10 @@
 	bounded  bool // conns keep to the limit on descriptors
 	door     *contract.Door
 	moves    *moves.Set
-	state    *save.Dir   // nil: there is none
-	upgrades atomic.Bool // a route lets clients switch protocols
+	state    *save.Dir     // nil: there is none
+	keptLast chan struct{} // closed: the last of it has been read; nil: nothing is kept
+	kept     *save.Dir     // what pools have learned; nil: it is not kept, or not yet. Of keep once that runs
+	upgrades atomic.Bool   // a route lets clients switch protocols
 
 	mu    sync.Mutex // guards what follows; held for the whole of a reload
 	model *config.Model
@@ -105,16 +108,21 @@
 
 	reloads    reloads
 	succession *succession
-	learned    map[string]*frostshift.Memory // by pool, of the process that ran before
-	clients    clients                       // given up, or not
-	banned     map[string]bool               // hosts that operators took out, by name; under mu
-	desk       *operate.Server               // nil: operators have no address
+	learned    map[string]learning.Pool // by pool, of the process that ran before
+	clients    clients                  // given up, or not
+	banned     map[string]bool          // hosts that operators took out, by name; under mu
+	desk       *operate.Server          // nil: operators have no address
 
 	view     *roster.View // of the bank; nil: none was heard; under mu
+	rules    rules        // limits by key of the present configuration; under mu
+	divisors              // of limits that gateways share evenly
 	places   []uint64     // ... of those that share the pools; nil: typed figures hold
 	bankMu   sync.Mutex
 	bank     *bank.Bank // nil: this gateway talks to no other, or not yet
 	bankOver bool       // this process has ended its part in it
+	hearing  *hearing   // nil: nothing of hosts is told among gateways
+	edicts   *edicts    // nil: operators' words hold for this gateway alone
+	rights   *rights    // nil: limits are divided evenly among gateways
 }
 
 // New prepares a gateway for the configuration: its listeners are open and its pools run
@@ -146,6 +154,7 @@
 	g.budgets = budgets{share.New(requests), share.New(conns), share.New(bodies), share.New(answers)}
 	g.whole = wholes{conns, bodies, answers, clients, asked}
 	g.instances, g.streams = m.Instances, m.Limits.Streams
+	g.gateways.Store(int64(m.Instances))
 	if m.State != "" {
 		var err error
 		if g.state, err = save.Open(m.State); errors.Is(err, save.ErrTaken) {
@@ -162,9 +171,11 @@
 		}
 	}
 	g.clients.gateway = g
-	g.learned = map[string]*frostshift.Memory{}
+	g.learned = map[string]learning.Pool{}
+	g.edicts = newEdicts(g, m)
 	g.succession = newSuccession(g, m)
 	m = g.succession.join(m)
+	g.rights, g.hearing = newRights(g, m), newHearing(g, m)
 	if m.Management != "" {
 		var err error
 		if g.desk, err = operate.Listen(m.Management, commands{g}, g.pages(), log.With("for", "operators")); err != nil {
@@ -195,8 +206,10 @@
 }
 
 func (g *Gateway) closeState() {
-	if g.state != nil {
-		g.state.Close()
+	for _, d := range []*save.Dir{g.state, g.kept} {
+		if d != nil {
+			d.Close()
+		}
 	}
 }
 
@@ -210,6 +223,7 @@
 func (g *Gateway) bound(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.processes.Store(int64(n))
 	w := g.whole
 	g.budgets.conns.Resize(w.conns / int64(n))
 	g.budgets.bodies.Resize(w.bodies / int64(n))
@@ -275,7 +289,8 @@
 		s.ln.Pause(waits)
 		g.serve(s)
 	}
-	platform := g.model.Platform // nothing moves there, whatever is reloaded
+	first := g.model
+	platform := first.Platform // nothing moves there, whatever is reloaded
 	heard := make([]<-chan struct{}, 0, len(g.pools))
 	for _, p := range g.pools {
 		heard = append(heard, p.ready)
@@ -298,6 +313,19 @@
 		g.succession.share()
 	}
 	g.running.Go(func() { g.tellAccounts() })
+	if g.rights != nil {
+		g.running.Go(g.rights.run)
+	}
+	if g.hearing != nil {
+		g.running.Go(g.hearing.run)
+	}
+	if g.edicts != nil {
+		g.running.Go(g.edicts.run)
+	}
+	if first.State != "" {
+		g.keptLast = make(chan struct{})
+		g.running.Go(func() { g.keep(first) })
+	}
 	if g.desk != nil {
 		g.running.Go(func() {
 			if err := g.desk.Serve(); err != nil {
@@ -394,6 +422,9 @@
 			}
 		}
 	}
+	if g.keptLast != nil { // a second at most, and pools end behind it
+		<-g.keptLast
+	}
 	close(g.ended)
 	g.closeBank()
 	g.succession.end()
--- /dev/null
+++ b/internal/gateway/hearsay.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"frostshift"
+	"frostshift/internal/config"
+	"frostshift/internal/exchange"
+	"frostshift/internal/hearsay"
+	"frostshift/internal/membership"
+	"frostshift/internal/roster"
+	"frostshift/internal/upstream"
+)
+
+// hearing is the gateway's part in what gateways tell each other of hosts: it gives package hearsay
+// the time, the packets, the lists and its own outcomes, and pools the verdicts. Nothing waits for
+// it, and without the others there are none.
+type hearing struct {
+	g    *Gateway
+	in   chan []byte // packets that came
+	lost atomic.Int64
+
+	mu   sync.Mutex
+	book *hearsay.Book
+	// lists are hosts of pools that run, and when they started. At a reload two pools may have one name.
+	lists map[*pool]map[hearsay.HostID]int64
+	odd   bool // as logged last
+}
+
+// newHearing makes a part where it is asked for; nil: it is not.
+func newHearing(g *Gateway, m *config.Model) *hearing {
+	if m.Bank == nil || !m.Bank.Verdicts {
+		return nil
+	}
+	return &hearing{g: g, in: make(chan []byte, packetsWaiting), book: hearsay.New(hearsay.Config{Self: m.Name, Zone: m.Bank.Zone, Classes: len(m.Classes)}), lists: map[*pool]map[hearsay.HostID]int64{}}
+}
+
+func (h *hearing) now() hearsay.Time { return h.g.exchange.Clock().Now() }
+
+// run has the book look in turns until the gateway ends.
+func (h *hearing) run() {
+	tick := time.NewTicker(h.book.Every())
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.g.ended:
+			return
+		case data := <-h.in:
+			h.mu.Lock()
+			h.book.Take(h.now(), data)
+			h.mu.Unlock()
+		case <-tick.C:
+			h.look()
+		}
+	}
+}
+
+// look sends what is to be said and gives pools what has changed.
+func (h *hearing) look() {
+	h.mu.Lock()
+	out, changed := h.book.Tick(h.now())
+	out = slices.Clone(out)
+	odd := h.book.Odd()
+	turned := odd != h.odd
+	h.odd = odd
+	h.mu.Unlock()
+	if turned && odd {
+		h.g.log.Warn("verdicts: this gateway alone finds hosts bad that answer others; its own link or processor is the likelier cause, and it warns nobody")
+	}
+	if b := h.g.talks(); b != nil {
+		for _, p := range out {
+			b.Send(p.To, p.Data)
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	list := make([]frostshift.Hearsay, len(changed))
+	for i, v := range changed {
+		list[i] = frostshift.Hearsay{Host: frostshift.HostID(v.Host), Doubt: v.Doubt, Down: v.Down, Wait: v.Wait, Until: v.Until}
+	}
+	h.g.mu.Lock()
+	pools := make([]*exchange.Pool, 0, len(h.g.pools))
+	for _, p := range h.g.pools {
+		pools = append(pools, p.ex)
+	}
+	h.g.mu.Unlock()
+	for _, p := range pools {
+		p.Hear(list)
+	}
+}
+
+// heard takes a packet from the bank.
+func (h *hearing) heard(data []byte) {
+	select {
+	case h.in <- slices.Clone(data):
+	default:
+		h.lost.Add(1)
+	}
+}
+
+// alive takes who lives.
+func (h *hearing) alive(members []roster.Member) {
+	list := make([]hearsay.Member, len(members))
+	for i, m := range members {
+		list[i] = hearsay.Member{Name: m.Name, Zone: m.Zone}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.book.View(list)
+}
+
+// met notes an own attempt. It is called in pools' loops.
+func (h *hearing) met(id frostshift.HostID, class int, r frostshift.Result, took frostshift.Time) {
+	o, says := hearsay.OutcomeOf(r)
+	if !says {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.book.Saw(h.now(), hearsay.HostID(id), class, o, took)
+}
+
+// list takes a pool's hosts: all of them, or those that changed.
+func (h *hearing) list(p *pool, whole bool, list []upstream.Endpoint) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if whole || h.lists[p] == nil {
+		h.lists[p] = map[hearsay.HostID]int64{}
+	}
+	for _, e := range list {
+		if e.Gone {
+			delete(h.lists[p], hearsay.HostID(e.ID))
+		} else {
+			h.lists[p][hearsay.HostID(e.ID)] = int64(e.Started / frostshift.Time(time.Millisecond))
+		}
+	}
+	h.merge()
+}
+
+// end forgets the hosts of a pool that has ended.
+func (h *hearing) end(p *pool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.lists, p)
+	h.merge()
+}
+
+// merge gives the book all pools' hosts. The lock is held.
+func (h *hearing) merge() {
+	all := map[hearsay.HostID]int64{}
+	for _, hosts := range h.lists {
+		for id, started := range hosts {
+			all[id] = max(all[id], started)
+		}
+	}
+	h.book.List(h.now(), all)
+}
+
+// VerdictsStatus is what operators are shown of what gateways say of hosts.
+type VerdictsStatus struct {
+	Name   string
+	Odd    bool // this gateway alone finds hosts bad
+	Counts hearsay.Counts
+	Lost   int64 // packets that came and found no room
+	Hosts  []VerdictHost
+}
+
+// VerdictHost is a host that somebody speaks against.
+type VerdictHost struct {
+	Name string
+	hearsay.Status
+}
+
+// verdictsStatus answers operators.
+func (g *Gateway) verdictsStatus(w http.ResponseWriter, _ *http.Request) {
+	if g.hearing == nil {
+		http.Error(w, "nothing of hosts is told among gateways", http.StatusNotFound)
+		return
+	}
+	h := g.hearing
+	h.mu.Lock()
+	s := VerdictsStatus{Odd: h.book.Odd(), Counts: h.book.Counts(), Lost: h.lost.Load()}
+	list := h.book.Status(h.now())
+	h.mu.Unlock()
+	names := map[hearsay.HostID]string{}
+	g.mu.Lock()
+	s.Name = g.model.Name
+	for _, p := range g.pools {
+		for _, name := range p.known.names() {
+			names[hearsay.HostID(membership.HostID(name))] = name
+		}
+	}
+	g.mu.Unlock()
+	for _, host := range list {
+		s.Hosts = append(s.Hosts, VerdictHost{names[host.Host], host})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(s)
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -48,19 +48,20 @@
 
 // pool is a running pool: its loop, its connections and the follower of its hosts.
 type pool struct {
-	def    *config.Pool
-	log    *slog.Logger
-	names  membership.Names
-	ex     *exchange.Pool
-	up     hosts
-	list   list
-	keeper *keeper.Keeper // nil: the list is followed blindly
-	views  *views         // nil: nobody wants to see
-	ready  chan struct{}  // closed behind the first list
-	first  sync.Once
-	refs   atomic.Int64 // configurations that name it and are still held
-	known  hostList
-	typed  int // gateways that the configuration names
+	def     *config.Pool
+	log     *slog.Logger
+	names   membership.Names
+	ex      *exchange.Pool
+	up      hosts
+	list    list
+	keeper  *keeper.Keeper // nil: the list is followed blindly
+	views   *views         // nil: nobody wants to see
+	ready   chan struct{}  // closed behind the first list
+	first   sync.Once
+	hearing *hearing     // nil: nothing of hosts is told among gateways
+	refs    atomic.Int64 // configurations that name it and are still held
+	known   hostList
+	typed   int // gateways that the configuration names
 
 	requests, conns, bodies, answers *share.Holder
 }
@@ -79,11 +80,14 @@
 	}
 	pc := exchange.PoolConfig{Name: def.Name, Settings: def.Settings, Seed: m.Seed ^ uint64(membership.HostID(def.Name)),
 		Log: p.log, Upstream: p.up, Room: p.requests, Repeats: def.Repeats}
-	pc.Learned = g.learned[def.Name]
+	pc.Learned, pc.Repeated = g.learned[def.Name].Learned, g.learned[def.Name].Repeats
 	delete(g.learned, def.Name)
 	for name := range g.banned {
 		pc.Banned = append(pc.Banned, membership.HostID(name))
 	}
+	if g.hearing != nil {
+		pc.Met, p.hearing = g.hearing.met, g.hearing
+	}
 	if def.Belief != nil {
 		kc := keeper.Config{Specs: def.Sources, Belief: *def.Belief, Part: def.Part, Log: p.log, List: sink{p}.List, Silence: g.opt.Silence, Every: g.opt.LookEvery}
 		if m.Views != "" {
@@ -103,6 +107,10 @@
 	var err error
 	if !m.Platform { // there are no contracts there; elsewhere a reload may bring some
 		pc.Scheduler, pc.Part, pc.Door = contract.NewScheduler(1), contract.NewPart(g.instances), g.door
+		if r := g.rights; r != nil {
+			pc.Scheduler.SetRights(func(t *contract.Terms) contract.Right { return r.team(def.Name, t) })
+			pc.RepeatRight = r.repeats(def.Name)
+		}
 	}
 	p.ex, err = g.exchange.NewPool(pc)
 	return p, err
@@ -128,6 +136,9 @@
 		}
 		end()
 		parts.Wait()
+		if p.hearing != nil {
+			p.hearing.end(p)
+		}
 		for _, h := range []*share.Holder{p.requests, p.conns, p.bodies, p.answers} {
 			h.Leave()
 		}
@@ -150,6 +161,9 @@
 	}
 	p.up.Update(l.Snapshot, list)
 	p.known.learn(l)
+	if p.hearing != nil {
+		p.hearing.list(p, l.Snapshot, list)
+	}
 }
 
 // sink passes lists on to the pool's loop.
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -51,6 +51,9 @@
 	if g.model != nil && !sameTalk(g.model.Bank, m.Bank) {
 		g.log.Warn("the bank has changed in more than its keys; that wants a restart, the old one stays")
 	}
+	if g.model != nil && !reflect.DeepEqual(g.model.Quota, m.Quota) {
+		g.log.Warn("the quota has changed; that wants a restart, the old one stays")
+	}
 	if err := g.useKeys(m); err != nil {
 		return err
 	}
@@ -88,6 +91,10 @@
 		return err
 	}
 	// From here on nothing fails.
+	if g.rights != nil {
+		g.rights.keep(m)
+	}
+	g.useRules(m)
 	for s, c := range certificates {
 		s.certificate.Store(c)
 	}
@@ -130,7 +137,7 @@
 	old := g.pools
 	g.pools, g.model = next, m
 	led := g.moves.Use(m.Moves)
-	g.intake.Use(front.NewSnapshot(m, targets, led, g.moves.Retired(), func() {
+	g.intake.Use(front.NewSnapshot(m, targets, led, g.moves.Retired(), g.rules, func() {
 		for _, p := range held {
 			p.letGo()
 		}
@@ -189,6 +196,11 @@
 	}
 	for _, s := range opened {
 		g.servers[s.Listener] = s
+	}
+	for _, s := range g.servers {
+		s.ln.Guard(g.guard(m, s.Name))
+	}
+	for _, s := range opened {
 		if g.intake.Leaving() {
 			s.endsNext(true)
 		}
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -33,6 +33,10 @@
 	bankLeastDesc   = prometheus.NewDesc("edge_gw_bank_least", "fewest gateways there may be: parts of hosts go by it", nil, nil)
 	bankMostDesc    = prometheus.NewDesc("edge_gw_bank_most", "most gateways there may be: budgets go by it", nil, nil)
 	bankSideDesc    = prometheus.NewDesc("edge_gw_bank_side", "0: whole, 1: majority, 2: minority, 3: alone", nil, nil)
+	quotaLimitsDesc = prometheus.NewDesc("edge_gw_quota_limits", "limits of the fleet that are shared unevenly now", nil, nil)
+	quotaTimesDesc  = prometheus.NewDesc("edge_gw_quota_times", "how many times a limit that is mostly full may be in force", nil, nil)
+	quotaShortDesc  = prometheus.NewDesc("edge_gw_quota_short", "part of a limit that is never over which may be missing", nil, nil)
+	limitDesc       = prometheus.NewDesc("edge_gw_limit_requests", "requests and connections that met a limit by key, by what became of them", []string{"limit", "result"}, nil)
 	reloadsDesc     = prometheus.NewDesc("edge_gw_config_reloads", "configurations taken over", nil, nil)
 	badReloadDesc   = prometheus.NewDesc("edge_gw_config_reload_errors", "configurations turned down", nil, nil)
 )
@@ -53,6 +57,11 @@
 	mux.Handle("GET /stats", stats{g}.handler())
 	mux.HandleFunc("GET /bank", g.bankStatus)
 	mux.HandleFunc("POST /bank/leave", g.bankLeave)
+	mux.HandleFunc("GET /quota", g.quotaStatus)
+	mux.HandleFunc("GET /verdicts", g.verdictsStatus)
+	mux.HandleFunc("GET /edicts", g.edictsStatus)
+	mux.HandleFunc("GET /limits", g.limitsStatus)
+	mux.HandleFunc("GET /limits/explain", g.limitsExplain)
 	return mux
 }
 
@@ -65,7 +74,7 @@
 
 // Describe names the figures.
 func (s stats) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, pendingDesc, membersDesc, awayDesc, partDesc, admittedDesc, lateDesc, evidenceDesc, bankMembersDesc, bankCountDesc, bankLeastDesc, bankMostDesc, bankSideDesc, reloadsDesc, badReloadDesc} {
+	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, pendingDesc, membersDesc, awayDesc, partDesc, admittedDesc, lateDesc, evidenceDesc, bankMembersDesc, bankCountDesc, bankLeastDesc, bankMostDesc, bankSideDesc, quotaLimitsDesc, quotaTimesDesc, quotaShortDesc, limitDesc, reloadsDesc, badReloadDesc} {
 		out <- d
 	}
 }
@@ -73,7 +82,7 @@
 // Collect reads them.
 func (s stats) Collect(out chan<- prometheus.Metric) {
 	s.mu.Lock()
-	model := s.model
+	model, rules := s.model, s.rules
 	pools := make([]*exchange.Pool, 0, len(s.pools))
 	running := make([]*pool, 0, len(s.pools))
 	for _, p := range s.pools {
@@ -136,6 +145,18 @@
 		gauge(bankMostDesc, b.View.Most)
 		gauge(bankSideDesc, int(b.View.Side))
 	}
+	if s.rights != nil {
+		q := s.rights.status(false)
+		gauge(quotaLimitsDesc, len(q.Limits))
+		out <- prometheus.MustNewConstMetric(quotaTimesDesc, prometheus.GaugeValue, q.Times)
+		out <- prometheus.MustNewConstMetric(quotaShortDesc, prometheus.GaugeValue, q.Short)
+	}
+	for _, r := range rules {
+		c := r.Counts()
+		for result, n := range map[string]int64{"passed": c.Passed, "held_back": c.Waited, "over_rate": c.Rate, "over_concurrency": c.Open, "dry_run": c.Dry} {
+			count(limitDesc, n, r.Name, result)
+		}
+	}
 	count(reloadsDesc, s.reloads.taken.Load())
 	count(badReloadDesc, s.reloads.refused.Load())
 }
--- a/internal/gateway/succession.go
+++ b/internal/gateway/succession.go
@@ -15,9 +15,10 @@
 
 	"frostshift"
 	"frostshift/internal/config"
+	"frostshift/internal/edict"
 	"frostshift/internal/exchange"
 	"frostshift/internal/handover"
-	"frostshift/internal/membership"
+	"frostshift/internal/learning"
 )
 
 // succession is how one process of this gateway takes the place of another, which runs on the
@@ -59,13 +60,27 @@
 	Version int
 	Ids     exchange.Register
 	Banned  []string
+	Words   []edict.Word `json:",omitempty"` // that brought bans and their ends, for the whole fleet
 	Drained bool
-	Pools   map[string]poolKnowledge
+	Pools   map[string]learning.Pool
 }
 
-type poolKnowledge struct {
-	List    *membership.List
-	Learned *frostshift.Memory
+// bans notes the hosts that are out by hand.
+func (k *knowledge) bans(g *Gateway) {
+	g.mu.Lock()
+	for name := range g.banned {
+		k.Banned = append(k.Banned, name)
+	}
+	g.mu.Unlock()
+	k.Words = g.edicts.words()
+}
+
+// ban takes them out in a gateway that has not started.
+func (k *knowledge) ban(g *Gateway) {
+	for _, name := range k.Banned[:min(len(k.Banned), mostBanned)] {
+		g.banned[name] = true
+	}
+	g.edicts.adopt(k.Words)
 }
 
 // call is what an operator has called for at the other process.
@@ -98,7 +113,7 @@
 	g := s.gateway
 	if s.path == "" {
 		s.readBans()
-		return m
+		return g.recall(m)
 	}
 	peer, text, err := handover.Join(s.path)
 	if err != nil {
@@ -107,7 +122,7 @@
 			g.log.Warn("the process that runs says nothing of use, starting from nothing", "err", err)
 		}
 		s.readBans()
-		return m
+		return g.recall(m)
 	}
 	s.after = true
 	var k knowledge
@@ -120,31 +135,35 @@
 		s.readBans()
 		return m
 	}
+	next := g.take(m, k.Pools)
+	k.ban(g)
+	g.exchange.Adopt(&k.Ids)
+	l := &link{s: s, peer: peer, older: true}
+	s.links[l] = struct{}{}
+	s.tell()
+	g.exchange.Link(s)
+	if k.Drained {
+		g.clients.ask(true)
+	}
+	g.log.Info("taking over from the process that runs", "hosts out", len(k.Banned))
+	return next
+}
+
+// take has pools begin with what is known of them, and returns the configuration with their lists.
+func (g *Gateway) take(m *config.Model, known map[string]learning.Pool) *config.Model {
 	next := *m
 	next.Pools = nil
 	for _, def := range m.Pools {
-		if of, known := k.Pools[def.Name]; known {
+		if of, has := known[def.Name]; has {
 			pool := *def
 			if of.List != nil && of.List.Index != nil && of.List.Check() == nil && pool.Belief == nil {
 				pool.Known = of.List
 			}
-			g.learned[def.Name] = of.Learned
+			g.learned[def.Name] = of
 			def = &pool
 		}
 		next.Pools = append(next.Pools, def)
 	}
-	for _, name := range k.Banned[:min(len(k.Banned), mostBanned)] {
-		g.banned[name] = true
-	}
-	g.exchange.Adopt(&k.Ids)
-	l := &link{s: s, peer: peer, older: true}
-	s.links[l] = struct{}{}
-	s.tell()
-	g.exchange.Link(s)
-	if k.Drained {
-		g.clients.ask(true)
-	}
-	g.log.Info("taking over from the process that runs", "hosts out", len(k.Banned))
 	return &next
 }
 
@@ -224,13 +243,10 @@
 	}
 	g.log.Info("another process starts to take over")
 	s.share()
-	k := knowledge{Version: stateVersion, Drained: g.clients.isAsked(), Pools: s.gather()}
+	k := knowledge{Version: stateVersion, Drained: g.clients.isAsked()}
+	k.Pools, _ = s.gather()
 	k.Ids = g.exchange.Link(s)
-	g.mu.Lock()
-	for name := range g.banned {
-		k.Banned = append(k.Banned, name)
-	}
-	g.mu.Unlock()
+	k.bans(g)
 	text, err := json.Marshal(&k)
 	if err != nil {
 		g.log.Error("what is known can't be told", "err", err)
@@ -241,8 +257,8 @@
 	return true
 }
 
-// gather is what the pools know. One whose loop does not answer in time is left out.
-func (s *succession) gather() map[string]poolKnowledge {
+// gather is what the pools know. One whose loop does not answer in time is left out, and then it is not whole.
+func (s *succession) gather() (out map[string]learning.Pool, whole bool) {
 	g := s.gateway
 	g.mu.Lock()
 	pools := map[string]*pool{}
@@ -250,20 +266,21 @@
 		pools[name] = p
 	}
 	g.mu.Unlock()
-	out := map[string]poolKnowledge{}
+	out = map[string]learning.Pool{}
 	late := time.After(gatherWithin)
 	for name, p := range pools {
-		learned := make(chan frostshift.Memory, 1)
-		go p.ex.Memory(func(m frostshift.Memory) { learned <- m })
+		learned := make(chan learning.Pool, 1)
+		go p.ex.Memory(func(m frostshift.Memory, repeats float64) { learned <- learning.Pool{Learned: &m, Repeats: &repeats} })
 		select {
-		case m := <-learned:
-			out[name] = poolKnowledge{List: p.known.list(), Learned: &m}
+		case known := <-learned:
+			known.List = p.known.list()
+			out[name] = known
 		case <-p.ex.Done():
 		case <-late:
-			return out
+			return out, false
 		}
 	}
-	return out
+	return out, len(out) == len(pools)
 }
 
 // Note tells the other processes of an id. It is called with a lock of the exchange held.
@@ -452,12 +469,8 @@
 	s.files.Lock()
 	defer s.files.Unlock()
 	g := s.gateway
-	g.mu.Lock()
 	k := knowledge{Version: stateVersion}
-	for name := range g.banned {
-		k.Banned = append(k.Banned, name)
-	}
-	g.mu.Unlock()
+	k.bans(g)
 	text, err := json.Marshal(&k)
 	if err != nil {
 		return err
@@ -490,7 +503,5 @@
 		g.log.Warn("the file of hosts that are out can't be read, none is", "file", s.file, "err", err)
 		return
 	}
-	for _, name := range k.Banned[:min(len(k.Banned), mostBanned)] {
-		g.banned[name] = true
-	}
+	k.ban(g)
 }
--- a/internal/h2/link.go
+++ b/internal/h2/link.go
@@ -237,8 +237,12 @@
 }
 
 // flushWait is how long Forget waits for a write that is under way: microseconds, unless
-// the peer takes nothing in.
-const flushWait = 2 * time.Millisecond
+// the peer takes nothing in. It waits so in flushTurns turns: a process that gets no processor time
+// sees a timer and the write that it waits for at once, and would take itself for the peer.
+const (
+	flushWait  = 2 * time.Millisecond
+	flushTurns = 10
+)
 
 // Forget ends this end's memory of a stream. When it returns, nothing more of it goes out:
 // what the writer's buffer holds of a request is sent here and now, and if the peer takes
@@ -251,31 +255,45 @@
 	whole = s.out != nil && s.out.whole
 	buffered := l.cfg.Client && s.turn > l.flushed && !l.closed
 	l.mu.Unlock()
-	if buffered && !l.flushWithin(flushWait) {
+	if buffered && !l.flushSoon() {
 		l.Close()
 	}
 	return whole
 }
 
-// flushWithin hands what is buffered to the connection and says whether that was done in
-// the time. The writer's own turn would come later: it may have much to do.
-func (l *Link) flushWithin(d time.Duration) bool {
+// takePen waits for the writer's turn to end and says whether it did in the time.
+func (l *Link) takePen() bool {
 	select {
 	case l.pen <- struct{}{}:
+		return true
 	default:
-		late := time.NewTimer(d)
-		defer late.Stop()
+	}
+	turn := time.NewTimer(flushWait)
+	defer turn.Stop()
+	for n := 1; ; n++ {
 		select {
 		case l.pen <- struct{}{}:
-		case <-late.C:
-			return false
+			return true
+		case <-turn.C:
+			if n == flushTurns {
+				return false
+			}
+			turn.Reset(flushWait)
 		}
 	}
+}
+
+// flushSoon hands what is buffered to the connection and says whether that was done in
+// flushTurns turns of flushWait. The writer's own turn would come later: it may have much to do.
+func (l *Link) flushSoon() bool {
+	if !l.takePen() {
+		return false
+	}
 	defer func() { <-l.pen }()
 	if l.out.Buffered() == 0 {
 		return true
 	}
-	l.Conn.SetWriteDeadline(time.Now().Add(d))
+	l.Conn.SetWriteDeadline(time.Now().Add(flushTurns * flushWait))
 	l.dueSet = time.Time{}
 	return l.flush() == nil
 }
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -25,8 +25,9 @@
 type Commands interface {
 	// Serving says whether this process takes clients.
 	Serving() bool
-	// Out takes a host out of use, or has it used again.
-	Out(ctx context.Context, host string, out bool) error
+	// Out takes a host out of use, or has it used again; with fleet at all gateways that this one hears. It
+	// may say more with its yes.
+	Out(ctx context.Context, host string, out, fleet bool) (more string, err error)
 	// Drain gives the clients up, or takes some again.
 	Drain(ctx context.Context, on bool) error
 }
@@ -48,7 +49,7 @@
 	log  *slog.Logger
 }
 
-// Listen opens the address; Serve serves. stats answers GET /stats and what is asked below /bank; nil: nothing does.
+// Listen opens the address; Serve serves. stats answers GET /stats and what is asked at /quota, /verdicts and /edicts, and at or below /bank and /limits; nil: nothing does.
 func Listen(address string, do Commands, stats http.Handler, log *slog.Logger) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
@@ -65,6 +66,11 @@
 		mux.Handle("GET /stats", stats)
 		mux.Handle("/bank", stats)
 		mux.Handle("/bank/", stats)
+		mux.Handle("/quota", stats)
+		mux.Handle("/verdicts", stats)
+		mux.Handle("/edicts", stats)
+		mux.Handle("/limits", stats)
+		mux.Handle("/limits/", stats)
 	}
 	s.http = &http.Server{Handler: s.bounded(mux), ReadHeaderTimeout: headWait, ReadTimeout: headWait, WriteTimeout: headWait + time.Second,
 		MaxHeaderBytes: mostHead, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -114,20 +120,29 @@
 }
 
 func (s *Server) host(w http.ResponseWriter, r *http.Request, out bool) {
-	s.answer(w, r, s.do.Out(r.Context(), r.PathValue("id"), out))
+	fleet := r.URL.Query().Get("fleet")
+	if fleet != "" && fleet != "0" && fleet != "1" {
+		http.Error(w, "fleet is 1 for all gateways, or 0", http.StatusBadRequest)
+		return
+	}
+	more, err := s.do.Out(r.Context(), r.PathValue("id"), out, fleet == "1")
+	s.answer(w, r, more, err)
 }
 
 func (s *Server) drain(w http.ResponseWriter, r *http.Request, on bool) {
-	s.answer(w, r, s.do.Drain(r.Context(), on))
+	s.answer(w, r, "", s.do.Drain(r.Context(), on))
 }
 
 // answer says yes, or why not.
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, err error) {
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, more string, err error) {
 	status := http.StatusServiceUnavailable
 	switch {
 	case err == nil:
 		s.log.Info("operators' call", "call", r.URL.Path)
 		fmt.Fprintln(w, "ok")
+		if more != "" {
+			fmt.Fprintln(w, more)
+		}
 		return
 	case errors.Is(err, ErrUnknown):
 		status = http.StatusNotFound
--- a/internal/proving/config.go
+++ b/internal/proving/config.go
@@ -19,6 +19,8 @@
 	// Join is where processes that talk find others, Probe the time between two probes of theirs.
 	Join  []string
 	Probe time.Duration
+	// Verdicts has them tell each other of hosts, Bans take operators' words for all of them.
+	Verdicts, Bans bool
 }
 
 // Text is the configuration of the process of a rank.
@@ -31,7 +33,10 @@
 		if bank == "" {
 			bank = "[bank]\n"
 		}
-		bank = fmt.Sprintf("management = %q\n%stalk = %q\nadvertise = %q\njoin = [\"%s\"]\nprobe = %q\n", p.Desk, bank, p.talk, p.Advertise, strings.Join(s.Join, `", "`), s.Probe)
+		bank = fmt.Sprintf("%stalk = %q\nadvertise = %q\njoin = [\"%s\"]\nprobe = %q\nverdicts = %v\nbans = %v\n", bank, p.talk, p.Advertise, strings.Join(s.Join, `", "`), s.Probe, s.Verdicts, s.Bans)
+	}
+	if p.Desk != "" {
+		bank = fmt.Sprintf("management = %q\n", p.Desk) + bank
 	}
 	source := fmt.Sprintf("hosts = [\"%s\"]", strings.Join(s.Hosts, `", "`))
 	if s.File != "" {
--- a/internal/proving/host.go
+++ b/internal/proving/host.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"frostshift/internal/standin"
 )
 
 // Headers that a client sends through the gateway to a host.
@@ -34,6 +36,7 @@
 	N     int
 	Addr  string
 	audit *Audit
+	place *standin.Place
 
 	mu      sync.Mutex
 	nature  Nature
@@ -48,20 +51,26 @@
 
 // NewHost starts a host that tells the audit what it meets.
 func NewHost(n int, nature Nature, audit *Audit) (*Host, error) {
-	h := &Host{N: n, nature: nature, audit: audit, conns: map[net.Conn]bool{}}
-	if err := h.listen("127.0.0.1:0"); err != nil {
+	place, err := standin.Reserve()
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{N: n, Addr: place.Addr, nature: nature, audit: audit, place: place, conns: map[net.Conn]bool{}}
+	if err := h.Return(); err != nil {
+		place.Close()
 		return nil, err
 	}
 	return h, nil
 }
 
-func (h *Host) listen(addr string) error {
-	ln, err := net.Listen("tcp", addr)
+// Return starts the host, anew behind a Kill, at its address.
+func (h *Host) Return() error {
+	ln, err := h.place.Listen()
 	if err != nil {
 		return err
 	}
 	h.mu.Lock()
-	h.ln, h.Addr, h.started = ln, ln.Addr().String(), time.Now()
+	h.ln, h.started = ln, time.Now()
 	h.mu.Unlock()
 	h.wg.Go(func() {
 		for {
@@ -70,6 +79,11 @@
 				return
 			}
 			h.mu.Lock()
+			if h.ln != ln { // killed in the moment in which it came
+				h.mu.Unlock()
+				standin.Reset(c)
+				continue
+			}
 			h.conns[c] = true
 			h.mu.Unlock()
 			h.wg.Go(func() { h.serve(c) })
@@ -85,6 +99,12 @@
 	change(&h.nature)
 }
 
+// Close ends the host and gives its address up.
+func (h *Host) Close() {
+	h.Kill()
+	h.place.Close()
+}
+
 // Drains notes that every gateway has been told, by now, that the host drains.
 func (h *Host) Drains() {
 	h.mu.Lock()
@@ -92,13 +112,22 @@
 	h.drains = time.Now()
 }
 
+// Serves notes that the host does not drain any more, before anybody is told.
+func (h *Host) Serves() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.drains = time.Time{}
+}
+
 // Kill ends the host as a crash does: nothing listens and what is open is reset.
 func (h *Host) Kill() {
 	h.mu.Lock()
-	h.ln.Close()
+	if h.ln != nil {
+		h.ln.Close()
+		h.ln = nil
+	}
 	for c := range h.conns {
-		c.(*net.TCPConn).SetLinger(0)
-		c.Close()
+		standin.Reset(c)
 	}
 	for _, next := range h.line {
 		close(next)
@@ -108,9 +137,6 @@
 	h.wg.Wait()
 }
 
-// Return starts the host anew, at its address.
-func (h *Host) Return() error { return h.listen(h.Addr) }
-
 func (h *Host) serve(c net.Conn) {
 	defer func() {
 		c.Close()
--- a/internal/proving/load.go
+++ b/internal/proving/load.go
@@ -153,14 +153,17 @@
 	Skew   float64 // the nth gateway's part is as n to the power of −Skew
 	Work   func(*rand.Rand) time.Duration
 	Path   string
+	Key    func(n int) string // ends the path of the nth request; nil: nothing does
 	Unsafe bool
 	Within time.Duration // the deadline of the class
+	Team   string        // the account that requests name; "": none
 }
 
 // Seen is what the clients saw.
 type Seen struct {
 	Asked, Served, Refused, Failed, Lost int
 	Took                                 []time.Duration // of what was served
+	Status                               map[int]int     // answers by their status
 }
 
 // Quantile is a time that a part of the served requests did not exceed.
@@ -184,7 +187,7 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) }}}
 	defer client.CloseIdleConnections()
-	var seen Seen
+	seen := Seen{Status: map[int]int{}}
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	began := time.Now()
@@ -198,11 +201,16 @@
 		first, _ := slices.BinarySearch(parts, r.Float64()*sum)
 		others, work, id := r.Perm(len(to)), l.Work(r), fmt.Sprintf("q%d-%d", l.Seed, n)
 		turns := append([]int{min(first, len(to)-1)}, others...)
+		path := l.Path
+		if l.Key != nil {
+			path += l.Key(n)
+		}
 		all.Go(func() {
-			took, status := l.ask(ctx, client, audit, id, work, turns, to)
+			took, status := l.ask(ctx, client, audit, path, id, work, turns, to)
 			mu.Lock()
 			defer mu.Unlock()
 			seen.Asked++
+			seen.Status[status]++
 			switch status {
 			case http.StatusOK:
 				seen.Served++
@@ -222,7 +230,7 @@
 
 // ask sends one request, and again elsewhere where it can't have reached a gateway, or may be
 // made again; 0: there is no answer.
-func (l *Load) ask(ctx context.Context, client *http.Client, audit *Audit, id string, work time.Duration, turns []int, to []*Process) (took time.Duration, status int) {
+func (l *Load) ask(ctx context.Context, client *http.Client, audit *Audit, path, id string, work time.Duration, turns []int, to []*Process) (took time.Duration, status int) {
 	began := time.Now()
 	for try, n := range turns {
 		name := id
@@ -234,7 +242,7 @@
 		audit.asked[name] = q
 		audit.mu.Unlock()
 		ctx, end := context.WithTimeout(ctx, l.Within+audit.Slack)
-		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+to[n].Addr+l.Path, nil)
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+to[n].Addr+path, nil)
 		if err != nil {
 			panic(err) // the address is the kernel's
 		}
@@ -242,6 +250,9 @@
 			r.Method = http.MethodPost
 		}
 		r.Header.Set(idHeader, name)
+		if l.Team != "" {
+			r.Header.Set("X-Account", l.Team)
+		}
 		r.Header.Set(workHeader, strconv.FormatInt(work.Microseconds(), 10))
 		answer, err := client.Do(r)
 		if err == nil {
--- a/internal/proving/process.go
+++ b/internal/proving/process.go
@@ -14,7 +14,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -23,6 +22,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"frostshift/internal/standin"
 )
 
 // Fleet is the processes of a run. Close ends them all; so does the end of this process.
@@ -71,7 +72,7 @@
 	Advertise string
 	talk      string
 	fleet     *Fleet
-	holds     []int // sockets that keep addresses from others
+	holds     []*standin.Place
 	mu        sync.Mutex
 	cmd       *exec.Cmd
 	ended     chan struct{}
@@ -80,38 +81,26 @@
 
 // Add makes a process. Its configuration is written by Configure.
 func (f *Fleet) Add(name string) (*Process, error) {
-	hold, addr, err := reserve()
-	if err != nil {
-		return nil, err
-	}
-	p := &Process{Name: name, Dir: filepath.Join(f.Dir, name), Addr: addr, fleet: f, holds: []int{hold}}
+	p := &Process{Name: name, Dir: filepath.Join(f.Dir, name), fleet: f}
 	if err := os.MkdirAll(p.Dir, 0o700); err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
 	f.all = append(f.all, p)
 	f.mu.Unlock()
-	return p, nil
+	var err error
+	p.Addr, err = p.hold()
+	return p, err
 }
 
-// reserve has the kernel choose a port and keeps it: it is bound and does not listen, so that a
-// child may listen there, connections are refused while none does, and nobody else gets it.
-func reserve() (fd int, addr string, err error) {
-	fd, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+// hold keeps an address for the process until the fleet is closed.
+func (p *Process) hold() (addr string, err error) {
+	place, err := standin.Reserve()
 	if err != nil {
-		return 0, "", err
+		return "", err
 	}
-	sa := syscall.Sockaddr(&syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
-	err = errors.Join(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1), syscall.Bind(fd, sa))
-	if err == nil {
-		sa, err = syscall.Getsockname(fd)
-	}
-	if err != nil {
-		syscall.Close(fd)
-		return 0, "", err
-	}
-	in := sa.(*syscall.SockaddrInet4)
-	return fd, netip.AddrPortFrom(netip.AddrFrom4(in.Addr), uint16(in.Port)).String(), nil
+	p.holds = append(p.holds, place)
+	return place.Addr, nil
 }
 
 // Configure writes the process's configuration.
@@ -149,7 +138,8 @@
 	ended := p.ended
 	p.mu.Unlock()
 	for {
-		if status, err := ask(ctx, p.Addr, ReadyPath); err == nil && status == 204 {
+		// With contracts it says whom it does not know.
+		if status, err := ask(ctx, p.Addr, ReadyPath); err == nil && (status == 204 || status == 401) {
 			return nil
 		}
 		select {
@@ -200,8 +190,8 @@
 	}
 	for _, p := range f.all {
 		<-p.Ended()
-		for _, fd := range p.holds {
-			syscall.Close(fd)
+		for _, place := range p.holds {
+			place.Close()
 		}
 	}
 	f.all = nil
@@ -256,3 +246,21 @@
 	defer end()
 	return new(net.Dialer).DialContext(ctx, "tcp", addr)
 }
+
+// Memory is what the process has in memory, in MiB.
+func (p *Process) Memory() (mib float64, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0, errors.New("it does not run")
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(text), &size, &resident); err != nil {
+		return 0, err
+	}
+	return float64(resident) * float64(os.Getpagesize()) / (1 << 20), nil
+}
--- /dev/null
+++ b/internal/proving/verdicts.go
@@ -0,0 +1,62 @@
+package proving
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"frostshift/internal/edict"
+	"frostshift/internal/gateway"
+)
+
+// Verdicts asks a process what gateways say of hosts.
+func (p *Process) Verdicts(ctx context.Context) (s gateway.VerdictsStatus, err error) {
+	err = p.read(ctx, "/verdicts", &s)
+	return s, err
+}
+
+// Edicts asks a process what it holds of operators' words for the whole fleet.
+func (p *Process) Edicts(ctx context.Context) (s gateway.EdictsStatus, err error) {
+	err = p.read(ctx, "/edicts", &s)
+	return s, err
+}
+
+// Word has an operator take a host out, or call it back, at all gateways, by a call to this process. It
+// returns the status of the answer and what it says.
+func (p *Process) Word(ctx context.Context, host string, out bool) (status int, text string, err error) {
+	word := "ready"
+	if out {
+		word = "maint"
+	}
+	return p.call(ctx, http.MethodPost, "/hosts/"+host+"/"+word+"?fleet=1")
+}
+
+// Obeys says whether each of the processes does the same word on a host, out or not.
+func Obeys(ctx context.Context, list []*Process, host string, out bool) bool {
+	for _, p := range list {
+		s, err := p.Edicts(ctx)
+		if err != nil || !slices.ContainsFunc(s.Words, func(w edict.Status) bool { return w.Host == host && w.Out == out && w.Holds }) {
+			return false
+		}
+	}
+	return true
+}
+
+// Held is how many of the processes hold a host down, and the most that any doubts it; one that does
+// not answer holds nothing.
+func Held(ctx context.Context, list []*Process, host string) (down int, doubt float64) {
+	for _, p := range list {
+		s, err := p.Verdicts(ctx)
+		if err != nil {
+			continue
+		}
+		for _, h := range s.Hosts {
+			if h.Name == host {
+				if doubt = max(doubt, h.Doubt); h.Down {
+					down++
+				}
+			}
+		}
+	}
+	return down, doubt
+}
--- a/internal/proving/world.go
+++ b/internal/proving/world.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -15,8 +18,12 @@
 	Nature   func(n int) Nature
 	Gateways int
 	Shape    Shape // its hosts and where to join are filled in
-	// Talk has the processes know each other, through a mesh.
-	Talk bool
+	// Talk has the processes know each other, through a mesh. Those that talk can be asked how they
+	// stand; with Manage others can be, too.
+	Talk, Manage bool
+	// Teams have contracts; those with a rate share it as package quota does, by this Lease.
+	Teams []Team
+	Lease time.Duration
 	// Through leads a gateway to a host by another address, a relay's; nil: straight.
 	Through func(addr string) (string, error)
 }
@@ -30,6 +37,7 @@
 	Mesh  *Mesh // nil: they do not talk
 	Ready time.Duration
 	fleet *Fleet
+	teams string // a folder of contracts
 }
 
 // NewWorld starts it all and waits until each process serves. Close ends it.
@@ -63,6 +71,11 @@
 			return w, err
 		}
 		w.List = append(w.List, p)
+		if s.Manage && !s.Talk {
+			if err := p.Manage(); err != nil {
+				return w, err
+			}
+		}
 		if s.Talk {
 			if err := p.Talk(w.Mesh); err != nil {
 				return w, err
@@ -72,6 +85,11 @@
 			}
 		}
 	}
+	if len(s.Teams) > 0 {
+		if err := w.contracts(s); err != nil {
+			return w, err
+		}
+	}
 	for n, p := range w.List {
 		if err := p.Configure(w.Shape.Text(p, min(n, max(w.Shape.Gateways-1, 0)))); err != nil {
 			return w, err
@@ -83,6 +101,24 @@
 	return w, err
 }
 
+// Attempts is how many attempts at hosts all processes have made.
+func (w *World) Attempts(ctx context.Context) (sum float64, err error) {
+	for _, p := range w.List {
+		_, text, err := p.call(ctx, http.MethodGet, "/stats")
+		if err != nil {
+			return 0, err
+		}
+		_, after, _ := strings.Cut(text, "\nedge_gw_upstream_requests ")
+		line, _, _ := strings.Cut(after, "\n")
+		n, err := strconv.ParseFloat(line, 64)
+		if err != nil {
+			return 0, fmt.Errorf("%s says %q of its attempts", p.Name, line)
+		}
+		sum += n
+	}
+	return sum, nil
+}
+
 // Close ends all that was started.
 func (w *World) Close() {
 	w.fleet.Close()
@@ -90,6 +126,6 @@
 		w.Mesh.Close()
 	}
 	for _, h := range w.Hosts {
-		h.Kill()
+		h.Close()
 	}
 }
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -31,6 +31,9 @@
 	{"crowd", "what a connection costs that says nothing, stops half way, or stays after its answer", runCrowd},
 	{"spread", "hundreds of processes before tens of hosts: what is refused, p99 and evenness beside a picker that sees all", runSpread},
 	{"bank", "a hundred processes that talk: ten killed, a partition of 5 s, healing; time until views agree, and service beside the same load without faults", runBank},
+	{"quota", "forty processes share a team's rate: skew, a cut of 5 s, two kills; rights where requests are and in force", runQuota},
+	{"limits", "a thousand quiet keys beside floods of ever new, of heavy and of one key: what they keep, p99, memory", runLimits},
+	{"verdicts", "sixty processes that tell each other of hosts beside sixty that do not: attempts at hosts that die, hang, fail, are slow", runVerdicts},
 	{"pools", "throughput of two pools on two cores, beside one pool", runPools},
 }
 
--- a/internal/rig/spread.go
+++ b/internal/rig/spread.go
@@ -43,18 +43,26 @@
 	return time.Duration(float64(spreadWork) * math.Exp(spreadSigma*r.NormFloat64()-spreadSigma*spreadSigma/2))
 }
 
+// built is a folder with the program in it, which done removes.
+func built() (dir, program string, done func(), err error) {
+	if dir, err = os.MkdirTemp("", "rig"); err != nil {
+		return "", "", nil, err
+	}
+	if program, err = proving.Build(context.Background(), dir); err != nil {
+		os.RemoveAll(dir)
+		return "", "", nil, err
+	}
+	return dir, program, func() { os.RemoveAll(dir) }, nil
+}
+
 // runSpread plays loads through hundreds of processes and holds what clients and hosts saw against
 // a picker that sees every queue.
 func runSpread(out io.Writer) (string, bool, error) {
-	dir, err := os.MkdirTemp("", "spread")
-	if err != nil {
-		return "", false, err
-	}
-	defer os.RemoveAll(dir)
-	program, err := proving.Build(context.Background(), dir)
+	dir, program, done, err := built()
 	if err != nil {
 		return "", false, err
 	}
+	defer done()
 	slow := func(n *proving.Nature) { n.Slow = 4 }
 	fails := func(n *proving.Nature) { n.Errors = 0.2 }
 	even := spreadDay{refused: 0.001, p99: 1.15, least: 0.8, most: 1.25, spread: 0.9}
--- a/internal/save/save.go
+++ b/internal/save/save.go
@@ -159,6 +159,9 @@
 	return k
 }
 
+// Look reads a folder that another process may have.
+func Look(path string) Kept { return (&Dir{path: path}).Read() }
+
 // Aside keeps what can't be read for people, where writing would replace it.
 func (d *Dir) Aside() {
 	for _, name := range []string{fileName, fileName + before} {
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -113,6 +113,13 @@
 	return u.replay.State()
 }
 
+// Came is how many bytes of the body have come.
+func (u *Upload) Came() int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.replay.Came()
+}
+
 // Err is why the body broke; nil: it has not, or has ended.
 func (u *Upload) Err() error {
 	u.mu.Lock()
--- a/internal/upstream/http2/attempt.go
+++ b/internal/upstream/http2/attempt.go
@@ -107,7 +107,9 @@
 		off := t.isOff
 		t.conn = nil
 		t.mu.Unlock()
-		c.leave()
+		if !off {
+			c.leave()
+		}
 		c.give()
 		if off {
 			t.end(frostshift.NotSent, nil)
--- a/internal/verdict/budget.go
+++ b/internal/verdict/budget.go
@@ -10,10 +10,18 @@
 	share  float64
 	tokens float64
 	at     frostshift.Time
+	right  Right
+}
+
+// Right is a gateway's part of what the whole fleet may repeat whatever the load.
+type Right interface {
+	Part(now frostshift.Time) float64 // from 0 to 1
+	Ask(units float64)                // so many repeats were wanted here
 }
 
 const (
-	alwaysRate = 1.0   // repeats a second that are allowed whatever the load
+	// AlwaysRate is how many repeats a second are allowed whatever the load.
+	AlwaysRate = 1.0
 	mostSaved  = 100.0 // repeats that may be saved up
 	firstSaved = 10.0
 )
@@ -21,6 +29,23 @@
 // NewBudget allows repeats of a share of the requests; 0: of all.
 func NewBudget(share float64) Budget { return Budget{share: share, tokens: firstSaved} }
 
+// Share has the budget be a part of the fleet's: what is allowed whatever the load, and what may
+// be saved up, are for all gateways together, but for one repeat that each may have saved.
+func (b *Budget) Share(r Right) {
+	b.right = r
+	b.tokens = min(b.tokens, 1)
+}
+
+// Saved is how many repeats are saved up.
+func (b *Budget) Saved() float64 { return b.tokens }
+
+// Begin says what an earlier process had saved up: nobody begins with more than a new budget's, nor with that again.
+func (b *Budget) Begin(saved float64) {
+	if saved >= 0 {
+		b.tokens = min(b.tokens, saved)
+	}
+}
+
 // Asked notes a request's first attempt.
 func (b *Budget) Asked() { b.tokens = min(b.tokens+b.share, mostSaved) }
 
@@ -29,8 +54,14 @@
 	if b.share == 0 {
 		return true
 	}
+	part := 1.0
+	if b.right != nil {
+		b.right.Ask(1)
+		part = b.right.Part(now)
+		b.tokens = min(b.tokens, max(mostSaved*part, 1))
+	}
 	if dt := (now - b.at).Seconds(); b.at > 0 && dt > 0 {
-		b.tokens = min(b.tokens+dt*alwaysRate, max(b.tokens, firstSaved))
+		b.tokens = min(b.tokens+dt*AlwaysRate*part, max(b.tokens, firstSaved*part, 1))
 	}
 	b.at = now
 	if b.tokens < 1 {
--- a/state.go
+++ b/state.go
@@ -111,6 +111,64 @@
 	credit   float64 // sends that the cold budget allows now, as of creditAt
 	sharers  float64 // instances that may send to it while cold
 	creditAt Time
+
+	doubt      float64 // by others' outcomes, until doubtUntil
+	doubtUntil Time
+	said       bool // it was ejected for what others said
+	waits      bool // ... and others try it
+}
+
+// flow makes an attempt one whose body flows; stay takes that back, and leave ends either.
+func (a *attempt) flow() {
+	if !a.away {
+		a.away = true
+		a.host.flight.remove(&a.link)
+		a.host.pending--
+		a.host.streams++
+	}
+}
+
+func (a *attempt) stay() {
+	a.away = false
+	a.host.flight.pushBack(&a.link)
+	a.host.pending++
+	a.host.streams--
+}
+
+func (a *attempt) leave() {
+	if a.away {
+		a.host.streams--
+	} else {
+		a.host.pending--
+		a.host.flight.remove(&a.link)
+	}
+}
+
+// without drops those hosts from a list that are in another, in place.
+func without(list, drop []*host) []*host {
+	for _, h := range drop {
+		h.near = true
+	}
+	list = slices.DeleteFunc(list, func(h *host) bool { return h.near })
+	for _, h := range drop {
+		h.near = false
+	}
+	return list
+}
+
+// byWeight draws a host by weights.
+func (b *Balancer) byWeight(from []*host) *host {
+	sum := 0.0
+	for _, h := range from {
+		sum += h.weight()
+	}
+	at := b.float() * sum
+	for _, h := range from {
+		if at -= h.weight(); at < 0 {
+			return h
+		}
+	}
+	return from[len(from)-1]
 }
 
 // ban notes that a host is out by hand, or that it is called back and nothing that was learnt
@@ -488,3 +546,13 @@
 func (b *Balancer) wake(at Time, token uint64) {
 	b.act(Action{Kind: Wake, At: at, Token: token})
 }
+
+// saidOut is how many hosts are ejected for what others said.
+func (b *Balancer) saidOut() (n int) {
+	for _, h := range b.hosts {
+		if h.said {
+			n++
+		}
+	}
+	return n
+}
