Gateways tell each other what they have out at hosts: load nearly as even as one that sees all

The module adds others' attempts to pending where two hosts are compared, but for one request in eight, so that no word starves a host. Off unless bank.load is set. `stilespool load` shows it.

--- a/api.go
+++ b/api.go
@@ -116,6 +116,13 @@
 	Until Time    // worth nothing later
 }
 
+// Crowd is how many attempts other instances have out at a host, as far as they say and it is fresh.
+type Crowd struct {
+	Host  HostID
+	Out   float64
+	Until Time // worth nothing later
+}
+
 // HostState is what the host list says of a host.
 type HostState uint8
 
--- a/balancer.go
+++ b/balancer.go
@@ -68,6 +68,7 @@
 	streamPart  = 0.125    // what a flowing body holds of a host, in attempts: it waits for its client mostly
 	doubtLoad   = 3        // times more that a host which others doubt whole counts as slower
 	saidAims    = 2        // others' refusals do not count so long after an own answer, in shortest aims
+	blindIn     = 8        // requests of which one does not heed what others have out at hosts
 	answerSteps = 2        // steps ahead of its deadline that a request is answered at the latest
 )
 
@@ -342,12 +343,12 @@
 	}
 }
 
-// doubted is how far others' outcomes speak against a host.
-func (b *Balancer) doubted(h *host) float64 {
-	if b.now >= h.doubtUntil {
-		return 0
+// Crowded is news of what others have out at a host. It counts as own pending does where two hosts are
+// compared, but for one request in blindIn: whatever is said, each host keeps that part of its own.
+func (b *Balancer) Crowded(now Time, k Crowd) {
+	if h := b.byID[k.Host]; h != nil {
+		h.others, h.othersUntil = k.Out, k.Until
 	}
-	return h.doubt
 }
 
 // owed is a host that was called back and has answered nothing yet, if the request may go
@@ -630,18 +631,14 @@
 // are preferred and that one is remote, the less loaded of two near ones is weighed against
 // it: the near zone is used until it is slower by what crossing costs.
 func (b *Balancer) pick(r *request) *host {
+	b.picks++
+	b.heeds = float64(min(b.picks%blindIn, 1))
 	h := b.pickAny(r)
 	if h == nil || len(b.nearby) == 0 || !b.remote(h) {
 		return h
 	}
 	x, y := b.drawTwo(r, b.nearby)
-	switch {
-	case x == nil:
-		return h
-	case y != nil:
-		x = b.lighter(x, y)
-	}
-	return b.lighter(x, h)
+	return b.lighter(b.lighter(x, y), h)
 }
 
 func (b *Balancer) pickAny(r *request) *host {
@@ -730,9 +727,9 @@
 	return full
 }
 
-// lighter is the less loaded of two hosts.
+// lighter is the less loaded of two hosts, or the one that there is.
 func (b *Balancer) lighter(x, y *host) *host {
-	if b.load(y) < b.load(x) {
+	if x == nil || y != nil && b.load(y) < b.load(x) {
 		return y
 	}
 	return x
@@ -782,8 +779,9 @@
 	if b.remote(h) {
 		rtt += b.set.CrossPrice * b.aim.Seconds()
 	}
-	rtt *= 1 + doubtLoad*b.doubted(h)
-	return rtt * ((float64(h.pending)+streamPart*float64(h.streams))/h.weight() + 1)
+	rtt *= 1 + doubtLoad*b.until(h.doubt, h.doubtUntil)
+	others := b.heeds * b.until(h.others, h.othersUntil)
+	return rtt * ((float64(h.pending)+others+streamPart*float64(h.streams))/h.weight() + 1)
 }
 
 // estimate reads the RTT decayed toward zero, so that a host that was
@@ -912,8 +910,8 @@
 // sent again, while there are such: one that may not would be lost to a failing host.
 func (b *Balancer) ejected(r *request, h *host) bool {
 	unsafe := r.class.Effect == Unsafe
-	return unsafe && b.doubted(h) == 1 || h.fails > 0 && (b.now < h.ejectUntil || h.trialOut ||
-		unsafe && b.now < h.ejectUntil+trialAims*b.aim)
+	return unsafe && b.until(h.doubt, h.doubtUntil) == 1 || h.fails > 0 &&
+		(b.now < h.ejectUntil || h.trialOut || unsafe && b.now < h.ejectUntil+trialAims*b.aim)
 }
 
 // Usable says whether a request of the class could be sent to any host now, were none
--- a/cmd/stilespool/main.go
+++ b/cmd/stilespool/main.go
@@ -63,7 +63,7 @@
 	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error {
 		return usage{fmt.Errorf("%w\n%s", err, strings.TrimRight(c.UsageString(), "\n"))}
 	})
-	root.AddCommand(runCommand(), checkCommand(), routeCommand(), importCommand(), contractsCommand(), hostsCommand(), bankCommand(), quotaCommand(), limitsCommand(), verdictsCommand(), maintCommand(), memoryCommand(), moveCommand(), labCommand(), demoCommand(),
+	root.AddCommand(runCommand(), checkCommand(), routeCommand(), importCommand(), contractsCommand(), hostsCommand(), bankCommand(), quotaCommand(), limitsCommand(), verdictsCommand(), loadCommand(), maintCommand(), memoryCommand(), moveCommand(), labCommand(), demoCommand(),
 		&cobra.Command{Use: "version", Short: "say which build this is", Args: none, RunE: func(c *cobra.Command, _ []string) error { return version(c.OutOrStdout()) }})
 	return root
 }
--- a/hear_test.go
+++ b/hear_test.go
@@ -94,13 +94,29 @@
 	h := hosts(4)[0]
 	h.Started = g.now
 	g.list(ListChanges, h)
-	if g.b.doubted(g.b.byID[1]) > 0 {
+	if g.b.until(g.b.byID[1].doubt, g.b.byID[1].doubtUntil) > 0 {
 		t.Error("a doubt outlives the host's start")
 	}
 	hear(1)
 	g.advance(time.Hour)
 	g.b.Usable(g.now, 0)
-	if g.b.doubted(g.b.byID[1]) > 0 {
+	if g.b.until(g.b.byID[1].doubt, g.b.byID[1].doubtUntil) > 0 {
 		t.Error("a doubt outlives its time")
 	}
 }
+
+// What others have out counts as own pending does, but for one request in blindIn, and not beyond its end.
+func TestOthersLoadCounts(t *testing.T) {
+	g := start(t, basic(), hosts(3)...)
+	took := func(HostID) time.Duration { return 10 * ms }
+	g.serve(60, 0, took)
+	g.b.Crowded(g.now, Crowd{Host: 1, Out: 1000, Until: g.now + time.Hour})
+	g.b.Crowded(g.now, Crowd{Host: 99, Out: 1, Until: g.now + time.Hour})
+	if got := g.serve(400, 0, took); got[1] == 0 || got[1] > 400/blindIn {
+		t.Errorf("a host of which others say that it is full got %v, want some, %d at most", got, 400/blindIn)
+	}
+	g.advance(time.Hour)
+	if got := g.serve(300, 0, took); got[1] < 60 {
+		t.Errorf("behind the end of what was said hosts got %v", got)
+	}
+}
--- a/internal/bank/bank.go
+++ b/internal/bank/bank.go
@@ -41,6 +41,7 @@
 	Probe     time.Duration // between two probes; 0: 500 ms
 	Verdicts  bool          // what they meet at hosts is told among them
 	Bans      bool          // operators' words on hosts hold for all of them where asked for
+	Load      bool          // what they have out at hosts is told among them
 	Window    time.Duration // see roster.Config; 0: its default
 	Started   time.Time
 	// View gets each change of the view, with roster.Places, from one goroutine, changes within
--- a/internal/config/bank.go
+++ b/internal/config/bank.go
@@ -26,14 +26,14 @@
 	b := &f.Bank
 	if b.Talk == "" {
 		for key, set := range map[string]bool{"advertise": b.Advertise != "", "join": b.Join != nil, "join_file": b.JoinFile != "", "key_file": b.KeyFile != "",
-			"verdicts": b.Verdicts, "bans": b.Bans, "zone": b.Zone != "", "probe": b.Probe != 0, "window": b.Window != 0} {
+			"verdicts": b.Verdicts, "bans": b.Bans, "load": b.Load, "zone": b.Zone != "", "probe": b.Probe != 0, "window": b.Window != 0} {
 			if set {
 				d.fail("bank."+key, "goes with talk, the address at which this gateway hears the others")
 			}
 		}
 		return nil
 	}
-	c := &bank.Config{Name: m.Name, Zone: b.Zone, Listen: b.Talk, Advertise: b.Advertise, Typed: m.Instances, Verdicts: b.Verdicts, Bans: b.Bans, Probe: b.Probe, Window: b.Window,
+	c := &bank.Config{Name: m.Name, Zone: b.Zone, Listen: b.Talk, Advertise: b.Advertise, Typed: m.Instances, Verdicts: b.Verdicts, Bans: b.Bans, Load: b.Load, Probe: b.Probe, Window: b.Window,
 		Place: frostshift.TypedPlace(b.Rank, max(m.Instances, 1))}
 	if f.Name == "" {
 		d.fail("bank.talk", "needs a name of this gateway's own at the head of the file: members are known by their names")
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -55,6 +55,7 @@
 		Window    time.Duration `toml:"window"`
 		Verdicts  bool          `toml:"verdicts"`
 		Bans      bool          `toml:"bans"`
+		Load      bool          `toml:"load"`
 	} `toml:"bank"`
 	Contracts struct {
 		Dir string `toml:"dir"`
--- a/internal/emulator/bank.go
+++ b/internal/emulator/bank.go
@@ -16,8 +16,11 @@
 	Window time.Duration // see roster.Config
 	// Typed is how many gateways each is told of; 0: one.
 	Typed int
-	// Verdicts has gateways tell each other what they meet at hosts.
-	Verdicts bool
+	// Verdicts has gateways tell each other what they meet at hosts, Load what they have out there. Lost is the
+	// part of what they tell of load that does not come, Way how long the rest takes; 0: half of Near.
+	Verdicts, Load bool
+	Lost           float64
+	Way            time.Duration
 }
 
 // talkEvery is the time between two looks at a view.
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -206,6 +206,7 @@
 
 // gateway is one gateway with its pools.
 type gateway struct {
+	crowd *crowd // nil: what is out at hosts is not told
 	n     int
 	zone  int
 	x     *exchange.Exchange
@@ -327,6 +328,9 @@
 	if s.Talk != nil && s.Talk.Verdicts {
 		w.hearing(g)
 	}
+	if s.Talk != nil && s.Talk.Load {
+		w.crowds(g)
+	}
 	w.gateways[n] = g
 	silent := slog.New(slog.NewTextHandler(io.Discard, nil))
 	instances := s.Instances
@@ -343,6 +347,9 @@
 			Cancel: true, MaxRetryAfter: time.Second, PreferNear: s.PreferNear, CrossPrice: s.CrossPrice, ColdFrom: h.Cold, WarmAfter: h.WarmIn,
 			OverloadFactor: fallFactor, Fall: fallSlots * fallSlot}
 		cfg := exchange.PoolConfig{Name: s.Pools[i].Name, Settings: set, Seed: s.Seed + uint64(n*len(s.Pools)+i), Log: silent, Upstream: p, Met: w.met(g)}
+		if g.crowd != nil {
+			cfg.Out = g.crowd.out
+		}
 		if w.terms != nil {
 			cfg.Scheduler, cfg.Part, cfg.Door = contract.NewScheduler(1), contract.NewPart(instances), g.door
 		}
--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -217,6 +217,7 @@
 	c.attempts = append(c.attempts, a)
 	c.out++
 	p.counts.Attempts.Add(1)
+	p.outMore(a, 1)
 	a.handle = p.upstream.Start(a)
 	if c.Body != nil {
 		p.b.Feeding(now, c.id, a.n)
@@ -224,11 +225,20 @@
 	}
 }
 
+// outMore tells that an attempt is out, or is so no more, each once.
+func (p *Pool) outMore(a *Attempt, more int) {
+	if p.tellOut != nil && a.told != (more > 0) {
+		a.told = more > 0
+		p.tellOut(a.Host, more)
+	}
+}
+
 // outcome is the end of an attempt.
 func (p *Pool) outcome(now frostshift.Time, e *event) {
 	c, a := e.call, e.attempt
 	c.out--
 	a.ended = true
+	p.outMore(a, -1)
 	elapsed := a.took(e.at)
 	c.work += elapsed
 	p.unpark(now, c)
--- a/internal/exchange/flow.go
+++ b/internal/exchange/flow.go
@@ -65,6 +65,7 @@
 func (p *Pool) flows(now frostshift.Time, e *event) {
 	c, a := e.call, e.attempt
 	a.flows = true
+	p.outMore(a, -1)
 	if c.closed {
 		e.answer.Release() // nobody gets it; Flowed follows
 		return
@@ -90,6 +91,7 @@
 	c, a := e.call, e.attempt
 	c.out--
 	a.ended = true
+	p.outMore(a, -1)
 	held := a.took(e.at) / flowPart
 	if !c.over {
 		c.over = true
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -34,6 +34,9 @@
 	// answer for longer than its class's aim when its request ended is TimedOut here. It is called in
 	// the loop and must not wait; nil: nobody asks.
 	Met func(id frostshift.HostID, class int, result frostshift.Result, took frostshift.Time)
+	// Out is told of each attempt that goes out to a host, 1, and that it is out no more, -1: it has ended, or
+	// only the body of its answer is to come. It is called in the loop and must not wait; nil: nobody asks.
+	Out func(id frostshift.HostID, more int)
 	// Scheduler, Part and Door share the pool out among teams; all or none.
 	Scheduler *contract.Scheduler
 	Part      *contract.Part
@@ -59,6 +62,7 @@
 	watch    func()
 	saw      func(frostshift.HostID, bool)
 	met      func(frostshift.HostID, int, frostshift.Result, frostshift.Time)
+	tellOut  func(frostshift.HostID, int)
 	learned  *frostshift.Memory // to be taken over behind the first list
 	began    frostshift.Time    // when the loop did
 	advice   time.Duration      // when to come back where the pool itself is full; 0: none
@@ -139,7 +143,7 @@
 		return nil, err
 	}
 	p := &Pool{name: c.Name, set: c.Settings, log: c.Log, clock: x.clock, x: x, b: b, upstream: c.Upstream,
-		room: c.Room, watch: c.Watch, saw: c.Saw, met: c.Met, learned: c.Learned, sched: c.Scheduler, part: c.Part, door: c.Door, advice: c.Settings.MaxRetryAfter,
+		room: c.Room, watch: c.Watch, saw: c.Saw, met: c.Met, tellOut: c.Out, learned: c.Learned, sched: c.Scheduler, part: c.Part, door: c.Door, advice: c.Settings.MaxRetryAfter,
 		events: make(chan event, 1024), quit: make(chan struct{}), done: make(chan struct{}),
 		calls: map[frostshift.RequestID]*Call{}, jury: verdict.NewJury(), repeats: verdict.NewBudget(c.Repeats)}
 	if c.RepeatRight != nil {
@@ -249,6 +253,16 @@
 	}})
 }
 
+// Crowded gives the balancer what other gateways have out at hosts; of those that are not the pool's it takes no
+// notice.
+func (p *Pool) Crowded(list []frostshift.Crowd) {
+	p.post(event{kind: do, run: func(now frostshift.Time) {
+		for _, k := range list {
+			p.b.Crowded(now, k)
+		}
+	}})
+}
+
 // Behind runs f in the loop, behind all that has been posted so far.
 func (p *Pool) Behind(f func()) {
 	p.post(event{kind: do, run: func(frostshift.Time) { f() }})
--- a/internal/exchange/upstream.go
+++ b/internal/exchange/upstream.go
@@ -47,6 +47,7 @@
 	fed    bool          // its last byte has gone out
 	flows  bool          // its answer's body flows to the client
 	ended  bool          // the loop has its outcome
+	told   bool          // it counts as out, see PoolConfig.Out
 	handle Handle
 }
 
--- a/internal/gateway/bank.go
+++ b/internal/gateway/bank.go
@@ -12,6 +12,7 @@
 	"frostshift/internal/config"
 	"frostshift/internal/edict"
 	"frostshift/internal/hearsay"
+	"frostshift/internal/inflight"
 	"frostshift/internal/membership/keeper"
 	"frostshift/internal/roster"
 )
@@ -34,7 +35,7 @@
 	if g.rights != nil {
 		cfg.RoundTrip = g.rights.tooSlow
 	}
-	if g.rights != nil || g.hearing != nil || g.edicts != nil {
+	if g.rights != nil || g.hearing != nil || g.edicts != nil || g.loads != nil {
 		cfg.Alive, cfg.Heard = g.alive, g.heard
 	}
 	if !g.succession.joined() {
@@ -79,6 +80,9 @@
 	if g.edicts != nil {
 		g.edicts.alive(names, v)
 	}
+	if g.loads != nil {
+		g.loads.alive(names)
+	}
 }
 
 func (g *Gateway) heard(data []byte) {
@@ -91,6 +95,10 @@
 		if g.edicts != nil {
 			g.edicts.heard(data)
 		}
+	case len(data) > 0 && data[0] == inflight.Mark:
+		if g.loads != nil {
+			g.loads.heard(data)
+		}
 	case g.rights != nil:
 		g.rights.heard(data)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,7 @@
 	bank     *bank.Bank // nil: this gateway talks to no other, or not yet
 	bankOver bool       // this process has ended its part in it
 	hearing  *hearing   // nil: nothing of hosts is told among gateways
+	loads    *loads     // nil: what is out at hosts is not told among gateways
 	edicts   *edicts    // nil: operators' words hold for this gateway alone
 	rights   *rights    // nil: limits are divided evenly among gateways
 }
@@ -175,7 +176,7 @@
 	g.edicts = newEdicts(g, m)
 	g.succession = newSuccession(g, m)
 	m = g.succession.join(m)
-	g.rights, g.hearing = newRights(g, m), newHearing(g, m)
+	g.rights, g.hearing, g.loads = newRights(g, m), newHearing(g, m), newLoads(g, m)
 	if m.Management != "" {
 		var err error
 		if g.desk, err = operate.Listen(m.Management, commands{g}, g.pages(), log.With("for", "operators")); err != nil {
@@ -319,6 +320,9 @@
 	if g.hearing != nil {
 		g.running.Go(g.hearing.run)
 	}
+	if g.loads != nil {
+		g.running.Go(g.loads.run)
+	}
 	if g.edicts != nil {
 		g.running.Go(g.edicts.run)
 	}
--- a/internal/gateway/hearsay.go
+++ b/internal/gateway/hearsay.go
@@ -10,9 +10,7 @@
 
 	"frostshift"
 	"frostshift/internal/config"
-	"frostshift/internal/exchange"
 	"frostshift/internal/hearsay"
-	"frostshift/internal/membership"
 	"frostshift/internal/roster"
 	"frostshift/internal/upstream"
 )
@@ -84,13 +82,7 @@
 	for i, v := range changed {
 		list[i] = frostshift.Hearsay{Host: frostshift.HostID(v.Host), Doubt: v.Doubt, Down: v.Down, Wait: v.Wait, Until: v.Until}
 	}
-	h.g.mu.Lock()
-	pools := make([]*exchange.Pool, 0, len(h.g.pools))
-	for _, p := range h.g.pools {
-		pools = append(pools, p.ex)
-	}
-	h.g.mu.Unlock()
-	for _, p := range pools {
+	for _, p := range h.g.exchanges() {
 		p.Hear(list)
 	}
 }
@@ -188,17 +180,12 @@
 	s := VerdictsStatus{Odd: h.book.Odd(), Counts: h.book.Counts(), Lost: h.lost.Load()}
 	list := h.book.Status(h.now())
 	h.mu.Unlock()
-	names := map[hearsay.HostID]string{}
+	names := g.hostNames()
 	g.mu.Lock()
 	s.Name = g.model.Name
-	for _, p := range g.pools {
-		for _, name := range p.known.names() {
-			names[hearsay.HostID(membership.HostID(name))] = name
-		}
-	}
 	g.mu.Unlock()
 	for _, host := range list {
-		s.Hosts = append(s.Hosts, VerdictHost{names[host.Host], host})
+		s.Hosts = append(s.Hosts, VerdictHost{names[frostshift.HostID(host.Host)], host})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(s)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -88,6 +88,9 @@
 	if g.hearing != nil {
 		pc.Met, p.hearing = g.hearing.met, g.hearing
 	}
+	if g.loads != nil {
+		pc.Out = g.loads.out
+	}
 	if def.Belief != nil {
 		kc := keeper.Config{Specs: def.Sources, Belief: *def.Belief, Part: def.Part, Log: p.log, List: sink{p}.List, Silence: g.opt.Silence, Every: g.opt.LookEvery}
 		if m.Views != "" {
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -60,6 +60,7 @@
 	mux.HandleFunc("GET /quota", g.quotaStatus)
 	mux.HandleFunc("GET /verdicts", g.verdictsStatus)
 	mux.HandleFunc("GET /edicts", g.edictsStatus)
+	mux.HandleFunc("GET /load", g.loadStatus)
 	mux.HandleFunc("GET /limits", g.limitsStatus)
 	mux.HandleFunc("GET /limits/explain", g.limitsExplain)
 	return mux
--- /dev/null
+++ b/internal/inflight/inflight.go
@@ -0,0 +1,503 @@
+// Package inflight decides what a gateway tells others of the attempts that it has out at hosts, and
+// how many of theirs it may reckon with, so that gateways of which each sees little of a host's load
+// spread theirs nearly as one that sees all of it.
+//
+// Each gateway says which hosts it draws from, and tells those that draw from the same host as soon as
+// its own count there changes. A packet holds all that its teller has out where the two meet, so one that
+// comes late or twice changes nothing and the next mends one that was lost. News that is old makes herds:
+// what a teller says counts in full up to a lag of freshLag, less beyond it, and nothing from staleLag on,
+// the lag being half the round trip that echoes show and the time the packet waited at its teller. What is
+// not renewed within Lasts is gone. One teller's word stands for mostCount attempts at a host at most.
+// docs/design/even.md has the measurements and the bounds.
+//
+// It does no I/O and reads no clock; instants and packets are handed in, and the same code runs on sockets
+// and in a simulation. It knows hosts by number, and neither pools nor requests. A Book is not safe for
+// concurrent use.
+//
+// inflight.go is what is told and held, packet.go the form in which gateways say it.
+package inflight
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Time is an instant on one process's clock, which never goes backward. Clocks of different processes
+// are not compared.
+type Time = time.Duration
+
+// HostID is a host, by a number that all gateways make alike of its name.
+type HostID uint64
+
+const (
+	// Lasts is how long a count stands that is not told again; one that is not zero is told renews times
+	// in it. It is the bound on how stale what is held can be.
+	Lasts    = 1500 * time.Millisecond
+	renews   = 3
+	pace     = 5 * time.Millisecond   // between two packets to one member
+	again    = 200 * time.Millisecond // until a count that fell is told once more, if nothing was since
+	perSec   = 400                    // packets that a gateway sends, and burst at once
+	burst    = 100
+	freshLag = 100 * time.Millisecond
+	staleLag = 250 * time.Millisecond
+	echoOld  = 2 * time.Second // an echo held for longer says nothing of the way
+	weights  = 16              // parts in which a teller's weight is reckoned
+	// mostCount is what one teller can say of a host, mostHosts of how many it may speak, and how many
+	// it draws from by name: from more than that it draws from all.
+	mostCount = 8
+	mostHosts = 128
+	mostPeers = 4096
+	scanEvery = 100 * time.Millisecond
+	usesEvery = 10 * time.Second // the hosts drawn from are said again
+	usesLast  = 10 * time.Second // after the last time that one was
+	usesPause = time.Second      // between two tellings of changes, and before the first is repeated
+	// mostReplies is how often one that knows nothing of the way is greeted out of turn.
+	mostReplies = 2
+)
+
+// News is how many attempts others have out at a host, as far as they count here. It is worth nothing
+// from Until on.
+type News struct {
+	Host  HostID
+	Out   float64
+	Until Time
+}
+
+// count is what a teller has out at a host.
+type count struct {
+	host HostID
+	n    int
+}
+
+// peer is another gateway.
+type peer struct {
+	name string
+	uses []HostID // that it draws from
+	all  bool     // ... from more than can be named
+	// What it was told: when, whether anything was out, and what waits to be told since when.
+	toldAt Time
+	told   bool
+	queued bool
+	since  Time
+	// The hosts drawn from are to be said to it at greetAt, and again after pause unless it knows them.
+	greetAt, pause Time
+	replies        int // greetings in answer, since the last of its time
+	// What it says.
+	session uint32
+	stamp   uint32 // of the last packet, on its clock in ms
+	stampAt Time   // when that came
+	out     []count
+	weight  int // in which out stands in the sums
+	heardAt Time
+	trip    Time // there and back
+	tripped bool
+}
+
+// sum is what others have out at a host, in parts of weights.
+type sum struct {
+	parts int
+	said  Time // when News of it was last given
+	news  bool // it has changed since
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Sent, Taken, Strange int64 // packets
+	Held                 int64 // packets that waited for the rate
+}
+
+// Book is what one gateway tells and holds.
+type Book struct {
+	self    string
+	session uint32
+	peers   map[string]*peer
+	own     map[HostID]int
+	drawn   map[HostID]Time    // when this gateway was last said to draw from it
+	said    []HostID           // as others were told
+	saidAt  Time               // when that changed
+	users   map[HostID][]*peer // that draw from a host
+	wide    []*peer            // that draw from all
+	sums    map[HostID]*sum
+	fresh   []HostID // whose sums have changed
+	queue   []*peer
+	agains  []later
+	tokens  float64
+	filled  Time
+	scanAt  Time
+	counts  Counts
+}
+
+// later is a peer that is to be told once more.
+type later struct {
+	at   Time
+	peer *peer
+	told Time // unless it was since
+}
+
+// New makes a book of a gateway that knows nobody. The session tells its processes apart.
+func New(self string, session uint32) *Book {
+	return &Book{self: self, session: session, peers: map[string]*peer{}, own: map[HostID]int{}, drawn: map[HostID]Time{}, users: map[HostID][]*peer{}, sums: map[HostID]*sum{}, tokens: burst}
+}
+
+// View says who else is held alive. What one who is not has said counts no more.
+func (b *Book) View(now Time, names []string) {
+	there := make(map[string]bool, len(names))
+	for _, name := range names {
+		there[name] = true
+		if name != b.self && b.peers[name] == nil && len(b.peers) < mostPeers {
+			p := &peer{name: name, greetAt: now, pause: usesPause}
+			b.peers[name] = p
+		}
+	}
+	for name, p := range b.peers {
+		if !there[name] {
+			b.holds(p, nil, 0)
+			b.draws(p, nil, false)
+			delete(b.peers, name)
+		}
+	}
+	b.queue = slices.DeleteFunc(b.queue, func(p *peer) bool { return b.peers[p.name] != p })
+}
+
+// Draws says which hosts this gateway draws from now.
+func (b *Book) Draws(now Time, hosts []HostID) {
+	for _, h := range hosts {
+		b.drawn[h] = now
+	}
+	for h, at := range b.drawn {
+		if now-at > usesLast {
+			delete(b.drawn, h)
+		}
+	}
+	list := make([]HostID, 0, len(b.drawn))
+	for h := range b.drawn {
+		list = append(list, h)
+	}
+	slices.Sort(list)
+	if slices.Equal(list, b.said) || b.saidAt > 0 && now-b.saidAt < usesPause {
+		return
+	}
+	b.said, b.saidAt = list, now
+	for _, p := range b.peers {
+		p.greetAt, p.pause = now, usesPause
+	}
+}
+
+// Out notes that this gateway has so many attempts more, or fewer, out at a host.
+func (b *Book) Out(now Time, h HostID, more int) {
+	n := b.own[h] + more
+	if b.own[h] = n; n <= 0 {
+		delete(b.own, h)
+	}
+	for _, list := range [][]*peer{b.users[h], b.wide} {
+		for _, p := range list {
+			b.tell(now, p)
+			if more < 0 {
+				b.agains = append(b.agains, later{now + again, p, now})
+			}
+		}
+	}
+	if len(b.agains) > 4*mostPeers { // far beyond what the rate lets out: they are renewed anyway
+		b.agains = b.agains[:0]
+	}
+}
+
+// tell has a peer told.
+func (b *Book) tell(now Time, p *peer) {
+	if !p.queued {
+		p.queued, p.since = true, now
+		b.queue = append(b.queue, p)
+	}
+}
+
+// Next is when Tick has something to do.
+func (b *Book) Next(now Time) Time {
+	next := b.scanAt
+	if len(b.agains) > 0 {
+		next = min(next, b.agains[0].at)
+	}
+	switch {
+	case len(b.fresh) > 0 || len(b.queue) > 0 && b.queue[0].toldAt+pace <= now && b.tokens >= 1:
+		return now
+	case len(b.queue) > 0:
+		next = min(next, now+pace)
+	}
+	return max(next, now)
+}
+
+// Tick looks at what is due, and returns what is to be sent and what has changed. The lists are the
+// caller's.
+func (b *Book) Tick(now Time) (out []Packet, news []News) {
+	b.tokens = min(burst, b.tokens+perSec*(now-b.filled).Seconds())
+	b.filled = now
+	for len(b.agains) > 0 && b.agains[0].at <= now {
+		if a := b.agains[0]; b.peers[a.peer.name] == a.peer && a.peer.toldAt <= a.told+2*pace {
+			b.tell(now, a.peer)
+		}
+		b.agains = b.agains[1:]
+	}
+	if now >= b.scanAt {
+		out = b.scan(now)
+	}
+	waits := b.queue[:0]
+	for i, p := range b.queue {
+		switch {
+		case now < p.toldAt+pace && p.toldAt > 0:
+			waits = append(waits, p)
+		case !b.may():
+			b.counts.Held += int64(len(b.queue) - i)
+			b.queue = append(waits, b.queue[i:]...)
+			return out, b.changed(now)
+		default:
+			out = append(out, b.packet(now, p, kindOut))
+			p.queued, p.toldAt = false, now
+		}
+	}
+	b.queue = waits
+	return out, b.changed(now)
+}
+
+// may takes a packet from the rate, if there is one.
+func (b *Book) may() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// scan greets, renews what is told, and lets what was not renewed go.
+func (b *Book) scan(now Time) (out []Packet) {
+	b.scanAt = now + scanEvery
+	for _, p := range b.peers {
+		// What is out goes before, but one is greeted in any case.
+		if p.greetAt <= now && (len(out) == 0 || b.tokens > burst/2) && b.may() {
+			p.greetAt, p.replies = now+p.pause, 0
+			p.pause = min(2*p.pause, usesEvery)
+			out = append(out, b.packet(now, p, kindDraws))
+		}
+		if p.out != nil && now-p.heardAt >= Lasts {
+			b.holds(p, nil, 0)
+		}
+		if p.told && now-p.toldAt >= Lasts/renews {
+			b.tell(now, p)
+		}
+	}
+	for h, s := range b.sums {
+		switch {
+		case s.parts > 0 && now-s.said >= Lasts/renews:
+			b.mark(h, s)
+		case s.parts == 0 && !s.news:
+			delete(b.sums, h)
+		}
+	}
+	return out
+}
+
+func (b *Book) mark(h HostID, s *sum) {
+	if !s.news {
+		s.news = true
+		b.fresh = append(b.fresh, h)
+	}
+}
+
+// changed is what is to be said of sums that have changed.
+func (b *Book) changed(now Time) (news []News) {
+	for _, h := range b.fresh {
+		s := b.sums[h]
+		s.news, s.said = false, now
+		news = append(news, News{h, float64(s.parts) / weights, now + Lasts})
+	}
+	b.fresh = b.fresh[:0]
+	return news
+}
+
+// holds puts what a peer says in the place of what it said before.
+func (b *Book) holds(p *peer, list []count, weight int) {
+	add := func(list []count, weight int) {
+		for _, c := range list {
+			s := b.sums[c.host]
+			if s == nil {
+				s = &sum{}
+				b.sums[c.host] = s
+			}
+			s.parts += c.n * weight
+			b.mark(c.host, s)
+		}
+	}
+	add(p.out, -p.weight)
+	add(list, weight)
+	p.out, p.weight = list, weight
+}
+
+// draws notes the hosts that a peer draws from.
+func (b *Book) draws(p *peer, list []HostID, all bool) {
+	for _, h := range p.uses {
+		b.users[h] = slices.DeleteFunc(b.users[h], func(o *peer) bool { return o == p })
+		if len(b.users[h]) == 0 {
+			delete(b.users, h)
+		}
+	}
+	if p.all {
+		b.wide = slices.DeleteFunc(b.wide, func(o *peer) bool { return o == p })
+	}
+	p.uses, p.all = list, all
+	for _, h := range list {
+		b.users[h] = append(b.users[h], p)
+	}
+	if all {
+		b.wide = append(b.wide, p)
+	}
+}
+
+// shared is what this gateway has out where a peer draws.
+func (b *Book) shared(p *peer) (list []count) {
+	if p.all {
+		for h, n := range b.own {
+			list = append(list, count{h, n})
+		}
+	} else {
+		for _, h := range p.uses {
+			if n := b.own[h]; n > 0 {
+				list = append(list, count{h, n})
+			}
+		}
+	}
+	if len(list) > mostHosts { // the fullest first
+		slices.SortFunc(list, func(x, y count) int { return y.n - x.n })
+		list = list[:mostHosts]
+	}
+	slices.SortFunc(list, func(x, y count) int { return cmp.Compare(x.host, y.host) })
+	return list
+}
+
+// packet says to a peer what is out where it draws, or where this gateway does.
+func (b *Book) packet(now Time, p *peer, kind byte) Packet {
+	m := message{kind: kind, asks: !p.tripped, from: b.self, session: b.session, stamp: stampOf(now), held: noEcho, knows: digest(p.uses, p.all)}
+	if held := now - p.stampAt; p.stampAt > 0 && held < echoOld {
+		m.echo, m.held = p.stamp, held
+	}
+	if kind == kindDraws {
+		m.all = len(b.said) > mostHosts
+		for _, h := range b.said[:min(len(b.said), mostHosts)] {
+			m.list = append(m.list, count{h, 0})
+		}
+	} else {
+		m.waited = now - p.since
+		m.list = b.shared(p)
+		p.told = len(m.list) > 0
+	}
+	b.counts.Sent++
+	return Packet{p.name, m.encode()}
+}
+
+// Take takes in what another gateway says. What is strange is counted and dropped.
+func (b *Book) Take(now Time, data []byte) {
+	var m message
+	p := (*peer)(nil)
+	if m.decode(data) {
+		p = b.peers[m.from]
+	}
+	if p == nil {
+		b.counts.Strange++
+		return
+	}
+	b.counts.Taken++
+	if m.session == p.session && int32(m.stamp-p.stamp) < 0 {
+		return // one that was sent later has come
+	}
+	p.session, p.stamp, p.stampAt = m.session, m.stamp, now
+	if m.held != noEcho {
+		trip := Time(int32(stampOf(now)-m.echo))*time.Millisecond - m.held
+		switch trip = max(0, trip); {
+		case trip > 2*echoOld: // an echo of another process of this name
+		case !p.tripped:
+			p.trip, p.tripped = trip, true
+		default:
+			p.trip += (trip - p.trip) / 4
+		}
+	}
+	switch {
+	case m.knows == digest(b.said, len(b.said) > mostHosts): // it knows where to tell this gateway
+		p.greetAt, p.pause = max(p.greetAt, now+usesEvery/2), usesEvery
+	case p.pause == usesEvery && p.greetAt > now+usesPause:
+		p.greetAt, p.pause = now, usesPause
+	}
+	if m.asks && p.replies < mostReplies {
+		p.greetAt = now
+		p.replies++
+	}
+	if m.kind == kindDraws {
+		list := make([]HostID, len(m.list))
+		for i, c := range m.list {
+			list[i] = c.host
+		}
+		if !slices.Equal(list, p.uses) || m.all != p.all {
+			b.draws(p, list, m.all)
+			b.tell(now, p)
+		}
+		return
+	}
+	p.heardAt = now
+	b.holds(p, m.list, b.weigh(p, m.waited))
+}
+
+// weigh is how much what a peer says counts: whole while it is fresh, and not at all where nothing is
+// known of the way.
+func (b *Book) weigh(p *peer, waited Time) int {
+	if !p.tripped {
+		return 0
+	}
+	lag := p.trip/2 + waited
+	return int(weights * min(1, max(0, staleLag-lag).Seconds()/(staleLag-freshLag).Seconds()))
+}
+
+// Counts are the totals.
+func (b *Book) Counts() Counts { return b.counts }
+
+// Status is what others have out at a host, for operators.
+type Status struct {
+	Host    HostID
+	Own     int
+	Others  float64 // as far as it counts
+	Tellers []Teller
+}
+
+// Teller is one who has attempts out at a host.
+type Teller struct {
+	Name   string
+	Out    int
+	Weight float64
+	Lag    time.Duration // half the round trip
+	Age    time.Duration
+}
+
+// Status is what is held of hosts at which anybody has something out, by number.
+func (b *Book) Status(now Time) (list []Status) {
+	by := map[HostID]*Status{}
+	at := func(h HostID) *Status {
+		if by[h] == nil {
+			by[h] = &Status{Host: h, Own: b.own[h]}
+			if s := b.sums[h]; s != nil {
+				by[h].Others = float64(s.parts) / weights
+			}
+		}
+		return by[h]
+	}
+	for h := range b.own {
+		at(h)
+	}
+	for _, p := range b.peers {
+		for _, c := range p.out {
+			s := at(c.host)
+			s.Tellers = append(s.Tellers, Teller{p.name, c.n, float64(p.weight) / weights, p.trip / 2, now - p.heardAt})
+		}
+	}
+	for _, s := range by {
+		slices.SortFunc(s.Tellers, func(x, y Teller) int { return y.Out - x.Out })
+		list = append(list, *s)
+	}
+	slices.SortFunc(list, func(x, y Status) int { return cmp.Compare(x.Host, y.Host) })
+	return list
+}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -49,7 +49,7 @@
 	log  *slog.Logger
 }
 
-// Listen opens the address; Serve serves. stats answers GET /stats and what is asked at /quota, /verdicts and /edicts, and at or below /bank and /limits; nil: nothing does.
+// Listen opens the address; Serve serves. stats answers GET /stats and what is asked at /quota, /verdicts, /edicts and /load, and at or below /bank and /limits; nil: nothing does.
 func Listen(address string, do Commands, stats http.Handler, log *slog.Logger) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
@@ -69,6 +69,7 @@
 		mux.Handle("/quota", stats)
 		mux.Handle("/verdicts", stats)
 		mux.Handle("/edicts", stats)
+		mux.Handle("/load", stats)
 		mux.Handle("/limits", stats)
 		mux.Handle("/limits/", stats)
 	}
--- a/internal/proving/config.go
+++ b/internal/proving/config.go
@@ -19,8 +19,9 @@
 	// Join is where processes that talk find others, Probe the time between two probes of theirs.
 	Join  []string
 	Probe time.Duration
-	// Verdicts has them tell each other of hosts, Bans take operators' words for all of them.
-	Verdicts, Bans bool
+	// Verdicts has them tell each other of hosts, Bans take operators' words for all of them, Load tell what
+	// they have out.
+	Verdicts, Bans, Load bool
 }
 
 // Text is the configuration of the process of a rank.
@@ -33,7 +34,7 @@
 		if bank == "" {
 			bank = "[bank]\n"
 		}
-		bank = fmt.Sprintf("%stalk = %q\nadvertise = %q\njoin = [\"%s\"]\nprobe = %q\nverdicts = %v\nbans = %v\n", bank, p.talk, p.Advertise, strings.Join(s.Join, `", "`), s.Probe, s.Verdicts, s.Bans)
+		bank = fmt.Sprintf("%stalk = %q\nadvertise = %q\njoin = [\"%s\"]\nprobe = %q\nverdicts = %v\nbans = %v\nload = %v\n", bank, p.talk, p.Advertise, strings.Join(s.Join, `", "`), s.Probe, s.Verdicts, s.Bans, s.Load)
 	}
 	if p.Desk != "" {
 		bank = fmt.Sprintf("management = %q\n", p.Desk) + bank
--- a/internal/proving/verdicts.go
+++ b/internal/proving/verdicts.go
@@ -9,6 +9,12 @@
 	"frostshift/internal/gateway"
 )
 
+// Told asks a process what gateways have out at hosts.
+func (p *Process) Told(ctx context.Context) (s gateway.LoadStatus, err error) {
+	err = p.read(ctx, "/load", &s)
+	return s, err
+}
+
 // Verdicts asks a process what gateways say of hosts.
 func (p *Process) Verdicts(ctx context.Context) (s gateway.VerdictsStatus, err error) {
 	err = p.read(ctx, "/verdicts", &s)
--- a/standing.go
+++ b/standing.go
@@ -87,3 +87,13 @@
 	}
 	return s
 }
+
+// Drawn are the hosts that requests are dealt to, also those that can take none just now.
+func (s *Standing) Drawn() (list []HostID) {
+	for _, h := range s.Hosts {
+		if h.Use != UseBeyond && h.Use != UseLeaving && h.Use != UseBackup {
+			list = append(list, h.ID)
+		}
+	}
+	return list
+}
--- a/state.go
+++ b/state.go
@@ -36,9 +36,11 @@
 	stood   Time // how long the gateway itself has stood still in all
 	outNow  int  // attempts out at the last sweep or sent since
 
-	aim            Time            // shortest aim of any class
-	longAim        Time            // longest
-	pass           uint64          // through the hosts, as cards are dealt
+	aim            Time   // shortest aim of any class
+	longAim        Time   // longest
+	pass           uint64 // through the hosts, as cards are dealt
+	picks          uint64
+	heeds          float64         // 1: the pick under way heeds what others have out; 0: it does not
 	noise          evidence.Mean   // the same less their host's
 	works          evidence.Mean   // logarithms of times over their class's mean, of all hosts
 	gap            mean            // seconds between samples of a host
@@ -112,10 +114,12 @@
 	sharers  float64 // instances that may send to it while cold
 	creditAt Time
 
-	doubt      float64 // by others' outcomes, until doubtUntil
-	doubtUntil Time
-	said       bool // it was ejected for what others said
-	waits      bool // ... and others try it
+	doubt       float64 // by others' outcomes, until doubtUntil
+	doubtUntil  Time
+	said        bool    // it was ejected for what others said
+	waits       bool    // ... and others try it
+	others      float64 // attempts that other instances have out there, until othersUntil
+	othersUntil Time
 }
 
 // flow makes an attempt one whose body flows; stay takes that back, and leave ends either.
@@ -195,6 +199,14 @@
 	}
 }
 
+// until is what was said with an end to its worth.
+func (b *Balancer) until(x float64, end Time) float64 {
+	if b.now >= end {
+		return 0
+	}
+	return x
+}
+
 // paid notes that a host is owed nothing.
 func (b *Balancer) paid(h *host) {
 	if len(b.owing) > 0 {
