Forty processes: half killed, thirty started together, a rolling restart in tenths

Views agree after each, budgets go by all that may live meanwhile, no rule breaks and no request that may be made again is lost. The harness ended what was out with the load; it waits for its answers now.

--- a/internal/proving/bank_test.go
+++ b/internal/proving/bank_test.go
@@ -105,6 +105,67 @@
 	}
 }
 
+// Forty under load: half of them killed at once, which those that are left can't tell from a cut and so go on
+// reckoning with; thirty that start within a second of one another; a rolling restart in tenths. Views agree
+// after each, budgets go by all that there may be meanwhile, no rule breaks and no request that may be made
+// again is lost.
+func TestFortyProcesses(t *testing.T) {
+	const n = 40
+	w := launch(t, Setup{Gateways: n, Hosts: 8, Talk: true, Direct: true, Shape: Shape{Gateways: 7, Effect: "safe", Probe: 200 * time.Millisecond}})
+	all := w.List
+	agree(t, "at the start", all, all, roster.Whole)
+	done := make(chan Seen, 1)
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	go func() { done <- w.load(11, 80, time.Hour).Run(ctx, w.Audit, all) }()
+
+	left := all[n/2:]
+	for _, p := range all[:n/2] {
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range all[:n/2] {
+		<-p.Ended()
+	}
+	agree(t, "half are killed at once", left, left, roster.Minority)
+	for _, p := range left {
+		s, err := p.Bank(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.View.Most < n || s.View.Least > n/2 {
+			t.Errorf("%s goes by %d at least and %d at most, while half may only be cut off", p.Name, s.View.Least, s.View.Most)
+		}
+	}
+	for _, p := range left[:n/4] {
+		p.Signal(syscall.SIGTERM)
+	}
+	for _, p := range left[:n/4] {
+		<-p.Ended()
+	}
+	if err := StartAll(t.Context(), all[:3*n/4]); err != nil {
+		t.Fatal(err)
+	}
+	agree(t, "thirty have started together", all, all, roster.Whole)
+	for i := 0; i < n; i += n / 10 {
+		part := all[i : i+n/10]
+		for _, p := range part {
+			p.Signal(syscall.SIGTERM)
+		}
+		for _, p := range part {
+			<-p.Ended()
+		}
+		if err := StartAll(t.Context(), part); err != nil {
+			t.Fatal(err)
+		}
+	}
+	agree(t, "a rolling restart", all, all, roster.Whole)
+	end()
+	seen := <-done
+	if w.check(t, seen); seen.Lost > 0 {
+		t.Errorf("%d requests have no answer though they may be made again", seen.Lost)
+	}
+}
+
 // A processor shortage: every process stands still for a moment in turn. Hardly any that lives is
 // given up meanwhile, and none afterwards.
 func TestShortStallsAreNoDeaths(t *testing.T) {
--- a/internal/proving/load.go
+++ b/internal/proving/load.go
@@ -241,7 +241,7 @@
 		audit.mu.Lock()
 		audit.asked[name] = q
 		audit.mu.Unlock()
-		ctx, end := context.WithTimeout(ctx, l.Within+audit.Slack)
+		ctx, end := context.WithTimeout(context.WithoutCancel(ctx), l.Within+audit.Slack) // the load ends, what is out does not
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+to[n].Addr+path, nil)
 		if err != nil {
 			panic(err) // the address is the kernel's
--- a/internal/proving/world.go
+++ b/internal/proving/world.go
@@ -19,8 +19,8 @@
 	Gateways int
 	Shape    Shape // its hosts and where to join are filled in
 	// Talk has the processes know each other, through a mesh. Those that talk can be asked how they
-	// stand; with Manage others can be, too.
-	Talk, Manage bool
+	// stand; with Manage others can be, too. Direct leaves out the mesh: it would be short of processor time.
+	Talk, Manage, Direct bool
 	// Teams have contracts; those with a rate share it as package quota does, by this Lease.
 	Teams []Team
 	Lease time.Duration
@@ -62,7 +62,7 @@
 		}
 		w.Shape.Hosts = append(w.Shape.Hosts, addr)
 	}
-	if s.Talk {
+	if s.Talk && !s.Direct {
 		w.Mesh = NewMesh(s.Seed)
 	}
 	for n := range s.Gateways {
--- a/internal/rig/spread.go
+++ b/internal/rig/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -13,6 +14,7 @@
 
 	"frostshift/internal/emulator"
 	"frostshift/internal/proving"
+	"frostshift/internal/roster"
 )
 
 // spreadDay is a load through so many processes of the program.
@@ -26,6 +28,7 @@
 	bad      float64 // part of the hosts, the first
 	nature   func(*proving.Nature)
 	killed   float64 // part of the gateways, killed after 2 s and started again at once
+	tells    bool    // gateways know each other and tell what they have out at hosts
 	// Aims; 0: none.
 	refused, p99, least, most, spread float64
 }
@@ -65,6 +68,7 @@
 	defer done()
 	slow := func(n *proving.Nature) { n.Slow = 4 }
 	fails := func(n *proving.Nature) { n.Errors = 0.2 }
+	tells := func(d *spreadDay) { d.tells = true }
 	even := spreadDay{refused: 0.001, p99: 1.15, least: 0.8, most: 1.25, spread: 0.9}
 	with := func(name string, gateways, hosts int, load float64, change func(*spreadDay)) spreadDay {
 		d := even
@@ -84,6 +88,10 @@
 		with("told twice as many", 100, 40, 0.6, func(d *spreadDay) { d.told = 2 }),
 		with("an eighth slow by 4", 100, 40, 0.6, func(d *spreadDay) { d.bad, d.nature, d.p99 = 0.125, slow, 1.3 }),
 		with("an eighth fail 1 in 5", 100, 40, 0.6, func(d *spreadDay) { d.bad, d.nature = 0.125, fails }),
+		with("even, load told", 20, 40, 0.6, tells),
+		with("even, load told", 100, 40, 0.6, tells),
+		with("even, load told", 200, 40, 0.6, tells),
+		with("an eighth slow by 4, load told", 100, 40, 0.6, func(d *spreadDay) { tells(d); d.bad, d.nature, d.p99 = 0.125, slow, 1.3 }),
 		with("seven in ten killed", 100, 40, 0.6, func(d *spreadDay) { d.killed = 0.7 }),
 	}
 	fmt.Fprintf(out, "seed %d; work lognormal, mean %v, sigma %v; hosts of two cores; %v each; \"sees all\" is a picker that sees every queue, on the emulator\n\n", spreadSeed, spreadWork, spreadSigma, spreadFor)
@@ -104,14 +112,14 @@
 
 // play plays one day and prints its row; how many aims it is short of.
 func (d *spreadDay) play(out io.Writer, program, dir string) (short int, err error) {
-	shape := proving.Shape{Gateways: d.gateways, Effect: "safe", Aim: 600 * time.Millisecond, Deadline: 2 * time.Second}
+	shape := proving.Shape{Gateways: d.gateways, Effect: "safe", Aim: 600 * time.Millisecond, Deadline: 2 * time.Second, Probe: 500 * time.Millisecond, Load: d.tells}
 	if d.told > 0 {
 		shape.Gateways = int(math.Ceil(d.told * float64(d.gateways)))
 	}
 	bad := int(d.bad*float64(d.hosts) + 0.5)
 	ctx, end := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer end()
-	w, err := proving.NewWorld(ctx, proving.Setup{Program: program, Dir: dir, Seed: spreadSeed, Hosts: d.hosts, Gateways: d.gateways, Shape: shape, Nature: func(n int) proving.Nature {
+	w, err := proving.NewWorld(ctx, proving.Setup{Program: program, Dir: dir, Seed: spreadSeed, Hosts: d.hosts, Gateways: d.gateways, Shape: shape, Talk: d.tells, Direct: true, Nature: func(n int) proving.Nature {
 		nature := proving.Nature{Cores: 2, Queue: 100}
 		if n < bad {
 			d.nature(&nature)
@@ -123,6 +131,11 @@
 	}
 	defer w.Close()
 	audit, list, ready := w.Audit, w.List, w.Ready
+	if d.tells {
+		if err := meet(ctx, list); err != nil {
+			return 0, err
+		}
+	}
 	if d.killed > 0 {
 		timer := time.AfterFunc(2*time.Second, func() {
 			part := list[:int(d.killed*float64(len(list)))]
@@ -168,6 +181,25 @@
 	return len(missed), nil
 }
 
+// meet waits until all that talk hold just each other for alive.
+func meet(ctx context.Context, list []*proving.Process) error {
+	names := map[string]bool{}
+	for _, p := range list {
+		names[p.Name] = true
+	}
+	for {
+		ok, why := proving.Agree(ctx, list, names, roster.Whole)
+		if ok {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("views do not agree: " + why)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
 // seesAll is the p99, in milliseconds, of a picker that sees every queue on the same day.
 func (d *spreadDay) seesAll() (float64, error) {
 	list := make([]emulator.Host, d.hosts)
