--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -36,7 +36,9 @@
 	Lasts    = 1500 * time.Millisecond
 	renews   = 3
 	pace     = 5 * time.Millisecond   // between two packets to one member
-	again    = 200 * time.Millisecond // until a count that fell is told once more, if nothing was since
+	again    = 200 * time.Millisecond // until a count that fell is told once more, where packets are lost and nothing was told since
+	lossy    = 0.01                   // part of the packets that are lost, from which on that is so
+	lossSpan = 20                     // packets of which the part is a mean
 	perSec   = 400                    // packets that a gateway sends, and burst at once
 	burst    = 100
 	freshLag = 100 * time.Millisecond
@@ -50,7 +52,7 @@
 	mostPeers = 4096
 	scanEvery = 100 * time.Millisecond
 	usesEvery = 10 * time.Second // the hosts drawn from are said again
-	usesLast  = 10 * time.Second // after the last time that one was
+	usesLast  = 3 * time.Second  // after the last time that one was
 	usesPause = time.Second      // between two tellings of changes, and before the first is repeated
 	// mostReplies is how often one that knows nothing of the way is greeted out of turn.
 	mostReplies = 2
@@ -82,11 +84,15 @@
 	since  Time
 	// The hosts drawn from are to be said to it at greetAt, and again after pause unless it knows them.
 	greetAt, pause Time
-	replies        int // greetings in answer, since the last of its time
+	sent           uint16  // packets
+	loses          float64 // part of them that it says does not come
+	replies        int     // greetings in answer, since the last of its time
 	// What it says.
 	session uint32
-	stamp   uint32 // of the last packet, on its clock in ms
-	stampAt Time   // when that came
+	seq     uint16  // of the last packet
+	lost    float64 // part of its packets that did not come
+	stamp   uint32  // of the last packet, on its clock in ms
+	stampAt Time    // when that came
 	out     []count
 	weight  int // in which out stands in the sums
 	heardAt Time
@@ -193,7 +199,7 @@
 	for _, list := range [][]*peer{b.users[h], b.wide} {
 		for _, p := range list {
 			b.tell(now, p)
-			if more < 0 {
+			if more < 0 && p.loses >= lossy {
 				b.agains = append(b.agains, later{now + again, p, now})
 			}
 		}
@@ -389,6 +395,8 @@
 		p.told = len(m.list) > 0
 	}
 	b.counts.Sent++
+	p.sent++
+	m.seq, m.loses = p.sent, p.lost
 	return Packet{p.name, m.encode()}
 }
 
@@ -407,7 +415,14 @@
 	if m.session == p.session && int32(m.stamp-p.stamp) < 0 {
 		return // one that was sent later has come
 	}
-	p.session, p.stamp, p.stampAt = m.session, m.stamp, now
+	if m.session == p.session {
+		for range min(max(0, int(int16(m.seq-p.seq))-1), lossSpan) {
+			p.lost += (1 - p.lost) / lossSpan
+		}
+	}
+	p.lost -= p.lost / lossSpan
+	p.loses = m.loses
+	p.session, p.seq, p.stamp, p.stampAt = m.session, m.seq, m.stamp, now
 	if m.held != noEcho {
 		trip := Time(int32(stampOf(now)-m.echo))*time.Millisecond - m.held
 		switch trip = max(0, trip); {
--- a/internal/inflight/packet.go
+++ b/internal/inflight/packet.go
@@ -23,7 +23,7 @@
 	kindWide      = 3    // it draws from more hosts than can be named
 	asksBit       = 0x80 // with the kind: the speaker knows nothing of the way back yet
 	mostName      = 64
-	headBytes     = 5 + 4 + 4 + 4 + 2 + 2 + 2
+	headBytes     = 5 + 4 + 4 + 4 + 2 + 2 + 2 + 2 + 1
 	noEcho        = 65535 * time.Millisecond
 )
 
@@ -38,6 +38,8 @@
 	held    time.Duration // since when; noEcho: nothing came of late
 	waited  time.Duration // since what it says has changed
 	knows   uint16        // digest of the hosts that the one spoken to is held to draw from
+	seq     uint16        // of packets to the one spoken to
+	loses   float64       // part of what that one sends that does not come
 	list    []count
 }
 
@@ -60,6 +62,8 @@
 	b = binary.BigEndian.AppendUint16(b, uint16(min(max(m.held, 0), noEcho)/time.Millisecond))
 	b = binary.BigEndian.AppendUint16(b, uint16(min(max(m.waited, 0), noEcho)/time.Millisecond))
 	b = binary.BigEndian.AppendUint16(b, m.knows)
+	b = binary.BigEndian.AppendUint16(b, m.seq)
+	b = append(b, byte(100*min(max(m.loses, 0), 1)))
 	for _, c := range m.list {
 		b = binary.BigEndian.AppendUint64(b, uint64(c.host))
 		b = append(b, byte(min(c.n, mostCount)))
@@ -89,7 +93,8 @@
 	m.held = time.Duration(binary.BigEndian.Uint16(b[12:])) * time.Millisecond
 	m.waited = time.Duration(binary.BigEndian.Uint16(b[14:])) * time.Millisecond
 	m.knows = binary.BigEndian.Uint16(b[16:])
-	b = b[18:]
+	m.seq, m.loses = binary.BigEndian.Uint16(b[18:]), min(1, float64(b[20])/100)
+	b = b[21:]
 	for i := range hosts {
 		c := count{HostID(binary.BigEndian.Uint64(b[9*i:])), int(b[9*i+8])}
 		if c.n > mostCount || i > 0 && c.host <= m.list[i-1].host { // in order, and so each once
