--- a/cmd/stilespool/bank.go
+++ b/cmd/stilespool/bank.go
@@ -91,6 +91,21 @@
 	return m, err
 }
 
+// pageCommand shows a page of the running gateway; has is askRunning's.
+func pageCommand[T any](use, short, page string, has func(*config.Model) error, show func(T, io.Writer)) *cobra.Command {
+	c := &cobra.Command{Use: use, Short: short, Args: none}
+	path := c.Flags().String("config", "", "configuration `file`")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		var s T
+		_, err := askRunning(c, *path, page, has, &s)
+		if err == nil {
+			show(s, c.OutOrStdout())
+		}
+		return err
+	}
+	return c
+}
+
 // configured reads the configuration that a command is told of.
 func configured(c *cobra.Command, path string) (*config.Model, error) {
 	if path == "" {
--- a/cmd/stilespool/load.go
+++ b/cmd/stilespool/load.go
@@ -14,23 +14,12 @@
 
 // loadCommand shows what gateways have out at hosts, as the running one holds it.
 func loadCommand() *cobra.Command {
-	c := &cobra.Command{Use: "load", Short: "show what this gateway and the others have out at hosts, and how far their word counts here", Args: none}
-	path := c.Flags().String("config", "", "configuration `file`")
-	c.RunE = func(c *cobra.Command, _ []string) error {
-		var s gateway.LoadStatus
-		_, err := askRunning(c, *path, "/load", func(m *config.Model) error {
-			if m.Bank == nil || !m.Bank.Load {
-				return errors.New("bank.load is not set: each gateway goes by its own attempts")
-			}
-			return nil
-		}, &s)
-		if err != nil {
-			return err
+	return pageCommand("load", "show what this gateway and the others have out at hosts, and how far their word counts here", "/load", func(m *config.Model) error {
+		if m.Bank == nil || !m.Bank.Load {
+			return errors.New("bank.load is not set: each gateway goes by its own attempts")
 		}
-		showLoad(s, c.OutOrStdout())
 		return nil
-	}
-	return c
+	}, showLoad)
 }
 
 func showLoad(s gateway.LoadStatus, out io.Writer) {
--- a/cmd/stilespool/verdicts.go
+++ b/cmd/stilespool/verdicts.go
@@ -15,23 +15,12 @@
 
 // verdictsCommand shows what gateways say of hosts, as the running one holds it.
 func verdictsCommand() *cobra.Command {
-	c := &cobra.Command{Use: "verdicts", Short: "show what gateways say of hosts that somebody speaks against, and what follows here", Args: none}
-	path := c.Flags().String("config", "", "configuration `file`")
-	c.RunE = func(c *cobra.Command, _ []string) error {
-		var s gateway.VerdictsStatus
-		_, err := askRunning(c, *path, "/verdicts", func(m *config.Model) error {
-			if m.Bank == nil || !m.Bank.Verdicts {
-				return errors.New("bank.verdicts is not set: each gateway goes by its own outcomes")
-			}
-			return nil
-		}, &s)
-		if err != nil {
-			return err
+	return pageCommand("verdicts", "show what gateways say of hosts that somebody speaks against, and what follows here", "/verdicts", func(m *config.Model) error {
+		if m.Bank == nil || !m.Bank.Verdicts {
+			return errors.New("bank.verdicts is not set: each gateway goes by its own outcomes")
 		}
-		showVerdicts(s, c.OutOrStdout())
 		return nil
-	}
-	return c
+	}, showVerdicts)
 }
 
 func showVerdicts(s gateway.VerdictsStatus, out io.Writer) {
