--- a/internal/proving/bank_test.go
+++ b/internal/proving/bank_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -72,6 +74,45 @@
 	mesh.Set(nil)
 	agree(t, "healed", all, all, roster.Whole)
 
+	mesh.Set(func(from, to int) Way { return Way{Cut: from/4 != to/4} })
+	for i := 0; i < len(all); i += 4 {
+		agree(t, "cut in three", all[i:i+4], all[i:i+4], roster.Minority)
+	}
+	mesh.Set(nil)
+	agree(t, "healed of three", all, all, roster.Whole)
+
+	// A cut that comes and goes moves nobody: places outlast it.
+	places := func() (list []string) {
+		for _, p := range all {
+			s, err := p.Bank(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			list = append(list, fmt.Sprintf("%s: place %.3f of %d", p.Name, s.View.Place, s.View.Count))
+		}
+		return list
+	}
+	settled := ""
+	for end := time.Now().Add(time.Minute); ; time.Sleep(100 * time.Millisecond) { // those that came late have places
+		now := strings.Join(places(), ", ")
+		if now == settled && strings.Count(now, "of 12") == len(all) {
+			break
+		}
+		if settled = now; time.Now().After(end) {
+			t.Fatalf("places do not settle: %s", now)
+		}
+	}
+	for range 3 {
+		mesh.Set(func(from, to int) Way { return Way{Cut: (from < 5) != (to < 5)} })
+		time.Sleep(time.Second)
+		mesh.Set(nil)
+		time.Sleep(time.Second)
+	}
+	agree(t, "a cut that came and went", all, all, roster.Whole)
+	if now := strings.Join(places(), ", "); now != settled {
+		t.Errorf("a cut that came and went has moved places: %s, before %s", now, settled)
+	}
+
 	mesh.Set(func(from, to int) Way {
 		return Way{Loss: 0.1, Twice: 0.1, Delay: time.Millisecond, Jitter: 5 * time.Millisecond, Cut: from == 4 && to == 5}
 	})
