--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -68,8 +68,8 @@
 // Member is what a member says of itself.
 type Member struct {
 	Name string
-	// Started is when it began to run, in milliseconds of its own clock: it orders two lives of
-	// a name and is compared with nothing else.
+	// Started is when it began to run, in milliseconds of its own clock, for operators: clocks may be
+	// off by any time, and nothing is compared with it.
 	Started     int64
 	Zone        string  `json:",omitempty"`
 	Takes       float64 // what it takes beside others; 1: as they do
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -202,3 +203,28 @@
 		t.Errorf("%d places for 40", len(seen))
 	}
 }
+
+// Members' clocks may be off by days, and a member that comes back may have gone back in time: views are as
+// with true ones.
+func TestClocksOfOthersDoNotCount(t *testing.T) {
+	play := func(off int64) (list []View) {
+		r := of(10, nil)
+		for i, at := range []time.Duration{61 * s, 62 * s, 80 * s, 81 * s, 100 * s} {
+			n := 3 + i%2
+			if i%2 == 0 {
+				r.Gone(at, name(n), false, "")
+			} else {
+				r.Heard(at, Member{Name: name(n - 1), Started: off - off/2*int64(i), Most: 1})
+			}
+			r.Tick(at)
+			list = append(list, r.View())
+		}
+		return list
+	}
+	truth := play(0)
+	for _, off := range []int64{-86_400_000, 86_400_000, math.MaxInt64, math.MinInt64} {
+		if list := play(off); !slices.Equal(list, truth) {
+			t.Errorf("clocks off by %d ms: %+v, want %+v", off, list, truth)
+		}
+	}
+}
