The gateway's four parts in the talk share one inbox and one way to send

edicts, hearing, rights and loads each had a queue of packets with a bound, a count of those lost, and the same loop that sends; operators' pages of two looked names up alike. inbox.go has them once. No change of what they do: their tests, also under the race detector, and those of processes pass.

--- a/internal/gateway/edicts.go
+++ b/internal/gateway/edicts.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"frostshift/internal/config"
@@ -20,9 +19,8 @@
 // edicts is the gateway's part in operators' words on hosts that hold for the whole fleet: it gives package
 // edict the time, the packets and the view, and carries out what counts.
 type edicts struct {
-	g    *Gateway
-	in   chan []byte // packets that came
-	lost atomic.Int64
+	g *Gateway
+	inbox
 
 	// doing is held while a word is carried out, so that none is behind a later one. It is taken before mu.
 	doing sync.Mutex
@@ -45,7 +43,7 @@
 	if m.Bank == nil || !m.Bank.Bans {
 		return nil
 	}
-	return &edicts{g: g, in: make(chan []byte, packetsWaiting), book: edict.New(m.Name), news: make(chan struct{})}
+	return &edicts{g: g, inbox: newInbox(), book: edict.New(m.Name), news: make(chan struct{})}
 }
 
 func (d *edicts) now() edict.Time { return d.g.exchange.Clock().Now() }
@@ -74,11 +72,7 @@
 			out = slices.Clone(d.book.Tick(d.now()))
 			d.mu.Unlock()
 		}
-		if b := d.g.talks(); b != nil {
-			for _, p := range out {
-				b.Send(p.To, p.Data)
-			}
-		}
+		sendAll(d.g, out)
 		d.carryOut()
 	}
 }
@@ -118,15 +112,6 @@
 	}
 }
 
-// heard takes a packet from the bank.
-func (d *edicts) heard(data []byte) {
-	select {
-	case d.in <- slices.Clone(data):
-	default:
-		d.lost.Add(1)
-	}
-}
-
 // alive takes who lives.
 func (d *edicts) alive(names []string, v roster.View) {
 	d.mu.Lock()
--- a/internal/gateway/hearsay.go
+++ b/internal/gateway/hearsay.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"frostshift"
@@ -19,9 +18,8 @@
 // the time, the packets, the lists and its own outcomes, and pools the verdicts. Nothing waits for
 // it, and without the others there are none.
 type hearing struct {
-	g    *Gateway
-	in   chan []byte // packets that came
-	lost atomic.Int64
+	g *Gateway
+	inbox
 
 	mu   sync.Mutex
 	book *hearsay.Book
@@ -35,7 +33,7 @@
 	if m.Bank == nil || !m.Bank.Verdicts {
 		return nil
 	}
-	return &hearing{g: g, in: make(chan []byte, packetsWaiting), book: hearsay.New(hearsay.Config{Self: m.Name, Zone: m.Bank.Zone, Classes: len(m.Classes)}), lists: map[*pool]map[hearsay.HostID]int64{}}
+	return &hearing{g: g, inbox: newInbox(), book: hearsay.New(hearsay.Config{Self: m.Name, Zone: m.Bank.Zone, Classes: len(m.Classes)}), lists: map[*pool]map[hearsay.HostID]int64{}}
 }
 
 func (h *hearing) now() hearsay.Time { return h.g.exchange.Clock().Now() }
@@ -70,11 +68,7 @@
 	if turned && odd {
 		h.g.log.Warn("verdicts: this gateway alone finds hosts bad that answer others; its own link or processor is the likelier cause, and it warns nobody")
 	}
-	if b := h.g.talks(); b != nil {
-		for _, p := range out {
-			b.Send(p.To, p.Data)
-		}
-	}
+	sendAll(h.g, out)
 	if len(changed) == 0 {
 		return
 	}
@@ -87,15 +81,6 @@
 	}
 }
 
-// heard takes a packet from the bank.
-func (h *hearing) heard(data []byte) {
-	select {
-	case h.in <- slices.Clone(data):
-	default:
-		h.lost.Add(1)
-	}
-}
-
 // alive takes who lives.
 func (h *hearing) alive(members []roster.Member) {
 	list := make([]hearsay.Member, len(members))
@@ -180,10 +165,8 @@
 	s := VerdictsStatus{Odd: h.book.Odd(), Counts: h.book.Counts(), Lost: h.lost.Load()}
 	list := h.book.Status(h.now())
 	h.mu.Unlock()
-	names := g.hostNames()
-	g.mu.Lock()
-	s.Name = g.model.Name
-	g.mu.Unlock()
+	var names map[frostshift.HostID]string
+	s.Name, names = g.names()
 	for _, host := range list {
 		s.Hosts = append(s.Hosts, VerdictHost{names[frostshift.HostID(host.Host)], host})
 	}
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -4,9 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"frostshift"
@@ -20,10 +18,9 @@
 // hosts: it gives package inflight the time, the packets and its own counts, and pools the news. Nothing
 // waits for it, and without the others pools go by their own counts.
 type loads struct {
-	g    *Gateway
-	in   chan []byte   // packets that came
+	g *Gateway
+	inbox
 	kick chan struct{} // something is to be told
-	lost atomic.Int64
 
 	mu   sync.Mutex
 	book *inflight.Book
@@ -37,7 +34,7 @@
 	if m.Bank == nil || !m.Bank.Load {
 		return nil
 	}
-	return &loads{g: g, in: make(chan []byte, packetsWaiting), kick: make(chan struct{}, 1), book: inflight.New(m.Name, rand.Uint32())}
+	return &loads{g: g, inbox: newInbox(), kick: make(chan struct{}, 1), book: inflight.New(m.Name, rand.Uint32())}
 }
 
 func (c *loads) now() inflight.Time { return c.g.exchange.Clock().Now() }
@@ -74,11 +71,7 @@
 		next = c.book.Next(now)
 		c.mu.Unlock()
 		wake.Reset(max(next-now, time.Millisecond))
-		if b := c.g.talks(); b != nil {
-			for _, p := range out {
-				b.Send(p.To, p.Data)
-			}
-		}
+		sendAll(c.g, out)
 		if len(news) == 0 {
 			continue
 		}
@@ -119,15 +112,6 @@
 	}
 }
 
-// heard takes a packet from the bank.
-func (c *loads) heard(data []byte) {
-	select {
-	case c.in <- slices.Clone(data):
-	default:
-		c.lost.Add(1)
-	}
-}
-
 // alive takes who lives.
 func (c *loads) alive(names []string) {
 	c.mu.Lock()
@@ -171,10 +155,8 @@
 	s := LoadStatus{Counts: c.book.Counts(), Lost: c.lost.Load()}
 	list := c.book.Status(c.now())
 	c.mu.Unlock()
-	names := g.hostNames()
-	g.mu.Lock()
-	s.Name = g.model.Name
-	g.mu.Unlock()
+	var names map[frostshift.HostID]string
+	s.Name, names = g.names()
 	for _, host := range list {
 		s.Hosts = append(s.Hosts, LoadHost{names[frostshift.HostID(host.Host)], host})
 	}
@@ -182,15 +164,15 @@
 	json.NewEncoder(w).Encode(s)
 }
 
-// hostNames are the names of all pools' hosts.
-func (g *Gateway) hostNames() map[frostshift.HostID]string {
-	names := map[frostshift.HostID]string{}
+// names are the gateway's own, and those of all pools' hosts.
+func (g *Gateway) names() (self string, hosts map[frostshift.HostID]string) {
+	hosts = map[frostshift.HostID]string{}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.pools {
 		for _, name := range p.known.names() {
-			names[membership.HostID(name)] = name
+			hosts[membership.HostID(name)] = name
 		}
 	}
-	return names
+	return g.model.Name, hosts
 }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"frostshift/internal/config"
@@ -21,8 +20,7 @@
 	g    *Gateway
 	cfg  quota.Config
 	mode quota.Mode
-	in   chan []byte // packets that came
-	lost atomic.Int64
+	inbox
 
 	mu    sync.Mutex
 	book  *quota.Book
@@ -32,16 +30,13 @@
 	warn  time.Time // of round trips that are too long, last
 }
 
-// packetsWaiting bounds packets that wait for the book. Beyond it they are lost, as on a link.
-const packetsWaiting = 512
-
 // newRights makes a part that is begun, where limits are shared; nil: they are not.
 func newRights(g *Gateway, m *config.Model) *rights {
 	if m.Quota == nil {
 		return nil
 	}
 	cfg := quota.Config{Self: m.Name, Boot: uint64(time.Now().UnixNano()), Lease: m.Quota.Lease, Drift: m.Quota.Drift, Typed: m.Instances}
-	return &rights{g: g, cfg: cfg, mode: m.Quota.Mode, in: make(chan []byte, packetsWaiting), book: quota.NewBook(g.exchange.Clock().Now(), cfg)}
+	return &rights{g: g, cfg: cfg, mode: m.Quota.Mode, inbox: newInbox(), book: quota.NewBook(g.exchange.Clock().Now(), cfg)}
 }
 
 // begin says that this process is the gateway's only one among the others from now on.
@@ -78,25 +73,7 @@
 			out = slices.Clone(r.book.Take(r.now(), data))
 			r.mu.Unlock()
 		}
-		if len(out) == 0 {
-			continue
-		}
-		b := r.g.talks()
-		if b == nil {
-			continue
-		}
-		for _, p := range out {
-			b.Send(p.To, p.Data)
-		}
-	}
-}
-
-// heard takes a packet from the bank.
-func (r *rights) heard(data []byte) {
-	select {
-	case r.in <- slices.Clone(data):
-	default:
-		r.lost.Add(1)
+		sendAll(r.g, out)
 	}
 }
 
