--- /dev/null
+++ b/internal/gateway/shutdown_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"frostshift/internal/standin"
+)
+
+// A request that is read late in a shutdown and goes to a host that hangs: its host is told no more time
+// than is left until the earliest kill, which is what the attempt ends by, and the client gets its answer.
+func TestRequestLateInAShutdownIsAnswered(t *testing.T) {
+	const (
+		longest = 800 * time.Millisecond // deadline of the settings
+		kill    = longest + 700*time.Millisecond
+		late    = 900 * time.Millisecond
+	)
+	told := make(chan time.Duration, 8)
+	addr, _ := rawHost(t, func(_ int, c net.Conn, r *standin.Request) bool {
+		left, err := time.ParseDuration(r.Header.Get("X-Time-Left") + "s")
+		if err != nil {
+			t.Errorf("told %q", r.Header.Get("X-Time-Left"))
+		}
+		told <- left
+		c.Read(make([]byte, 1)) // until the attempt is called off
+		return false
+	})
+	d := discover(t)
+	text := strings.ReplaceAll(testConfig, `"hard_limit":60000000`, fmt.Sprintf(`"hard_limit":%d`, longest.Microseconds()))
+	m, err := parseSettings(text, d.Addr(), listOf(1, true, entry("a", addr, "active")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := launch(t, m)
+	c, err := net.Dial("tcp", g.Addr("clients").String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	whole := "GET /lookup HTTP/1.1\r\nHost: a\r\nX-Service-Class: lookup\r\nX-Correlation-Id: late\r\n\r\n"
+	io.WriteString(c, whole[:30])
+	until(t, "half a head has been read", func() bool { return g.conns.Busy() == 1 })
+	ordered := time.Now()
+	g.stop()
+	time.Sleep(late - time.Since(ordered)) // real time passes of a shutdown
+	since := time.Since(ordered)
+	io.WriteString(c, whole[30:])
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		t.Errorf("answered %d by nobody", resp.StatusCode)
+	}
+	select {
+	case left := <-told:
+		if left > kill-since {
+			t.Errorf("a host is told %v when %v are left until the kill", left, kill-since)
+		}
+	default: // refused
+	}
+	await(t, g.end, "the end")
+}
