A reset of a host's connection is never the end of an answer, whoever met it

Callers got the beginning of an answer as a whole one, served.

Cause: the kernel reports a socket's error once. conn.await looks for bytes with recv(MSG_PEEK) and dropped the error it got; the read behind it then says end of file, which is how an answer with no length ends. A write of the request's body has the same effect when it meets the reset beside a read.

The error is kept for the reads behind it. EPIPE is left out: it stands for a host that had ended its answer in good order and reads no more of the request.

--- a/internal/upstream/http1/attempt.go
+++ b/internal/upstream/http1/attempt.go
@@ -144,8 +144,7 @@
 	if off {
 		return false
 	}
-	parts := net.Buffers{head, body}
-	n, _ := parts.WriteTo(c.Conn)
+	n, _ := c.writeParts(net.Buffers{head, body})
 	t.wrote = t.wrote || n > 0
 	return n == int64(len(head)+len(body))
 }
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,11 +21,14 @@
 	limit  io.LimitedReader // what may yet be read of an answer
 	freed  time.Time        // when its last answer was whole
 	closed bool             // under the upstream's lock
+	// failed is the error of the socket that a wait or a write has met: the kernel reports one a
+	// single time, and a read after it sees the same end as after a close.
+	failed atomic.Pointer[net.OpError]
 }
 
 func newConn(nc net.Conn, u *Upstream, h *host) *conn {
 	c := &conn{Conn: nc, up: u, host: h}
-	c.limit.R = nc
+	c.limit.R = c
 	if s, ok := nc.(syscall.Conn); ok {
 		c.raw, _ = s.SyscallConn()
 	}
@@ -92,6 +96,38 @@
 	return n <= 0 && errors.Is(err, syscall.EAGAIN)
 }
 
+// Read reads from the host. Where the connection has failed it never says io.EOF.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if failed := c.failed.Load(); err == io.EOF && failed != nil {
+		return n, failed
+	}
+	return n, err
+}
+
+// Write writes to the host.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.note(err)
+	return n, err
+}
+
+// writeParts writes several parts with one call.
+func (c *conn) writeParts(parts net.Buffers) (int64, error) {
+	n, err := parts.WriteTo(c.Conn)
+	c.note(err)
+	return n, err
+}
+
+// note keeps an error of the socket for the reads behind it. A broken pipe is not one: a host that has
+// ended its answer in good order need not read the rest of a request.
+func (c *conn) note(err error) {
+	var failed *net.OpError
+	if errors.As(err, &failed) && !failed.Timeout() && !errors.Is(err, syscall.EPIPE) {
+		c.failed.CompareAndSwap(nil, failed)
+	}
+}
+
 // await waits until there is something to read, within the deadline. It takes up no buffer.
 func (c *conn) await() {
 	if c.raw == nil {
@@ -101,7 +137,13 @@
 	var one [1]byte
 	c.raw.Read(func(fd uintptr) bool {
 		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return !errors.Is(err, syscall.EAGAIN)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			return false
+		case err != nil && !errors.Is(err, syscall.EINTR):
+			c.note(&net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err})
+		}
+		return true
 	})
 }
 
--- a/internal/upstream/http1/reset_test.go
+++ b/internal/upstream/http1/reset_test.go
@@ -7,31 +7,35 @@
 	"syscall"
 	"testing"
 
+	"golang.org/x/sys/unix"
+
 	"frostshift/internal/upstream"
 )
 
-// A reset that is met while the gateway waits for the next bytes is still a reset for the read
-// behind it: the kernel reports it once, and would show a plain end from then on.
-func TestResetMetByAWaitIsNoEnd(t *testing.T) {
+// pair is a connection to a host as the upstream holds it, and the host's end of it.
+func pair(t *testing.T) (near *conn, far *net.TCPConn) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	near, err := net.Dial("tcp", ln.Addr().String())
+	nc, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	far, err := ln.Accept()
+	t.Cleanup(func() { nc.Close() })
+	other, err := ln.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := New(upstream.Config{})
-	c := newConn(near, u, hostAt(ln.Addr().String()))
-	defer near.Close()
-	far.(*net.TCPConn).SetLinger(0)
-	far.Close()
-	c.await()
+	t.Cleanup(func() { other.Close() })
+	return newConn(nc, New(upstream.Config{}), hostAt(ln.Addr().String())), other.(*net.TCPConn)
+}
+
+// readsReset fails unless reads say that the connection was reset.
+func readsReset(t *testing.T, c *conn) {
+	t.Helper()
 	var one [1]byte
 	for range 2 {
 		if n, err := c.Read(one[:]); n != 0 || errors.Is(err, io.EOF) || !errors.Is(err, syscall.ECONNRESET) {
@@ -39,3 +43,51 @@
 		}
 	}
 }
+
+// A reset that is met while the gateway waits for the next bytes is still a reset for the read
+// behind it: the kernel reports it once, and would show a plain end from then on.
+func TestResetMetByAWaitIsNoEnd(t *testing.T) {
+	near, far := pair(t)
+	far.SetLinger(0)
+	far.Close()
+	near.await()
+	readsReset(t, near)
+}
+
+// So it is where a write met it: that of a body whose answer has begun.
+func TestResetMetByAWriteIsNoEnd(t *testing.T) {
+	for _, parts := range []int{1, 2} {
+		near, far := pair(t)
+		far.SetLinger(0)
+		far.Close()
+		near.raw.Read(func(fd uintptr) bool { // until the reset has come, and is still to be reported
+			at := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+			n, err := unix.Poll(at, 0)
+			return n > 0 || err != nil && !errors.Is(err, unix.EINTR)
+		})
+		var err error
+		if parts == 1 {
+			_, err = near.Write([]byte("x"))
+		} else {
+			_, err = near.writeParts(net.Buffers{[]byte("x"), []byte("y")})
+		}
+		if !errors.Is(err, syscall.ECONNRESET) {
+			t.Fatalf("write of %d parts: %v", parts, err)
+		}
+		readsReset(t, near)
+	}
+}
+
+// A host that has ended its answer in good order and reads no more of the request has not broken it off.
+func TestEndAheadOfTheRequestsEndIsAnEnd(t *testing.T) {
+	near, far := pair(t)
+	io.WriteString(far, "bins")
+	far.Close()
+	var err error
+	for !errors.Is(err, syscall.EPIPE) { // the host's system resets what it has closed
+		_, err = near.Write([]byte("x"))
+	}
+	if text, err := io.ReadAll(near); string(text) != "bins" || err != nil {
+		t.Errorf("read %q, %v", text, err)
+	}
+}
