A change of the host list is known within 6 s, through silence, cuts and lists in pieces

Requests went to hosts that had drained: a call to discovery that was never answered held the watch for the whole time of silence, and the next one came up to 2 s (asked for: up to half of the time between calls, doubled three times) later; a list that was indented or came in pieces was refused as malformed lines.

A call is given up after a second where lists are pushed, after 3.5 s where they are asked for, and the next follows within 1 s, or 1.2 s and 2.4 s. A watch reads JSON objects, on one line or several, within a bound; half a list is no sign of life.

--- a/balancer.go
+++ b/balancer.go
@@ -70,6 +70,7 @@
 	saidAims    = 2        // others' refusals do not count so long after an own answer, in shortest aims
 	blindIn     = 8        // requests of which one does not heed what others have out at hosts
 	answerSteps = 2        // steps ahead of its deadline that a request is answered at the latest
+	askAgain    = 0.8e9    // ns before a lost host list is asked for, as a mean; twice that from then on
 )
 
 const (
@@ -1273,6 +1274,7 @@
 		return
 	}
 	d := float64(b.set.AskWithin) / 16 * float64(int(1)<<min(b.watchFails, 3))
+	d = min(d, askAgain*float64(1+min(b.watchFails, 1)))
 	b.watchFails++
 	b.watchIn(Time(d * (0.5 + b.float())))
 }
--- a/internal/membership/source/follower.go
+++ b/internal/membership/source/follower.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"reflect"
 	"sync"
 	"time"
@@ -64,12 +65,22 @@
 	Every   time.Duration // between looks at a file
 	// LeastTTL is how long an answer of DNS is used at least; 0: a second.
 	LeastTTL time.Duration
+	// dial connects to discovery; nil: over TCP.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// A change is known within 6 s of discovery having it and being reachable, and of the moment in
+// which a watch fell silent. The worst case is the sum of a watch that is found dead (silence), a
+// wait before the next call (retryFirst) and a call that never comes up (openPushed): 5.6 s. A call
+// that was made just before discovery came back costs openPushed and retryMost, 2 s, where lists
+// are pushed. Where they are asked for the balancer says when: 1.2 s at most behind a watch that
+// broke, 2.4 s behind further calls that failed; that makes 5.7 s, and 5.9 s with openAsked.
 const (
 	silence    = 4500 * time.Millisecond // a watch that says nothing for so long is dead: it has an empty line every 2 s
+	openPushed = time.Second             // for the answer to a call to begin: an agent on this machine answers at once
+	openAsked  = 3500 * time.Millisecond // ... and where it works through calls in turn, failing those that wait for 2 s
 	retryFirst = 100 * time.Millisecond
-	retryMost  = 2 * time.Second
+	retryMost  = time.Second
 	lookEvery  = 250 * time.Millisecond // at a file
 )
 
@@ -91,6 +102,9 @@
 	if cfg.Silence == 0 {
 		cfg.Silence = silence
 	}
+	if cfg.dial == nil {
+		cfg.dial = (&net.Dialer{Timeout: silence}).DialContext
+	}
 	if cfg.Every == 0 {
 		cfg.Every = lookEvery
 	}
--- a/internal/membership/source/watch.go
+++ b/internal/membership/source/watch.go
@@ -1,20 +1,20 @@
 package source
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
 	"frostshift/internal/membership"
 )
 
-const maxLine = 4 << 20 // bytes of one message of discovery
+const maxMessage = 4 << 20 // bytes of one message of discovery
 
 // runWatch keeps a watch open until the context ends. Where the list is pushed it opens
 // a new one by itself; where it must be asked for, the balancer says when.
@@ -52,11 +52,19 @@
 	}
 }
 
+// opens is how long a call may take to be answered.
+func (t *turn) opens() time.Duration {
+	if t.cfg.Asked {
+		return min(openAsked, t.cfg.Silence)
+	}
+	return min(openPushed, t.cfg.Silence)
+}
+
 // watch holds one watch open and returns why it ended.
 func (t *turn) watch(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	dog := time.AfterFunc(t.cfg.Silence, func() { cancel(errors.New("silent for too long")) })
+	dog := time.AfterFunc(t.opens(), func() { cancel(errors.New("silent for too long")) })
 	defer dog.Stop()
 	defer func() {
 		if cause := context.Cause(ctx); cause != nil && err != nil {
@@ -68,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	tr := &http.Transport{DialContext: (&net.Dialer{Timeout: silence}).DialContext, DisableKeepAlives: true, DisableCompression: true}
+	tr := &http.Transport{DialContext: t.cfg.dial, DisableKeepAlives: true, DisableCompression: true}
 	defer tr.CloseIdleConnections()
 	resp, err := tr.RoundTrip(req)
 	if err != nil {
@@ -78,27 +86,73 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	in := bufio.NewScanner(resp.Body)
-	in.Buffer(nil, maxLine)
-	for in.Scan() {
-		dog.Reset(t.cfg.Silence)
-		if len(in.Bytes()) == 0 {
-			continue
-		}
+	dog.Reset(t.cfg.Silence)
+	in := newMessages(resp.Body, func() { dog.Reset(t.cfg.Silence) })
+	for {
 		var list membership.List
-		err := json.Unmarshal(in.Bytes(), &list)
-		if err == nil {
-			err = list.Check()
+		if err := in.next(&list); err != nil {
+			return err
 		}
+		err := list.Check()
 		if err == nil {
 			err = t.take(&list)
 		}
 		if err != nil {
-			return fmt.Errorf("malformed line: %w", err)
+			return fmt.Errorf("malformed list: %w", err)
 		}
 	}
-	if err := in.Err(); err != nil {
-		return err
+}
+
+// messages reads JSON objects from a watch, on one line each or on several, with blank lines
+// between them as heartbeats. It bounds what is held of one message.
+type messages struct {
+	from    io.Reader
+	decoder *json.Decoder
+	alive   func() // called with each heartbeat and each whole message, not with a part of one
+	begun   bool   // a part of a message has come
+	held    int    // bytes since the last whole message
+}
+
+func newMessages(from io.Reader, alive func()) *messages {
+	m := &messages{from: from, alive: alive}
+	m.decoder = json.NewDecoder(m)
+	return m
+}
+
+var (
+	errWatchEnded  = errors.New("discovery ended it")
+	errWatchBroken = errors.New("discovery ended it within a list")
+	errListTooLong = errors.New("it is too long")
+)
+
+// Read is the decoder's.
+func (m *messages) Read(p []byte) (int, error) {
+	n, err := m.from.Read(p)
+	if len(bytes.TrimSpace(p[:n])) > 0 {
+		m.begun = true
+	} else if n > 0 && !m.begun {
+		m.alive()
+	}
+	if m.held += n; m.held > maxMessage {
+		return 0, errListTooLong
+	}
+	return n, err
+}
+
+// next decodes the next message.
+func (m *messages) next(into any) error {
+	err := m.decoder.Decode(into)
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		return errWatchEnded
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return errWatchBroken
+	default:
+		return fmt.Errorf("malformed list: %w", err)
 	}
-	return errors.New("discovery ended it")
+	m.alive()
+	rest, err := io.ReadAll(m.decoder.Buffered())
+	m.begun, m.held = len(bytes.TrimSpace(rest)) > 0, len(rest)
+	return err
 }
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,11 +25,40 @@
 
 // NewDiscovery starts a discovery.
 func NewDiscovery() *Discovery {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic("standin: no port: " + err.Error())
+	}
+	return NewDiscoveryOn(ln)
+}
+
+// NewDiscoveryOn starts a discovery that takes its connections from a listener.
+func NewDiscoveryOn(ln net.Listener) *Discovery {
 	d := &Discovery{Watches: make(chan *Watch, 64)}
-	d.Server = httptest.NewServer(http.HandlerFunc(d.watch))
+	d.Server = httptest.NewUnstartedServer(http.HandlerFunc(d.watch))
+	d.Server.Listener.Close()
+	d.Server.Listener = ln
+	d.Server.Start()
 	return d
 }
 
+// Outage is a listener that ends each connection at once while it is down.
+type Outage struct {
+	net.Listener
+	Down atomic.Bool
+}
+
+// Accept takes the next connection that comes while it is not down.
+func (o *Outage) Accept() (net.Conn, error) {
+	for {
+		c, err := o.Listener.Accept()
+		if err != nil || !o.Down.Load() {
+			return c, err
+		}
+		c.Close()
+	}
+}
+
 func (d *Discovery) watch(w http.ResponseWriter, r *http.Request) {
 	own := &Watch{From: r.URL.Query().Get("from"), Lines: make(chan string), Gone: make(chan struct{})}
 	defer close(own.Gone)
--- a/internal/standin/xds.go
+++ b/internal/standin/xds.go
@@ -23,9 +23,10 @@
 	Deltas chan *XDSDelta
 }
 
-// XDSWorld is a stream of the state of the world, XDSDelta an incremental one.
 type (
+	// XDSWorld is a stream of the state of the world.
 	XDSWorld = XDSStream[discoveryv3.DiscoveryRequest, discoveryv3.DiscoveryResponse]
+	// XDSDelta is an incremental stream.
 	XDSDelta = XDSStream[discoveryv3.DeltaDiscoveryRequest, discoveryv3.DeltaDiscoveryResponse]
 )
 
