A cold host gets no more than it bears from all gateways together, whatever their traffic

Hosts that had just started fell over: credit for sends began at a drawn place and lapsed whole, so that instances with little traffic saved up what all then spent at once. Drawn fleets sent 28 requests in a window whose bound is 16.

Instances begin at places of the cycle of sends that their ranks spread evenly (steps of the golden ratio), with an order for each host, and unused credit lapses by whole sends, so that a place is kept. Sharers are counted up, not in fractions.

The tests of the module stand in a file for each subject; none is lost.

--- a/api.go
+++ b/api.go
@@ -1,5 +1,5 @@
 // Package frostshift makes the decisions of an HTTP load balancer that runs as
-// a small bank of proxies: where each request goes, when it is tried again,
+// a small fleet of proxies: where each request goes, when it is tried again,
 // when it is turned away.
 //
 // A [Balancer] is a state machine without I/O. The gateway that embeds it
@@ -77,7 +77,7 @@
 // Settings is what a Balancer knows of its deployment. The zero value of an
 // optional field gives the default named beside it.
 type Settings struct {
-	Instances int // balancers in the bank, this one included; at least 1
+	Instances int // balancers in the fleet, this one included; at least 1
 	Rank      int // this one's number, from 0
 	Zone      int // the zone this one stands in
 	Zones     int // zones that instances stand in; 0: 1
@@ -168,7 +168,7 @@
 	Tenant int           // index in Settings.Tenants
 	Left   time.Duration // until the client gives up on this try; 0: it is due now
 	Repeat bool          // the client marks it as a repeat
-	Spent  int           // attempts it has had at another bank of hosts, none of which ran
+	Spent  int           // attempts it has had at another fleet of hosts, none of which ran
 }
 
 // Result says how an attempt ended.
--- a/balancer.go
+++ b/balancer.go
@@ -34,7 +34,8 @@
 	yieldsAt    = 2        // loads of the second host drawn at which the one by weights gives way
 	hintAims    = 64       // longest hint of when to come back that is heeded, in shortest aims
 	backoffMax  = 5        // doublings of an ejection at most
-	coldChance  = 3.0      // deviations of what the bank sends by chance that the cold budget leaves room for
+	coldChance  = 3.0      // deviations of what the fleet sends by chance that a cold budget leaves
+	coldLapse   = 4.0      // deviations of what the fleet sends that unused credit may add to it
 	rateFalls   = 4        // span of the rate of answers, in Falls
 	rateLeast   = 1.0 / 8  // ... of which the first answers stand for this part at least
 	quotaBurst  = 1.0      // seconds of its quota a tenant may save up
@@ -42,8 +43,8 @@
 	limitAims   = 0.375    // mean RTT that the in-flight limit of a host steers to, in shortest aims
 	recentAims  = 0.5      // span of a host's recent mean RTT, in shortest aims: faster than hosts tip
 	limitLeast  = 2        // ... and is never kept from holding: one runs while the next arrives
-	growth      = 0.3      // attempts that the bank adds at a host in a round while requests wait
-	limitStart  = 4        // attempts a new host may hold from the whole bank
+	growth      = 0.3      // attempts that the fleet adds at a host in a round while requests wait
+	limitStart  = 4        // attempts a new host may hold from the whole fleet
 	waitShare   = 0.2      // of its aim that a request waits for a host at most
 	patience    = 3        // deviations above the mean RTT after which an unheard host counts as silent
 	repeatWorth = 0.5      // worth of a client's repeat while others wait, as a share: it may come late
@@ -150,7 +151,7 @@
 }
 
 // Start is the first event: the gateway has come up. Where the list must be asked for, the
-// watch begins here, spread by place so that a bank that starts together asks in turn.
+// watch begins here, spread by place so that a fleet that starts together asks in turn.
 func (b *Balancer) Start(now Time) {
 	b.now = now
 	if b.set.Ask {
@@ -226,16 +227,18 @@
 	b.sharers = min(1, float64(b.subset)/float64(max(b.warm, 1))) * b.bank
 	// What instances of its own zone and all instances walk past is what shares a cold host. Where
 	// views differ cold hosts are used within the part by Most alone, and by one more for places
-	// that do not meet: so the parts of all stay within one (docs/design/bank.md).
+	// that do not meet: so the parts of all stay within one (docs/design/gossip.md).
 	narrow, doubt := width(b.shared.Most), float64(min(1, b.shared.Most-b.shared.Least))
 	half, nearest := float64(narrow/2), min(first, narrow/2)
 	anywhere := min(1, float64(narrow)/float64(max(all, 1)))
 	for i, h := range b.ring {
 		h.mine = i < nearest || i >= first && i-first < narrow-nearest
-		h.sharers = min(b.bank, b.bank*anywhere+doubt)
+		h.sharers = min(b.bank, math.Ceil(b.bank*anywhere+doubt))
 		if b.set.Zones > 1 {
-			h.sharers = min(b.bank, h.sharers+b.bank/float64(b.set.Zones)*min(1, half/zone[h.Zone]))
+			inZone := b.bank / float64(b.set.Zones) * min(1, half/zone[h.Zone])
+			h.sharers = min(b.bank, math.Ceil(h.sharers+inZone))
 		}
+		b.coldHold(h)
 	}
 }
 
@@ -244,6 +247,7 @@
 	b.ring, b.subset, b.sharers = append(b.ring[:0], b.places...), len(b.places), 0
 	for _, h := range b.ring {
 		h.sharers, h.mine = float64(h.Sharers), true
+		b.coldHold(h)
 		b.sharers += h.sharers / float64(len(b.ring))
 	}
 	b.bank = b.sharers
@@ -259,15 +263,6 @@
 	}
 }
 
-// turn appends the hosts to dst, from this instance's place on.
-func (b *Balancer) turn(dst, part []*host) []*host {
-	first := int(b.shared.Place * float64(len(part)))
-	return append(append(dst, part[first:]...), part[:first]...)
-}
-
-// remote says whether a host stands in another zone.
-func (b *Balancer) remote(h *host) bool { return h.Zone != b.set.Zone }
-
 func (b *Balancer) learn(e Host) {
 	h := b.byID[e.ID]
 	if h == nil {
@@ -316,7 +311,7 @@
 	}
 }
 
-// Hear is news of what other instances met at a host. It never takes the place of own outcomes: a
+// Hearsay is news of what other instances met at a host. It never takes the place of own outcomes: a
 // doubt makes the host look slower and spares it requests that must not run twice, and refusals that
 // several met eject it as one of its own would, until a trial of its own, or while others try it.
 // That acts where it has had no answer of late, and for half of the hosts at most.
@@ -366,8 +361,7 @@
 
 func (b *Balancer) chill(h *host, since Time) {
 	if b.set.ColdFrom < 1 && b.now-since < b.set.WarmAfter {
-		h.cold, h.coldAt = true, since
-		h.credit, h.creditAt = b.float(), b.now // instances that hear of a start together do not send in step
+		h.cold, h.coldAt, h.staggered = true, since, false
 	}
 }
 
@@ -387,7 +381,6 @@
 		b.arrived[i] *= 1 - lineWeight
 	}
 	b.arrived[r.band]++
-	// Every request has a timer ahead of its deadline: an attempt may end too late to answer on.
 	b.wake(max(now, r.deadline-answerSteps*b.set.Step), tokenAnswer<<tokenShift|uint64(q.ID))
 	if now+answerSteps*b.set.Step >= r.deadline {
 		b.answer(r) // it came too late to be sent
@@ -894,18 +887,6 @@
 	return c.Effect == Keyed && b.now-first.sent <= c.Window-answerSteps*b.set.Step
 }
 
-// first is the earliest attempt that may have run or is still out, or nil.
-func (r *request) first() *attempt {
-	for _, a := range r.atts {
-		if !a.ended || a.result.mayHaveRun() {
-			return a
-		}
-	}
-	return nil
-}
-
-func (x Result) mayHaveRun() bool { return x != Full && x != ConnectFailed && x != NotSent }
-
 // ejected says whether a host that failed is out of the draw: until its back-off
 // ends, and then for all but one trial at a time. The trial is a request that may be
 // sent again, while there are such: one that may not would be lost to a failing host.
@@ -916,7 +897,7 @@
 }
 
 // Usable says whether a request of the class could be sent to any host now, were none
-// full: where not, the gateway may have another bank of hosts for it.
+// full: where not, the gateway may have another fleet of hosts for it.
 func (b *Balancer) Usable(now Time, class int) bool {
 	b.now = now
 	r := request{class: &b.set.Classes[class]}
@@ -970,19 +951,27 @@
 	}
 }
 
-// coldHold paces sends to a host that has just started, so that the bank as a whole stays
+// coldHold paces sends to a host that has just started, so that the fleet as a whole stays
 // within its budget. It acts while the host is cold: credit for sends grows at this instance's
-// part of the budget, and what is not used within half a Fall (or where it is the only credit
-// of the bank) lapses: credit that waited would be spent by all at once.
+// part of the budget. Each whole one lapses by itself where it is not used soon (or where it is
+// the only one of the fleet): so instances keep their places in the cycle, which ranks spread
+// evenly, whatever traffic they have (docs/design/endings.md has the bound and its proof).
 func (b *Balancer) coldHold(h *host) bool {
 	age := b.now - h.coldAt
 	if h.cold = h.cold && age < b.set.WarmAfter; !h.cold {
 		return false
 	}
+	if !h.staggered { // as if it had counted from the start; what fell due before it heard is not its
+		_, h.credit = math.Modf(b.stagger(h) + b.coldRate(h, age/2)*age.Seconds())
+		h.creditAt, h.staggered = b.now, true
+	}
 	if dt := b.now - h.creditAt; dt > 0 {
-		rate := b.coldRate(h, age)
-		lapse := max(rate*b.set.Fall.Seconds()/2, 1/max(1, h.sharers))
-		h.credit = math.Mod(h.credit+rate*dt.Seconds(), 1+lapse)
+		n, fleet := b.coldRate(h, age)*b.set.Fall.Seconds(), max(1, h.sharers)
+		lapse := max(n*min(0.5, coldLapse/math.Sqrt(n*fleet)), 1/fleet)
+		h.credit += n * float64(dt) / float64(b.set.Fall)
+		if over := h.credit - lapse; over >= 1 {
+			h.credit = lapse + math.Mod(over, 1)
+		}
 		h.creditAt = b.now
 	}
 	return h.credit < 1
@@ -995,21 +984,21 @@
 }
 
 // coldRate is this instance's part of a cold host's budget, in sends a second. What a warm host
-// gives the bank is within its capacity, less where its kind is slower; where nothing is known
+// gives the fleet is within its capacity, less where its kind is slower; where nothing is known
 // of warm hosts, one request in the shortest aim is, or the aim could not be kept. Sends within
 // a Fall vary by chance and so does their work: their mean stays coldChance deviations (of a
 // count of requests of exponential work: the root of twice the mean, or of the mean alone where
 // one instance paces them evenly) under the budget.
 func (b *Balancer) coldRate(h *host, age Time) float64 {
-	bank, fall := max(1, h.sharers)*max(1, b.twins), b.set.Fall.Seconds()
+	fleet, fall := max(1, h.sharers)*max(1, b.twins), b.set.Fall.Seconds()
 	share := b.set.ColdFrom + (1-b.set.ColdFrom)*float64(age)/float64(b.set.WarmAfter)
 	capacity := max(b.warmRate()/max(1, b.slower(h)), 1/b.aim.Seconds())
-	c := coldChance * coldChance / 2 * (1 - 1/(2*bank))
+	c := coldChance * coldChance / 2 * (1 - 1/(2*fleet))
 	root := math.Sqrt(capacity*share*b.set.OverloadFactor*fall+c) - math.Sqrt(c)
-	return root * root / (fall * bank)
+	return root * root / (fall * fleet)
 }
 
-// warmRate is the mean rate of good answers of a warm host to the bank: this instance's own,
+// warmRate is the mean rate of good answers of a warm host to the fleet: this instance's own,
 // times the instances, over the warm hosts listed when they came. All count, also those that
 // are out: the rate of the rest would pass for any host's. With no warm host listed, what was
 // last learnt stays. One that began lately is made up for the time before, or instances that
--- /dev/null
+++ b/discovery_test.go
@@ -0,0 +1,103 @@
+package frostshift
+
+import (
+	"testing"
+	"time"
+)
+
+func TestWatch(t *testing.T) {
+	set := basic()
+	set.Ask, set.Instances, set.Rank, set.AskWithin = true, 4, 2, 8*time.Second
+	g := start(t, set, hosts(1)...)
+	watches := func(d time.Duration) int { return len(g.advance(d)) }
+	if n := watches(999 * ms); n != 0 {
+		t.Errorf("%d watches before its turn by rank", n)
+	}
+	if n := watches(2 * ms); n != 1 {
+		t.Fatalf("%d watches at its turn", n)
+	}
+	g.list(ListFailed)
+	if n := watches(time.Second); n != 1 {
+		t.Errorf("%d watches within a second of a failure", n)
+	}
+	g.list(ListChanges)
+	if n := watches(time.Minute); n != 0 {
+		t.Errorf("%d watches while watching", n)
+	}
+	g.list(ListFailed)
+	gaps := []int{}
+	for range 5 {
+		start := g.now
+		for watches(10*ms) == 0 {
+		}
+		gaps = append(gaps, int((g.now-start)/ms))
+		g.list(ListFailed)
+	}
+	if gaps[4] <= gaps[0] || gaps[4] > 8000 {
+		t.Errorf("gaps %v ms between questions, want them to grow and stay within AskWithin", gaps)
+	}
+	set.Ask = false
+	if g := start(t, set, hosts(1)...); len(g.advance(time.Minute)) != 0 {
+		t.Error("watches where the list is pushed")
+	}
+}
+
+// However long the settings allow for a gateway that has not asked, a lost list is asked for again
+// soon: a change must be known 6 s after discovery has it and can be reached.
+func TestLostListIsAskedForInTime(t *testing.T) {
+	for _, within := range []time.Duration{2 * time.Second, 10 * time.Second, time.Minute} {
+		set := basic()
+		set.Ask, set.AskWithin = true, within
+		g := start(t, set, hosts(1)...)
+		for g.advance(ms); len(g.acts) == 0; g.advance(ms) {
+		}
+		for fails := range 20 {
+			most := 1200 * ms
+			if fails > 0 {
+				most = 2400 * ms
+			}
+			g.list(ListFailed)
+			if n := len(g.advance(most + ms)); n == 0 {
+				t.Fatalf("ask within %v, failure %d: not asked within %v", within, fails, most)
+			}
+		}
+	}
+}
+
+// All watches of a fleet break in one instant, again and again: the instances ask in turn, not
+// in step, and each asks within the time that the settings allow.
+func TestFleetAsksDiscoveryInTurn(t *testing.T) {
+	const n, within = 80, 10 * time.Second
+	var fleet []*gateway
+	for rank := range n {
+		set := basic()
+		set.Ask, set.AskWithin, set.Instances, set.Rank = true, within, n, rank
+		g := start(t, set, hosts(1)...)
+		g.b.rng = uint64(rank)
+		g.b.watching, g.b.watchFails = true, 0
+		fleet = append(fleet, g)
+	}
+	for round := range 4 {
+		calls := map[int]int{} // by tenths of a second
+		for rank, g := range fleet {
+			g.list(ListFailed)
+			asked := false
+			for tenth := 0; !asked && tenth < int(within/(100*ms)); tenth++ {
+				for _, a := range g.advance(100 * ms) {
+					if a.Kind == Watch {
+						calls[tenth]++
+						asked = true
+					}
+				}
+			}
+			if !asked {
+				t.Errorf("round %d: instance %d does not ask within %v", round, rank, within)
+			}
+		}
+		for tenth, c := range calls {
+			if c > n/3 {
+				t.Errorf("round %d: %d of %d instances ask in one tenth of a second, the %d.", round, c, n, tenth)
+			}
+		}
+	}
+}
--- a/bank_test.go
+++ b/fleet_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// Gateways whose views differ, each bound as the roster promises (Most at least as many as live,
+// Gateways whose views differ, each bound as the registry of peers promises (Most at least as many as live,
 // Least at least half of what it counts), send a cold host together no more than makes it fall:
 // the sum of their rates over those that use it stays under its budget.
 func TestColdBudgetsHoldWhileViewsDiffer(t *testing.T) {
@@ -49,7 +49,7 @@
 
 // A view changes the part of the hosts by the fewest and the budgets by the most, and what makes
 // no sense changes nothing.
-func TestBankNews(t *testing.T) {
+func TestFleetNews(t *testing.T) {
 	set := basic()
 	set.Instances, set.Rank = 40, 7
 	set.Tenants = []Tenant{{Quota: 400}}
--- a/fuzz_test.go
+++ b/fuzz_test.go
@@ -36,7 +36,6 @@
 	class    *Class
 	deadline Time
 	answered bool
-	began    bool
 	atts     []trackedAttempt
 }
 
--- a/hear_test.go
+++ b/hosthealth_test.go
@@ -82,7 +82,9 @@
 	took := func(HostID) time.Duration { return 10 * ms }
 	g := start(t, basic(), hosts(4)...)
 	g.serve(400, 0, took)
-	hear := func(doubt float64) { g.b.Hear(g.now, Hearsay{Host: 1, Doubt: doubt, Until: g.now + time.Hour}) }
+	hear := func(doubt float64) {
+		g.b.Hear(g.now, Hearsay{Host: 1, Doubt: doubt, Until: g.now + time.Hour})
+	}
 	hear(0.9)
 	if got := g.serve(400, 0, took); got[1] > 40 {
 		t.Errorf("a host that is doubted got %v", got)
--- /dev/null
+++ b/load_test.go
@@ -0,0 +1,369 @@
+package frostshift
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// incidents i4dd726, ib2aec1: every host held more than it could serve in time.
+func TestInFlightIsBoundedAndLineIsWorthFirst(t *testing.T) {
+	g := start(t, basic(), hosts(2)...)
+	out := map[RequestID]bool{}
+	for range 30 {
+		g.request(0, time.Second)
+		for _, a := range g.acts {
+			out[a.Request] = true
+		}
+	}
+	if most := 2 * limitStart; len(out) != most {
+		t.Fatalf("%d in flight at two new hosts, want %d", len(out), most)
+	}
+	worth := g.request(2, time.Second)
+	for id := range out {
+		g.now += 10 * ms
+		g.outcome(id, 0, OK, 10*ms)
+		break
+	}
+	if len(g.acts) == 0 || g.acts[0].Request != worth {
+		t.Errorf("actions %v, want the unsafe request, worth most, first", g.acts)
+	}
+}
+
+func TestWaitingTooLongIsRefusedEarly(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	for range 10 {
+		g.request(0, time.Second)
+	}
+	begin := g.now
+	for _, a := range g.advance(450 * ms) {
+		if a.Kind != Refuse {
+			t.Fatalf("action %v", a)
+		}
+		if g.b.reqs[a.Request] != nil {
+			t.Error("refused request kept")
+		}
+	}
+	if g.b.queued != 0 {
+		t.Errorf("%d still wait %v later, past their aim", g.b.queued, g.now-begin)
+	}
+}
+
+// zurich incident i836603: late requests in a line below a full one waited on.
+func TestLateRequestsAreRefusedInEveryLine(t *testing.T) {
+	set := basic()
+	set.Classes[0].Deadline = 2 * time.Second
+	set.Classes[1].Deadline, set.Classes[1].Aim = 2*time.Second, 2*time.Second // worth more
+	g := start(t, set)
+	low := g.request(0, 2*time.Second)
+	high := g.request(1, 2*time.Second)
+	for _, a := range g.advance(200 * ms) {
+		if a.Kind != Refuse || a.Request != low {
+			t.Errorf("action %v, want only the late request of the lower line refused", a)
+		}
+	}
+	if g.b.reqs[low] != nil || g.b.reqs[high] == nil {
+		t.Error("the late request waits on, or the other was refused")
+	}
+}
+
+func TestLimitFollowsRTT(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	h := g.b.hosts[0]
+	for range 40 {
+		g.b.now += 300 * ms
+		g.b.adjust(h, 0.8, g.b.now)
+	}
+	if h.limit != limitLeast {
+		t.Errorf("limit %v after slow answers, want the least", h.limit)
+	}
+	g.b.now += time.Second
+	for range 20 {
+		g.b.now += 300 * ms
+		g.b.adjust(h, 0.01, g.b.now)
+	}
+	if h.limit != limitLeast {
+		t.Errorf("limit %v, want no growth while nothing waits", h.limit)
+	}
+	g.b.queued = 1
+	for range 60 {
+		g.b.now += 300 * ms
+		h.pending = int(h.limit) - 1
+		g.b.adjust(h, 0.01, g.b.now)
+	}
+	if h.limit < 4 {
+		t.Errorf("limit %v, want it to grow while requests wait", h.limit)
+	}
+}
+
+// serra incidents i06a801, ie8003c: small cuts, one an answer, came too late to
+// keep hosts from tipping; many at once would be one too many.
+func TestLimitIsCutOnceARound(t *testing.T) {
+	g := start(t, basic(), hosts(1)...)
+	h := g.b.hosts[0]
+	h.limit = 40
+	target := limitAims * g.b.aim.Seconds()
+	sent := g.b.now
+	g.b.now += 300 * ms
+	for range 5 { // the answers of one round
+		g.b.adjust(h, 2*target, sent)
+	}
+	if math.Abs(h.limit-20) > 1e-9 {
+		t.Fatalf("limit %v after a round at twice the target, want half of 40", h.limit)
+	}
+	g.b.now += 300 * ms
+	g.b.adjust(h, 2*target, g.b.now-300*ms)
+	if math.Abs(h.limit-10) > 1e-9 {
+		t.Errorf("limit %v after the next round, want a quarter of 40", h.limit)
+	}
+}
+
+// serra incident ic8b233: hosts that turned all away at once, while the others
+// were at their limits, drew all that waited.
+func TestFullHostIsGivenLess(t *testing.T) {
+	set := basic()
+	set.Instances = 4
+	g := start(t, set, hosts(1)...)
+	id := g.request(0, time.Second)
+	g.sole(Send)
+	g.now += ms
+	g.outcome(id, 0, Full, ms)
+	if h := g.b.hosts[0]; h.limit >= limitStart {
+		t.Errorf("limit %v, want it cut", h.limit)
+	}
+}
+
+// regensburg big-2: 70 of 100 requests refused while hosts idled, as one long RTT
+// rested a host for seconds at every one of many instances.
+func TestThinViewDoesNotStarveHosts(t *testing.T) {
+	set := basic()
+	set.Instances = 240
+	g := start(t, set, hosts(48)...)
+	g.b.admit = 1
+	for range 40 {
+		id := g.request(0, time.Second)
+		g.sole(Send)
+		g.advance(160 * ms) // over the target of the limit, but in time
+		g.outcome(id, 0, OK, 160*ms)
+	}
+}
+
+// obb overload, big-2: with no limit that holds at size, late answers crowded every
+// host. Requests are shed by worth while answers are late, and taken again after.
+func TestLateAnswersShedTheLeastWorthFirst(t *testing.T) {
+	set := basic()
+	set.Instances = 40
+	g := start(t, set, hosts(20)...)
+	g.b.admit = 1
+	play := func(took time.Duration) (refused [3]int) {
+		for i := range 300 {
+			id := g.request(i%3, time.Second)
+			if a := g.acts[0]; a.Kind == Refuse {
+				refused[i%3]++
+				continue
+			}
+			g.outcome(id, 0, OK, took)
+			g.advance(10 * ms)
+		}
+		return refused
+	}
+	if got := play(150 * ms); got != [3]int{} {
+		t.Errorf("refused %v while answers are in time", got)
+	}
+	if got := play(600 * ms); got[0] < 60 || got[0] < got[2] {
+		t.Errorf("refused %v by class while answers are late, want the first class, worth least, first", got)
+	}
+	for range 4 {
+		play(50 * ms)
+	}
+	if got := play(50 * ms); got != [3]int{} {
+		t.Errorf("refused %v once answers are in time again", got)
+	}
+}
+
+// obb rough-1: hosts so late that attempts were called off at the deadline told
+// nothing, and requests were admitted on.
+func TestOverdueAttemptsCountAsLate(t *testing.T) {
+	set := basic()
+	set.Instances = 40
+	g := start(t, set, hosts(20)...)
+	for range 60 {
+		id := g.request(0, 500*ms)
+		for _, a := range g.advance(500 * ms) {
+			if a.Kind == Cancel {
+				g.outcome(id, a.Attempt, Canceled, 490*ms)
+			}
+		}
+	}
+	if g.b.admit > 0.5 {
+		t.Errorf("%.2f of requests admitted with no answer by any deadline", g.b.admit)
+	}
+	if h := g.b.ring[0]; h.rtt < 0.4 {
+		t.Errorf("estimate %v of a host that answered nothing within 0.49 s", h.rtt)
+	}
+}
+
+// The long day on sockets: requests that cost many times the usual held most hosts
+// until their deadlines, and a third of the others was refused.
+func TestCostlyRequestsMakeRoom(t *testing.T) {
+	for class, want := range map[int]ActionKind{0: Refuse, 1: Fail, 2: Send} {
+		g := start(t, basic(), hosts(1)...)
+		costly := g.request(class, time.Second)
+		g.sole(Send)
+		if acts := g.advance(500 * ms); len(acts) > 0 {
+			t.Fatalf("class %d past its aim, while none waits: %v", class, acts)
+		}
+		g.b.hosts[0].limit = 1
+		g.request(2, time.Second)
+		if len(g.acts) > 0 {
+			t.Fatalf("sent to a full host: %v", g.acts)
+		}
+		var answer ActionKind
+		off := false
+		for _, a := range g.advance(50 * ms) {
+			if a.Request != costly {
+				continue
+			}
+			if a.Kind == Cancel {
+				off = true
+			} else {
+				answer = a.Kind
+			}
+		}
+		// Send, the zero value, stands for no answer: one that may not be repeated keeps its attempt.
+		if answer != want || off != (want != Send) {
+			t.Errorf("class %d: answer %v, called off: %v", class, answer, off)
+		}
+	}
+}
+
+func TestOverQuotaWaitsBehind(t *testing.T) {
+	set := basic()
+	set.Tenants = []Tenant{{Quota: 1}, {Quota: 1000}}
+	set.OverQuotaWorth = 0.05
+	g := start(t, set)
+	ask := func(tenant int) RequestID {
+		g.next++
+		g.b.Request(g.now, Request{ID: g.next, Tenant: tenant, Left: time.Second})
+		return g.next
+	}
+	ask(0)
+	over := ask(0)
+	within := ask(1)
+	list := hosts(1)
+	g.b.drainQuiet()
+	g.list(ListFull, list...)
+	order := map[RequestID]int{}
+	for i, a := range g.acts {
+		order[a.Request] = i
+	}
+	if len(order) != 3 || order[within] > order[over] {
+		t.Errorf("order %v, want %d before %d", g.acts, within, over)
+	}
+}
+
+func TestRepeatsWaitBehind(t *testing.T) {
+	tests := []struct {
+		name   string
+		repeat Request
+	}{
+		{"marked", Request{Left: time.Second, Repeat: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := start(t, basic(), hosts(1)...)
+			for range limitStart {
+				g.request(0, time.Second)
+			}
+			tt.repeat.ID = 1000
+			g.b.Request(g.now, tt.repeat)
+			first := g.request(0, time.Second)
+			g.now += 10 * ms
+			g.outcome(1, 0, OK, 10*ms)
+			if len(g.acts) == 0 || g.acts[0].Kind != Send || g.acts[0].Request != first {
+				t.Fatalf("actions %v, want the first try %d sent before the repeat", g.acts, first)
+			}
+			g.now += 10 * ms
+			g.outcome(2, 0, OK, 20*ms)
+			if len(g.acts) == 0 || g.acts[0].Kind != Send || g.acts[0].Request != 1000 {
+				t.Fatalf("actions %v, want the repeat sent next", g.acts)
+			}
+		})
+	}
+}
+
+// A host whose table of connections is full turns requests away unseen: it is not broken, those
+// requests may go elsewhere whatever their class, and next to nothing more comes to it.
+func TestFullTableIsNoBrokenHost(t *testing.T) {
+	set := basic()
+	set.Instances = 80
+	g := start(t, set, hosts(60)...)
+	g.b.admit = 1
+	full := g.b.ring[0]
+	sent, served := 0, 0
+	for range 300 {
+		id := g.request(2, time.Second) // unsafe
+		for n := 0; n < 4; n++ {
+			to := HostID(0)
+			for _, a := range g.acts {
+				switch {
+				case a.Kind == Send && a.Request == id:
+					to = a.Host
+				case a.Kind == Fail:
+					t.Fatal("a request that was turned away unseen counts as one that may have run")
+				}
+			}
+			if to == 0 {
+				break
+			}
+			if to != full.ID {
+				g.outcome(id, n, OK, 20*ms)
+				served++
+				break
+			}
+			sent++
+			g.outcome(id, n, Full, ms)
+		}
+		g.advance(10 * ms)
+	}
+	if full.fails > 0 {
+		t.Error("a host with a full table is ejected as broken")
+	}
+	if served < 295 || sent > 30 {
+		t.Errorf("%d of 300 are served, %d attempts at the full host", served, sent)
+	}
+}
+
+// A gateway that sees an answer now and then sheds for none that was costly, for a crowd that it
+// met several times it does, and no more two aims after: evidence that is not renewed is none.
+func TestOneCostlyAnswerIsNoCrowd(t *testing.T) {
+	set := basic()
+	set.Instances = 200
+	g := start(t, set, hosts(40)...)
+	ask := func(n int, took time.Duration) (refused int) {
+		for range n {
+			id := g.request(0, time.Second)
+			if g.acts[0].Kind == Refuse {
+				refused++
+				g.advance(500 * ms)
+				continue
+			}
+			g.advance(took)
+			g.outcome(id, 0, OK, took)
+			g.advance(500*ms - min(took, 500*ms))
+		}
+		return refused
+	}
+	for range 20 {
+		if n := ask(5, 60*ms) + ask(1, 900*ms); n > 0 {
+			t.Fatalf("%d refused where every sixth answer is costly", n)
+		}
+	}
+	if n := ask(100, 900*ms); n < 10 {
+		t.Errorf("%d of 100 refused while every answer is late", n)
+	}
+	g.advance(800 * ms)
+	if n := ask(100, 60*ms); n > 0 {
+		t.Errorf("%d refused after the crowd", n)
+	}
+}
--- /dev/null
+++ b/repeats_test.go
@@ -0,0 +1,114 @@
+package frostshift
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+func TestWhatFollowsAnAttempt(t *testing.T) {
+	again := []ActionKind{Send}
+	tests := []struct {
+		class  int
+		result Result
+		want   []ActionKind
+	}{
+		{0, OK, nil},
+		{0, Failed, again}, {0, TimedOut, again}, {0, Reset, again}, {0, Full, again}, {0, ConnectFailed, again},
+		{1, Failed, again}, {1, ConnectFailed, again},
+		{2, Failed, []ActionKind{Fail}}, {2, TimedOut, []ActionKind{Fail}}, {2, Reset, []ActionKind{Fail}},
+		{2, Canceled, []ActionKind{Fail}},
+		{2, Full, again}, {2, ConnectFailed, again}, {2, NotSent, again},
+	}
+	for _, tt := range tests {
+		g := start(t, basic(), hosts(2)...)
+		id := g.request(tt.class, time.Second)
+		g.advance(20 * ms)
+		g.outcome(id, 0, tt.result, 20*ms)
+		var got []ActionKind
+		for _, a := range g.acts {
+			got = append(got, a.Kind)
+		}
+		if !reflect.DeepEqual(got, tt.want) {
+			t.Errorf("class %d after result %d: actions %v, want %v", tt.class, tt.result, got, tt.want)
+		}
+	}
+}
+
+func TestKeyedStaysInItsGroup(t *testing.T) {
+	for group, same := range map[Group]func(a, b Host) bool{
+		GroupAll:  func(a, b Host) bool { return true },
+		GroupZone: func(a, b Host) bool { return a.Zone == b.Zone },
+		GroupCell: func(a, b Host) bool { return a.Cell == b.Cell },
+	} {
+		set := basic()
+		set.Classes[1].Group = group
+		list := []Host{{ID: 1, Zone: 0, Cell: 0}, {ID: 2, Zone: 0, Cell: 1}, {ID: 3, Zone: 1, Cell: 2},
+			{ID: 4, Zone: 0, Cell: 0}, {ID: 5, Zone: 0, Cell: 1}, {ID: 6, Zone: 1, Cell: 2}}
+		other := 0
+		for range 30 {
+			g := start(t, set, list...)
+			g.b.rng += uint64(other)*977 + 1
+			id := g.request(1, time.Second)
+			first := list[g.sole(Send).Host-1]
+			g.outcome(id, 0, Failed, ms)
+			second := list[g.sole(Send).Host-1]
+			if !same(first, second) {
+				t.Fatalf("group %d: sent to %+v, then to %+v", group, first, second)
+			}
+			other++
+		}
+	}
+}
+
+func TestKeyedIsNotRepeatedAfterItsWindow(t *testing.T) {
+	g := start(t, basic(), hosts(2)...)
+	id := g.request(1, time.Second)
+	g.advance(599 * ms)
+	g.outcome(id, 0, Failed, 599*ms)
+	g.sole(Fail)
+}
+
+func TestKeyedWhoseGroupIsGoneFails(t *testing.T) {
+	g := start(t, basic(), hosts(4)...)
+	id := g.request(1, time.Second)
+	cell := int(g.sole(Send).Host-1) / 2
+	var left []Host
+	for _, h := range hosts(4) {
+		if h.Cell != cell {
+			left = append(left, h)
+		}
+	}
+	g.list(ListFull, left...)
+	g.outcome(id, 0, Reset, ms)
+	acts := append(append([]Action(nil), g.acts...), g.advance(time.Second)...)
+	if len(acts) != 1 || acts[0].Kind != Fail {
+		t.Errorf("actions %v, want one Fail", acts)
+	}
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	set := basic()
+	set.MaxAttempts = 3
+	g := start(t, set, hosts(8)...)
+	id := g.request(2, time.Second)
+	for n := range 3 {
+		g.sole(Send)
+		g.outcome(id, n, Full, ms)
+	}
+	g.sole(Refuse)
+}
+
+func TestStreamBelongsToItsAttempt(t *testing.T) {
+	g := start(t, basic(), hosts(2)...)
+	id := g.request(0, 500*ms)
+	g.b.Started(g.now, id, 0)
+	if done := g.advance(2 * time.Second); len(done) != 0 {
+		t.Errorf("done %v past the deadline of a stream that has begun", done)
+	}
+	g.b.Outcome(g.now, Outcome{Request: id, Result: Reset, Closed: true})
+	g.drain()
+	if len(g.acts) != 0 || len(g.b.reqs) != 0 {
+		t.Errorf("actions %v after a broken stream, %d requests kept", g.acts, len(g.b.reqs))
+	}
+}
--- a/state.go
+++ b/state.go
@@ -49,7 +49,7 @@
 	kinds          []evidence.Mean // the same of a kind's warm hosts
 	warmAt         Time            // when the next of the cold hosts is warm; 0: none is cold
 	warm           int             // warm hosts listed
-	served         float64         // rate of good answers of a warm host to the bank, a second, as of servedAt
+	served         float64         // rate of good answers of a warm host to the fleet, a second, as of servedAt
 	servedAt       Time
 	servedFrom     Time    // when the first of them was sent
 	span           float64 // of served, seconds
@@ -108,11 +108,13 @@
 	ejectUntil Time
 	trialOut   bool // the one attempt of a host on trial is out
 
-	cold     bool // it started less than WarmAfter ago
-	coldAt   Time
-	credit   float64 // sends that the cold budget allows now, as of creditAt
-	sharers  float64 // instances that may send to it while cold
-	creditAt Time
+	cold   bool // it started less than WarmAfter ago
+	coldAt Time
+	credit float64 // sends that the cold budget allows now, as of creditAt
+	// staggered says that credit began at this instance's place in the cycle of sends.
+	staggered bool
+	sharers   float64 // instances that may send to it while cold
+	creditAt  Time
 
 	doubt       float64 // by others' outcomes, until doubtUntil
 	doubtUntil  Time
@@ -160,6 +162,27 @@
 	return list
 }
 
+// turn appends the hosts to dst, from this instance's place on.
+func (b *Balancer) turn(dst, part []*host) []*host {
+	first := int(b.shared.Place * float64(len(part)))
+	return append(append(dst, part[first:]...), part[:first]...)
+}
+
+// remote says whether a host stands in another zone.
+func (b *Balancer) remote(h *host) bool { return h.Zone != b.set.Zone }
+
+// first is the earliest attempt that may have run or is still out, or nil.
+func (r *request) first() *attempt {
+	for _, a := range r.atts {
+		if !a.ended || a.result.mayHaveRun() {
+			return a
+		}
+	}
+	return nil
+}
+
+func (x Result) mayHaveRun() bool { return x != Full && x != ConnectFailed && x != NotSent }
+
 // byWeight draws a host by weights.
 func (b *Balancer) byWeight(from []*host) *host {
 	sum := 0.0
@@ -534,6 +557,12 @@
 	return mix(b.rng)
 }
 
+// stagger is this instance's place in the cycle of sends to a cold host: steps of the golden ratio spread
+// any run of neighbours on the ring evenly, and each host has an order of its own.
+func (b *Balancer) stagger(h *host) float64 {
+	return b.shared.Place*float64(b.shared.Most)*math.Phi + float64(h.place)/math.MaxUint64
+}
+
 // mix scatters the values of a number.
 func mix(z uint64) uint64 {
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
