A keyed request that may have run is refused only while hosts still drop a repeat of it

A refusal promises that trying again is harmless. One of group `all` whose client came back behind the hosts' window ran a second time (`duplicate`).

It fails instead where the longest advice that a client heeds would end behind the window. TestKeyedIsRefusedWithinItsWindow fails on the code before.

--- a/balancer.go
+++ b/balancer.go
@@ -1130,10 +1130,12 @@
 	return b.repeatable(r.class, r.first())
 }
 
-// answer gives the final answer to a request that will not be served: a refusal
-// only where trying again is known to be harmless.
+// answer gives the final answer to a request that will not be served: a refusal only where trying
+// again is known to be harmless, for a keyed one as long as hosts drop what comes back.
 func (b *Balancer) answer(r *request) {
-	if r.first() == nil || r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll {
+	first, keyed := r.first(), r.class.Effect == Keyed && r.class.Group == GroupAll
+	if first == nil || r.class.Effect == Safe ||
+		keyed && b.now+b.set.MaxRetryAfter <= first.sent+r.class.Window {
 		b.act(Action{Kind: Refuse, Request: r.ID, After: min(b.aim/4, b.set.MaxRetryAfter)})
 	} else {
 		b.act(Action{Kind: Fail, Request: r.ID})
--- a/repeats_test.go
+++ b/repeats_test.go
@@ -99,6 +99,22 @@
 	g.sole(Refuse)
 }
 
+// A keyed request that may have run is refused only while hosts drop what its client sends again.
+func TestKeyedIsRefusedWithinItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		after time.Duration // from the first attempt to the answer
+		want  ActionKind
+	}{{100 * ms, Refuse}, {300 * ms, Refuse}, {301 * ms, Fail}, {599 * ms, Fail}} {
+		set := basic()
+		set.Classes[1].Group, set.MaxAttempts, set.MaxRetryAfter = GroupAll, 1, 300*ms
+		g := start(t, set, hosts(2)...)
+		id := g.request(1, time.Second)
+		g.advance(c.after)
+		g.outcome(id, 0, Failed, c.after)
+		g.sole(c.want)
+	}
+}
+
 func TestStreamBelongsToItsAttempt(t *testing.T) {
 	g := start(t, basic(), hosts(2)...)
 	id := g.request(0, 500*ms)
