No attempt begins once its client has left, or its time or its hosts' window is over

Upstreams ask Attempt.MaySend right before the first byte, over HTTP/1.1 with the write's lock held, over HTTP/2 in the writer's turn. What was told to the client's departure is seen there before the loop comes to it. The time told is worked out when the head is written.

Long functions of the two upstreams and the exchange's loop stand in steps and files of their own.

--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -20,6 +20,7 @@
 
 	x        *Exchange
 	pool     atomic.Pointer[Pool] // changed only by the loop that it leaves
+	departed atomic.Bool          // its client has left
 	fallback *Pool                // nil: none, or it has been handed on
 	id       frostshift.RequestID
 	attempts []*Attempt    // at this pool
@@ -37,9 +38,20 @@
 	fault    bool          // the last answer was an error of the service
 }
 
-// Gone says that the client has left. A reply that has come by then must still be
-// released by whoever finds it in Reply; Gone looks for it in the loop.
-func (c *Call) Gone() { c.pool.Load().post(event{kind: clientGone, call: c}) }
+// Gone says that the client has left: no attempt begins from here on. A reply that has come by
+// then must still be released by whoever finds it in Reply; Gone looks for it in the loop.
+func (c *Call) Gone() {
+	c.departed.Store(true)
+	c.pool.Load().post(event{kind: clientGone, call: c})
+}
+
+// latest is when the request must be over.
+func (c *Call) latest() frostshift.Time {
+	if c.Body != nil {
+		return c.Ends
+	}
+	return c.Deadline
+}
 
 // Undelivered says that the reply could not be written to the client whole: if the request
 // may have run, it is not taken again from a client that comes once more with its id.
@@ -213,7 +225,7 @@
 		until, left = c.Ends, c.left(now)
 	}
 	a := &Attempt{Host: act.Host, Message: c.Message, Answers: c.Answers, Until: p.clock.At(until), Left: left,
-		pool: p, call: c, n: len(c.attempts), sent: now}
+		pool: p, call: c, n: len(c.attempts), begun: now, sendBy: p.repeatBy(c), sent: now}
 	c.attempts = append(c.attempts, a)
 	c.out++
 	p.counts.Attempts.Add(1)
@@ -225,6 +237,21 @@
 	}
 }
 
+// repeatBy is until when the next attempt at a request may go out: hosts drop repeats of a keyed
+// one for the class's window from its first attempt that may have run; 0: at any time.
+func (p *Pool) repeatBy(c *Call) frostshift.Time {
+	class := &p.set.Classes[c.Class]
+	if class.Effect != frostshift.Keyed {
+		return 0
+	}
+	for _, a := range c.attempts {
+		if !a.ended || a.mayRan {
+			return a.begun + class.Window
+		}
+	}
+	return 0
+}
+
 // outMore tells that an attempt is out, or is so no more, each once.
 func (p *Pool) outMore(a *Attempt, more int) {
 	if p.tellOut != nil && a.told != (more > 0) {
@@ -250,7 +277,7 @@
 	switch result {
 	case frostshift.Full, frostshift.ConnectFailed, frostshift.NotSent:
 	default:
-		c.mayRan = true
+		c.mayRan, a.mayRan = true, true
 	}
 	if result == frostshift.ConnectFailed {
 		p.saw(a.Host, false)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -38,7 +38,7 @@
 type idShard struct {
 	mu   sync.Mutex
 	open map[string]struct{}
-	// lost are requests that may have run and whose clients have had no answer: see recall.
+	// lost are requests that may have run and whose clients have had no answer: see recall.Memory.
 	lost *recall.Memory
 	// remote are the hashes of those that are open at the gateway's other process.
 	remote map[uint64]struct{}
--- a/internal/exchange/fair.go
+++ b/internal/exchange/fair.go
@@ -49,8 +49,8 @@
 		p.lookedAt = now
 		p.sched.SetCapacity(now, p.b.Capacity(now))
 		out, waiting, _ := p.sched.Counts()
-		p.part.Look(now, out > 0, waiting > 0)
-		p.sched.SetPart(p.part.Value())
+		p.fleetShare.Look(now, out > 0, waiting > 0)
+		p.sched.SetPart(p.fleetShare.Value())
 	}
 }
 
@@ -102,7 +102,7 @@
 		if harmless {
 			r = Reply{Verdict: Refused, After: p.advice}
 		}
-	case c.Item == nil || p.door == nil || p.door.Further(c.Item.Account, c.Item.Terms, now):
+	case c.Item == nil || p.limiter == nil || p.limiter.Further(c.Item.Account, c.Item.Terms, now):
 		return true
 	case harmless:
 		r = Reply{Verdict: Refused, After: time.Second, Violation: &contract.Violation{Status: 429, Title: "retry budget used up",
--- a/internal/exchange/twin.go
+++ b/internal/exchange/twin.go
@@ -159,17 +159,17 @@
 func (p *Pool) tellBank() {
 	p.post(event{kind: do, run: func(now frostshift.Time) {
 		s := p.shared.Load()
-		p.b.Bank(now, s.bank)
-		if p.part != nil {
-			p.part.Share(s.most)
+		p.b.Bank(now, s.fleet)
+		if p.fleetShare != nil {
+			p.fleetShare.Share(s.most)
 		}
 	}})
 }
 
 // shared is what Bank was told last.
 type shared struct {
-	bank frostshift.Bank
-	most int
+	fleet frostshift.Bank
+	most  int
 }
 
 // Memory has the loop give what its balancer has learned, and how many repeats are saved up, to f; it does not where it
--- a/internal/exchange/upstream.go
+++ b/internal/exchange/upstream.go
@@ -42,15 +42,40 @@
 	pool   *Pool
 	call   *Call
 	n      int
+	begun  frostshift.Time // when the balancer chose the host
+	sendBy frostshift.Time // its first byte may not go out later; 0: within its time
 	sent   frostshift.Time
 	before time.Duration // waited, as of sent
 	fed    bool          // its last byte has gone out
 	flows  bool          // its answer's body flows to the client
 	ended  bool          // the loop has its outcome
+	mayRan bool          // ... and the request may have run
 	told   bool          // it counts as out, see PoolConfig.Out
 	handle Handle
 }
 
+// MaySend says whether the request may still go out. An upstream asks right before the first byte:
+// a connection may have taken its time to come up. Nothing may go out once the client is seen to
+// have left, once the time is over, or once hosts may have forgotten an earlier attempt of a keyed
+// request.
+func (a *Attempt) MaySend() bool {
+	if a.call == nil { // of a test of an upstream alone
+		return true
+	}
+	now := a.pool.clock.Now()
+	return !a.call.departed.Load() && (a.sendBy == 0 || now <= a.sendBy) && now < a.call.latest()
+}
+
+// wayBack is what an answer may take from the host through the gateway to the client. It is no
+// time of the host's.
+const wayBack = time.Millisecond
+
+// Remaining is the time that the host is told: never more than the client has left when the
+// request goes out, less the way back.
+func (a *Attempt) Remaining() time.Duration {
+	return max(0, min(a.Left, time.Until(a.Until))-wayBack)
+}
+
 // Waited notes that the attempt has waited for the client for so long: that is no time of
 // its host's.
 func (a *Attempt) Waited(d time.Duration) { a.waited.Add(int64(d)) }
--- a/internal/h2/fields.go
+++ b/internal/h2/fields.go
@@ -21,8 +21,8 @@
 var (
 	errPseudo     = errors.New("a pseudo-header field is missing, empty or out of place")
 	errConnection = errors.New("a header field that is about one connection")
-	errAuthority  = errors.New("Host and :authority differ")
-	errLength     = errors.New("Content-Length is malformed")
+	errAuthority  = errors.New("fields Host and :authority differ")
+	errLength     = errors.New("field Content-Length is malformed")
 )
 
 // connectionFields must not stand in a message (RFC 9113 section 8.2.2).
@@ -32,72 +32,103 @@
 // order. CONNECT has no path, unless it is extended, and none of the other methods goes without.
 func ReadRequest(fields []hpack.HeaderField) (*Request, error) {
 	r := &Request{Header: make(http.Header, len(fields)), Length: -1}
-	host := ""
-	var hosts, lengths int
+	var hosts []string
 	for _, f := range fields {
-		if strings.HasPrefix(f.Name, ":") {
-			var to *string
-			switch f.Name {
-			case ":method":
-				to = &r.Method
-			case ":scheme":
-				to = &r.Scheme
-			case ":authority":
-				to = &r.Authority
-			case ":path":
-				to = &r.Path
-			case ":protocol":
-				to = &r.Protocol
-			default:
-				return nil, errPseudo
-			}
-			if *to != "" || f.Value == "" {
-				return nil, errPseudo
-			}
-			*to = f.Value
-			continue
-		}
+		var err error
 		switch {
+		case strings.HasPrefix(f.Name, ":"):
+			err = r.readPseudo(f)
 		case connectionFields[f.Name], f.Name == "te" && f.Value != "trailers":
-			return nil, errConnection
+			err = errConnection
 		case f.Name == "host":
-			host = f.Value
-			hosts++
-			continue
+			hosts = append(hosts, f.Value)
 		case f.Name == "content-length":
-			n, err := strconv.ParseUint(f.Value, 10, 62)
-			if err != nil || strings.Trim(f.Value, "0123456789") != "" || lengths > 0 && int64(n) != r.Length {
-				return nil, errLength
-			}
-			r.Length = int64(n)
-			lengths++
-			continue
-		case f.Name == "cookie": // may be split for compression (section 8.2.3)
-			if old := r.Header["Cookie"]; len(old) > 0 {
-				old[0] += "; " + f.Value
-				continue
-			}
+			err = r.readLength(f.Value)
+		default:
+			r.addField(f)
+		}
+		if err != nil {
+			return nil, err
 		}
-		name := http.CanonicalHeaderKey(f.Name)
-		r.Header[name] = append(r.Header[name], f.Value)
 	}
-	switch {
-	case r.Method == "" || (r.Method == http.MethodConnect) != (r.Protocol != "") || r.Scheme != "http" && r.Scheme != "https" || r.Path == "":
+	if !r.hasTarget() {
 		return nil, errPseudo
+	}
+	if err := r.readAuthority(hosts); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// readPseudo takes in a pseudo-header field, which may stand once and not be empty.
+func (r *Request) readPseudo(f hpack.HeaderField) error {
+	var to *string
+	switch f.Name {
+	case ":method":
+		to = &r.Method
+	case ":scheme":
+		to = &r.Scheme
+	case ":authority":
+		to = &r.Authority
+	case ":path":
+		to = &r.Path
+	case ":protocol":
+		to = &r.Protocol
+	default:
+		return errPseudo
+	}
+	if *to != "" || f.Value == "" {
+		return errPseudo
+	}
+	*to = f.Value
+	return nil
+}
+
+// readLength takes in a Content-Length. It may be repeated with the same value.
+func (r *Request) readLength(value string) error {
+	n, err := strconv.ParseUint(value, 10, 62)
+	if err != nil || strings.Trim(value, "0123456789") != "" || r.Length >= 0 && int64(n) != r.Length {
+		return errLength
+	}
+	r.Length = int64(n)
+	return nil
+}
+
+// addField takes in any other field. Cookies may be split for compression (section 8.2.3).
+func (r *Request) addField(f hpack.HeaderField) {
+	if old := r.Header["Cookie"]; f.Name == "cookie" && len(old) > 0 {
+		old[0] += "; " + f.Value
+		return
+	}
+	name := http.CanonicalHeaderKey(f.Name)
+	r.Header[name] = append(r.Header[name], f.Value)
+}
+
+// hasTarget says whether method, scheme and path make a request.
+func (r *Request) hasTarget() bool {
+	switch {
+	case r.Method == "" || (r.Method == http.MethodConnect) != (r.Protocol != ""):
+		return false
+	case r.Scheme != "http" && r.Scheme != "https":
+		return false
 	case !strings.HasPrefix(r.Path, "/") && !(r.Path == "*" && r.Method == http.MethodOptions):
-		return nil, errPseudo
-	case strings.ContainsAny(r.Path, " \t\r\n\x00#"), !token(r.Method):
-		return nil, errPseudo
-	case hosts > 1 || hosts == 1 && r.Authority != "" && host != r.Authority:
-		return nil, errAuthority
+		return false
 	}
-	if r.Authority == "" {
-		r.Authority = host
+	return !strings.ContainsAny(r.Path, " \t\r\n\x00#") && token(r.Method)
+}
+
+// readAuthority sets the authority where only Host fields name it; they must not contradict it.
+func (r *Request) readAuthority(hosts []string) error {
+	if len(hosts) > 1 || len(hosts) == 1 && r.Authority != "" && hosts[0] != r.Authority {
+		return errAuthority
+	}
+	if r.Authority == "" && len(hosts) == 1 {
+		r.Authority = hosts[0]
 	}
 	if strings.ContainsAny(r.Authority, "/@ \t\r\n\x00") {
-		return nil, errAuthority
+		return errAuthority
 	}
-	return r, nil
+	return nil
 }
 
 // token says whether a method is one (RFC 9110 section 5.6.2).
--- a/internal/h2/link.go
+++ b/internal/h2/link.go
@@ -78,7 +78,6 @@
 	closed      bool
 	half        bool          // with closed: only the sending side
 	ended       chan struct{} // closed: the writer has ended
-	err         error
 }
 
 // headerBuffer collects one encoded header block.
@@ -122,6 +121,11 @@
 	Taken func()
 	// Trailer follows the body.
 	Trailer []hpack.HeaderField
+	// MaySend is asked by the writer immediately before the first byte. Where it says no the stream is
+	// forgotten, nothing of it goes out, and Barred is called in a goroutine. It must not block, nor
+	// call the link. nil: it may.
+	MaySend func() bool
+	Barred  func()
 
 	headSent bool
 	sent     int
--- a/internal/h2/writer.go
+++ b/internal/h2/writer.go
@@ -277,6 +277,12 @@
 		if s.forgotten || o == nil || o.whole || o.headSent && o.More && o.sent == len(o.Body) {
 			continue
 		}
+		if !o.headSent && o.MaySend != nil && !o.MaySend() {
+			s.forgotten = true
+			delete(l.streams, s.ID)
+			go o.Barred()
+			continue
+		}
 		room := min(int64(l.peerFrame), s.sendWindow, l.sendWindow, int64(len(o.Body)-o.sent))
 		if o.headSent && room <= 0 && o.sent < len(o.Body) {
 			continue // a window update brings it back
--- /dev/null
+++ b/internal/upstream/http1/answerflow.go
@@ -0,0 +1,160 @@
+package http1
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"frostshift"
+	"frostshift/internal/message"
+	"frostshift/internal/upstream"
+	"frostshift/internal/verdict"
+)
+
+// answerFlow is the body of an answer on its way. Its reader is the front's goroutine; Close
+// may come from any.
+type answerFlow struct {
+	t    *attempt
+	c    *conn
+	f    *feeder
+	req  *message.Request
+	resp *http.Response
+
+	ahead *beginningOf // that has been read and not given; nil: nothing
+	first *beginningOf // that was, for Close
+	idle  time.Duration
+	until time.Time
+	gave  time.Time // when the last Read returned
+	set   time.Time // what the deadline of reads is
+	total int64
+	eof   bool
+
+	once   sync.Once
+	mu     sync.Mutex
+	broken bool // the host broke off
+	late   bool // ... by sending nothing
+}
+
+// flowing hands an answer's head on, with its body to follow.
+func (t *attempt) flowing(c *conn, f *feeder, req *message.Request, resp *http.Response, a *message.Answer, m verdict.Meaning, ahead *beginningOf) {
+	t.up.flows.Add(1)
+	s := &answerFlow{ahead: ahead, first: ahead, t: t, c: c, f: f, req: req, resp: resp, idle: req.Flow.Idle, until: req.Flow.Ends, gave: time.Now()}
+	c.limit.N = 1<<63 - 1
+	if names := message.Announce(slices.Collect(maps.Keys(resp.Trailer))); names != nil {
+		a.Header["Trailer"] = names
+	}
+	a.Stream, a.Free = s, s.Close
+	if f != nil && a.Status >= 400 && !f.sent() { // it wants no more of the body (RFC 9112 section 9.3)
+		f.stop()
+	}
+	t.Flowing(m, upstream.After(a), a)
+}
+
+// Wait waits for something to read.
+func (s *answerFlow) Wait() {
+	if !s.eof && s.ahead == nil && s.c.in.Buffered() == 0 {
+		s.due()
+		s.c.await()
+		s.gave = time.Now()
+	}
+}
+
+// due notes how long the client has been waited for, and sets when the host's next byte is due.
+func (s *answerFlow) due() {
+	now := time.Now()
+	s.t.Waited(now.Sub(s.gave))
+	by := s.until
+	if s.idle > 0 && now.Add(s.idle).Before(by) {
+		by = now.Add(s.idle)
+	}
+	if by.Sub(s.set) > s.idle/8 || by == s.until && s.set != by { // a call for each read is many
+		s.set = by
+		s.c.SetReadDeadline(by)
+	}
+}
+
+// Read reads what has come of the body.
+func (s *answerFlow) Read(p []byte) (int, error) {
+	if s.eof {
+		return 0, io.EOF
+	}
+	if b := s.ahead; b != nil {
+		n := copy(p, b.rest)
+		if b.rest = b.rest[n:]; len(b.rest) == 0 {
+			s.ahead = nil
+			b.free()
+			b.again()
+		}
+		s.total += int64(n)
+		return n, nil
+	}
+	s.due()
+	n, err := s.resp.Body.Read(p)
+	s.gave = time.Now()
+	s.total += int64(n)
+	switch {
+	case err == io.EOF && (s.resp.ContentLength < 0 || s.total == s.resp.ContentLength):
+		s.mu.Lock()
+		s.eof = true
+		s.mu.Unlock()
+		if n == 0 {
+			return 0, io.EOF
+		}
+		return n, nil
+	case err != nil:
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		s.mu.Lock()
+		s.broken, s.late = true, errors.Is(err, os.ErrDeadlineExceeded)
+		s.mu.Unlock()
+	}
+	return n, err
+}
+
+// Trailer is what followed the body.
+func (s *answerFlow) Trailer() http.Header { return message.Trailers(s.resp.Trailer) }
+
+// Close ends the flow and says how it ended; it is the answer's Release. A Read that waits
+// elsewhere ends with an error.
+func (s *answerFlow) Close() {
+	s.once.Do(func() {
+		s.t.up.flows.Add(-1)
+		if s.first != nil {
+			s.first.free()
+		}
+		s.mu.Lock()
+		whole, broken, late := s.eof, s.broken, s.late
+		s.mu.Unlock()
+		fed := s.f == nil || s.f.sent()
+		mine := s.t.letGo()
+		if whole && fed && mine && !s.resp.Close {
+			s.c.done()
+			if s.c.in == nil {
+				s.c.SetDeadline(time.Time{})
+				s.t.up.put(s.c)
+				go s.t.Flowed(frostshift.OK)
+				return
+			}
+		}
+		s.c.Close()
+		if s.f != nil {
+			s.f.stop()
+		}
+		result := frostshift.Canceled
+		switch {
+		case whole:
+			result = frostshift.OK
+		case late:
+			result = frostshift.TimedOut
+		case broken:
+			result = frostshift.Reset
+		}
+		go s.t.Flowed(result) // it may be the pool's loop that releases
+	})
+}
--- a/internal/upstream/http1/attempt.go
+++ b/internal/upstream/http1/attempt.go
@@ -29,6 +29,7 @@
 	cancel  context.CancelFunc // of the dial; nil: none was begun
 	writing sync.Mutex
 	wrote   bool // something of it has gone out; of whoever writes
+	barred  bool // nothing has, as it may not any more
 }
 
 // errBroken says that the connection broke before the request's last byte was written.
@@ -102,14 +103,24 @@
 // letGo gives the connection up and says whether it was the attempt's to the end.
 func (t *attempt) letGo() bool { return t.hold(nil) }
 
+// mayWrite says whether more may go out. It stands immediately before each write, with writing
+// held: CallOff waits for a write that has begun.
+func (t *attempt) mayWrite() bool {
+	t.mu.Lock()
+	off := t.off || t.cut
+	t.mu.Unlock()
+	if off || t.wrote {
+		return !off
+	}
+	t.barred = !t.MaySend()
+	return !t.barred
+}
+
 // write sends the request and says whether its last byte has been written.
 func (t *attempt) write(c *conn, text []byte) bool {
 	t.writing.Lock()
 	defer t.writing.Unlock()
-	t.mu.Lock()
-	off := t.off || t.cut
-	t.mu.Unlock()
-	if off {
+	if !t.mayWrite() {
 		return false
 	}
 	n, _ := c.Write(text)
@@ -120,7 +131,7 @@
 // send writes the request, as far as it is whole, and says whether all of that has been written.
 func (t *attempt) send(c *conn, req *message.Request, address string) bool {
 	text := texts.Get().(*[]byte)
-	*text = appendRequest((*text)[:0], req, address, t.Left)
+	*text = appendRequest((*text)[:0], req, address, t.Remaining())
 	written := false
 	if len(req.Body) <= keptText {
 		*text = append(*text, req.Body...)
@@ -138,10 +149,7 @@
 func (t *attempt) writeBoth(c *conn, head, body []byte) bool {
 	t.writing.Lock()
 	defer t.writing.Unlock()
-	t.mu.Lock()
-	off := t.off || t.cut
-	t.mu.Unlock()
-	if off {
+	if !t.mayWrite() {
 		return false
 	}
 	n, _ := c.writeParts(net.Buffers{head, body})
@@ -171,7 +179,7 @@
 	c.SetDeadline(t.Until)
 	req := t.Message.(*message.Request)
 	if !t.send(c, req, h.address) {
-		c.Close()
+		t.unused(c)
 		return t.unsent(), nil, errBroken
 	}
 	c.begin()
@@ -197,10 +205,20 @@
 	return frostshift.OK, answer, nil
 }
 
+// unused ends a connection on which a request has not gone out whole; one on which nothing has, as
+// it may not, is as good as before.
+func (t *attempt) unused(c *conn) {
+	if t.barred && t.letGo() {
+		t.up.put(c)
+		return
+	}
+	c.Close()
+}
+
 // unsent is the result where the request's last byte has surely not been written: the
 // host can't have run it, and it is at fault unless the attempt was called off.
 func (t *attempt) unsent() frostshift.Result {
-	if !t.letGo() {
+	if !t.letGo() || t.barred {
 		return frostshift.NotSent
 	}
 	return frostshift.ConnectFailed
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -3,11 +3,8 @@
 import (
 	"errors"
 	"io"
-	"maps"
 	"net/http"
 	"os"
-	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -22,128 +19,6 @@
 // Bodies that are not held whole: a request's goes to the host as its client sends it, an
 // answer's comes as whoever gives it to the client reads it.
 
-// chunks are buffers for bodies on their way.
-var chunks = sync.Pool{New: func() any { b := make([]byte, 64<<10); return &b }}
-
-// feeder sends the body of one attempt, in a goroutine of its own: the answer may come first.
-type feeder struct {
-	t    *attempt
-	c    *conn
-	up   *stream.Upload
-	r    *stream.Reader
-	idle time.Duration
-	done chan struct{} // closed: nothing more is written
-
-	mu   sync.Mutex
-	head bool // the answer's head has come
-
-	// To be read once done is closed:
-	whole bool // the last byte has gone out
-}
-
-// errCut says that a connection broke with a part of the request on it.
-var errCut = errors.New("the connection broke within the request")
-
-// feed begins to send the body behind the head.
-func (t *attempt) feed(c *conn, up *stream.Upload, r *stream.Reader, idle time.Duration) *feeder {
-	f := &feeder{t: t, c: c, up: up, r: r, idle: idle, done: make(chan struct{})}
-	go f.run()
-	return f
-}
-
-// run copies until the body has ended, on either side. It frames anew what it sends: a body
-// that breaks off is never ended, and so can't pass for a shorter one.
-func (f *feeder) run() {
-	defer close(f.done)
-	defer f.r.Close()
-	buffer := chunks.Get().(*[]byte)
-	defer chunks.Put(buffer)
-	const room = 16 // for the size of a chunk ahead and its end behind
-	space := *buffer
-	var digits [room]byte
-	var set time.Time
-	chunked := f.up.Length() < 0 && !f.up.Raw()
-	for {
-		n, err := f.r.Read(space[room : len(space)-2])
-		f.t.Waited(f.r.Waited())
-		var out []byte
-		switch {
-		case n > 0 && chunked:
-			size := append(strconv.AppendInt(digits[:0], int64(n), 16), "\r\n"...)
-			at := room - len(size)
-			copy(space[at:], size)
-			copy(space[room+n:], "\r\n")
-			out = space[at : room+n+2]
-		case n > 0:
-			out = space[room : room+n]
-		case err == io.EOF && chunked:
-			out = appendTrailer(space[:0], f.up.Trailer())
-		}
-		if err != nil && err != io.EOF {
-			f.c.Close() // it broke off: the host must see that
-			return
-		}
-		if len(out) > 0 {
-			if now := time.Now(); f.idle > 0 && now.Sub(set) > f.idle/8 { // a call for each write is many
-				set = now
-				f.c.SetWriteDeadline(now.Add(f.idle))
-			}
-			if !f.t.write(f.c, out) {
-				f.headWithin(restLeast) // an answer that has come already still counts
-				return
-			}
-		}
-		if err == io.EOF {
-			if f.up.Raw() {
-				f.c.closeWrite()
-			}
-			f.whole = true
-			f.t.Fed()
-			f.headWithin(time.Until(f.t.headBy())) // it is due from here on
-			return
-		}
-	}
-}
-
-// headWithin sets when the answer's head is due, unless it has come.
-func (f *feeder) headWithin(d time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.head {
-		f.c.SetReadDeadline(time.Now().Add(d))
-	}
-}
-
-// stop ends the sending, and says whether all had gone out. It does not wait for the goroutine,
-// which may be waiting for the client: whatever that sends goes nowhere.
-func (f *feeder) stop() bool {
-	f.r.Close()
-	f.t.mu.Lock()
-	f.t.cut = true
-	f.t.mu.Unlock()
-	f.c.SetWriteDeadline(time.Unix(1, 0))
-	f.t.writing.Lock()
-	f.t.writing.Unlock() //lint:ignore SA2001 waits for a write that is under way
-	return f.sent()
-}
-
-// sent says whether all has gone out, without waiting.
-func (f *feeder) sent() bool {
-	select {
-	case <-f.done:
-		return f.whole
-	default:
-		return false
-	}
-}
-
-// appendTrailer is the last chunk, with the fields behind it.
-func appendTrailer(b []byte, h http.Header) []byte {
-	b = append(b, "0\r\n"...)
-	b = appendFields(b, h)
-	return append(b, "\r\n"...)
-}
-
 // tryFlow sends the request once where its body or the answer's may flow. It reports by
 // itself how that ended.
 func (t *attempt) tryFlow(h *host) {
@@ -185,28 +60,11 @@
 		c.SetDeadline(time.Time{})
 	}
 	if !t.send(c, req, h.address) {
-		if r != nil {
-			r.Close()
-		}
-		c.Close()
-		if req.Upload != nil && t.wrote && t.letGo() {
-			t.End(frostshift.Reset) // a part of the head is no request, but none can tell
-			return
-		}
-		t.End(t.unsent())
+		t.notSent(c, req, r)
 		return
 	}
 	req.Written.Store(true)
-	var f *feeder
-	switch {
-	case req.Upload == nil:
-	case req.Upgrade != "": // nothing follows before the host has switched
-		t.Fed()
-		c.SetReadDeadline(t.headBy())
-	default:
-		c.SetReadDeadline(t.Until)
-		f = t.feed(c, req.Upload, r, req.Flow.Idle)
-	}
+	f := t.sendBody(c, req, r)
 	if req.Upload != nil || t.up.flows.Load() > fewFlows {
 		c.beginFlow()
 	} else {
@@ -223,8 +81,42 @@
 		t.lost(c, f, r, err)
 		return
 	}
+	t.takeAnswer(c, f, r, req, resp)
+}
+
+// notSent ends an attempt whose request did not go out whole.
+func (t *attempt) notSent(c *conn, req *message.Request, r *stream.Reader) {
+	if r != nil {
+		r.Close()
+	}
+	t.unused(c)
+	if req.Upload != nil && t.wrote && t.letGo() {
+		t.End(frostshift.Reset) // a part of the head is no request, but none can tell
+		return
+	}
+	t.End(t.unsent())
+}
+
+// sendBody begins to send a body that flows, and sets when the head of the answer is due; nil: there
+// is none to send yet.
+func (t *attempt) sendBody(c *conn, req *message.Request, r *stream.Reader) *feeder {
+	switch {
+	case req.Upload == nil:
+		return nil
+	case req.Upgrade != "": // nothing follows before the host has switched
+		t.Fed()
+		c.SetReadDeadline(t.headBy())
+		return nil
+	}
+	c.SetReadDeadline(t.Until)
+	return t.feed(c, req.Upload, r, req.Flow.Idle)
+}
+
+// takeAnswer takes an answer in whose head has come: whole, or as it flows.
+func (t *attempt) takeAnswer(c *conn, f *feeder, r *stream.Reader, req *message.Request, resp *http.Response) {
 	m := t.Answers.Judge(resp.StatusCode, resp.Header)
 	a := &message.Answer{Status: resp.StatusCode, Length: -1, Header: message.EndToEnd(resp.Header)}
+	var err error
 	switch {
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		c.SetReadDeadline(time.Time{})
@@ -238,48 +130,56 @@
 			a.Length = resp.ContentLength
 		}
 	case m.Gives == verdict.Final && req.Flow.Answers && (resp.ContentLength < 0 || resp.ContentLength > req.Flow.Hold):
-		a.Length = resp.ContentLength
-		ahead, whole, err := t.ahead(c, req, resp)
-		if err != nil {
-			t.lost(c, f, r, err)
-			return
-		}
-		if !whole {
+		var ahead *beginningOf
+		var whole bool
+		if ahead, whole, err = t.ahead(c, req, resp); err == nil && !whole {
+			a.Length = resp.ContentLength
 			t.flowing(c, f, req, resp, a, m, ahead)
 			return
 		}
-		a.Length = -1
 		if ahead != nil {
-			a.Body = ahead.rest
-			a.Free, a.Again = ahead.free, ahead.again
+			a.Body, a.Free, a.Again = ahead.rest, ahead.free, ahead.again
 		}
 	default:
-		now := time.Now()
-		c.SetReadDeadline(now.Add(max(restLeast, t.Left/restPart)))
-		if resp.ContentLength > maxAnswer {
+		err = t.readAnswer(c, resp, a)
+	}
+	if err != nil {
+		t.lost(c, f, r, err)
+		return
+	}
+	t.answeredWhole(c, f, r, resp, a, m)
+}
+
+// readAnswer reads the body of an answer that is kept whole.
+func (t *attempt) readAnswer(c *conn, resp *http.Response, a *message.Answer) error {
+	c.SetReadDeadline(time.Now().Add(max(restLeast, t.Left/restPart)))
+	if resp.ContentLength > maxAnswer {
+		return errOdd
+	}
+	room := t.up.cfg.Bytes
+	c.limit.N = maxAnswer + maxHeader
+	var held int64
+	var ok bool
+	var err error
+	if a.Body, held, a.Again, ok, err = readWhole(resp, room); !ok {
+		a.Body, held, err = readBody(resp, room)
+	}
+	if err != nil {
+		room.Give(held)
+		if err = odd(c, err); errors.Is(err, os.ErrDeadlineExceeded) {
 			err = errOdd
-		} else {
-			var held int64
-			var ok bool
-			c.limit.N = maxAnswer + maxHeader
-			if a.Body, held, a.Again, ok, err = readWhole(resp, t.up.cfg.Bytes); !ok {
-				a.Body, held, err = readBody(resp, t.up.cfg.Bytes)
-			}
-			if err != nil {
-				t.up.cfg.Bytes.Give(held)
-			} else if held > 0 {
-				room := t.up.cfg.Bytes
-				a.Free = func() { room.Give(held) }
-			}
-		}
-		if err != nil {
-			if err = odd(c, err); errors.Is(err, os.ErrDeadlineExceeded) {
-				err = errOdd
-			}
-			t.lost(c, f, r, err)
-			return
 		}
+		return err
 	}
+	if held > 0 {
+		a.Free = func() { room.Give(held) }
+	}
+	return nil
+}
+
+// answeredWhole ends an attempt whose answer has come whole. The connection is kept where nothing is
+// owed on it.
+func (t *attempt) answeredWhole(c *conn, f *feeder, r *stream.Reader, resp *http.Response, a *message.Answer, m verdict.Meaning) {
 	c.done()
 	fed := f == nil || f.sent() || f.stop()
 	if t.letGo() && fed && !resp.Close && c.in == nil {
@@ -407,150 +307,6 @@
 	return b, whole, nil
 }
 
-// answerFlow is the body of an answer on its way. Its reader is the front's goroutine; Close
-// may come from any.
-type answerFlow struct {
-	t    *attempt
-	c    *conn
-	f    *feeder
-	req  *message.Request
-	resp *http.Response
-
-	ahead *beginningOf // that has been read and not given; nil: nothing
-	first *beginningOf // that was, for Close
-	idle  time.Duration
-	until time.Time
-	gave  time.Time // when the last Read returned
-	set   time.Time // what the deadline of reads is
-	total int64
-	eof   bool
-
-	once   sync.Once
-	mu     sync.Mutex
-	ended  bool
-	broken bool // the host broke off
-	late   bool // ... by sending nothing
-}
-
-// flowing hands an answer's head on, with its body to follow.
-func (t *attempt) flowing(c *conn, f *feeder, req *message.Request, resp *http.Response, a *message.Answer, m verdict.Meaning, ahead *beginningOf) {
-	t.up.flows.Add(1)
-	s := &answerFlow{ahead: ahead, first: ahead, t: t, c: c, f: f, req: req, resp: resp, idle: req.Flow.Idle, until: req.Flow.Ends, gave: time.Now()}
-	c.limit.N = 1<<63 - 1
-	if names := message.Announce(slices.Collect(maps.Keys(resp.Trailer))); names != nil {
-		a.Header["Trailer"] = names
-	}
-	a.Stream, a.Free = s, s.Close
-	if f != nil && a.Status >= 400 && !f.sent() { // it wants no more of the body (RFC 9112 section 9.3)
-		f.stop()
-	}
-	t.Flowing(m, upstream.After(a), a)
-}
-
-// Wait waits for something to read.
-func (s *answerFlow) Wait() {
-	if !s.eof && s.ahead == nil && s.c.in.Buffered() == 0 {
-		s.due()
-		s.c.await()
-		s.gave = time.Now()
-	}
-}
-
-// due notes how long the client has been waited for, and sets when the host's next byte is due.
-func (s *answerFlow) due() {
-	now := time.Now()
-	s.t.Waited(now.Sub(s.gave))
-	by := s.until
-	if s.idle > 0 && now.Add(s.idle).Before(by) {
-		by = now.Add(s.idle)
-	}
-	if by.Sub(s.set) > s.idle/8 || by == s.until && s.set != by { // a call for each read is many
-		s.set = by
-		s.c.SetReadDeadline(by)
-	}
-}
-
-// Read reads what has come of the body.
-func (s *answerFlow) Read(p []byte) (int, error) {
-	if s.eof {
-		return 0, io.EOF
-	}
-	if b := s.ahead; b != nil {
-		n := copy(p, b.rest)
-		if b.rest = b.rest[n:]; len(b.rest) == 0 {
-			s.ahead = nil
-			b.free()
-			b.again()
-		}
-		s.total += int64(n)
-		return n, nil
-	}
-	s.due()
-	n, err := s.resp.Body.Read(p)
-	s.gave = time.Now()
-	s.total += int64(n)
-	switch {
-	case err == io.EOF && (s.resp.ContentLength < 0 || s.total == s.resp.ContentLength):
-		s.mu.Lock()
-		s.eof = true
-		s.mu.Unlock()
-		if n == 0 {
-			return 0, io.EOF
-		}
-		return n, nil
-	case err != nil:
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
-		s.mu.Lock()
-		s.broken, s.late = true, errors.Is(err, os.ErrDeadlineExceeded)
-		s.mu.Unlock()
-	}
-	return n, err
-}
-
-// Trailer is what followed the body.
-func (s *answerFlow) Trailer() http.Header { return message.Trailers(s.resp.Trailer) }
-
-// Close ends the flow and says how it ended; it is the answer's Release. A Read that waits
-// elsewhere ends with an error.
-func (s *answerFlow) Close() {
-	s.once.Do(func() {
-		s.t.up.flows.Add(-1)
-		if s.first != nil {
-			s.first.free()
-		}
-		s.mu.Lock()
-		whole, broken, late := s.eof, s.broken, s.late
-		s.mu.Unlock()
-		fed := s.f == nil || s.f.sent()
-		mine := s.t.letGo()
-		if whole && fed && mine && !s.resp.Close {
-			s.c.done()
-			if s.c.in == nil {
-				s.c.SetDeadline(time.Time{})
-				s.t.up.put(s.c)
-				go s.t.Flowed(frostshift.OK)
-				return
-			}
-		}
-		s.c.Close()
-		if s.f != nil {
-			s.f.stop()
-		}
-		result := frostshift.Canceled
-		switch {
-		case whole:
-			result = frostshift.OK
-		case late:
-			result = frostshift.TimedOut
-		case broken:
-			result = frostshift.Reset
-		}
-		go s.t.Flowed(result) // it may be the pool's loop that releases
-	})
-}
-
 // bodilessAnswer says whether an answer ends with its head, whatever that tells of a length
 // (RFC 9112 section 6.3).
 func bodilessAnswer(method string, status int) bool {
--- a/internal/upstream/http1/reset_test.go
+++ b/internal/upstream/http1/reset_test.go
@@ -4,11 +4,14 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 
+	"frostshift"
 	"frostshift/internal/upstream"
 )
 
@@ -91,3 +94,30 @@
 		t.Errorf("read %q, %v", text, err)
 	}
 }
+// A host is told no more time than the client has left when the request goes out: the connection
+// may have taken most of what there was when the host was chosen.
+func TestTimeToldIsWhatIsLeft(t *testing.T) {
+	told := make(chan string, 1)
+	addr, _ := rawHost(t, func(_ int, c net.Conn, r *http.Request) bool {
+		told <- r.Header.Get("X-Time-Left")
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	a := newAttempt(t, "book", "x")
+	a.Left, a.Until = time.Hour, time.Now().Add(patience) // an hour when it was chosen
+	if result, _, _ := a.try(hostAt(addr)); result != frostshift.OK {
+		t.Fatalf("ended as %v", result)
+	}
+	left, err := time.ParseDuration(await(t, told, "the request") + "s")
+	if err != nil || left > patience || left <= 0 {
+		t.Errorf("told %v, %v", left, err)
+	}
+	a = newAttempt(t, "book", "x")
+	a.Left, a.Until = time.Second, time.Now().Add(time.Hour)
+	if result, _, _ := a.try(hostAt(addr)); result != frostshift.OK {
+		t.Fatalf("ended as %v", result)
+	}
+	if left := await(t, told, "the request"); left != "999000u" {
+		t.Errorf("told %s of a second, which has the way back in it", left)
+	}
+}
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -24,7 +24,7 @@
 const (
 	maxHeader   = 16 << 10 // bytes of an answer's head
 	maxAnswer   = 4 << 20  // bytes of an answer's body: hosts send more than the 64 KiB that are agreed
-	connsToHost = 24       // connections to one host that are kept: three gateways share its 90
+	connsToHost = 24       // connections to one host that are kept: hosts have a table of them that others need as well
 	idleShare   = 0.8      // of the hosts' idle time after which we close ours: a late write is a reset
 	sweepEvery  = time.Second
 
--- a/internal/upstream/http2/attempt.go
+++ b/internal/upstream/http2/attempt.go
@@ -58,6 +58,7 @@
 	return t
 }
 
+// run takes the attempt to a connection, to another one where the first takes no more streams.
 func (t *attempt) run(h *host) {
 	if h == nil {
 		t.end(frostshift.NotSent, nil)
@@ -65,48 +66,26 @@
 	}
 	for {
 		c, err := t.u.get(t, h)
-		switch {
-		case errors.Is(err, errNoSockets) || errors.Is(err, errCalledOff):
-			t.end(frostshift.NotSent, nil)
+		if err != nil {
+			t.unconnected(err)
 			return
-		case err != nil:
-			t.mu.Lock()
-			off := t.isOff
-			t.mu.Unlock()
-			if off {
-				t.end(frostshift.NotSent, nil)
-			} else {
-				t.end(frostshift.ConnectFailed, nil)
-			}
+		}
+		if !t.MaySend() {
+			c.give()
+			t.end(frostshift.NotSent, nil)
 			return
 		}
-		t.mu.Lock()
-		t.conn = c
-		t.mu.Unlock()
-		if up := t.Message.(*message.Request).Upload; up != nil && t.feeder == nil {
-			r, err := up.Open()
-			if err != nil { // an earlier attempt has used its beginning up
-				t.end(frostshift.NotSent, nil)
-				return
-			}
-			t.feeder = newFeeder(t, up, r)
+		t.use(c)
+		if !t.openBody() {
+			t.end(frostshift.NotSent, nil)
+			return
 		}
 		if c.open(t, t.out(h.address)) {
-			t.mu.Lock()
-			if !t.ended && t.fl == nil {
-				t.timer = time.AfterFunc(time.Until(t.by), t.late)
-			}
-			t.mu.Unlock()
-			if t.feeder != nil {
-				t.feeder.run()
-			}
+			t.sent()
 			return
 		}
 		// The connection takes no more streams, or the attempt is off: nothing has been sent.
-		t.mu.Lock()
-		off := t.isOff
-		t.conn = nil
-		t.mu.Unlock()
+		off := t.use(nil)
 		if !off {
 			c.leave()
 		}
@@ -118,17 +97,63 @@
 	}
 }
 
+// unconnected ends an attempt for which there is no connection.
+func (t *attempt) unconnected(err error) {
+	t.mu.Lock()
+	off := t.isOff
+	t.mu.Unlock()
+	if off || errors.Is(err, errNoSockets) || errors.Is(err, errCalledOff) {
+		t.end(frostshift.NotSent, nil)
+		return
+	}
+	t.end(frostshift.ConnectFailed, nil)
+}
+
+// use notes the connection that the attempt has a place on, and says whether it has been called off.
+func (t *attempt) use(c *conn) (off bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conn = c
+	return t.isOff
+}
+
+// openBody opens the body, if it flows. It fails where an earlier attempt has used its beginning up.
+func (t *attempt) openBody() bool {
+	up := t.Message.(*message.Request).Upload
+	if up == nil || t.feeder != nil {
+		return true
+	}
+	r, err := up.Open()
+	if err != nil {
+		return false
+	}
+	t.feeder = newFeeder(t, up, r)
+	return true
+}
+
+// sent has the attempt end at its time, and sends the body behind the head.
+func (t *attempt) sent() {
+	t.mu.Lock()
+	if !t.ended && t.fl == nil {
+		t.timer = time.AfterFunc(time.Until(t.by), t.late)
+	}
+	t.mu.Unlock()
+	if t.feeder != nil {
+		t.feeder.run()
+	}
+}
+
 // out is the request as it goes to the host.
 func (t *attempt) out(address string) *h2.Out {
 	r := t.Message.(*message.Request)
-	o := &h2.Out{Body: r.Body, Fields: make([]hpack.HeaderField, 0, len(r.Header)+6)}
+	o := &h2.Out{Body: r.Body, Fields: make([]hpack.HeaderField, 0, len(r.Header)+6), MaySend: t.MaySend, Barred: t.barred}
 	authority := r.Authority
 	if authority == "" {
 		authority = address
 	}
 	o.Fields = append(o.Fields, hpack.HeaderField{Name: ":method", Value: r.Method}, hpack.HeaderField{Name: ":scheme", Value: "http"},
 		hpack.HeaderField{Name: ":authority", Value: authority}, hpack.HeaderField{Name: ":path", Value: r.Target},
-		hpack.HeaderField{Name: "x-time-left", Value: strconv.FormatInt(max(0, t.Left.Microseconds()), 10) + "u"})
+		hpack.HeaderField{Name: "x-time-left", Value: strconv.FormatInt(t.Remaining().Microseconds(), 10) + "u"})
 	if r.Upload != nil {
 		o.More, o.Taken, o.Done = true, t.feeder.took, t.feeder.done
 		if n := r.Upload.Length(); n >= 0 {
@@ -164,6 +189,9 @@
 	}
 }
 
+// barred ends the attempt where its first byte was due and may not go out any more.
+func (t *attempt) barred() { t.end(frostshift.NotSent, nil) }
+
 // begun says whether a host may have had a part of a request whose body is not whole, and so
 // may act on it.
 func (t *attempt) begun(s *h2.Stream) bool { return t.feeder != nil && s.Begun() }
