--- /dev/null
+++ b/internal/front/accept_test.go
@@ -0,0 +1,184 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// gated is a listener whose Accept runs when the test lets it: a gateway that is short of processor
+// time accepts late.
+type gated struct {
+	*net.TCPListener
+	entered chan struct{}
+	enter   chan struct{}
+}
+
+func (g *gated) Accept() (net.Conn, error) {
+	select {
+	case g.entered <- struct{}{}:
+	default:
+	}
+	<-g.enter
+	return g.TCPListener.Accept()
+}
+
+func listenLocal(t *testing.T) *net.TCPListener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln.(*net.TCPListener)
+}
+
+// Connections that wait in the kernel's queue when a listener is closed are taken first, however
+// late whoever accepts them is; then the socket is closed.
+func TestQueueIsEmptiedBeforeTheClose(t *testing.T) {
+	g := &gated{TCPListener: listenLocal(t), entered: make(chan struct{}, 1), enter: make(chan struct{})}
+	ln := NewConns(100, 100, SpareAfter).Listen(g)
+	const clients = 20
+	accepted := make(chan error, clients+1)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err == nil {
+				defer c.Close()
+			}
+			accepted <- err
+			if err != nil {
+				return
+			}
+		}
+	}()
+	<-g.entered
+	for range clients {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	if err := ln.Close(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * lastAccept) // whatever the close allowed for has passed
+	close(g.enter)
+	for i := range clients {
+		if err := <-accepted; err != nil {
+			t.Fatalf("%d of %d connections were taken: %v", i, clients, err)
+		}
+	}
+	if err := <-accepted; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the end is %v", err)
+	}
+	if c, err := net.Dial("tcp", ln.Addr().String()); err == nil {
+		c.Close()
+		t.Error("the socket still listens")
+	}
+}
+
+// Clients that keep coming don't keep a listener from its close.
+func TestFloodDoesNotKeepAListenerOpen(t *testing.T) {
+	ln := NewConns(1000, 1000, SpareAfter).Listen(listenLocal(t))
+	ended := make(chan error, 1)
+	accepted := make(chan struct{}, 1)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				ended <- err
+				return
+			}
+			c.Close()
+			select {
+			case accepted <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	var flood sync.WaitGroup
+	defer flood.Wait()
+	over := make(chan struct{})
+	defer close(over)
+	flood.Go(func() {
+		for {
+			select {
+			case <-over:
+				return
+			default:
+			}
+			if c, err := net.Dial("tcp", ln.Addr().String()); err == nil {
+				c.Close()
+			}
+		}
+	})
+	<-accepted
+	ln.Close()
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Error("the listener does not close")
+	}
+}
+
+// Clients never hold more than their part and a little more, though all of them ask something and
+// none can be given up: the next are taken when one has gone, and the rest of the descriptors stays
+// for others.
+func TestClientsLeaveTheReserve(t *testing.T) {
+	const most = 32
+	conns := NewConns(most, most, SpareAfter)
+	ln := conns.Listen(listenLocal(t))
+	defer ln.Close()
+	var mu sync.Mutex
+	var taken []*Conn
+	count := func() int { mu.Lock(); defer mu.Unlock(); return len(taken) }
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			cc := c.(*Conn)
+			cc.Active() // it asks something, so that it is not given up
+			mu.Lock()
+			taken = append(taken, cc)
+			mu.Unlock()
+		}
+	}()
+	const bound = most + most/overflowPart + 1
+	for range 2 * most {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	wait := func(n int) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); count() < n; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d connections were taken, want %d", count(), n)
+			}
+		}
+	}
+	wait(bound)
+	time.Sleep(10 * fullWait)
+	if n := count(); n != bound {
+		t.Fatalf("%d connections are held, the bound is %d", n, bound)
+	}
+	for i := range 5 {
+		mu.Lock()
+		c := taken[i]
+		mu.Unlock()
+		c.Close()
+		wait(bound + i + 1)
+	}
+	if open, _ := conns.Counts(); open != bound {
+		t.Error(fmt.Errorf("%d are open", open))
+	}
+}
--- /dev/null
+++ b/internal/front/conn.go
@@ -0,0 +1,419 @@
+package front
+
+import (
+	"container/list"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// ErrCondemned is what a read of a connection ends with that has been given up: nothing
+// that comes on it is taken any more. To an http.Server it is a connection that broke, which
+// gets no answer.
+var ErrCondemned error = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the connection has been given up")}
+
+// The phases of a connection. It is quiet in the first five, and can be given up.
+const (
+	silent    = iota // nothing has come yet
+	once             // answered a single time, and nothing has come since
+	idle             // answered more often, and nothing has come since
+	ending           // answered for good, kept for a moment so that the answer is read
+	halfway          // a part of a head has come, and nothing since
+	busy             // a request has come that has had no answer
+	condemned        // given up or closed: nothing that comes is taken
+)
+
+// Conn is a client's connection. What is read from it and the choice to give it up exclude
+// each other: bytes that come first make it busy, and then it is never chosen; bytes that
+// come later are not read but answered with ErrCondemned, so that no request which crosses
+// the close is ever taken, and its client may send it again (RFC 9112 section 9.3.1).
+type Conn struct {
+	net.Conn
+	all  *Conns
+	from *Listener
+	// Encrypted says that a protocol on top encrypts what is sent; set before it is served.
+	Encrypted bool
+	// phase changes under the lock of all; it is read without it where nothing comes of
+	// a quiet one's being seen late.
+	phase atomic.Int32
+
+	// The rest belongs to that lock.
+	since  time.Time
+	at     *list.Element // in the list of its phase, nil while it is not quiet
+	closed bool
+	// closing says that its server or its client ends it, and not we to make room.
+	closing bool
+	reset   bool   // it ends with a reset
+	asking  bool   // a request is open
+	many    bool   // it has rested before
+	trial   bool   // it rests for the first time and is let be
+	leave   func() // of a guard; nil: it has been called, or there is none
+	giveUp  func() // how to end it in its protocol; nil: it is closed
+
+	// Of an http.Server's reader. It says that a connection is idle before it has looked
+	// whether it holds bytes of the next request already: so the connection rests from its
+	// next wait for bytes on, unless the server has gone on to the next head before.
+	answered  bool
+	deadlines int  // that it set since
+	ahead     bool // it has read a byte of the next request
+
+	// Of whoever reads, see Recorded:
+	record   []byte
+	recordMu sync.Mutex
+	skips    bool
+
+	// What the client has done and been given, for the close:
+	ended    atomic.Bool // it has ended its sending, or the connection broke
+	reading  atomic.Bool // a Read is under way
+	wrote    atomic.Bool
+	left     chan struct{}
+	leftOnce sync.Once
+
+	// Of whoever writes:
+	corked bool
+	held   []byte // written while corked, and not gone out
+}
+
+// rest puts the connection into a quiet phase; wake takes it out of one. The lock is held.
+func (c *Conn) rest(phase int) {
+	if phase == idle && !c.many {
+		if c.many = true; c.all.again < 0.5 && rand.IntN(trialEvery) > 0 {
+			phase = once
+		} else {
+			c.trial = true
+		}
+	}
+	c.wake(phase)
+	if c.closed {
+		return
+	}
+	c.since = time.Now()
+	c.at = c.all.quiet[phase].PushBack(c)
+}
+
+func (c *Conn) wake(to int) {
+	if c.at != nil {
+		from := int(c.phase.Load())
+		if c.trial {
+			c.trial = false
+			switch aged := time.Since(c.since) >= onceAfter; {
+			case (to == halfway || to == busy) && aged:
+				c.all.again += trialWeight * (1 - c.all.again)
+			case to == condemned && aged && !c.closing:
+				c.all.again -= trialWeight * c.all.again
+			}
+		}
+		c.all.quiet[from].Remove(c.at)
+		c.at = nil
+	}
+	if !c.closed {
+		c.phase.Store(int32(to))
+	}
+}
+
+// condemn gives the connection up; end then ends it, without the lock. The lock is held.
+func (c *Conn) condemn() {
+	c.wake(condemned)
+	if !c.closed {
+		c.closed = true
+		c.all.open--
+		if c.leave != nil {
+			c.leave()
+			c.leave = nil
+		}
+	}
+}
+
+// endSoftly ends a connection that has been condemned, in two steps: its reader waits for the
+// client's own close, and for whatever crosses ours, before it closes as well.
+func (c *Conn) endSoftly() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if c.giveUp != nil || !ok || half.CloseWrite() != nil {
+		c.end()
+		return
+	}
+	c.Conn.SetReadDeadline(time.Now().Add(leaveWithin))
+}
+
+// lastRead waits for the client to see the end of a connection that is given up, and takes in
+// what crosses it: a close above what is unread would be a reset, which an answer that is on its
+// way does not survive.
+func (c *Conn) lastRead() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	c.drain()
+}
+
+func (c *Conn) end() {
+	if c.giveUp != nil {
+		c.giveUp()
+		return
+	}
+	c.Conn.Close()
+}
+
+// Read reads what the client sends, unless the connection has been given up.
+func (c *Conn) Read(b []byte) (int, error) {
+	if c.phase.Load() != busy || c.answered {
+		if err := c.beforeRead(); err != nil {
+			c.lastRead()
+			return 0, err
+		}
+	}
+	c.reading.Store(true)
+	n, err := c.Conn.Read(b)
+	c.reading.Store(false)
+	c.saw(err)
+	if n > 0 && c.phase.Load() != busy && !c.took() {
+		c.lastRead()
+		return 0, ErrCondemned
+	}
+	if n > 0 && len(b) == 1 {
+		c.lookedAhead()
+	}
+	if !c.Encrypted {
+		c.note(b[:n])
+	}
+	return n, err
+}
+
+// Await waits until the client has sent something, or has gone, and says whether there is
+// anything to serve. Until then the connection costs no buffer and no server.
+func (c *Conn) Await(within time.Duration) bool {
+	raw := syscall.RawConn(nil)
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		raw, _ = s.SyscallConn()
+	}
+	if raw == nil {
+		return true // whoever reads finds out
+	}
+	c.Conn.SetReadDeadline(time.Now().Add(within))
+	var one [1]byte
+	var n int
+	if err := raw.Read(func(fd uintptr) bool {
+		var err error
+		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	}); err != nil || n <= 0 {
+		return false
+	}
+	c.Conn.SetReadDeadline(time.Time{})
+	if c.took() {
+		return true
+	}
+	c.lastRead()
+	return false
+}
+
+// AwaitWrite waits until the client's side has room for a part of an answer, within the deadline
+// of writes. Until then whoever writes need hold no buffer; its errors are Write's to tell.
+func (c *Conn) AwaitWrite() {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Write(func(fd uintptr) bool {
+		at := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLOUT}}
+		n, err := unix.Poll(at, 0)
+		return n > 0 || err != nil && !errors.Is(err, unix.EINTR)
+	})
+}
+
+// beforeRead makes a connection idle that has had its answer and holds nothing more, or
+// gives it up at that point if the listener leaves.
+func (c *Conn) beforeRead() error {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	if c.answered {
+		c.answered = false
+		switch {
+		case c.ahead || c.deadlines > 1 || c.phase.Load() != busy:
+		case c.from.leaving.Load():
+			c.condemn() // its server closes it on the error
+		default:
+			c.rest(idle)
+		}
+	}
+	if c.phase.Load() == condemned && c.giveUp == nil {
+		return ErrCondemned
+	}
+	return nil
+}
+
+// took notes that something has come and says whether it may be taken.
+func (c *Conn) took() bool {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	if c.giveUp != nil { // frames are read to the end, what they open is taken with Active
+		return true
+	}
+	switch {
+	case c.closed:
+		return false
+	case c.phase.Load() != ending:
+		c.rest(halfway)
+	}
+	return true
+}
+
+// mostHeld is how much of an answer waits for the rest of it: what an http.Server writes
+// ahead of a long body.
+const mostHeld = 4 << 10
+
+// Cork holds the first bytes of an answer back until more follow or Uncork is called, so that
+// head and body go out with one write: a second one costs as much as all else about an answer.
+func (c *Conn) Cork() { c.corked = true }
+
+// Uncork writes what is held back.
+func (c *Conn) Uncork() error {
+	c.corked = false
+	if len(c.held) == 0 {
+		return nil
+	}
+	_, err := c.Conn.Write(c.held)
+	c.held = c.held[:0]
+	return err
+}
+
+// Write writes to the client, or holds back what comes first while corked.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.wrote.Store(true)
+	if c.corked && len(c.held)+len(b) <= mostHeld {
+		c.held = append(c.held, b...)
+		return len(b), nil
+	}
+	if len(c.held) == 0 {
+		return c.Conn.Write(b)
+	}
+	parts := net.Buffers{c.held, b}
+	n, err := parts.WriteTo(c.Conn)
+	before := len(c.held)
+	c.held = c.held[:0]
+	return max(0, int(n)-before), err
+}
+
+// SetReadDeadline sets when reads end.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.all.mu.Lock()
+	c.deadlines++
+	c.all.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close ends the connection.
+func (c *Conn) Close() error {
+	c.all.mu.Lock()
+	c.closing = true
+	linger := c.lingers()
+	if linger {
+		c.all.lingering++
+	}
+	c.condemn()
+	c.all.mu.Unlock()
+	c.all.hangups.remove(c)
+	if linger {
+		return c.linger()
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the answer; the server then waits for the client to have read it.
+func (c *Conn) CloseWrite() error { return c.closeWrite(c.Conn) }
+
+func (c *Conn) closeWrite(over net.Conn) error {
+	c.all.mu.Lock()
+	c.answered = false
+	c.rest(ending)
+	c.all.mu.Unlock()
+	if half, ok := over.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Frames says that the connection speaks a protocol in which a client can be told what has
+// been taken: from then on it is busy from Active to Idle, not from byte to answer, and
+// giveUp ends it, at once and without waiting, where it is given up.
+func (c *Conn) Frames(giveUp func()) {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	c.giveUp = giveUp
+	if p := c.phase.Load(); p == busy || p == halfway { // its first bytes came with a handshake
+		c.rest(silent)
+	}
+}
+
+// Active notes that a request is open on the connection, and says whether it may be taken.
+func (c *Conn) Active() bool {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	c.wake(busy)
+	return !c.closed
+}
+
+// Idle notes that no request is open on the connection.
+func (c *Conn) Idle() {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	c.rest(idle)
+}
+
+// Stays says whether the connection is kept beyond the answer that is next. It is not where
+// the listener leaves, or where connections that ask are nearly as many as there may be:
+// silent ones make room by themselves.
+func (c *Conn) Stays() bool {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	_, asked := c.all.counts()
+	return !c.from.leaving.Load() && asked < int(politeAt*float64(c.all.most))
+}
+
+// Taken says whether a request whose head is whole may be taken: its connection has not been
+// given up while the head came.
+func (c *Conn) Taken() bool {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	return !c.closed
+}
+
+// Of is the connection of all behind one that a front serves; nil: it is none.
+func Of(nc net.Conn) *Conn {
+	switch c := nc.(type) {
+	case *Conn:
+		return c
+	case *Secure:
+		return c.Under
+	}
+	return nil
+}
+
+// Secure is a connection of all with a protocol that encrypts it on top.
+type Secure struct {
+	net.Conn
+	Under *Conn
+}
+
+// Read reads what the client sends.
+func (s *Secure) Read(b []byte) (int, error) {
+	n, err := s.Conn.Read(b)
+	if n > 0 && len(b) == 1 {
+		s.Under.lookedAhead()
+	}
+	s.Under.note(b[:n])
+	return n, err
+}
+
+// CloseWrite ends the answer.
+func (s *Secure) CloseWrite() error { return s.Under.closeWrite(s.Conn) }
--- a/internal/front/conns_test.go
+++ b/internal/front/conns_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +23,7 @@
 }
 
 func newWire() *wire {
-	return &wire{bytes: make(chan string), closed: make(chan struct{}, 9), late: make(chan struct{}, 1)}
+	return &wire{bytes: make(chan string), closed: make(chan struct{}, 1), late: make(chan struct{}, 1)}
 }
 
 func (w *wire) Read(b []byte) (int, error) {
@@ -36,8 +37,17 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 }
-func (w *wire) Close() error      { w.closed <- struct{}{}; return nil }
 func (w *wire) CloseWrite() error { return nil }
+
+// Close may be called again, as that of a socket.
+func (w *wire) Close() error {
+	select {
+	case w.closed <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
 func (w *wire) SetReadDeadline(at time.Time) error {
 	if !at.IsZero() {
 		time.AfterFunc(time.Until(at), func() {
@@ -58,7 +68,7 @@
 func (l wires) Addr() net.Addr            { return nil }
 
 // join makes a connection one of all.
-func join(t testing.TB, ln *Listener, c net.Conn) *Conn {
+func join(t rapid.TB, ln *Listener, c net.Conn) *Conn {
 	go func() { ln.Listener.(wires) <- c }()
 	cc, err := ln.Accept()
 	if err != nil {
@@ -228,8 +238,8 @@
 				x.c.Close()
 				close(x.w.bytes)
 			}
-			if open, _ := l.Counts(); open != 0 || len(l.idle) != 0 {
-				t.Errorf("%d are open at the end, %d idle", open, len(l.idle))
+			if open, _ := l.Counts(); open != 0 || l.quiet[idle].Len() != 0 {
+				t.Errorf("%d are open at the end, %d idle", open, l.quiet[idle].Len())
 			}
 		})
 	}
@@ -276,62 +286,153 @@
 	})
 }
 
-// Whatever order things happen in, the lists hold what the phases say.
-func TestListsAgreeWithPhases(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		l := NewConns(5, 3, 0)
-		ln := l.Listen(make(wires))
-		var conns []*Conn
-		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
-			if len(conns) == 0 || rapid.IntRange(0, 3).Draw(rt, "new") == 0 {
-				conns = append(conns, join(t, ln, newWire()))
-				continue
-			}
-			c := conns[rapid.IntRange(0, len(conns)-1).Draw(rt, "which")]
-			switch rapid.IntRange(0, 8).Draw(rt, "what") {
-			case 0:
-				c.Close()
-			case 1:
+// Idle connections make room in the order of their ages, whether their clients do without them or use them again
+// and again. One that was used a moment ago is as young as its last answer.
+func TestIdleConnectionsGoOldestFirst(t *testing.T) {
+	for _, idleFor := range []time.Duration{0, SpareAfter} {
+		synctest.Test(t, func(t *testing.T) {
+			l := NewConns(4, 4, SpareAfter)
+			ln := l.Listen(make(wires))
+			var conns [4]*Conn
+			ask := func(c *Conn) {
+				time.Sleep(time.Millisecond)
 				c.took()
-			case 2:
 				serves(l, c)
 				c.beforeRead()
-			case 3:
-				c.CloseWrite()
-			case 4:
-				c.Active()
-			case 5:
-				c.Idle()
-			case 6:
-				l.shed()
-			case 7:
-				l.shedSpare()
-			case 8:
-				ln.Leave()
 			}
-			open, quiet := 0, [busy]int{}
-			for _, c := range conns {
-				if !c.closed {
-					open++
-				}
-				if p := c.phase.Load(); p < busy {
-					quiet[p]++
-				}
-				if (c.at != nil) != (c.phase.Load() < busy) || c.closed != (c.phase.Load() == condemned) {
-					rt.Fatalf("phase %d, listed %v, closed %v", c.phase.Load(), c.at != nil, c.closed)
-				}
-				if c.phase.Load() == idle && l.idle[c.place] != c {
-					rt.Fatal("not in its place")
-				}
+			for i := range conns {
+				conns[i] = join(t, ln, newWire())
+				conns[i].many = true // it has rested before: it is not one of those that ask once
+				ask(conns[i])
 			}
-			for p, n := range quiet {
-				if l.quiet[p].Len() != n {
-					rt.Fatalf("%d listed in phase %d, %d are", l.quiet[p].Len(), p, n)
+			time.Sleep(idleFor)
+			ask(conns[0])
+			turns := []int{1, 2, 3, 0}
+			for n := range turns {
+				l.shed()
+				for i, c := range conns {
+					if gone := slices.Index(turns, i) <= n; c.closed != gone {
+						t.Errorf("idle for %v: %d went, connection %d closed: %v", idleFor, n+1, i, c.closed)
+					}
 				}
 			}
-			if l.open != open || len(l.idle) != quiet[idle] {
-				rt.Fatalf("%d count as open, %d are; %d idle, %d are", l.open, open, len(l.idle), quiet[idle])
+		})
+	}
+}
+
+// Where clients that stopped within their heads a moment ago hold all there is, one that has just come, and
+// whose request may be on its way, is not given up for the next: those wait until it has had its time to ask.
+func TestNewConnectionHasTimeToAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 3
+		l := NewConns(most, most, 0)
+		ln := l.Listen(make(wires))
+		for range most {
+			w := newWire()
+			c := join(t, ln, w)
+			go func() { w.bytes <- "GE" }()
+			if _, err := c.Read(make([]byte, 9)); err != nil {
+				t.Fatal(err)
 			}
 		}
+		good := join(t, ln, newWire()) // all that there may ever be
+		began := time.Now()
+		join(t, ln, newWire())
+		if waited := time.Since(began); waited < firstWord || waited >= quietFirst || !good.closed {
+			t.Errorf("one that said nothing went after %v, closed: %v", waited, good.closed)
+		}
+	})
+}
+
+// Whatever order things happen in, the lists hold what the phases say.
+func TestListsAgreeWithPhases(t *testing.T) {
+	rapid.Check(t, listsAgreeWithPhases)
+}
+
+// A connection may be closed any number of times, and one that comes while clients hold all that
+// they may ever hold, each with a request, waits until one of them is quiet.
+func TestAcceptWaitsForAQuietConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 3
+		l := NewConns(most, most, 0)
+		ln := l.Listen(make(wires))
+		var busy []*Conn
+		for !l.exhausted() {
+			c := join(t, ln, newWire())
+			c.Active()
+			busy = append(busy, c)
+		}
+		came := make(chan *Conn)
+		go func() { came <- join(t, ln, newWire()) }()
+		time.Sleep(time.Minute)
+		select {
+		case <-came:
+			t.Fatal("accepted beyond all that clients may hold")
+		default:
+		}
+		for range 20 {
+			busy[0].Close()
+		}
+		if c := <-came; c.closed || busy[1].closed {
+			t.Error("the wrong connection is closed")
+		}
 	})
 }
+
+func listsAgreeWithPhases(rt *rapid.T) {
+	l := NewConns(5, 3, 0)
+	ln := l.Listen(make(wires))
+	var conns []*Conn
+	for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+		if len(conns) == 0 || rapid.IntRange(0, 3).Draw(rt, "new") == 0 {
+			if !l.exhausted() || slices.ContainsFunc(conns, isQuiet) { // else it would wait for ever
+				conns = append(conns, join(rt, ln, newWire()))
+			}
+			continue
+		}
+		c := conns[rapid.IntRange(0, len(conns)-1).Draw(rt, "which")]
+		switch rapid.IntRange(0, 8).Draw(rt, "what") {
+		case 0:
+			c.Close()
+		case 1:
+			c.took()
+		case 2:
+			serves(l, c)
+			c.beforeRead()
+		case 3:
+			c.CloseWrite()
+		case 4:
+			c.Active()
+		case 5:
+			c.Idle()
+		case 6:
+			l.shed()
+		case 7:
+			l.shedSpare()
+		case 8:
+			ln.Leave()
+		}
+		open, quiet := 0, [busy]int{}
+		for _, c := range conns {
+			if !c.closed {
+				open++
+			}
+			if p := c.phase.Load(); p < busy {
+				quiet[p]++
+			}
+			if (c.at != nil) != (c.phase.Load() < busy) || c.closed != (c.phase.Load() == condemned) {
+				rt.Fatalf("phase %d, listed %v, closed %v", c.phase.Load(), c.at != nil, c.closed)
+			}
+		}
+		for p, n := range quiet {
+			if l.quiet[p].Len() != n {
+				rt.Fatalf("%d listed in phase %d, %d are", l.quiet[p].Len(), p, n)
+			}
+		}
+		if l.open != open {
+			rt.Fatalf("%d count as open, %d are", l.open, open)
+		}
+	}
+}
+
+func isQuiet(c *Conn) bool { return c.phase.Load() < busy }
--- /dev/null
+++ b/internal/front/hangup.go
@@ -0,0 +1,145 @@
+package front
+
+import (
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// hangupEvery is how often connections are looked at whose client may have left behind bytes
+// that nobody reads yet: well under the 100 ms within which an attempt may still begin.
+const hangupEvery = 20 * time.Millisecond
+
+// hangups notices clients that leave while bytes of theirs are unread: a pipelined request, or the
+// rest of a body. A read would not see their end before those bytes. It holds connections with an
+// open request only; its goroutine ends when there is none left to look at.
+type hangups struct {
+	mu      sync.Mutex
+	watched map[*Conn]struct{}
+	running bool
+}
+
+// add begins to look at a connection.
+func (h *hangups) add(c *Conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.watched == nil {
+		h.watched = map[*Conn]struct{}{}
+	}
+	h.watched[c] = struct{}{}
+	if !h.running {
+		h.running = true
+		go h.run()
+	}
+}
+
+// remove ends it.
+func (h *hangups) remove(c *Conn) {
+	h.mu.Lock()
+	delete(h.watched, c)
+	h.mu.Unlock()
+}
+
+// run looks at all that are watched until there is none.
+func (h *hangups) run() {
+	tick := time.NewTicker(hangupEvery)
+	defer tick.Stop()
+	for {
+		list := h.list()
+		if len(list) == 0 {
+			return
+		}
+		for _, c := range list {
+			if c.hungUp() {
+				h.remove(c)
+				c.leftOnce.Do(func() { close(c.left) })
+			}
+		}
+		<-tick.C
+	}
+}
+
+// list is what is watched; where that is nothing the goroutine is about to end. A connection whose
+// request has had its answer may have been added behind that: it is let go.
+func (h *hangups) list() []*Conn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for c := range h.watched {
+		if !c.isAsking() {
+			delete(h.watched, c)
+		}
+	}
+	h.running = len(h.watched) > 0
+	out := make([]*Conn, 0, len(h.watched))
+	for c := range h.watched {
+		out = append(out, c)
+	}
+	return out
+}
+
+// hungUp says whether the client has ended its sending or reset the connection, whatever of it is
+// unread.
+func (c *Conn) hungUp() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	if err := raw.Control(func(fd uintptr) {
+		at := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(at, 0)
+		gone = err == nil && n > 0 && at[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}); err != nil {
+		return true // it has been closed here
+	}
+	return gone
+}
+
+// Left is closed when the client has been seen to leave behind unread bytes. A client that leaves
+// with nothing unread is seen by whoever reads.
+func (c *Conn) Left() <-chan struct{} { return c.left }
+
+// Open notes that a request is open on the connection. unread says that a part of its body may be
+// unread for as long as it is.
+func (c *Conn) Open(unread bool) {
+	c.all.mu.Lock()
+	c.asking = true
+	watch := unread || c.ahead
+	c.all.mu.Unlock()
+	if watch {
+		c.all.hangups.add(c)
+	}
+}
+
+// isAsking says whether a request is open.
+func (c *Conn) isAsking() bool {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	return c.asking
+}
+
+// Answered notes that it has had its answer.
+func (c *Conn) Answered() {
+	c.all.mu.Lock()
+	c.asking = false
+	c.all.mu.Unlock()
+	c.all.hangups.remove(c)
+}
+
+// lookedAhead notes that an http.Server, which looks out for a client that leaves by
+// reading a single byte, has found one of the next request. It looks no further.
+func (c *Conn) lookedAhead() {
+	c.all.mu.Lock()
+	c.ahead = true
+	watch := c.asking
+	c.all.mu.Unlock()
+	if watch {
+		c.all.hangups.add(c)
+	}
+}
--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -136,6 +136,9 @@
 		default: // a host that has so many may lose some
 		}
 	})
+	conn := r.Context().Value(connKey{}).(*front.Conn)
+	conn.Open(up != nil && !up.Ended() && t.Upgrade == "")
+	defer conn.Answered()
 	call, deadline := t.Submit()
 	left := r.Context().Done()
 	for {
@@ -163,10 +166,12 @@
 				left = nil // it is the body that broke off, and it says how
 				continue
 			}
-			call.Gone()
-			rc.SetWriteDeadline(time.Now().Add(s.cfg.SendWithin))
-			w.Header().Set("Connection", "close")
-			http.Error(w, "client closed", http.StatusBadGateway)
+			s.abandon(w, call)
+		case <-conn.Left():
+			s.abandon(w, call)
+			if up != nil {
+				up.Close()
+			}
 		}
 		return
 	}
@@ -209,6 +214,9 @@
 		}
 	} else if !s.pass(w, r, rc, t, a) {
 		call.Undelivered(reply)
+		if a.Length < 0 && !r.ProtoAtLeast(1, 1) { // its end is the connection's end
+			r.Context().Value(connKey{}).(*front.Conn).Reset()
+		}
 		panic(http.ErrAbortHandler) // it must not look whole
 	}
 	if early && !up.Ended() {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -38,7 +38,7 @@
 
 // Config is what a Server needs.
 type Config struct {
-	Intake     *front.Intake
+	Admission  *front.Admission
 	Conns      *front.Conns
 	Log        *slog.Logger
 	SendWithin time.Duration // 0: SendWithin
@@ -264,6 +264,8 @@
 	// The request has come whole: the read that is under way from here on looks out for
 	// a client that leaves, for as long as the request is open.
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
+	conn.Open(false)
+	defer conn.Answered()
 	call, deadline := ticket.Submit()
 	select {
 	case a := <-call.Reply:
@@ -274,13 +276,21 @@
 			call.Undelivered(a)
 		}
 	case <-r.Context().Done():
-		call.Gone()
-		// One that closed only its sending side still reads: an empty 200 would be no host's answer.
-		w.Header().Set("Connection", "close")
-		http.Error(w, "client closed", http.StatusBadGateway)
+		s.abandon(w, call)
+	case <-conn.Left():
+		s.abandon(w, call)
 	}
 }
 
+// abandon ends a request whose client has left. One that closed only its sending side still reads:
+// an empty 200 would be no host's answer.
+func (s *Server) abandon(w http.ResponseWriter, call *exchange.Call) {
+	call.Gone()
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.cfg.SendWithin)) // its body may have taken longer than that
+	w.Header().Set("Connection", "close")
+	http.Error(w, "client closed", http.StatusBadGateway)
+}
+
 // throwAway reads what is still coming of a request that has had its answer, for so long, or
 // the close would take the answer with it.
 func throwAway(w http.ResponseWriter, r *http.Request) {
@@ -354,7 +364,7 @@
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead:
 		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
-	case !s.cfg.Intake.Ready():
+	case !s.cfg.Admission.Ready():
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 	default:
 		io.WriteString(w, "ready\n")
@@ -368,7 +378,7 @@
 		target = r.URL.RequestURI()
 	}
 	path, query, _ := strings.Cut(target, "?")
-	t, err := s.cfg.Intake.Take(&front.Head{Method: r.Method, Authority: r.Host, Path: path, Query: query,
+	t, err := s.cfg.Admission.Take(&front.Head{Method: r.Method, Authority: r.Host, Path: path, Query: query,
 		Header: r.Header, Body: max(r.ContentLength, 0), Address: addressOf(r.RemoteAddr), Proto: "1.1", Listener: s.cfg.Name,
 		Encrypted: conn.Encrypted})
 	if err != nil {
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -125,36 +125,23 @@
 	case *http2.DataFrame:
 		return c.data(f)
 	}
+	return c.takeControl(f)
+}
+
+// takeControl handles a frame that is no part of a request. Those that could be sent without end at
+// no cost to the client are bounded in rate.
+func (c *conn) takeControl(f http2.Frame) error {
 	now := time.Now()
 	switch f := f.(type) {
 	case *http2.RSTStreamFrame:
-		if c.idle(f.StreamID) {
-			return http2.ConnectionError(http2.ErrCodeProtocol)
-		}
-		if st := c.link.Stream(f.StreamID); st != nil {
-			c.link.Forget(st)
-			st.Owner.(*stream).end()
-			return c.tookReset(now)
-		} else if !c.empties.Take(now) {
-			return calm
-		}
+		return c.reset(f, now)
 	case *http2.SettingsFrame:
 		if !c.empties.Take(now) {
 			return calm
 		}
 		return c.link.Settings(f)
 	case *http2.PingFrame:
-		if f.IsAck() {
-			if f.Data == drainPing {
-				c.leaveNow()
-			}
-			return nil
-		}
-		if !c.empties.Take(now) {
-			return calm
-		}
-		data := f.Data
-		c.link.Control(func(fr *http2.Framer) error { return fr.WritePing(true, data) })
+		return c.ping(f, now)
 	case *http2.WindowUpdateFrame:
 		if !c.link.Earned() && !c.updates.Take(now) {
 			return calm
@@ -167,11 +154,42 @@
 		return nil // the client opens no more streams; those that are open are served
 	case *http2.PushPromiseFrame:
 		return http2.ConnectionError(http2.ErrCodeProtocol)
-	default:
-		if !c.empties.Take(now) {
-			return calm
+	}
+	if !c.empties.Take(now) {
+		return calm
+	}
+	return nil
+}
+
+// reset ends a stream that the client calls off.
+func (c *conn) reset(f *http2.RSTStreamFrame, now time.Time) error {
+	if c.idle(f.StreamID) {
+		return http2.ConnectionError(http2.ErrCodeProtocol)
+	}
+	if st := c.link.Stream(f.StreamID); st != nil {
+		c.link.Forget(st)
+		st.Owner.(*stream).end()
+		return c.tookReset(now)
+	}
+	if !c.empties.Take(now) {
+		return calm
+	}
+	return nil
+}
+
+// ping answers a ping, or takes the answer to the one that stands before a drain's second step.
+func (c *conn) ping(f *http2.PingFrame, now time.Time) error {
+	if f.IsAck() {
+		if f.Data == drainPing {
+			c.leaveNow()
 		}
+		return nil
+	}
+	if !c.empties.Take(now) {
+		return calm
 	}
+	data := f.Data
+	c.link.Control(func(fr *http2.Framer) error { return fr.WritePing(true, data) })
 	return nil
 }
 
--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -180,25 +180,7 @@
 	late := time.NewTimer(idle)
 	defer late.Stop()
 	s.c.link.Send(s.h2, o)
-	wait := func(c <-chan struct{}) bool {
-		select {
-		case <-c: // it was written at once, mostly
-			return true
-		default:
-		}
-		late.Reset(idle)
-		select {
-		case <-c:
-			return true
-		case <-late.C:
-			s.c.link.Reset(s.h2, http2.ErrCodeCancel)
-		case <-s.gone:
-		case <-s.c.gone:
-		case <-s.c.link.Ended():
-		}
-		return false
-	}
-	if !wait(taken) { // the head
+	if !s.wait(taken, late, idle) { // the head
 		return false
 	}
 	for {
@@ -207,7 +189,7 @@
 		n, err := a.Stream.Read(*buffer)
 		if n > 0 {
 			s.c.link.Append(s.h2, (*buffer)[:n], false, nil)
-			if !wait(taken) {
+			if !s.wait(taken, late, idle) {
 				return false
 			}
 		}
@@ -215,14 +197,10 @@
 		switch {
 		case err == io.EOF:
 			s.c.link.Append(s.h2, nil, true, h2.AppendFields(nil, a.Stream.Trailer()))
-			if !wait(sent) {
+			if !s.wait(sent, late, idle) {
 				return false
 			}
-			if up := s.ticket.Message.Upload; up != nil && !up.Ended() { // nobody needs the rest
-				s.c.link.Reset(s.h2, http2.ErrCodeNo)
-			} else {
-				s.c.link.Forget(s.h2)
-			}
+			s.passed()
 			return true
 		case err != nil:
 			s.c.link.Reset(s.h2, http2.ErrCodeInternal)
@@ -230,3 +208,33 @@
 		}
 	}
 }
+
+// wait waits until the client has taken in what was sent. It is false where that took idle, which
+// resets the stream, and where stream or connection have ended.
+func (s *stream) wait(taken <-chan struct{}, late *time.Timer, idle time.Duration) bool {
+	select {
+	case <-taken: // it was written at once, mostly
+		return true
+	default:
+	}
+	late.Reset(idle)
+	select {
+	case <-taken:
+		return true
+	case <-late.C:
+		s.c.link.Reset(s.h2, http2.ErrCodeCancel)
+	case <-s.gone:
+	case <-s.c.gone:
+	case <-s.c.link.Ended():
+	}
+	return false
+}
+
+// passed ends a stream whose answer has gone out whole.
+func (s *stream) passed() {
+	if up := s.ticket.Message.Upload; up != nil && !up.Ended() { // nobody needs the rest
+		s.c.link.Reset(s.h2, http2.ErrCodeNo)
+		return
+	}
+	s.c.link.Forget(s.h2)
+}
--- a/internal/front/http2/server.go
+++ b/internal/front/http2/server.go
@@ -32,7 +32,7 @@
 
 // Config is what a Server needs.
 type Config struct {
-	Intake     *front.Intake
+	Admission  *front.Admission
 	Conns      *front.Conns
 	Log        *slog.Logger
 	Name       string        // of the listener
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -60,58 +60,70 @@
 		s.ready(f.StreamEnded())
 		return nil
 	}
-	path, query, _ := strings.Cut(r.Path, "?")
-	if r.Protocol != "" {
-		if !s.connect(r) {
-			s.reject(&front.Error{Status: http.StatusNotImplemented, Text: "this protocol is not spoken here"})
-			return nil
-		}
+	if r.Protocol != "" && !s.connect(r) {
+		s.reject(errNotSpoken)
+		return nil
 	}
 	s.length, s.method = r.Length, r.Method
-	head := &front.Head{Method: r.Method, Authority: r.Authority, Path: path, Query: query, Header: r.Header, Body: max(r.Length, 0), Proto: "2", Listener: s.c.s.cfg.Name,
-		Encrypted: s.c.all != nil && s.c.all.Encrypted}
-	if r.Length < 0 && !f.StreamEnded() {
-		head.Body = 1 // there is one, of no told length
-	}
-	if a, err := netip.ParseAddrPort(s.c.remote.String()); err == nil {
-		head.Address = a.Addr()
-	}
-	if s.ticket, err = s.c.s.cfg.Intake.Take(head); err != nil {
+	if err := s.take(r, f.StreamEnded()); err != nil {
 		s.reject(front.AsError(err))
 		return nil
 	}
+	if f.StreamEnded() {
+		err = s.lastByte()
+	} else if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		s.c.link.Interim(s.h2, &h2.Out{Fields: []hpack.HeaderField{{Name: ":status", Value: "100"}}})
+	}
+	go s.run()
+	return err
+}
+
+var errNotSpoken = &front.Error{Status: http.StatusNotImplemented, Text: "this protocol is not spoken here"}
+
+// take has the request admitted. Its body flows where the route says so and the request has one.
+func (s *stream) take(r *h2.Request, ended bool) (err error) {
+	if s.ticket, err = s.c.s.cfg.Admission.Take(s.frontHead(r, ended)); err != nil {
+		return err
+	}
 	flow, most := s.ticket.Flow, int64(maxBody)
 	flows := flow != nil && (flow.Requests != config.BodiesWhole || s.ticket.Upgrade != "")
 	if r.Protocol != "" && s.ticket.Upgrade == "" {
 		s.ticket.Release()
-		s.reject(&front.Error{Status: http.StatusNotImplemented, Text: "this protocol is not spoken here"})
-		return nil
+		return errNotSpoken
 	}
 	if flows {
 		most = flow.Most
 	}
 	if r.Length > most && most > 0 {
 		s.ticket.Release()
-		s.reject(&front.Error{Status: http.StatusRequestEntityTooLarge, Text: "body too large"})
+		return &front.Error{Status: http.StatusRequestEntityTooLarge, Text: "body too large"}
+	}
+	if !flows || ended {
 		return nil
 	}
-	if flows && !f.StreamEnded() {
-		s.src = &source{Queue: s.c.link.NewQueue(s.h2, s.ticket.Bodies)}
-		if r.Length > maxBody {
-			s.src.Widen()
-		}
-		s.ticket.NewUpload(s.src, r.Length)
-		if names := message.Announce(r.Header["Trailer"]); names != nil {
-			s.ticket.Message.Header["Trailer"] = names
-		}
+	s.src = &source{Queue: s.c.link.NewQueue(s.h2, s.ticket.Bodies)}
+	if r.Length > maxBody {
+		s.src.Widen()
 	}
-	if f.StreamEnded() {
-		err = s.lastByte()
-	} else if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-		s.c.link.Interim(s.h2, &h2.Out{Fields: []hpack.HeaderField{{Name: ":status", Value: "100"}}})
+	s.ticket.NewUpload(s.src, r.Length)
+	if names := message.Announce(r.Header["Trailer"]); names != nil {
+		s.ticket.Message.Header["Trailer"] = names
 	}
-	go s.run()
-	return err
+	return nil
+}
+
+// frontHead is the head of the request as admission reads it.
+func (s *stream) frontHead(r *h2.Request, ended bool) *front.Head {
+	path, query, _ := strings.Cut(r.Path, "?")
+	head := &front.Head{Method: r.Method, Authority: r.Authority, Path: path, Query: query, Header: r.Header, Body: max(r.Length, 0), Proto: "2",
+		Listener: s.c.s.cfg.Name, Encrypted: s.c.all != nil && s.c.all.Encrypted}
+	if r.Length < 0 && !ended {
+		head.Body = 1 // there is one, of no told length
+	}
+	if a, err := netip.ParseAddrPort(s.c.remote.String()); err == nil {
+		head.Address = a.Addr()
+	}
+	return head
 }
 
 // data takes a part of the body. Room comes back at once, unless the connection holds much
@@ -326,7 +338,7 @@
 func (s *stream) ready(whole bool) {
 	s.whole, s.ended = true, whole
 	status, text := http.StatusOK, "ready\n"
-	if !s.c.s.cfg.Intake.Ready() {
+	if !s.c.s.cfg.Admission.Ready() {
 		status, text = http.StatusServiceUnavailable, "not ready\n"
 	}
 	go func() {
--- /dev/null
+++ b/internal/front/record.go
@@ -0,0 +1,68 @@
+package front
+
+import (
+	"bytes"
+)
+
+// mostRecorded is how much of what comes is kept for Recorded: a head, at the most.
+const mostRecorded = 16 << 10
+
+// note keeps what has come.
+func (c *Conn) note(b []byte) {
+	if !c.all.keepHeads.Load() {
+		return
+	}
+	c.recordMu.Lock()
+	defer c.recordMu.Unlock()
+	if !c.skips && len(c.record) < mostRecorded {
+		c.record = append(c.record, b[:min(len(b), mostRecorded-len(c.record))]...)
+	}
+}
+
+// KeepHeads says whether heads are kept for Recorded: they need be where a route takes bodies
+// of no told length.
+func (l *Conns) KeepHeads(on bool) { l.keepHeads.Store(on) }
+
+// Recorded is the head of the request that has been read last, as it came, up to its blank
+// line: an http.Server drops a Content-Length that stands beside Transfer-Encoding, and with
+// it the sign of a request that two servers would end at different places. ok is false where
+// it is not known: its beginning came with bytes of an earlier body. A body follows, and
+// nothing is kept until Record.
+func (c *Conn) Recorded() (head []byte, ok bool) {
+	c.recordMu.Lock()
+	defer c.recordMu.Unlock()
+	c.skips = true
+	end := bytes.Index(c.record, blankLine)
+	if end < 0 {
+		return nil, false
+	}
+	return c.record[:end+2], true
+}
+
+// Headed notes that a head has been read whose bytes nobody asks for; with a body behind it
+// nothing is kept until Record.
+func (c *Conn) Headed(bodied bool) {
+	if !c.all.keepHeads.Load() {
+		return
+	}
+	c.recordMu.Lock()
+	defer c.recordMu.Unlock()
+	c.skips = bodied
+	n := len(c.record)
+	if end := bytes.Index(c.record, blankLine); end >= 0 {
+		n = end + len(blankLine)
+	}
+	c.record = c.record[:copy(c.record, c.record[n:])]
+}
+
+// Record begins to keep what comes: the head of the next request.
+func (c *Conn) Record() {
+	if !c.all.keepHeads.Load() {
+		return
+	}
+	c.recordMu.Lock()
+	defer c.recordMu.Unlock()
+	c.record, c.skips = c.record[:0], false
+}
+
+var blankLine = []byte("\r\n\r\n")
--- /dev/null
+++ b/internal/front/ticket.go
@@ -0,0 +1,204 @@
+package front
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"frostshift/internal/body"
+	"frostshift/internal/config"
+	"frostshift/internal/contract"
+	"frostshift/internal/exchange"
+	"frostshift/internal/headers"
+	"frostshift/internal/limit"
+	"frostshift/internal/message"
+	"frostshift/internal/moves"
+	"frostshift/internal/shift"
+	"frostshift/internal/spool"
+	"frostshift/internal/stream"
+)
+
+// Ticket is a request whose head has been taken. The front reads the body into Message
+// and submits it, or gives the ticket up with Release.
+type Ticket struct {
+	Message  *message.Request
+	Bodies   exchange.Room
+	Platform bool // the client speaks the platform's protocol
+	request  exchange.Request
+	to       *exchange.Pool
+	fallback *exchange.Pool
+	left     time.Duration
+	aim      time.Duration // of its class; 0: none
+	snapshot *Snapshot
+	x        *exchange.Exchange
+	held     int64          // bytes of Bodies
+	policy   *config.Policy // of the route; nil: none
+	vars     headers.Vars
+	name     string
+	via      string
+	item     contract.Item
+	limiter  *contract.Door // that the request has entered; nil: there is no contract
+	move     *moves.Move    // that has placed the request; nil: none
+	unit     shift.Unit
+	pass     *limit.Pass    // what it holds of limits by key; nil: nothing
+	limits   [2]string      // RateLimit-Policy and RateLimit of its answer; "": nothing is told
+	work     time.Duration  // that it has been for hosts, once it has ended
+	body     int64          // bytes that it announced there
+	Flow     *config.Bodies // how its bodies go on; nil: whole
+	Upgrade  string         // protocol that it may switch to; "": none
+	asked    bool           // the client said how long it waits
+	spool    *spool.Dir     // nil: nothing is kept on disk
+	hint     func(int, http.Header)
+	again    func() // gives the memory of the body to another; nil: it is not used again
+}
+
+// Hold notes that the body holds n more bytes of room and says whether there are any.
+func (t *Ticket) Hold(n int64) bool {
+	if !t.Bodies.Take(n) {
+		return false
+	}
+	t.held += n
+	return true
+}
+
+// NewUpload makes a body that need not be whole the request's. length is what the client has
+// announced; -1: nothing.
+func (t *Ticket) NewUpload(src stream.Source, length int64) *stream.Upload {
+	f := t.Flow
+	cfg := stream.Config{Source: src, Room: t.Bodies, Strict: f.Strict, Idle: f.Idle, Rate: f.Rate,
+		Bounds: body.Bounds{Memory: f.Replay, Disk: f.Spool, Most: f.Most, Length: length}}
+	if terms := t.item.Terms; terms != nil && terms.LargestBody > 0 && (f.Most == 0 || terms.LargestBody < f.Most) {
+		cfg.Bounds.Most = terms.LargestBody // none was announced that the contract could be held against
+	}
+	if t.spool != nil && f.Spool > 0 {
+		team, dir := "", t.spool
+		if t.item.Terms != nil {
+			team = t.item.Terms.Team
+		}
+		cfg.Spool = func() (stream.File, error) { return dir.File(team) }
+	} else {
+		cfg.Bounds.Disk = 0
+	}
+	if t.Upgrade != "" {
+		cfg.Raw, cfg.Idle, cfg.Rate, cfg.Bounds = true, 0, 0, body.Bounds{Length: -1}
+	}
+	t.Message.Upload = stream.NewUpload(cfg, nil)
+	return t.Message.Upload
+}
+
+// Whole makes an Upload that has come whole an ordinary body.
+func (t *Ticket) Whole() {
+	t.Message.Body, t.again = t.Message.Upload.Whole()
+	t.held += int64(len(t.Message.Body))
+	t.Message.Upload = nil
+}
+
+// Over says that the front is done with a request that was answered so: the memory of its
+// body is used again where one attempt was all, and has sent it.
+func (t *Ticket) Over(r exchange.Reply) {
+	if t.again != nil && r.Verdict == exchange.Served && r.Tries == 1 && t.Message.Written.Load() {
+		t.again()
+		t.again = nil
+	}
+}
+
+// Hints has what comes ahead of the answer given to f, where the route allows it.
+func (t *Ticket) Hints(f func(status int, header http.Header)) {
+	if t.Flow != nil && t.Flow.Hints {
+		t.hint = f
+	}
+}
+
+// Idle is how long a client may take nothing in of an answer that flows.
+func (t *Ticket) Idle() time.Duration { return t.Flow.Idle }
+
+// BodyError is what is wrong with a body that broke off. sent says that an attempt has had a
+// part of it: trying again is not known to be harmless then.
+func BodyError(err error, sent bool) *Error {
+	e := bad("body: %v", err)
+	switch {
+	case errors.Is(err, stream.ErrLong):
+		e = &Error{Status: http.StatusRequestEntityTooLarge, Text: "body too large"}
+	case errors.Is(err, stream.ErrSlow) && !sent:
+		e = &Error{Status: http.StatusRequestTimeout, Text: "the body is slow"}
+	case errors.Is(err, stream.ErrSlow):
+		e = bad("the body is slow")
+	case errors.Is(err, stream.ErrRoom) && !sent:
+		e = &Error{Status: http.StatusServiceUnavailable, Text: "busy"}
+	case errors.Is(err, stream.ErrRoom):
+		e = &Error{Status: http.StatusBadGateway, Text: "there is no room to keep the body"}
+	}
+	return e
+}
+
+// Release gives the ticket up. The exchange calls it for one that was submitted.
+func (t *Ticket) Release() {
+	if t.held > 0 {
+		t.Bodies.Give(t.held)
+		t.held = 0
+	}
+	if t.limiter != nil {
+		t.limiter.Leave(t.item.Account, t.body)
+		t.limiter = nil
+	}
+	if t.pass != nil {
+		t.pass.Leave(t.x.Clock().Now(), t.work, t.came())
+		t.pass = nil
+	}
+	t.snapshot.Release()
+}
+
+// Ended tells the move that has placed the request, and limits of work, how it ended.
+func (t *Ticket) Ended(e exchange.Ending) {
+	if t.work = e.Work; t.move != nil {
+		t.move.Ended(&t.unit, e)
+	}
+}
+
+// came is how many bytes of its body have come.
+func (t *Ticket) came() int64 {
+	if t.Message.Upload != nil {
+		return t.Message.Upload.Came()
+	}
+	return int64(len(t.Message.Body))
+}
+
+// lastSend is how long an answer has to go out that came when its request's time was over or nearly so.
+const lastSend = 250 * time.Millisecond
+
+// SendBy is until when an answer is written: as long as its client waits, but for lastSend at least. One that came
+// at the last moment, on a machine that is short of processor time, is late then, where it would be none.
+func SendBy(deadline, now time.Time) time.Time {
+	if least := now.Add(lastSend); deadline.Before(least) {
+		return least
+	}
+	return deadline
+}
+
+// Submit hands the request to the exchange: its time counts from now, and the ticket is
+// the exchange's to release. deadline is when the client stops waiting.
+func (t *Ticket) Submit() (call *exchange.Call, deadline time.Time) {
+	clock := t.x.Clock()
+	t.request.Deadline = clock.Now() + t.left
+	t.request.Message = t.Message
+	t.request.Hold = t
+	if t.Flow != nil {
+		ends := t.request.Deadline - t.left + t.Flow.Longest
+		if t.asked && !t.Flow.HeadTimed {
+			ends = t.request.Deadline
+		}
+		t.Message.Upgrade = t.Upgrade
+		t.Message.Flow = &message.Flow{Answers: t.Flow.Answers, Hold: t.Flow.Hold, Ahead: t.Flow.Ahead, Idle: t.Flow.Idle, Ends: clock.At(ends), Hint: t.hint}
+		if up := t.Message.Upload; up != nil {
+			t.request.Body, t.request.Rest, t.request.Ends = up, t.left, ends
+		}
+	}
+	if t.limiter != nil {
+		t.item.Deadline = t.request.Deadline
+		if t.aim > 0 {
+			t.item.Aim = t.request.Deadline - t.left + t.aim
+		}
+		t.request.Item = &t.item
+	}
+	return t.x.Submit(t.request, t.to, t.fallback), clock.At(t.request.Deadline)
+}
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -724,7 +724,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		g.intake.Spool(d)
+		g.admission.Spool(d)
 		r, _ := http.NewRequest(http.MethodPost, g.url+"/x", unsized{bytes.NewReader(make([]byte, 300000))})
 		resp, err := talker(t, "http1").Do(r)
 		if err != nil {
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -21,7 +21,7 @@
 type commands struct{ *Gateway }
 
 // Serving says whether this process takes clients.
-func (c commands) Serving() bool { return c.succession.serves() && c.intake.Ready() }
+func (c commands) Serving() bool { return c.succession.serves() && c.admission.Ready() }
 
 // Out takes a host out of use, or has it used again, in each pool that has heard of it; with fleet
 // at all gateways that live.
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -33,7 +33,7 @@
 	default:
 		c.machine.Back()
 	}
-	g.intake.SetLeaving(up)
+	g.admission.SetLeaving(up)
 	for _, s := range g.present() {
 		s.endsNext(up)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,9 @@
 	// long what is left then may take to fail: the kill comes 3.7 s after the order at the soonest.
 	stopWithin = 2900 * time.Millisecond
 	stopLast   = 100 * time.Millisecond
+	// settleWithin is how long connections whose last answer is on its way may then take to be closed
+	// by their clients: the end of the process closes them above what is unread.
+	settleWithin = 150 * time.Millisecond
 
 	ownSockets = 32 // descriptors besides connections: listener, discovery, runtime
 	// Shares of the other descriptors. The rest is for connections that come while all of
@@ -76,20 +79,20 @@
 
 // Gateway is one running gateway.
 type Gateway struct {
-	log      *slog.Logger
-	opt      Options
-	exchange *exchange.Exchange
-	intake   *front.Intake
-	conns    *front.Conns
-	budgets  budgets
-	whole    wholes
-	bounded  bool // conns keep to the limit on descriptors
-	door     *contract.Door
-	moves    *moves.Set
-	state    *save.Dir     // nil: there is none
-	keptLast chan struct{} // closed: the last of it has been read; nil: nothing is kept
-	kept     *save.Dir     // what pools have learned; nil: it is not kept, or not yet. Of keep once that runs
-	upgrades atomic.Bool   // a route lets clients switch protocols
+	log       *slog.Logger
+	opt       Options
+	exchange  *exchange.Exchange
+	admission *front.Admission
+	conns     *front.Conns
+	budgets   budgets
+	whole     wholes
+	bounded   bool // conns keep to the limit on descriptors
+	door      *contract.Door
+	moves     *moves.Set
+	state     *save.Dir     // nil: there is none
+	keptLast  chan struct{} // closed: the last of it has been read; nil: nothing is kept
+	kept      *save.Dir     // what pools have learned; nil: it is not kept, or not yet. Of keep once that runs
+	upgrades  atomic.Bool   // a route lets clients switch protocols
 
 	mu    sync.Mutex // guards what follows; held for the whole of a reload
 	model *config.Model
@@ -148,7 +151,7 @@
 		bodies, answers = n/bodyPart, n/answerPart
 	}
 	g.door = contract.NewDoor(requests, bodies)
-	g.intake = front.NewIntake(x, g.door)
+	g.admission = front.NewAdmission(x, g.door)
 	if g.conns == nil {
 		g.conns = front.NewConns(clients, asked, front.SpareAfter)
 	}
@@ -168,7 +171,7 @@
 		if d, err := spool.Open(m.Spool.Dir, m.Spool.Most, m.Spool.Team); err != nil {
 			log.Warn("no body is kept on disk", "err", err)
 		} else {
-			g.intake.Spool(d)
+			g.admission.Spool(d)
 		}
 	}
 	g.clients.gateway = g
@@ -426,13 +429,16 @@
 			}
 		}
 	}
+	settling, settled := context.WithTimeout(context.Background(), settleWithin)
+	g.conns.Settle(settling)
+	settled()
 	if g.keptLast != nil { // a second at most, and pools end behind it
 		<-g.keptLast
 	}
 	close(g.ended)
 	g.closeBank()
 	g.succession.end()
-	g.intake.Use(nil)
+	g.admission.Use(nil)
 	if g.desk != nil {
 		g.desk.Close()
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -41,17 +41,18 @@
 
 func parse(t *testing.T, discovery, known string) *config.Model {
 	t.Helper()
-	m, err := parseSettings(testConfig, discovery, known)
+	return parseText(t, fmt.Sprintf(testConfig, discovery, known))
+}
+
+func parseText(t *testing.T, text string) *config.Model {
+	t.Helper()
+	m, err := config.ParsePlatform([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return m
 }
 
-func parseSettings(text, discovery, known string) (*config.Model, error) {
-	return config.ParsePlatform(fmt.Appendf(nil, text, discovery, known))
-}
-
 func entry(name, address, status string) string {
 	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"std","group":1,"status":%q,"weight":1,"since_ms":0}`, name, address, status)
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -149,7 +149,7 @@
 	}
 	out := LimitsExplained{}
 	ok := false
-	if out.Route, out.Rules, ok = g.intake.Explain(h); !ok {
+	if out.Route, out.Rules, ok = g.admission.Explain(h); !ok {
 		http.Error(w, "no route matches", http.StatusNotFound)
 		return
 	}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -70,7 +70,7 @@
 	}
 	s.ln = g.conns.Listen(ln)
 	if l.Protocol == config.HTTP2 || l.Certificate != "" {
-		s.two = http2.New(http2.Config{Intake: g.intake, Log: g.log, Name: l.Name, SendWithin: g.opt.SendWithin,
+		s.two = http2.New(http2.Config{Admission: g.admission, Log: g.log, Name: l.Name, SendWithin: g.opt.SendWithin,
 			MostOpen: g.budgets.requests.Total(), Streams: g.streams, Pressed: g.pressed, RoundTrip: g.opt.RoundTrip, Connect: g.upgrades.Load})
 	}
 	if l.Protocol == config.HTTP1 {
@@ -79,7 +79,7 @@
 			s.shaken = make(chan net.Conn)
 			under = shakenListener{s}
 		}
-		s.one = http1.New(under, http1.Config{Intake: g.intake, Conns: g.conns, Log: g.log, Name: l.Name, SendWithin: g.opt.SendWithin, Longest: longest})
+		s.one = http1.New(under, http1.Config{Admission: g.admission, Conns: g.conns, Log: g.log, Name: l.Name, SendWithin: g.opt.SendWithin, Longest: longest})
 	}
 	return s, nil
 }
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -137,7 +137,7 @@
 	old := g.pools
 	g.pools, g.model = next, m
 	led := g.moves.Use(m.Moves)
-	g.intake.Use(front.NewSnapshot(m, targets, led, g.moves.Retired(), g.rules, func() {
+	g.admission.Use(front.NewSnapshot(m, targets, led, g.moves.Retired(), g.rules, func() {
 		for _, p := range held {
 			p.letGo()
 		}
@@ -201,7 +201,7 @@
 		s.ln.Guard(g.guard(m, s.Name))
 	}
 	for _, s := range opened {
-		if g.intake.Leaving() {
+		if g.admission.Leaving() {
 			s.endsNext(true)
 		}
 		if g.serving {
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -33,11 +33,7 @@
 	})
 	d := discover(t)
 	text := strings.ReplaceAll(testConfig, `"hard_limit":60000000`, fmt.Sprintf(`"hard_limit":%d`, longest.Microseconds()))
-	m, err := parseSettings(text, d.Addr(), listOf(1, true, entry("a", addr, "active")))
-	if err != nil {
-		t.Fatal(err)
-	}
-	g := launch(t, m)
+	g := launch(t, parseText(t, fmt.Sprintf(text, d.Addr(), listOf(1, true, entry("a", addr, "active")))))
 	c, err := net.Dial("tcp", g.Addr("clients").String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/succession.go
+++ b/internal/gateway/succession.go
@@ -187,7 +187,7 @@
 	for _, server := range s.gateway.present() {
 		server.ln.Pause(false)
 	}
-	s.gateway.intake.SetReady()
+	s.gateway.admission.SetReady()
 	for l := range s.links {
 		if l.older {
 			l.peer.Send(handover.Serving, nil)
--- a/internal/upstream/http1/reset_test.go
+++ b/internal/upstream/http1/reset_test.go
@@ -94,6 +94,7 @@
 		t.Errorf("read %q, %v", text, err)
 	}
 }
+
 // A host is told no more time than the client has left when the request goes out: the connection
 // may have taken most of what there was when the host was chosen.
 func TestTimeToldIsWhatIsLeft(t *testing.T) {
