--- a/api.go
+++ b/api.go
@@ -101,14 +101,14 @@
 	Fall           time.Duration // kept up for this long; 0: 1 s
 }
 
-// Bank is how many instances share the hosts, by what is known now, and where this one stands.
-type Bank struct {
+// Fleet is how many instances share the hosts, by what is known now, and where this one stands.
+type Fleet struct {
 	Place       float64 // on a ring of all, from 0 to below 1
 	Least, Most int     // instances there may be, this one included
 }
 
-// Hearsay is what other instances' outcomes say of a host, as whoever puts them together judges.
-type Hearsay struct {
+// HostHealth is what other instances' outcomes say of a host, as whoever puts them together judges.
+type HostHealth struct {
 	Host  HostID
 	Doubt float64 // that it is in order, from 0 to 1
 	Down  bool    // several were refused a connection, and nobody was answered since
--- a/balancer.go
+++ b/balancer.go
@@ -93,7 +93,7 @@
 		b.aim, b.longAim = min(b.aim, c.Aim), max(b.longAim, c.Aim)
 	}
 	b.pass, b.admit, b.span, b.sharers = 1, 1, rateFalls*set.Fall.Seconds(), float64(set.Instances)
-	b.shared = Bank{TypedPlace(set.Rank, set.Instances), set.Instances, set.Instances}
+	b.shared = Fleet{TypedPlace(set.Rank, set.Instances), set.Instances, set.Instances}
 	for _, t := range set.Tenants {
 		r := t.Quota / float64(set.Instances)
 		b.quota = append(b.quota, bucket{tokens: r * quotaBurst, rate: r})
@@ -103,10 +103,10 @@
 	return b, nil
 }
 
-// Bank is news of who shares the hosts. Each figure is put to its safe use: the fewest there may
+// Fleet is news of who shares the hosts. Each figure is put to its safe use: the fewest there may
 // be size the part that this instance draws from, so that no host is left to nobody; the most
 // there may be divide what cold hosts and tenants may get, so that all together hold it.
-func (b *Balancer) Bank(now Time, k Bank) {
+func (b *Balancer) Fleet(now Time, k Fleet) {
 	if b.now = now; k.Least < 1 || k.Most < k.Least || !(k.Place >= 0 && k.Place < 1) || k == b.shared {
 		return
 	}
@@ -206,7 +206,7 @@
 		}
 		b.weighted = b.weighted || h.weight() != 1
 	}
-	b.bank = float64(b.shared.Most)
+	b.fleet = float64(b.shared.Most)
 	if len(b.places) > 0 && b.places[0].Sharers > 0 {
 		b.layPart()
 		return
@@ -224,7 +224,7 @@
 	first, all := len(b.ring), len(b.places)
 	b.ring = b.turn(b.ring, b.places)
 	b.ring = b.ring[:first+len(without(b.ring[first:], b.ring[:first]))]
-	b.sharers = min(1, float64(b.subset)/float64(max(b.warm, 1))) * b.bank
+	b.sharers = min(1, float64(b.subset)/float64(max(b.warm, 1))) * b.fleet
 	// What instances of its own zone and all instances walk past is what shares a cold host. Where
 	// views differ cold hosts are used within the part by Most alone, and by one more for places
 	// that do not meet: so the parts of all stay within one (docs/design/gossip.md).
@@ -233,10 +233,10 @@
 	anywhere := min(1, float64(narrow)/float64(max(all, 1)))
 	for i, h := range b.ring {
 		h.mine = i < nearest || i >= first && i-first < narrow-nearest
-		h.sharers = min(b.bank, math.Ceil(b.bank*anywhere+doubt))
+		h.sharers = min(b.fleet, math.Ceil(b.fleet*anywhere+doubt))
 		if b.set.Zones > 1 {
-			inZone := b.bank / float64(b.set.Zones) * min(1, half/zone[h.Zone])
-			h.sharers = min(b.bank, math.Ceil(h.sharers+inZone))
+			inZone := b.fleet / float64(b.set.Zones) * min(1, half/zone[h.Zone])
+			h.sharers = min(b.fleet, math.Ceil(h.sharers+inZone))
 		}
 		b.coldHold(h)
 	}
@@ -250,7 +250,7 @@
 		b.coldHold(h)
 		b.sharers += h.sharers / float64(len(b.ring))
 	}
-	b.bank = b.sharers
+	b.fleet = b.sharers
 }
 
 // layNearby notes the near hosts of the subset, which is the least that is drawn from.
@@ -311,11 +311,11 @@
 	}
 }
 
-// Hearsay is news of what other instances met at a host. It never takes the place of own outcomes: a
+// HostHealth is news of what other instances met at a host. It never takes the place of own outcomes: a
 // doubt makes the host look slower and spares it requests that must not run twice, and refusals that
 // several met eject it as one of its own would, until a trial of its own, or while others try it.
 // That acts where it has had no answer of late, and for half of the hosts at most.
-func (b *Balancer) Hear(now Time, k Hearsay) {
+func (b *Balancer) HostHealth(now Time, k HostHealth) {
 	b.now = now
 	h := b.byID[k.Host]
 	if h == nil {
@@ -1049,7 +1049,7 @@
 				b.servedFrom, b.servedAt = a.sent, b.now
 			}
 			kept := b.served * math.Exp(-(b.now-b.servedAt).Seconds()/b.span)
-			b.served = kept + b.bank/float64(max(b.warm, 1))/b.span
+			b.served = kept + b.fleet/float64(max(b.warm, 1))/b.span
 			b.servedAt = b.now
 		}
 		b.readmit(h)
--- a/cmd/stilespool/load.go
+++ b/cmd/stilespool/load.go
@@ -15,8 +15,8 @@
 // loadCommand shows what gateways have out at hosts, as the running one holds it.
 func loadCommand() *cobra.Command {
 	return pageCommand("load", "show what this gateway and the others have out at hosts, and how far their word counts here", "/load", func(m *config.Model) error {
-		if m.Bank == nil || !m.Bank.Load {
-			return errors.New("bank.load is not set: each gateway goes by its own attempts")
+		if m.Gossip == nil || !m.Gossip.Load {
+			return errors.New("fleet.load is not set: each gateway goes by its own attempts")
 		}
 		return nil
 	}, showLoad)
@@ -29,7 +29,7 @@
 	}
 	for _, h := range s.Hosts {
 		fmt.Fprintf(out, "  %s: %d out here, %.1f elsewhere\n", h.Name, h.Own, h.Others)
-		for _, t := range h.Tellers {
+		for _, t := range h.Reporters {
 			fmt.Fprintf(out, "    %-24s %2d, counts %.2f, %v away, said %v ago\n", t.Name, t.Out, t.Weight, t.Lag.Round(time.Millisecond), t.Age.Round(time.Millisecond))
 		}
 	}
--- a/cmd/stilespool/main.go
+++ b/cmd/stilespool/main.go
@@ -35,6 +35,9 @@
 func (noMatch) Error() string { return "no route matches" }
 func (said) Error() string    { return "" }
 
+// renamedCommands are commands of earlier versions, with their names of today.
+var renamedCommands = map[string]string{"bank": "fleet"}
+
 // commandLine is the command line, made anew for each use.
 func commandLine(out, errs io.Writer) *cobra.Command {
 	root := &cobra.Command{
@@ -51,6 +54,9 @@
 		if len(args) == 0 {
 			return c.Help()
 		}
+		if now := renamedCommands[args[0]]; now != "" {
+			return usage{fmt.Errorf("stilespool %s is called stilespool %s now", args[0], now)}
+		}
 		text := fmt.Sprintf("there is no command %q; stilespool help lists them", args[0])
 		for _, s := range c.SuggestionsFor(args[0]) {
 			text += "\ndid you mean " + s + "?"
@@ -63,7 +69,7 @@
 	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error {
 		return usage{fmt.Errorf("%w\n%s", err, strings.TrimRight(c.UsageString(), "\n"))}
 	})
-	root.AddCommand(runCommand(), checkCommand(), routeCommand(), importCommand(), contractsCommand(), hostsCommand(), bankCommand(), quotaCommand(), limitsCommand(), verdictsCommand(), loadCommand(), maintCommand(), memoryCommand(), moveCommand(), labCommand(), demoCommand(),
+	root.AddCommand(runCommand(), checkCommand(), routeCommand(), importCommand(), contractsCommand(), hostsCommand(), fleetCommand(), quotaCommand(), limitsCommand(), verdictsCommand(), loadCommand(), maintCommand(), memoryCommand(), moveCommand(), labCommand(), demoCommand(),
 		&cobra.Command{Use: "version", Short: "say which build this is", Args: none, RunE: func(c *cobra.Command, _ []string) error { return version(c.OutOrStdout()) }})
 	return root
 }
--- a/cmd/stilespool/maint.go
+++ b/cmd/stilespool/maint.go
@@ -12,8 +12,8 @@
 	"github.com/spf13/cobra"
 
 	"frostshift/internal/config"
-	"frostshift/internal/edict"
 	"frostshift/internal/gateway"
+	"frostshift/internal/override"
 )
 
 // maintCommand takes hosts out by hand, at the running gateway or at all that it hears, and shows what
@@ -23,7 +23,7 @@
 	path := c.PersistentFlags().String("config", "", "configuration `file`")
 	word := func(use, short, call string) *cobra.Command {
 		w := &cobra.Command{Use: use + " HOST", Short: short, Args: cobra.ExactArgs(1)}
-		fleet := w.Flags().Bool("fleet", false, "at all gateways that the running one hears (bank.bans)")
+		fleet := w.Flags().Bool("fleet", false, "at all gateways that the running one hears (fleet.overrides)")
 		w.RunE = func(c *cobra.Command, args []string) error {
 			m, err := managed(c, *path)
 			if err != nil {
@@ -33,7 +33,7 @@
 			if *fleet {
 				page += "?fleet=1"
 			}
-			text, err := bankCall(m, http.MethodPost, page)
+			text, err := adminCall(m, http.MethodPost, page)
 			if err == nil {
 				fmt.Fprint(c.OutOrStdout(), string(text))
 			}
@@ -41,17 +41,17 @@
 		}
 		return w
 	}
-	show := &cobra.Command{Use: "show", Short: "show operators' words that hold for the fleet, and who lacks them", Args: none}
+	show := &cobra.Command{Use: "show", Short: "show operators' overrides that hold for the fleet, and who lacks them", Args: none}
 	show.RunE = func(c *cobra.Command, _ []string) error {
-		var s gateway.EdictsStatus
-		_, err := askRunning(c, *path, "/edicts", func(m *config.Model) error {
-			if m.Bank == nil || !m.Bank.Bans {
-				return errors.New("bank.bans is not set: each gateway knows what is out by calls to itself")
+		var s gateway.OverridesStatus
+		_, err := askRunning(c, *path, "/overrides", func(m *config.Model) error {
+			if m.Gossip == nil || !m.Gossip.Overrides {
+				return errors.New("fleet.overrides is not set: each gateway knows what is out by calls to itself")
 			}
 			return nil
 		}, &s)
 		if err == nil {
-			showEdicts(s, c.OutOrStdout())
+			showOverrides(s, c.OutOrStdout())
 		}
 		return err
 	}
@@ -59,22 +59,22 @@
 	return c
 }
 
-func showEdicts(s gateway.EdictsStatus, out io.Writer) {
+func showOverrides(s gateway.OverridesStatus, out io.Writer) {
 	fmt.Fprintf(out, "%s: packets sent %d, taken %d, strange %d, lost %d\n", s.Name, s.Counts.Sent, s.Counts.Taken, s.Counts.Strange, s.Lost)
-	if len(s.Words) == 0 {
+	if len(s.Overrides) == 0 {
 		fmt.Fprintln(out, "  nothing was said for the fleet")
 	}
-	for _, w := range s.Words {
+	for _, w := range s.Overrides {
 		what := "back in use"
 		if w.Out {
 			what = "out"
 		}
-		fmt.Fprintf(out, "  %-24s %-12s said at %s %v ago (word %d)%s\n", w.Host, what, w.By, w.Age.Round(time.Millisecond), w.Version, missing(w))
+		fmt.Fprintf(out, "  %-24s %-12s said at %s %v ago (version %d)%s\n", w.Host, what, w.By, w.Age.Round(time.Millisecond), w.Version, missing(w))
 	}
 }
 
 // missing says where a word does not hold, as far as is known.
-func missing(w edict.Status) string {
+func missing(w override.Status) string {
 	said := ""
 	if !w.Holds {
 		said += ", not done here yet"
--- a/cmd/stilespool/quota.go
+++ b/cmd/stilespool/quota.go
@@ -58,11 +58,11 @@
 		fmt.Fprintln(out, "  nothing is shared now: each gateway has its even part")
 		return
 	}
-	fmt.Fprintf(out, "  %-36s %-11s %9s %9s %9s %9s %9s  %s\n", "limit", "mode", "amount", "here", "kept", "wanted", "pledged", "shared out by")
+	fmt.Fprintf(out, "  %-36s %-11s %9s %9s %9s %9s %9s  %s\n", "limit", "mode", "amount", "here", "kept", "wanted", "lent", "shared out by")
 	for _, l := range s.Limits {
-		fmt.Fprintf(out, "  %-36s %-11s %9.4g %9.4g %9.4g %9.4g %9.4g  %s%s\n", l.Name, l.Mode, l.Amount, l.Here, l.Kept, l.Wanted, l.Pledged, l.Owner, heardOf(l))
+		fmt.Fprintf(out, "  %-36s %-11s %9.4g %9.4g %9.4g %9.4g %9.4g  %s%s\n", l.Name, l.Mode, l.Amount, l.Here, l.Kept, l.Wanted, l.Lent, l.Owner, heardOf(l))
 		if l.Holders > 0 {
-			fmt.Fprintf(out, "  %-36s shared out here: %.4g granted of %.4g pledged, to %d processes\n", "", l.Granted, l.Pledges, l.Holders)
+			fmt.Fprintf(out, "  %-36s shared out here: %.4g granted of %.4g lent, to %d processes\n", "", l.Granted, l.Loans, l.Holders)
 		}
 	}
 }
@@ -98,7 +98,7 @@
 				even = l.Amount / float64(max(s.Typed, s.Most, 1))
 			}
 			fmt.Fprintf(out, "pool %s: %.4g of %.4g here (%s, %s); %.4g is wanted here\n", p.Name, l.Here, l.Amount, l.Mode, t.File, l.Wanted)
-			fmt.Fprintf(out, "  the even part is %.4g, of which %.4g is pledged to others and %.4g kept\n", even, l.Pledged, l.Kept)
+			fmt.Fprintf(out, "  the even part is %.4g, of which %.4g is lent to others and %.4g kept\n", even, l.Lent, l.Kept)
 			if granted := l.Here - l.Kept; granted > 0 {
 				fmt.Fprintf(out, "  %.4g more is granted by %s%s\n", granted, l.Owner, heardOf(l))
 			}
--- a/cmd/stilespool/verdicts.go
+++ b/cmd/stilespool/verdicts.go
@@ -10,14 +10,14 @@
 
 	"frostshift/internal/config"
 	"frostshift/internal/gateway"
-	"frostshift/internal/hearsay"
+	"frostshift/internal/hosthealth"
 )
 
 // verdictsCommand shows what gateways say of hosts, as the running one holds it.
 func verdictsCommand() *cobra.Command {
 	return pageCommand("verdicts", "show what gateways say of hosts that somebody speaks against, and what follows here", "/verdicts", func(m *config.Model) error {
-		if m.Bank == nil || !m.Bank.Verdicts {
-			return errors.New("bank.verdicts is not set: each gateway goes by its own outcomes")
+		if m.Gossip == nil || !m.Gossip.Verdicts {
+			return errors.New("fleet.verdicts is not set: each gateway goes by its own outcomes")
 		}
 		return nil
 	}, showVerdicts)
@@ -40,9 +40,9 @@
 			what = fmt.Sprintf("doubted by %.2f", h.Doubt)
 		}
 		fmt.Fprintf(out, "  %s: %s\n", h.Name, what)
-		for _, t := range append([]hearsay.Said{h.Own}, h.Said...) {
+		for _, t := range append([]hosthealth.Said{h.Own}, h.Said...) {
 			if t.Good+t.Bad >= 0.01 {
-				fmt.Fprintf(out, "    %-24s %5.1f good, %5.1f bad, last %v ago: %v\n", t.Teller, t.Good, t.Bad, t.Age.Round(time.Millisecond), t.Last)
+				fmt.Fprintf(out, "    %-24s %5.1f good, %5.1f bad, last %v ago: %v\n", t.Reporter, t.Good, t.Bad, t.Age.Round(time.Millisecond), t.Last)
 			}
 		}
 	}
--- a/internal/operate/operate.go
+++ b/internal/admin/server.go
@@ -1,7 +1,7 @@
-// Package operate is the second address of a gateway, at which its operators speak to it: it
+// Package admin is the second address of a gateway, at which its operators speak to it: it
 // turns calls over HTTP into a few commands and says yes only where they hold. It decides
 // nothing about hosts or clients, and waits on nothing that load of clients can hold up.
-package operate
+package admin
 
 import (
 	"context"
@@ -49,7 +49,7 @@
 	log  *slog.Logger
 }
 
-// Listen opens the address; Serve serves. stats answers GET /stats and what is asked at /quota, /verdicts, /edicts and /load, and at or below /bank and /limits; nil: nothing does.
+// Listen opens the address; Serve serves. stats answers GET /stats and what is asked at /quota, /verdicts, /overrides and /load, and at or below /fleet and /limits; nil: nothing does.
 func Listen(address string, do Commands, stats http.Handler, log *slog.Logger) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
@@ -64,11 +64,11 @@
 	mux.HandleFunc("POST /healthcheck/ok", func(w http.ResponseWriter, r *http.Request) { s.drain(w, r, false) })
 	if stats != nil {
 		mux.Handle("GET /stats", stats)
-		mux.Handle("/bank", stats)
-		mux.Handle("/bank/", stats)
+		mux.Handle("/fleet", stats)
+		mux.Handle("/fleet/", stats)
 		mux.Handle("/quota", stats)
 		mux.Handle("/verdicts", stats)
-		mux.Handle("/edicts", stats)
+		mux.Handle("/overrides", stats)
 		mux.Handle("/load", stats)
 		mux.Handle("/limits", stats)
 		mux.Handle("/limits/", stats)
--- a/internal/operate/operate_test.go
+++ b/internal/admin/server_test.go
@@ -1,4 +1,4 @@
-package operate
+package admin
 
 import (
 	"bufio"
--- a/internal/rig/answers.go
+++ b/internal/benchmarks/answers.go
@@ -1,4 +1,4 @@
-package rig
+package benchmarks
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"time"
 
 	"frostshift/internal/config"
+	"frostshift/internal/fake"
 	"frostshift/internal/gateway"
-	"frostshift/internal/standin"
 )
 
 const (
@@ -127,12 +127,12 @@
 
 func runTrouble(tr *trouble, answers string, budget float64) (out answersRun, err error) {
 	start := time.Now()
-	var hosts []*standin.Host
+	var hosts []*fake.Host
 	var addresses []string
 	for i := range answersHosts {
-		h, err := standin.Scripted(func(r *standin.Request) standin.Act {
+		h, err := fake.Scripted(func(r *fake.Request) fake.Act {
 			status := tr.act(i, r.Target, time.Since(start))
-			a := standin.Act{Answer: standin.Answer(status, "x")}
+			a := fake.Act{Answer: fake.Answer(status, "x")}
 			if status < 500 {
 				a.After = answersWork/2 + time.Duration(rand.ExpFloat64()*float64(answersWork)/2)
 			}
--- a/internal/rig/rig.go
+++ b/internal/benchmarks/benchmarks.go
@@ -1,7 +1,7 @@
-// Package rig holds measurements that are too long for CI: whole programs over loopback,
+// Package benchmarks holds measurements that are too long for CI: whole programs over loopback,
 // with load and stand-ins of their own. Each prints a table and ends with a line that
-// says whether its aim was met. It is used by cmd/rig alone.
-package rig
+// says whether its aim was met. It is used by cmd/benchmarks alone.
+package benchmarks
 
 import (
 	"fmt"
@@ -11,15 +11,15 @@
 	"strings"
 )
 
-// Rig is one measurement.
-type Rig struct {
+// Benchmark is one measurement.
+type Benchmark struct {
 	Name, What string
 	// Run prints its table and returns the figure, in words, and whether it meets the aim.
 	Run func(out io.Writer) (figure string, ok bool, err error)
 }
 
-// All are the rigs by name.
-var All = []Rig{
+// All are the benchmarks by name.
+var All = []Benchmark{
 	{"proxy", "throughput and CPU a request through the whole program, beside httputil.ReverseProxy", runProxy},
 	{"subset", "ways to share a large pool among gateways: evenness and movement, simulated", runSubset},
 	{"zones", "a preference for near hosts beside none: spill-over, a small zone, a lost one, simulated", runZones},
@@ -30,14 +30,14 @@
 	{"bodies", "bodies that flow: throughput and CPU a byte beside httputil.ReverseProxy, memory, small requests beside large streams", runBodies},
 	{"crowd", "what a connection costs that says nothing, stops half way, or stays after its answer", runCrowd},
 	{"spread", "hundreds of processes before tens of hosts: what is refused, p99 and evenness beside a picker that sees all", runSpread},
-	{"bank", "a hundred processes that talk: ten killed, a partition of 5 s, healing; time until views agree, and service beside the same load without faults", runBank},
+	{"fleet", "a hundred processes that talk: ten killed, a partition of 5 s, healing; time until views agree, and service beside the same load without faults", runGossip},
 	{"quota", "forty processes share a team's rate: skew, a cut of 5 s, two kills; rights where requests are and in force", runQuota},
 	{"limits", "a thousand quiet keys beside floods of ever new, of heavy and of one key: what they keep, p99, memory", runLimits},
 	{"verdicts", "sixty processes that tell each other of hosts beside sixty that do not: attempts at hosts that die, hang, fail, are slow", runVerdicts},
 	{"pools", "throughput of two pools on two cores, beside one pool", runPools},
 }
 
-// children are programs that a rig starts as processes of their own.
+// children are programs that a benchmark starts as processes of their own.
 var children = map[string]func() error{
 	"gateway":       gatewayChild,
 	"reverse":       reverseChild,
@@ -45,9 +45,9 @@
 }
 
 // childVariable names, in its environment, what a child process is.
-const childVariable = "STILESPOOL_RIG_CHILD"
+const childVariable = "STILESPOOL_BENCHMARK_CHILD"
 
-// Main runs the rig that the arguments name and returns the exit status: 0 where it meets
+// Main runs the benchmark that the arguments name and returns the exit status: 0 where it meets
 // its aim, 1 where not.
 func Main(args []string, out io.Writer) int {
 	if name := os.Getenv(childVariable); name != "" {
@@ -59,7 +59,7 @@
 	}
 	if len(args) != 1 || args[0] == "list" || args[0] == "help" {
 		for _, r := range All {
-			fmt.Fprintf(out, "rig %-8s %s\n", r.Name, r.What)
+			fmt.Fprintf(out, "benchmarks %-8s %s\n", r.Name, r.What)
 		}
 		if len(args) == 1 {
 			return 0
@@ -85,7 +85,7 @@
 		}
 		return 1
 	}
-	fmt.Fprintf(out, "there is no rig %q; rig list names them\n", args[0])
+	fmt.Fprintf(out, "there is no benchmark %q; benchmarks list names them\n", args[0])
 	return 64
 }
 
--- a/internal/rig/bodies.go
+++ b/internal/benchmarks/bodies.go
@@ -1,4 +1,4 @@
-package rig
+package benchmarks
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 
 	"golang.org/x/net/http2"
 
-	"frostshift/internal/standin"
+	"frostshift/internal/fake"
 )
 
 const (
@@ -127,7 +127,7 @@
 
 func bodiesClient(protocol string) *http.Client {
 	if protocol == "http2" {
-		return &http.Client{Transport: standin.H2Transport()}
+		return &http.Client{Transport: fake.H2Transport()}
 	}
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 300, DisableCompression: true}}
 }
--- a/internal/rig/crowd.go
+++ b/internal/benchmarks/crowd.go
@@ -1,4 +1,4 @@
-package rig
+package benchmarks
 
 import (
 	"bufio"
@@ -25,8 +25,8 @@
 		answered   bool
 	}{
 		{"says nothing", "", false},
-		{"stops half way", "GET /x HTTP/1.1\r\nHost: rig\r\nX-Pad: ", false},
-		{"stays after its answer", "GET /ready HTTP/1.1\r\nHost: rig\r\n\r\n", true},
+		{"stops half way", "GET /x HTTP/1.1\r\nHost: benchmark\r\nX-Pad: ", false},
+		{"stays after its answer", "GET /ready HTTP/1.1\r\nHost: benchmark\r\n\r\n", true},
 	}
 	var silent int64
 	for _, k := range kinds {
@@ -150,7 +150,7 @@
 		}
 		conns = append(conns, nc)
 		nc.(*net.TCPConn).SetReadBuffer(4 << 10)
-		io.WriteString(nc, "GET /x HTTP/1.1\r\nHost: rig\r\n\r\n")
+		io.WriteString(nc, "GET /x HTTP/1.1\r\nHost: benchmark\r\n\r\n")
 		nc.SetReadDeadline(time.Now().Add(5 * time.Second))
 		if _, err := io.ReadFull(nc, make([]byte, len("HTTP/1.1 200 "))); err != nil {
 			return 0, err
--- a/internal/rig/h2.go
+++ b/internal/benchmarks/h2.go
@@ -1,4 +1,4 @@
-package rig
+package benchmarks
 
 import (
 	"bufio"
@@ -41,7 +41,7 @@
 	children["gateway2"] = gateway2Child
 	children["reverse2"] = reverse2Child
 	children["hosts2"] = hosts2Child
-	All = append(All, Rig{"h2", "1 to 1,000 streams over one connection, beside as many HTTP/1.1 connections and ReverseProxy", runH2})
+	All = append(All, Benchmark{"h2", "1 to 1,000 streams over one connection, beside as many HTTP/1.1 connections and ReverseProxy", runH2})
 }
 
 // hosts2Child is hosts that speak HTTP/2 and answer everything alike, in a process of
@@ -82,7 +82,7 @@
 	args, gone := childArgs()
 	text := fmt.Sprintf("[limits]\nstreams = %d\n", h2MostOpen) + strings.Replace(gatewayConfig(args), "address = \"127.0.0.1:0\"\n", "address = \"127.0.0.1:0\"\nprotocol = \"http2\"\n[[listener]]\nname = \"one\"\naddress = \"127.0.0.1:0\"\n", 1)
 	text = strings.Replace(text, "name = \"p0\"\nhosts", "name = \"p0\"\nprotocol = \"http2\"\nhosts", 1)
-	m, _, err := config.Parse("rig.toml", []byte(text))
+	m, _, err := config.Parse("benchmark.toml", []byte(text))
 	if err != nil {
 		return err
 	}
--- a/internal/rig/proxy.go
+++ b/internal/benchmarks/proxy.go
@@ -1,4 +1,4 @@
-package rig
+package benchmarks
 
 import (
 	"context"
@@ -43,7 +43,7 @@
 // gatewayChild is a whole gateway; its arguments are the lines of its configuration.
 func gatewayChild() error {
 	args, gone := childArgs()
-	m, _, err := config.Parse("rig.toml", []byte(strings.Join(args, "\n")))
+	m, _, err := config.Parse("benchmark.toml", []byte(strings.Join(args, "\n")))
 	if err != nil {
 		return err
 	}
--- a/internal/proving/config.go
+++ b/internal/clustertest/config.go
@@ -1,4 +1,4 @@
-package proving
+package clustertest
 
 import (
 	"fmt"
@@ -19,25 +19,25 @@
 	// Join is where processes that talk find others, Probe the time between two probes of theirs.
 	Join  []string
 	Probe time.Duration
-	// Verdicts has them tell each other of hosts, Bans take operators' words for all of them, Load tell what
+	// Verdicts has them tell each other of hosts, Overrides take operators' overrides for all of them, Load tell what
 	// they have out.
-	Verdicts, Bans, Load bool
+	Verdicts, Overrides, Load bool
 }
 
 // Text is the configuration of the process of a rank.
 func (s *Shape) Text(p *Process, rank int) string {
-	bank := ""
+	fleet := ""
 	if s.Gateways > 0 {
-		bank = fmt.Sprintf("[bank]\ninstances = %d\nrank = %d\n", s.Gateways, rank)
+		fleet = fmt.Sprintf("[fleet]\ninstances = %d\nrank = %d\n", s.Gateways, rank)
 	}
 	if p.talk != "" {
-		if bank == "" {
-			bank = "[bank]\n"
+		if fleet == "" {
+			fleet = "[fleet]\n"
 		}
-		bank = fmt.Sprintf("%stalk = %q\nadvertise = %q\njoin = [\"%s\"]\nprobe = %q\nverdicts = %v\nbans = %v\nload = %v\n", bank, p.talk, p.Advertise, strings.Join(s.Join, `", "`), s.Probe, s.Verdicts, s.Bans, s.Load)
+		fleet = fmt.Sprintf("%slisten = %q\nadvertise = %q\njoin = [\"%s\"]\nprobe = %q\nverdicts = %v\noverrides = %v\nload = %v\n", fleet, p.talk, p.Advertise, strings.Join(s.Join, `", "`), s.Probe, s.Verdicts, s.Overrides, s.Load)
 	}
 	if p.Desk != "" {
-		bank = fmt.Sprintf("management = %q\n", p.Desk) + bank
+		fleet = fmt.Sprintf("management = %q\n", p.Desk) + fleet
 	}
 	source := fmt.Sprintf("hosts = [\"%s\"]", strings.Join(s.Hosts, `", "`))
 	if s.File != "" {
@@ -75,5 +75,5 @@
 pool = "hosts"
 
 %s
-`, p.Name, bank, p.Addr, s.Effect, s.Aim.String(), s.Deadline.String(), source, s.Pool, ReadyPath, s.More)
+`, p.Name, fleet, p.Addr, s.Effect, s.Aim.String(), s.Deadline.String(), source, s.Pool, ReadyPath, s.More)
 }
--- a/internal/proving/host.go
+++ b/internal/clustertest/host.go
@@ -1,4 +1,4 @@
-package proving
+package clustertest
 
 import (
 	"bufio"
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"frostshift/internal/standin"
+	"frostshift/internal/fake"
 )
 
 // Headers that a client sends through the gateway to a host.
@@ -36,7 +36,7 @@
 	N     int
 	Addr  string
 	audit *Audit
-	place *standin.Place
+	place *fake.Place
 
 	mu      sync.Mutex
 	nature  Nature
@@ -51,7 +51,7 @@
 
 // NewHost starts a host that tells the audit what it meets.
 func NewHost(n int, nature Nature, audit *Audit) (*Host, error) {
-	place, err := standin.Reserve()
+	place, err := fake.Reserve()
 	if err != nil {
 		return nil, err
 	}
@@ -81,7 +81,7 @@
 			h.mu.Lock()
 			if h.ln != ln { // killed in the moment in which it came
 				h.mu.Unlock()
-				standin.Reset(c)
+				fake.Reset(c)
 				continue
 			}
 			h.conns[c] = true
@@ -127,7 +127,7 @@
 		h.ln = nil
 	}
 	for c := range h.conns {
-		standin.Reset(c)
+		fake.Reset(c)
 	}
 	for _, next := range h.line {
 		close(next)
--- a/internal/proving/load.go
+++ b/internal/clustertest/load.go
@@ -1,4 +1,4 @@
-package proving
+package clustertest
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 )
 
 // ReadyPath is answered 204 by a process that serves: configurations have a route for it.
-const ReadyPath = "/proving/ready"
+const ReadyPath = "/clustertest/ready"
 
 // What the rules allow, beyond what a busy machine may add between a socket and its reader.
 const (
--- a/internal/proving/mesh.go
+++ b/internal/clustertest/mesh.go
@@ -1,4 +1,4 @@
-package proving
+package clustertest
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	"sync/atomic"
 	"time"
 
-	"frostshift/internal/bank"
-	"frostshift/internal/roster"
+	"frostshift/internal/gossip"
+	"frostshift/internal/peers"
 )
 
 // Way is what befalls packets from one member to another. The zero value passes them on.
@@ -185,7 +185,7 @@
 }
 
 // Talk has a process talk to the others through the mesh, nil: without one. Its configuration
-// gets what Shape.Bank says.
+// gets what Shape.Fleet says.
 func (p *Process) Talk(m *Mesh) (err error) {
 	if p.talk, err = p.hold(); err != nil {
 		return err
@@ -206,9 +206,9 @@
 	return err
 }
 
-// Bank asks a process what it knows of the others.
-func (p *Process) Bank(ctx context.Context) (s bank.Status, err error) {
-	err = p.read(ctx, "/bank", &s)
+// Fleet asks a process what it knows of the others.
+func (p *Process) Fleet(ctx context.Context) (s gossip.Status, err error) {
+	err = p.read(ctx, "/fleet", &s)
 	return s, err
 }
 
@@ -242,15 +242,15 @@
 }
 
 // Agree says whether each of the processes holds just the names for alive, and calls its side so.
-func Agree(ctx context.Context, list []*Process, alive map[string]bool, side roster.Side) (ok bool, why string) {
+func Agree(ctx context.Context, list []*Process, alive map[string]bool, side peers.Side) (ok bool, why string) {
 	for _, p := range list {
-		s, err := p.Bank(ctx)
+		s, err := p.Fleet(ctx)
 		if err != nil {
 			return false, err.Error()
 		}
 		n := 0
 		for _, m := range s.Members {
-			if m.State == roster.Alive {
+			if m.State == peers.Alive {
 				if n++; !alive[m.Name] {
 					return false, fmt.Sprintf("%s holds %s for alive", p.Name, m.Name)
 				}
--- a/internal/proving/process.go
+++ b/internal/clustertest/process.go
@@ -1,12 +1,12 @@
-// Package proving starts the program many times over, as processes of their own on loopback,
+// Package clustertest starts the program many times over, as processes of their own on loopback,
 // between hosts and clients of its own, throws faults at processes and links, and counts what
 // must hold: the rules by request, and how the load lay. All of a run follows from one seed, but
-// for what the machine's scheduler does. It is for tests and rigs and knows the program from
+// for what the machine's scheduler does. It is for tests and benchmarks and knows the program from
 // outside only.
 //
 // process.go is processes, host.go hosts, relay.go links, load.go clients and the audit,
 // mesh.go the links between gateways that talk, world.go all of them together.
-package proving
+package clustertest
 
 import (
 	"bytes"
@@ -23,7 +23,7 @@
 	"syscall"
 	"time"
 
-	"frostshift/internal/standin"
+	"frostshift/internal/fake"
 )
 
 // Fleet is the processes of a run. Close ends them all; so does the end of this process.
@@ -72,7 +72,7 @@
 	Advertise string
 	talk      string
 	fleet     *Fleet
-	holds     []*standin.Place
+	holds     []*fake.Place
 	mu        sync.Mutex
 	cmd       *exec.Cmd
 	ended     chan struct{}
@@ -95,7 +95,7 @@
 
 // hold keeps an address for the process until the fleet is closed.
 func (p *Process) hold() (addr string, err error) {
-	place, err := standin.Reserve()
+	place, err := fake.Reserve()
 	if err != nil {
 		return "", err
 	}
--- a/internal/proving/quota.go
+++ b/internal/clustertest/quota.go
@@ -1,4 +1,4 @@
-package proving
+package clustertest
 
 import (
 	"context"
--- a/internal/proving/verdicts.go
+++ b/internal/clustertest/verdicts.go
@@ -1,12 +1,12 @@
-package proving
+package clustertest
 
 import (
 	"context"
 	"net/http"
 	"slices"
 
-	"frostshift/internal/edict"
 	"frostshift/internal/gateway"
+	"frostshift/internal/override"
 )
 
 // Told asks a process what gateways have out at hosts.
@@ -21,9 +21,9 @@
 	return s, err
 }
 
-// Edicts asks a process what it holds of operators' words for the whole fleet.
-func (p *Process) Edicts(ctx context.Context) (s gateway.EdictsStatus, err error) {
-	err = p.read(ctx, "/edicts", &s)
+// Overrides asks a process what it holds of operators' overrides for the whole fleet.
+func (p *Process) Overrides(ctx context.Context) (s gateway.OverridesStatus, err error) {
+	err = p.read(ctx, "/overrides", &s)
 	return s, err
 }
 
@@ -40,8 +40,8 @@
 // Obeys says whether each of the processes does the same word on a host, out or not.
 func Obeys(ctx context.Context, list []*Process, host string, out bool) bool {
 	for _, p := range list {
-		s, err := p.Edicts(ctx)
-		if err != nil || !slices.ContainsFunc(s.Words, func(w edict.Status) bool { return w.Host == host && w.Out == out && w.Holds }) {
+		s, err := p.Overrides(ctx)
+		if err != nil || !slices.ContainsFunc(s.Overrides, func(w override.Status) bool { return w.Host == host && w.Out == out && w.Holds }) {
 			return false
 		}
 	}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -20,12 +20,12 @@
 const platformPool = "hosts"
 
 const (
-	platformIdle    = 10 * time.Second // peers take seconds to read or write
-	platformLongest = 10 * time.Minute // 32 MB at 64 kB a second
-	firstDescriptor = 3                // below are the standard ones
-	handoverName    = "stilespool.sock"
-	platformAhead   = 150 * time.Millisecond
-	platformRate    = 8 << 10 // bytes a second: an eighth of what slow clients send
+	platformIdle     = 10 * time.Second // peers take seconds to read or write
+	platformLongest  = 10 * time.Minute // 32 MB at 64 kB a second
+	firstDescriptor  = 3                // below are the standard ones
+	hotRestartSocket = "stilespool.sock"
+	platformAhead    = 150 * time.Millisecond
+	platformRate     = 8 << 10 // bytes a second: an eighth of what slow clients send
 )
 
 // Platform reads the configuration that the platform's environment names. GW_LISTEN and
@@ -50,7 +50,7 @@
 		}
 		m.Listeners[0].Descriptor = n
 		if dir := getenv("TMPDIR"); dir != "" {
-			m.Handover = filepath.Join(dir, handoverName)
+			m.HotRestart = filepath.Join(dir, hotRestartSocket)
 		}
 	}
 	if s := getenv("GW_MANAGEMENT"); s != "" {
@@ -130,9 +130,13 @@
 		return nil, fmt.Errorf("limits: out of range (a gateway needs %d sockets at least)", LeastDescriptors)
 	}
 	p := &Pool{Name: platformPool, Sources: []source.Spec{{Discovery: in.Discovery}}, Known: in.Known, Guarantee: 1}
+	if err := checkRuleFigures(in.Settings); err != nil {
+		return nil, err
+	}
 	if p.Settings, err = wire.ParseSettings(in.Settings); err != nil {
 		return nil, err
 	}
+	p.Settings.MaxAttempts = min(p.Settings.MaxAttempts, mostAttempts)
 	m := &Model{Name: in.Name, Management: in.Management, Seed: seed, Platform: true, Pools: []*Pool{p},
 		Limits:    Limits{Cores: l.Cores, MemoryMB: l.MemoryMB, Descriptors: l.Sockets},
 		Listeners: []Listener{{Name: "clients", Address: in.Listen}}}
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -2,12 +2,12 @@
 // It does no I/O and reads no clock: times are handed in, on one clock that never goes
 // backward (an earlier one is read as no time having passed).
 //
-// A Book holds the contracts of all teams and says who is asking and whether a request is
-// within the team's contract. A Door, one a gateway, bounds what a team holds open before
+// A Registry holds the contracts of all teams and says who is asking and whether a request is
+// within the team's contract. A Limiter, one a gateway, bounds what a team holds open before
 // hosts come into it, and how often its requests are repeated. A Scheduler, one a pool,
 // shares the hosts' capacity out in work: seconds that attempts take at hosts.
 //
-// contract.go is terms and their checks, book.go who is asking, door.go and scheduler.go
+// contract.go is terms and their checks, registry.go who is asking, limiter.go and scheduler.go
 // the two bounds, estimate.go what a request will cost.
 package contract
 
@@ -55,7 +55,7 @@
 	Apart bool
 	Mode  quota.Mode
 
-	place int            // in its book
+	place int            // in its registry
 	Lines map[string]int // where keys stand, by name: "class", "share", ...
 }
 
--- a/internal/contract/part.go
+++ b/internal/contract/fleetshare.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Part is one gateway's part of the figures that contracts state for all gateways
+// FleetShare is one gateway's part of the figures that contracts state for all gateways
 // together (rate, concurrency). Gateways share nothing and can't know how much of a team's
 // traffic comes to each, so each begins with an even part. It grows, up to Excess beyond
 // even, while teams want more here and the hosts are not short; it falls back to even
@@ -13,8 +13,8 @@
 // never give more than 1+Excess times what is stated, and no more than 1 times for long
 // while hosts are short everywhere.
 //
-// A Part is not safe for concurrent use.
-type Part struct {
+// A FleetShare is not safe for concurrent use.
+type FleetShare struct {
 	instances float64
 	grown     float64 // beyond even, from 0 to Excess
 	at        Time
@@ -27,17 +27,19 @@
 	partHalves = 500 * time.Millisecond
 )
 
-// NewPart returns the part of one of so many gateways. One that has just started has an
+// NewFleetShare returns the share of one of so many gateways. One that has just started has an
 // even part: restarts give nothing.
-func NewPart(instances int) *Part { return &Part{instances: float64(max(instances, 1))} }
+func NewFleetShare(instances int) *FleetShare {
+	return &FleetShare{instances: float64(max(instances, 1))}
+}
 
-// Share says that so many gateways share the figures now. What had grown stays: it is a part of
+// SetInstances says that so many gateways share the figures now. What had grown stays: it is a part of
 // even.
-func (p *Part) Share(instances int) { p.instances = float64(max(instances, 1)) }
+func (p *FleetShare) SetInstances(instances int) { p.instances = float64(max(instances, 1)) }
 
 // Look takes in how things are: whether requests wait here, and whether hosts are short,
 // that is, hold as much as they can answer in time.
-func (p *Part) Look(now Time, wanted, short bool) {
+func (p *FleetShare) Look(now Time, wanted, short bool) {
 	dt := (now - p.at).Seconds()
 	if p.at == 0 || dt <= 0 {
 		p.at = max(p.at, now)
@@ -53,4 +55,4 @@
 }
 
 // Value is the part, from 0 to 1 where there is one gateway.
-func (p *Part) Value() float64 { return (1 + p.grown) / p.instances }
+func (p *FleetShare) Value() float64 { return (1 + p.grown) / p.instances }
--- a/internal/contract/door.go
+++ b/internal/contract/limiter.go
@@ -16,7 +16,7 @@
 	ByBalancer                  atomic.Int64 // refused by the hosts' balancer
 	Work, Lent                  atomic.Int64 // nanoseconds at hosts; of it, beyond the guarantee
 
-	// The rest belongs to the Door's lock.
+	// The rest belongs to the Limiter's lock.
 	open, bodies int64
 	retries      float64 // repeats that are allowed now
 	retriesAt    Time
@@ -34,27 +34,26 @@
 	forgetAfter = Time(time.Minute) // an account that has nothing open and was not used
 )
 
-// Door bounds what teams hold open at one gateway, from the head of a request to its
+// Limiter bounds what teams hold open at one gateway, from the head of a request to its
 // answer, whatever hosts do. It is safe for concurrent use.
-type Door struct {
+type Limiter struct {
 	mu         sync.Mutex
 	most       int64 // requests open, over all teams
 	mostBodies int64 // bytes of bodies
 	open       int64
 	bodies     int64
 	accounts   map[string]*Account
-	swept      Time
 }
 
-// NewDoor returns a door for so many open requests and bytes of bodies.
-func NewDoor(most, mostBodies int64) *Door {
-	return &Door{most: most, mostBodies: mostBodies, accounts: map[string]*Account{}}
+// NewLimiter returns a limiter for so many open requests and bytes of bodies.
+func NewLimiter(most, mostBodies int64) *Limiter {
+	return &Limiter{most: most, mostBodies: mostBodies, accounts: map[string]*Account{}}
 }
 
 // Enter lets a request with a body of so many bytes in, or says why not. The account that
 // it returns is the team's; Leave ends what Enter began. A request that is not let in
 // counts too, and costs nobody anything.
-func (d *Door) Enter(t *Terms, body int64, repeat bool, now Time) (*Account, *Violation) {
+func (d *Limiter) Enter(t *Terms, body int64, repeat bool, now Time) (*Account, *Violation) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a := d.account(t, now)
@@ -102,7 +101,7 @@
 }
 
 // Outside counts a request that was turned away as outside the contract.
-func (d *Door) Outside(t *Terms, cause Cause, now Time) {
+func (d *Limiter) Outside(t *Terms, cause Cause, now Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a := d.account(t, now)
@@ -111,7 +110,7 @@
 }
 
 // Leave ends a request that Enter let in.
-func (d *Door) Leave(a *Account, body int64) {
+func (d *Limiter) Leave(a *Account, body int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a.open--
@@ -121,7 +120,7 @@
 }
 
 // Further says whether a request may have another attempt, which is paid as a repeat is.
-func (d *Door) Further(a *Account, t *Terms, now Time) bool {
+func (d *Limiter) Further(a *Account, t *Terms, now Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a.deposit(t, now)
@@ -148,7 +147,7 @@
 
 // account finds or opens a team's account. A new one may repeat once: what a restart, or
 // being forgotten, gives is less than what waiting does.
-func (d *Door) account(t *Terms, now Time) *Account {
+func (d *Limiter) account(t *Terms, now Time) *Account {
 	a := d.accounts[t.Team]
 	if a == nil {
 		a = &Account{Team: t.Team, retries: 1, retriesAt: now, touched: now}
@@ -159,7 +158,7 @@
 
 // Accounts calls f for every account, and then forgets those that are idle: nothing open,
 // not used for a minute. What they had saved up is forgotten with them.
-func (d *Door) Accounts(now Time, f func(*Account)) {
+func (d *Limiter) Accounts(now Time, f func(*Account)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for team, a := range d.accounts {
@@ -173,7 +172,7 @@
 }
 
 // Open is how many requests are open, and how many accounts are kept.
-func (d *Door) Open() (open int64, accounts int) {
+func (d *Limiter) Open() (open int64, accounts int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.open, len(d.accounts)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"frostshift/internal/config"
+	"frostshift/internal/fake"
 	"frostshift/internal/gateway"
-	"frostshift/internal/standin"
 )
 
 const (
@@ -90,7 +90,7 @@
 // part is one stand-in host with its script.
 type part struct {
 	pool, name, trouble string
-	script              func(since time.Duration) standin.Act
+	script              func(since time.Duration) fake.Act
 }
 
 // cast is all hosts. What ails them depends on the time since the start, as a share of
@@ -99,16 +99,16 @@
 	work := func(base time.Duration) time.Duration {
 		return base/2 + time.Duration(rand.ExpFloat64()*float64(base)/2)
 	}
-	good := func(base time.Duration) func(time.Duration) standin.Act {
-		return func(time.Duration) standin.Act {
-			a := standin.Serve("ok\n")
+	good := func(base time.Duration) func(time.Duration) fake.Act {
+		return func(time.Duration) fake.Act {
+			a := fake.Serve("ok\n")
 			a.After = work(base)
 			return a
 		}
 	}
-	between := func(from, to float64, trouble standin.Act, base time.Duration) func(time.Duration) standin.Act {
+	between := func(from, to float64, trouble fake.Act, base time.Duration) func(time.Duration) fake.Act {
 		usual := good(base)
-		return func(since time.Duration) standin.Act {
+		return func(since time.Duration) fake.Act {
 			if share := float64(since) / float64(length); share >= from && share < to {
 				return trouble
 			}
@@ -118,11 +118,11 @@
 	return []part{
 		{"rota", "rota-1", "", good(8 * time.Millisecond)},
 		{"rota", "rota-2", "three times slower", good(24 * time.Millisecond)},
-		{"rota", "rota-3", "errors from 30% to 60%", between(0.3, 0.6, standin.Error(), 8*time.Millisecond)},
-		{"rota", "rota-4", "silent from 50% to 80%", between(0.5, 0.8, standin.Silent(), 8*time.Millisecond)},
-		{"rota-next", "next-1", "resets from 60% on", between(0.6, 2, standin.Break(), 8*time.Millisecond)},
-		{"bookings", "book-1", "turns all away from 40% to 60%", between(0.4, 0.6, standin.Turned(), 12*time.Millisecond)},
-		{"bookings", "book-2", "resets from 70% to 80%", between(0.7, 0.8, standin.Break(), 12*time.Millisecond)},
+		{"rota", "rota-3", "errors from 30% to 60%", between(0.3, 0.6, fake.Error(), 8*time.Millisecond)},
+		{"rota", "rota-4", "silent from 50% to 80%", between(0.5, 0.8, fake.Silent(), 8*time.Millisecond)},
+		{"rota-next", "next-1", "resets from 60% on", between(0.6, 2, fake.Break(), 8*time.Millisecond)},
+		{"bookings", "book-1", "turns all away from 40% to 60%", between(0.4, 0.6, fake.Turned(), 12*time.Millisecond)},
+		{"bookings", "book-2", "resets from 70% to 80%", between(0.7, 0.8, fake.Break(), 12*time.Millisecond)},
 		{"spare", "spare-1", "", good(15 * time.Millisecond)},
 	}
 }
@@ -156,13 +156,13 @@
 func Run(out io.Writer, length time.Duration, stop <-chan os.Signal) error {
 	start := time.Now()
 	parts := cast(length)
-	hosts := make([]*standin.Host, len(parts))
+	hosts := make([]*fake.Host, len(parts))
 	addresses := map[string][]string{}
 	for i, p := range parts {
-		h, err := standin.Scripted(func(r *standin.Request) standin.Act {
+		h, err := fake.Scripted(func(r *fake.Request) fake.Act {
 			a := p.script(time.Since(start))
-			if strings.HasPrefix(r.Target, "/calendar") && a.End == standin.Keep && strings.HasPrefix(a.Answer, "HTTP/1.1 200") {
-				a.Answer = standin.Answer(http.StatusNotFound, "no such council\n")
+			if strings.HasPrefix(r.Target, "/calendar") && a.End == fake.Keep && strings.HasPrefix(a.Answer, "HTTP/1.1 200") {
+				a.Answer = fake.Answer(http.StatusNotFound, "no such council\n")
 			}
 			return a
 		})
@@ -198,23 +198,28 @@
 	for i := range clients {
 		all.Go(func() { client(load, addr, i, &t) })
 	}
+	watch(load, stop, func() { t.line(out, time.Since(start), parts, hosts) })
+	done()
+	all.Wait()
+	summary(out, &t, g)
+	end()
+	return <-ended
+}
+
+// watch calls show every second until the context ends or stop says so.
+func watch(load context.Context, stop <-chan os.Signal, show func()) {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
-	for live := true; live; {
+	for {
 		select {
 		case <-tick.C:
-			t.line(out, time.Since(start), parts, hosts)
+			show()
 		case <-stop:
-			live = false
+			return
 		case <-load.Done():
-			live = false
+			return
 		}
 	}
-	done()
-	all.Wait()
-	summary(out, &t, g)
-	end()
-	return <-ended
 }
 
 // client asks until the context ends.
@@ -255,7 +260,7 @@
 }
 
 // line is the live line.
-func (t *tally) line(out io.Writer, since time.Duration, parts []part, hosts []*standin.Host) {
+func (t *tally) line(out io.Writer, since time.Duration, parts []part, hosts []*fake.Host) {
 	t.mu.Lock()
 	served, refused, failed := t.served-t.lastServed, t.refused-t.lastRefused, t.failed-t.lastFD
 	t.lastServed, t.lastRefused, t.lastFD = t.served, t.refused, t.failed
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -192,40 +192,25 @@
 		return
 	}
 	q.g.open = append(q.g.open, q)
-	if m := q.g.move; m != nil {
-		a := shift.Ask{Key: mix(q.Key), Named: c.Effect != frostshift.Safe, Keyed: c.Effect != frostshift.Safe, Repeat: q.tries > 1, Class: q.Class, Worth: 1, Aim: c.Aim, Draw: w.r.Float64()}
-		if len(w.keyWork) > 0 {
-			a.Cost = q.Key>>40 + 1
-		}
-		if a.Keyed {
-			a.Sticky = a.Key
-			a.Draw = shift.Draw(mix(a.Key))
-		}
-		u, err := m.Place(w.now, &a)
-		if err != nil {
-			w.Totals.Unsure++
-			q.ended(exchange.Ending{At: w.now, Verdict: exchange.Failed})
+	if q.g.move != nil {
+		if !q.place() {
 			return
 		}
-		q.unit, q.placed = u, true
-		to = w.spec.index(m.PoolOf(u.Side))
-		if q.tries == 1 {
-			q.side = int(u.Side)
-		}
+		to = w.spec.index(q.g.move.PoolOf(q.unit.Side))
 	}
 	p := q.g.pools[to]
 	r := exchange.Request{ID: strconv.FormatUint(w.ids<<8|uint64(q.tries&0xff), 36) + "-" + strconv.FormatUint(q.Key, 36), Class: q.Class, Tenant: -1, Repeat: q.tries > 1,
 		Deadline: q.deadline, Message: q, Watch: &try{q, q.tries}}
 	if q.Team >= 0 {
 		t := w.terms[q.Team]
-		account, v := q.g.door.Enter(t, 0, q.tries > 1, w.now)
+		account, v := q.g.limiter.Enter(t, 0, q.tries > 1, w.now)
 		if v != nil {
 			q.ended(exchange.Ending{At: w.now, Verdict: exchange.Refused, Bound: true})
 			return
 		}
 		q.item = contract.Item{Terms: t, Account: account, Class: q.Class, Deadline: q.deadline, Aim: q.Began + c.Aim}
 		r.Item = &q.item
-		r.Hold = &holding{q.g.door, account}
+		r.Hold = &holding{q.g.limiter, account}
 	}
 	var fallback *exchange.Pool
 	if f := w.spec.Fallback; f > 0 && f-1 != to && c.Effect != frostshift.Keyed {
@@ -244,13 +229,38 @@
 	p.turn()
 }
 
+// place has the traffic shift say which pool the request goes to. Where it can't, the request has failed.
+func (q *Request) place() bool {
+	w, c := q.w, &q.w.spec.Classes[q.Class]
+	named := c.Effect != frostshift.Safe
+	a := shift.Ask{Key: mix(q.Key), Named: named, Keyed: named, Repeat: q.tries > 1, Class: q.Class, Worth: 1, Aim: c.Aim, Draw: w.r.Float64()}
+	if len(w.keyWork) > 0 {
+		a.Cost = q.Key>>40 + 1
+	}
+	if a.Keyed {
+		a.Sticky = a.Key
+		a.Draw = shift.Draw(mix(a.Key))
+	}
+	u, err := q.g.move.Place(w.now, &a)
+	if err != nil {
+		w.Totals.Unsure++
+		q.ended(exchange.Ending{At: w.now, Verdict: exchange.Failed})
+		return false
+	}
+	q.unit, q.placed = u, true
+	if q.tries == 1 {
+		q.side = int(u.Side)
+	}
+	return true
+}
+
 // holding is a request within a contract.
 type holding struct {
-	door    *contract.Door
+	limiter *contract.Limiter
 	account *contract.Account
 }
 
-func (h *holding) Release() { h.door.Leave(h.account, 0) }
+func (h *holding) Release() { h.limiter.Leave(h.account, 0) }
 
 // try is one try of a request that is open.
 type try struct {
--- a/internal/emulator/bank.go
+++ b/internal/emulator/gossip.go
@@ -4,16 +4,16 @@
 	"time"
 
 	"frostshift"
-	"frostshift/internal/roster"
+	"frostshift/internal/peers"
 )
 
-// Talk has gateways know each other: each has a roster, which hears of deaths, cuts and returns as
+// Talk has gateways know each other: each has a registry of peers, which hears of deaths, cuts and returns as
 // failure detection would tell, late and each at its own time.
 type Talk struct {
 	// Detect is how long it takes until a gateway hears that another is lost, twice that at
 	// most; it hears of one that is there within a quarter of that.
 	Detect time.Duration
-	Window time.Duration // see roster.Config
+	Window time.Duration // see peers.Config
 	// Typed is how many gateways each is told of; 0: one.
 	Typed int
 	// Verdicts has gateways tell each other what they meet at hosts, Load what they have out there. Lost is the
@@ -70,9 +70,9 @@
 				g.until = 0 // what is heard may change when the view does next
 				switch {
 				case reached:
-					g.roster.Heard(w.now-w.begin, roster.Member{Name: w.name(j)})
+					g.peers.Heard(w.now-w.begin, peers.Member{Name: w.name(j)})
 				default:
-					g.roster.Gone(w.now-w.begin, w.name(j), false, "")
+					g.peers.Gone(w.now-w.begin, w.name(j), false, "")
 				}
 			})
 		}
@@ -83,12 +83,12 @@
 	return "g" + string(rune('a'+n%26)) + string(rune('a'+n/26%26)) + string(rune('a'+n/676))
 }
 
-// talk gives a gateway its roster, and its pools what the view says.
+// talk gives a gateway its registry of peers, and its pools what the view says.
 func (w *World) talk(g *gateway) {
 	t := w.spec.Talk
 	typed := max(t.Typed, 1)
 	g.hears = make([]bool, len(w.gateways))
-	g.roster = roster.New(w.now-w.begin, roster.Config{Self: roster.Member{Name: w.name(g.n)}, Typed: typed, Place: frostshift.TypedPlace(g.n%typed, typed), Window: t.Window})
+	g.peers = peers.New(w.now-w.begin, peers.Config{Self: peers.Member{Name: w.name(g.n)}, Typed: typed, Place: frostshift.TypedPlace(g.n%typed, typed), Window: t.Window})
 	last := -1
 	var look func()
 	look = func() {
@@ -96,13 +96,13 @@
 			return
 		}
 		if w.now-w.begin >= g.until {
-			g.until = g.roster.Tick(w.now - w.begin)
+			g.until = g.peers.Tick(w.now - w.begin)
 		}
-		if v := g.roster.View(); v.Version != last {
+		if v := g.peers.View(); v.Version != last {
 			last = v.Version
 			w.share(g, v)
 			for _, p := range g.pools {
-				p.BankNow(frostshift.Bank{Place: v.Place, Least: v.Least, Most: v.Most}, v.Most)
+				p.FleetNow(frostshift.Fleet{Place: v.Place, Least: v.Least, Most: v.Most}, v.Most)
 				p.turn()
 			}
 		}
@@ -112,11 +112,11 @@
 }
 
 // Views are those of the gateways that live, where they talk.
-func (w *World) Views() (list []roster.View) {
+func (w *World) Views() (list []peers.View) {
 	for _, g := range w.gateways {
-		if !g.dead && g.roster != nil {
-			g.roster.Tick(w.now - w.begin)
-			list = append(list, g.roster.View())
+		if !g.dead && g.peers != nil {
+			g.peers.Tick(w.now - w.begin)
+			list = append(list, g.peers.View())
 		}
 	}
 	return list
--- a/internal/emulator/hearsay.go
+++ b/internal/emulator/hosthealth.go
@@ -5,23 +5,23 @@
 	"time"
 
 	"frostshift"
-	"frostshift/internal/hearsay"
-	"frostshift/internal/roster"
+	"frostshift/internal/hosthealth"
+	"frostshift/internal/peers"
 )
 
-// hearing gives a gateway its part in what gateways tell each other of hosts, before it has pools.
-func (w *World) hearing(g *gateway) {
-	g.said = hearsay.New(hearsay.Config{Self: w.name(g.n), Classes: len(w.classes)})
-	g.lists = map[int]map[hearsay.HostID]int64{}
+// hostHealth gives a gateway its part in what gateways tell each other of hosts, before it has pools.
+func (w *World) hostHealth(g *gateway) {
+	g.said = hosthealth.New(hosthealth.Config{Self: w.name(g.n), Classes: len(w.classes)})
+	g.lists = map[int]map[hosthealth.HostID]int64{}
 	var look func()
 	look = func() {
 		if g.dead {
 			return
 		}
-		var alive []hearsay.Member
-		for _, m := range g.roster.Members(w.now - w.begin) {
-			if m.State == roster.Alive || m.State == roster.Suspected {
-				alive = append(alive, hearsay.Member{Name: m.Name, Zone: m.Zone})
+		var alive []hosthealth.Member
+		for _, m := range g.peers.Members(w.now - w.begin) {
+			if m.State == peers.Alive || m.State == peers.Suspected {
+				alive = append(alive, hosthealth.Member{Name: m.Name, Zone: m.Zone})
 			}
 		}
 		g.said.View(alive)
@@ -37,13 +37,13 @@
 				}
 			})
 		}
-		list := make([]frostshift.Hearsay, len(changed))
+		list := make([]frostshift.HostHealth, len(changed))
 		for i, v := range changed {
-			list[i] = frostshift.Hearsay{Host: frostshift.HostID(v.Host), Doubt: v.Doubt, Down: v.Down, Wait: v.Wait, Until: v.Until}
+			list[i] = frostshift.HostHealth{Host: frostshift.HostID(v.Host), Doubt: v.Doubt, Down: v.Down, Wait: v.Wait, Until: v.Until}
 		}
 		for _, p := range g.pools {
 			if len(list) > 0 {
-				p.Hear(list)
+				p.HostHealth(list)
 				p.turn()
 			}
 		}
@@ -54,11 +54,11 @@
 
 // listed tells a gateway's part of a pool's hosts.
 func (g *gateway) listed(now Time, n int, hosts []frostshift.Host) {
-	g.lists[n] = map[hearsay.HostID]int64{}
+	g.lists[n] = map[hosthealth.HostID]int64{}
 	for _, h := range hosts {
-		g.lists[n][hearsay.HostID(h.ID)] = int64(h.Started)
+		g.lists[n][hosthealth.HostID(h.ID)] = int64(h.Started)
 	}
-	all := map[hearsay.HostID]int64{}
+	all := map[hosthealth.HostID]int64{}
 	for _, list := range g.lists {
 		for id, started := range list {
 			all[id] = max(all[id], started)
@@ -70,15 +70,15 @@
 // met counts attempts that brought nothing, and tells them where gateways talk of hosts.
 func (w *World) met(g *gateway) func(frostshift.HostID, int, frostshift.Result, frostshift.Time) {
 	return func(id frostshift.HostID, class int, r frostshift.Result, took frostshift.Time) {
-		o, says := hearsay.OutcomeOf(r)
+		o, says := hosthealth.OutcomeOf(r)
 		if !says {
 			return
 		}
-		if o != hearsay.Answered {
+		if o != hosthealth.Answered {
 			w.Totals.Vain++
 		}
 		if g.said != nil {
-			g.said.Saw(w.now, hearsay.HostID(id), class, o, took)
+			g.said.Saw(w.now, hosthealth.HostID(id), class, o, took)
 		}
 	}
 }
--- a/internal/emulator/inflight.go
+++ b/internal/emulator/inflight.go
@@ -5,20 +5,20 @@
 
 	"frostshift"
 	"frostshift/internal/inflight"
-	"frostshift/internal/roster"
+	"frostshift/internal/peers"
 )
 
 // crowd is a gateway's part in what gateways tell each other of what they have out at hosts.
 type crowd struct {
-	w    *World
-	g    *gateway
-	book *inflight.Book
-	at   Time // when it looks next
+	w     *World
+	g     *gateway
+	store *inflight.Store
+	at    Time // when it looks next
 }
 
 // crowds gives a gateway its part, before it has pools.
 func (w *World) crowds(g *gateway) {
-	c := &crowd{w: w, g: g, book: inflight.New(w.name(g.n), uint32(w.now/time.Millisecond)+1)}
+	c := &crowd{w: w, g: g, store: inflight.New(w.name(g.n), uint32(w.now/time.Millisecond)+1)}
 	g.crowd = c
 	var draws func()
 	draws = func() {
@@ -26,12 +26,12 @@
 			return
 		}
 		var alive []string
-		for _, m := range g.roster.Members(w.now - w.begin) {
-			if m.State == roster.Alive || m.State == roster.Suspected {
+		for _, m := range g.peers.Members(w.now - w.begin) {
+			if m.State == peers.Alive || m.State == peers.Suspected {
 				alive = append(alive, m.Name)
 			}
 		}
-		c.book.View(w.now, alive)
+		c.store.View(w.now, alive)
 		var hosts []inflight.HostID
 		for _, p := range g.pools {
 			p.Standing(func(s frostshift.Standing) {
@@ -41,7 +41,7 @@
 			})
 			p.turn()
 		}
-		c.book.Draws(w.now, hosts)
+		c.store.Draws(w.now, hosts)
 		c.look()
 		w.after(time.Second, draws)
 	}
@@ -49,13 +49,13 @@
 }
 
 func (c *crowd) out(h frostshift.HostID, more int) {
-	c.book.Out(c.w.now, inflight.HostID(h), more)
+	c.store.Out(c.w.now, inflight.HostID(h), more)
 	c.plan()
 }
 
-// plan has the book look when it has something to do.
+// plan has the store look when it has something to do.
 func (c *crowd) plan() {
-	if next := c.book.Next(c.w.now); c.at <= c.w.now || next < c.at {
+	if next := c.store.Next(c.w.now); c.at <= c.w.now || next < c.at {
 		c.at = next
 		c.w.after(next-c.w.now, func() {
 			if c.at == next && !c.g.dead {
@@ -69,7 +69,7 @@
 func (c *crowd) look() {
 	w := c.w
 	c.at = 0
-	out, news := c.book.Tick(w.now)
+	out, news := c.store.Tick(w.now)
 	way := w.spec.Talk.Way
 	if way == 0 {
 		way = w.spec.Near / 2
@@ -81,7 +81,7 @@
 		}
 		w.after(way, func() {
 			if o := w.gateways[to]; w.reaches(c.g.n, to) {
-				o.crowd.book.Take(w.now, p.Data)
+				o.crowd.store.Take(w.now, p.Data)
 				o.crowd.plan()
 			}
 		})
--- a/internal/emulator/quota.go
+++ b/internal/emulator/quota.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"frostshift/internal/contract"
+	"frostshift/internal/peers"
 	"frostshift/internal/quota"
-	"frostshift/internal/roster"
 	"frostshift/internal/verdict"
 )
 
@@ -17,27 +17,27 @@
 	Mode  quota.Mode
 }
 
-// book gives a gateway its part in limits, before it has pools.
-func (w *World) book(g *gateway) {
+// addStore gives a gateway its part in limits, before it has pools.
+func (w *World) addStore(g *gateway) {
 	g.boots = 1
 	if old := w.gateways[g.n]; old != nil {
 		g.boots = old.boots + 1
 	}
-	g.book = quota.NewBook(w.now, quota.Config{Self: w.name(g.n), Boot: g.boots, Lease: w.spec.Quota.Lease, Typed: max(w.spec.Talk.Typed, 1)})
+	g.store = quota.NewStore(w.now, quota.Config{Self: w.name(g.n), Boot: g.boots, Lease: w.spec.Quota.Lease, Typed: max(w.spec.Talk.Typed, 1)})
 	var look func()
 	look = func() {
 		if g.dead {
 			return
 		}
-		w.said(g, g.book.Tick(w.now))
-		w.after(g.book.Every(), look)
+		w.said(g, g.store.Tick(w.now))
+		w.after(g.store.Every(), look)
 	}
-	w.after(time.Duration(w.dice.Int64N(int64(g.book.Every()))), look)
+	w.after(time.Duration(w.dice.Int64N(int64(g.store.Every()))), look)
 }
 
-// share tells a gateway's book who lives.
-func (w *World) share(g *gateway, v roster.View) {
-	if g.book == nil {
+// share tells a gateway's store who lives.
+func (w *World) share(g *gateway, v peers.View) {
+	if g.store == nil {
 		return
 	}
 	most := v.Most
@@ -45,26 +45,26 @@
 		most = 0
 	}
 	var names []string
-	for _, m := range g.roster.Members(w.now - w.begin) {
-		if m.State == roster.Alive || m.State == roster.Suspected {
+	for _, m := range g.peers.Members(w.now - w.begin) {
+		if m.State == peers.Alive || m.State == peers.Suspected {
 			names = append(names, m.Name)
 		}
 	}
-	g.book.View(w.now, names, most)
+	g.store.View(w.now, names, most)
 }
 
 // limits are those that a gateway's pool goes by.
 func (w *World) limits(g *gateway, pool string) (teams func(*contract.Terms) contract.Right, repeats verdict.Right) {
 	mode := w.spec.Quota.Mode
 	teams = func(t *contract.Terms) contract.Right {
-		return g.book.Right(quota.Limit{Name: t.Team + " at " + pool, Amount: t.Absolute(), Mode: mode})
+		return g.store.Right(quota.Limit{Name: t.Team + " at " + pool, Amount: t.Absolute(), Mode: mode})
 	}
 	for _, t := range w.terms {
 		if t.Absolute() > 0 {
 			teams(t)
 		}
 	}
-	return teams, g.book.Right(quota.Limit{Name: "repeats at " + pool, Amount: verdict.AlwaysRate, Mode: mode})
+	return teams, g.store.Right(quota.Limit{Name: "repeats at " + pool, Amount: verdict.AlwaysRate, Mode: mode})
 }
 
 // said delivers packets, half a way there and back later, where links hold then.
@@ -76,7 +76,7 @@
 		}
 		w.after(w.spec.Near/2, func() {
 			if o := w.gateways[to]; w.reaches(g.n, to) {
-				w.said(o, o.book.Take(w.now, p.Data))
+				w.said(o, o.store.Take(w.now, p.Data))
 			}
 		})
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -22,7 +22,7 @@
 	"frostshift"
 	"frostshift/internal/body"
 	"frostshift/internal/contract"
-	"frostshift/internal/recall"
+	"frostshift/internal/outcome"
 	"frostshift/internal/verdict"
 )
 
@@ -38,8 +38,8 @@
 type idShard struct {
 	mu   sync.Mutex
 	open map[string]struct{}
-	// lost are requests that may have run and whose clients have had no answer: see recall.Memory.
-	lost *recall.Memory
+	// lost are requests that may have run and whose clients have had no answer: see outcome.Store.
+	lost *outcome.Store
 	// remote are the hashes of those that are open at the gateway's other process.
 	remote map[uint64]struct{}
 	twin   Twin // nil: there is none
@@ -58,7 +58,7 @@
 	x.seed.Store(rand.Uint64())
 	for i := range x.ids {
 		x.ids[i].open = map[string]struct{}{}
-		x.ids[i].lost = recall.New(lostFor, mostLost)
+		x.ids[i].lost = outcome.New(lostFor, mostLost)
 	}
 	return x
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -35,10 +35,10 @@
 	// Out is told of each attempt that goes out to a host, 1, and that it is out no more, -1: it has ended, or
 	// only the body of its answer is to come. It is called in the loop and must not wait; nil: nobody asks.
 	Out func(id frostshift.HostID, more int)
-	// Scheduler, Part and Door share the pool out among teams; all or none.
-	Scheduler *contract.Scheduler
-	Part      *contract.Part
-	Door      *contract.Door
+	// Scheduler, FleetShare and Limiter share the pool out among teams; all or none.
+	Scheduler  *contract.Scheduler
+	FleetShare *contract.FleetShare
+	Limiter    *contract.Limiter
 	// Repeats is the share of requests that may be tried again after an attempt that may
 	// have run; 0: all.
 	Repeats float64
@@ -66,8 +66,8 @@
 	advice   time.Duration      // when to come back where the pool itself is full; 0: none
 
 	sched      *contract.Scheduler // nil: no contracts
-	fleetShare *contract.Part
-	limiter    *contract.Door
+	fleetShare *contract.FleetShare
+	limiter    *contract.Limiter
 	jury       *verdict.Jury
 	repeats    verdict.Budget
 	lookedAt   frostshift.Time // when the scheduler was told of the capacity
@@ -134,7 +134,7 @@
 		return nil, err
 	}
 	p := &Pool{name: c.Name, set: c.Settings, log: c.Log, clock: x.clock, x: x, b: b, upstream: c.Upstream,
-		room: c.Room, watch: c.Watch, saw: c.Saw, met: c.Met, tellOut: c.Out, learned: c.Learned, sched: c.Scheduler, fleetShare: c.Part, limiter: c.Door, advice: c.Settings.MaxRetryAfter,
+		room: c.Room, watch: c.Watch, saw: c.Saw, met: c.Met, tellOut: c.Out, learned: c.Learned, sched: c.Scheduler, fleetShare: c.FleetShare, limiter: c.Limiter, advice: c.Settings.MaxRetryAfter,
 		events: make(chan event, 1024), quit: make(chan struct{}), done: make(chan struct{}),
 		calls: map[frostshift.RequestID]*Call{}, jury: verdict.NewJury(), repeats: verdict.NewBudget(c.Repeats)}
 	if c.RepeatRight != nil {
@@ -234,12 +234,12 @@
 	}})
 }
 
-// Hear gives the balancer what other gateways' outcomes say of hosts; of those that are not the
+// HostHealth gives the balancer what other gateways' outcomes say of hosts; of those that are not the
 // pool's it takes no notice.
-func (p *Pool) Hear(list []frostshift.Hearsay) {
+func (p *Pool) HostHealth(list []frostshift.HostHealth) {
 	p.post(event{kind: do, run: func(now frostshift.Time) {
 		for _, k := range list {
-			p.b.Hear(now, k)
+			p.b.HostHealth(now, k)
 		}
 	}})
 }
--- a/internal/exchange/twin.go
+++ b/internal/exchange/twin.go
@@ -143,32 +143,32 @@
 	go p.post(event{kind: do, run: func(now frostshift.Time) { p.b.Twins(now, int(p.twins.Load())) }})
 }
 
-// Bank says who shares the hosts, and how many gateways at most share what contracts state for
+// Fleet says who shares the hosts, and how many gateways at most share what contracts state for
 // all. It does not wait for the loop; what was said last holds.
-func (p *Pool) Bank(k frostshift.Bank, most int) {
+func (p *Pool) Fleet(k frostshift.Fleet, most int) {
 	p.shared.Store(&shared{k, most})
-	go p.tellBank()
+	go p.tellFleet()
 }
 
-// BankNow is Bank for a caller that may wait until the loop has room for it.
-func (p *Pool) BankNow(k frostshift.Bank, most int) {
+// FleetNow is Fleet for a caller that may wait until the loop has room for it.
+func (p *Pool) FleetNow(k frostshift.Fleet, most int) {
 	p.shared.Store(&shared{k, most})
-	p.tellBank()
+	p.tellFleet()
 }
 
-func (p *Pool) tellBank() {
+func (p *Pool) tellFleet() {
 	p.post(event{kind: do, run: func(now frostshift.Time) {
 		s := p.shared.Load()
-		p.b.Bank(now, s.fleet)
+		p.b.Fleet(now, s.fleet)
 		if p.fleetShare != nil {
-			p.fleetShare.Share(s.most)
+			p.fleetShare.SetInstances(s.most)
 		}
 	}})
 }
 
-// shared is what Bank was told last.
+// shared is what Fleet was told last.
 type shared struct {
-	fleet frostshift.Bank
+	fleet frostshift.Fleet
 	most  int
 }
 
--- a/internal/standin/discovery.go
+++ b/internal/fake/discovery.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"io"
@@ -27,7 +27,7 @@
 func NewDiscovery() *Discovery {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		panic("standin: no port: " + err.Error())
+		panic("fake: no port: " + err.Error())
 	}
 	return NewDiscoveryOn(ln)
 }
--- a/internal/standin/host.go
+++ b/internal/fake/host.go
@@ -1,10 +1,10 @@
-// Package standin is scripted peers for tests, rigs and the demo: hosts that refuse, stay
+// Package fake is scripted peers for tests, benchmarks and the demo: hosts that refuse, stay
 // silent, answer late, half or not at all, clients that read slowly or leave, and a
 // discovery that says what it is told. All listen on loopback addresses, at ports that the
 // kernel chooses, and count what reached them. It knows nothing of the gateway.
 //
 // host.go is hosts, counts.go what reached them, script.go what they do, client.go clients, discovery.go discovery.
-package standin
+package fake
 
 import (
 	"bufio"
--- a/internal/standin/xds.go
+++ b/internal/fake/xds.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"io"
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -52,7 +52,7 @@
 // Admission takes requests under the present configuration. It is safe for concurrent use.
 type Admission struct {
 	exchange *exchange.Exchange
-	limiter  *contract.Door
+	limiter  *contract.Limiter
 	now      atomic.Pointer[Snapshot]
 	ready    atomic.Bool
 	leaves   atomic.Bool
@@ -62,7 +62,7 @@
 }
 
 // NewAdmission returns an admission without a configuration; Use gives it one.
-func NewAdmission(x *exchange.Exchange, limiter *contract.Door) *Admission {
+func NewAdmission(x *exchange.Exchange, limiter *contract.Limiter) *Admission {
 	in := &Admission{exchange: x, limiter: limiter}
 	for i, v := 0, rand.Uint64(); i < len(in.idBase); i++ {
 		in.idBase[i] = byte(v >> (8 * i))
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -37,8 +37,8 @@
 	name     string
 	via      string
 	item     contract.Item
-	limiter  *contract.Door // that the request has entered; nil: there is no contract
-	move     *moves.Move    // that has placed the request; nil: none
+	limiter  *contract.Limiter // that the request has entered; nil: there is no contract
+	move     *moves.Move       // that has placed the request; nil: none
 	unit     shift.Unit
 	pass     *limit.Pass    // what it holds of limits by key; nil: nothing
 	limits   [2]string      // RateLimit-Policy and RateLimit of its answer; "": nothing is told
--- a/internal/gateway/accounts.go
+++ b/internal/gateway/accounts.go
@@ -25,7 +25,7 @@
 		case <-tick.C:
 		}
 		next := map[string]int64{}
-		g.door.Accounts(g.exchange.Clock().Now(), func(a *contract.Account) {
+		g.limiter.Accounts(g.exchange.Clock().Now(), func(a *contract.Account) {
 			asked := a.Asked.Load()
 			next[a.Team] = asked
 			if asked == told[a.Team] {
@@ -44,4 +44,6 @@
 }
 
 // Accounts calls f for what each team has had of this gateway lately.
-func (g *Gateway) Accounts(f func(*contract.Account)) { g.door.Accounts(g.exchange.Clock().Now(), f) }
+func (g *Gateway) Accounts(f func(*contract.Account)) {
+	g.limiter.Accounts(g.exchange.Clock().Now(), f)
+}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -7,8 +7,8 @@
 	"slices"
 	"sync"
 
+	"frostshift/internal/admin"
 	"frostshift/internal/membership"
-	"frostshift/internal/operate"
 )
 
 const (
@@ -21,7 +21,7 @@
 type commands struct{ *Gateway }
 
 // Serving says whether this process takes clients.
-func (c commands) Serving() bool { return c.succession.serves() && c.admission.Ready() }
+func (c commands) Serving() bool { return c.restart.serves() && c.admission.Ready() }
 
 // Out takes a host out of use, or has it used again, in each pool that has heard of it; with fleet
 // at all gateways that live.
@@ -30,7 +30,7 @@
 		return "", err
 	}
 	if fleet {
-		return c.edicts.say(ctx, name, out)
+		return c.overrides.set(ctx, name, out)
 	}
 	return "", c.outEverywhere(ctx, name, out)
 }
@@ -38,22 +38,22 @@
 // Drain gives the clients up, or takes some again.
 func (c commands) Drain(ctx context.Context, on bool) error {
 	c.clients.ask(on)
-	return c.succession.everywhere(ctx, call{Drain: &on})
+	return c.restart.everywhere(ctx, call{Drain: &on})
 }
 
 // known says why a name is none of a host that pools have heard of or that is out; nil: it is one.
 func (g *Gateway) known(name string) error {
 	if name == "" || len(name) > longName {
-		return operate.ErrName
+		return admin.ErrName
 	}
 	g.mu.Lock()
-	known := g.banned[name] || g.edicts.has(name)
+	known := g.banned[name] || g.overrides.has(name)
 	for _, p := range g.pools {
 		known = known || p.known.has(name)
 	}
 	g.mu.Unlock()
 	if !known {
-		return operate.ErrUnknown
+		return admin.ErrUnknown
 	}
 	return nil
 }
@@ -63,7 +63,7 @@
 	if err := g.outHere(ctx, name, out); err != nil {
 		return err
 	}
-	return g.succession.everywhere(ctx, call{Host: name, Out: out})
+	return g.restart.everywhere(ctx, call{Host: name, Out: out})
 }
 
 // outHere does it in this process, also for a name that none of its pools has heard of yet.
@@ -92,7 +92,7 @@
 			return fmt.Errorf("it does not hold yet: %w", ctx.Err())
 		}
 	}
-	if err := g.succession.writeBans(); err != nil {
+	if err := g.restart.writeBans(); err != nil {
 		g.log.Warn("hosts that are out are not kept for a restart", "err", err)
 	}
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,15 +18,15 @@
 	"sync/atomic"
 	"time"
 
-	"frostshift/internal/bank"
+	"frostshift/internal/admin"
 	"frostshift/internal/config"
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
 	"frostshift/internal/front"
+	"frostshift/internal/gossip"
 	"frostshift/internal/learning"
 	"frostshift/internal/moves"
-	"frostshift/internal/operate"
-	"frostshift/internal/roster"
+	"frostshift/internal/peers"
 	"frostshift/internal/save"
 	"frostshift/internal/share"
 	"frostshift/internal/spool"
@@ -87,7 +87,7 @@
 	budgets   budgets
 	whole     wholes
 	bounded   bool // conns keep to the limit on descriptors
-	door      *contract.Door
+	limiter   *contract.Limiter
 	moves     *moves.Set
 	state     *save.Dir     // nil: there is none
 	keptLast  chan struct{} // closed: the last of it has been read; nil: nothing is kept
@@ -109,24 +109,24 @@
 	running sync.WaitGroup // whatever was started and must end
 	failed  chan error     // a listener that failed
 
-	reloads    reloads
-	succession *succession
-	learned    map[string]learning.Pool // by pool, of the process that ran before
-	clients    clients                  // given up, or not
-	banned     map[string]bool          // hosts that operators took out, by name; under mu
-	desk       *operate.Server          // nil: operators have no address
+	reloads reloads
+	restart *hotRestart
+	learned map[string]learning.Pool // by pool, of the process that ran before
+	clients clients                  // given up, or not
+	banned  map[string]bool          // hosts that operators took out, by name; under mu
+	desk    *admin.Server            // nil: operators have no address
 
-	view     *roster.View // of the bank; nil: none was heard; under mu
-	rules    rules        // limits by key of the present configuration; under mu
-	divisors              // of limits that gateways share evenly
-	places   []uint64     // ... of those that share the pools; nil: typed figures hold
-	bankMu   sync.Mutex
-	bank     *bank.Bank // nil: this gateway talks to no other, or not yet
-	bankOver bool       // this process has ended its part in it
-	hearing  *hearing   // nil: nothing of hosts is told among gateways
-	loads    *loads     // nil: what is out at hosts is not told among gateways
-	edicts   *edicts    // nil: operators' words hold for this gateway alone
-	rights   *rights    // nil: limits are divided evenly among gateways
+	view       *peers.View // of the other gateways; nil: none was heard; under mu
+	rules      rules       // limits by key of the present configuration; under mu
+	divisors               // of limits that gateways share evenly
+	places     []uint64    // ... of those that share the pools; nil: typed figures hold
+	gossipMu   sync.Mutex
+	gossip     *gossip.Agent // nil: this gateway talks to no other, or not yet
+	gossipOver bool          // this process has ended its part in it
+	hostHealth *hostHealth   // nil: nothing of hosts is told among gateways
+	loads      *loads        // nil: what is out at hosts is not told among gateways
+	overrides  *overrides    // nil: operators' overrides hold for this gateway alone
+	rights     *rights       // nil: limits are divided evenly among gateways
 }
 
 // New prepares a gateway for the configuration: its listeners are open and its pools run
@@ -136,77 +136,93 @@
 		opt.Linger = func() { time.Sleep(lameDuck) }
 	}
 	x := exchange.New(exchange.NewClock())
-	g := &Gateway{log: log, opt: opt, exchange: x, conns: opt.Conns,
-		banned: map[string]bool{}, pools: map[string]*pool{}, servers: map[config.Listener]*server{}, failed: make(chan error, 1), halt: make(chan struct{}), ended: make(chan struct{})}
-	requests, conns, clients, asked := int64(1<<20), int64(1<<20), 1<<20, 1<<20
-	g.bounded = opt.Conns == nil
-	if n := m.Limits.Descriptors; n > 0 {
+	g := &Gateway{log: log, opt: opt, exchange: x, conns: opt.Conns, bounded: opt.Conns == nil,
+		banned: map[string]bool{}, learned: map[string]learning.Pool{}, pools: map[string]*pool{}, servers: map[config.Listener]*server{},
+		failed: make(chan error, 1), halt: make(chan struct{}), ended: make(chan struct{})}
+	g.setBounds(m.Limits)
+	g.instances = m.Instances
+	g.gateways.Store(int64(m.Instances))
+	if err := g.openState(m); err != nil {
+		return nil, err
+	}
+	g.clients.gateway = g
+	g.overrides = newOverrides(g, m)
+	g.restart = newHotRestart(g, m)
+	m = g.restart.join(m)
+	g.rights, g.hostHealth, g.loads = newRights(g, m), newHostHealth(g, m), newLoads(g, m)
+	if m.Management != "" {
+		var err error
+		if g.desk, err = admin.Listen(m.Management, commands{g}, g.pages(), log.With("for", "operators")); err != nil {
+			g.restart.end()
+			g.closeState()
+			return nil, fmt.Errorf("management: %w", err)
+		}
+	}
+	g.moves = moves.New(moves.Config{Clock: x.Clock(), Log: log, Dir: g.state, Pool: g.pool})
+	if err := g.apply(m, 0); err != nil {
+		g.restart.end()
+		g.closeState()
+		if g.desk != nil {
+			g.desk.Close()
+		}
+		return nil, err
+	}
+	if err := g.startGossip(m); err != nil {
+		g.opt.Linger = func() {} // no client has come
+		g.stop()
+		g.closeState()
+		return nil, err
+	}
+	return g, nil
+}
+
+// unbounded is a bound that is never met, where the configuration sets none.
+const unbounded = 1 << 20
+
+// setBounds divides what the process may hold: descriptors among clients and hosts, memory among
+// bodies and answers.
+func (g *Gateway) setBounds(limits config.Limits) {
+	requests, conns, clients, asked := int64(unbounded), int64(unbounded), unbounded, unbounded
+	if n := limits.Descriptors; n > 0 {
 		requests = int64(float64(n) * requestShare)
 		conns = int64(float64(n-ownSockets) * hostShare)
 		clients = int(float64(n-ownSockets) * clientShare)
 		asked = int(float64(n) * askedShare)
 	}
-	bodies, answers := int64(1<<40), int64(1<<40)
-	if n := int64(m.Limits.MemoryMB) << 20; n > 0 {
+	bodies, answers := int64(unbounded)<<20, int64(unbounded)<<20
+	if n := int64(limits.MemoryMB) << 20; n > 0 {
 		bodies, answers = n/bodyPart, n/answerPart
 	}
-	g.door = contract.NewDoor(requests, bodies)
-	g.admission = front.NewAdmission(x, g.door)
+	g.limiter = contract.NewLimiter(requests, bodies)
+	g.admission = front.NewAdmission(g.exchange, g.limiter)
 	if g.conns == nil {
 		g.conns = front.NewConns(clients, asked, front.SpareAfter)
 	}
 	g.budgets = budgets{share.New(requests), share.New(conns), share.New(bodies), share.New(answers)}
 	g.whole = wholes{conns, bodies, answers, clients, asked}
-	g.instances, g.streams = m.Instances, m.Limits.Streams
-	g.gateways.Store(int64(m.Instances))
+	g.streams = limits.Streams
+}
+
+// openState opens the folders for what is remembered and for bodies. A gateway serves without them
+// where another process has the first, or the second can't be used.
+func (g *Gateway) openState(m *config.Model) error {
 	if m.State != "" {
 		var err error
 		if g.state, err = save.Open(m.State); errors.Is(err, save.ErrTaken) {
-			log.Warn("nothing is remembered", "err", err)
+			g.log.Warn("nothing is remembered", "err", err)
 		} else if err != nil {
-			return nil, err
+			return err
 		}
 	}
-	if m.Spool.Dir != "" {
-		if d, err := spool.Open(m.Spool.Dir, m.Spool.Most, m.Spool.Team); err != nil {
-			log.Warn("no body is kept on disk", "err", err)
-		} else {
-			g.admission.Spool(d)
-		}
+	if m.Spool.Dir == "" {
+		return nil
 	}
-	g.clients.gateway = g
-	g.learned = map[string]learning.Pool{}
-	g.edicts = newEdicts(g, m)
-	g.succession = newSuccession(g, m)
-	m = g.succession.join(m)
-	g.rights, g.hearing, g.loads = newRights(g, m), newHearing(g, m), newLoads(g, m)
-	if m.Management != "" {
-		var err error
-		if g.desk, err = operate.Listen(m.Management, commands{g}, g.pages(), log.With("for", "operators")); err != nil {
-			g.succession.end()
-			g.closeState()
-			return nil, fmt.Errorf("management: %w", err)
-		}
-	}
-	g.moves = moves.New(moves.Config{Clock: x.Clock(), Log: log, Dir: g.state, Pool: g.pool})
-	err := g.apply(m, 0)
-	if err == nil {
-		if err = g.startBank(m); err != nil {
-			g.opt.Linger = func() {} // no client has come
-			g.stop()
-			g.closeState()
-			return nil, err
-		}
-	}
-	if err != nil {
-		g.succession.end()
-		g.closeState()
-		if g.desk != nil {
-			g.desk.Close()
-		}
-		return nil, err
+	if d, err := spool.Open(m.Spool.Dir, m.Spool.Most, m.Spool.Team); err != nil {
+		g.log.Warn("no body is kept on disk", "err", err)
+	} else {
+		g.admission.Spool(d)
 	}
-	return g, nil
+	return nil
 }
 
 func (g *Gateway) closeState() {
@@ -288,88 +304,105 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	g.mu.Lock()
 	g.serving = true
-	waits := g.succession.begin()
+	waits := g.restart.begin()
 	for _, s := range g.servers {
 		s.ln.Pause(waits)
 		g.serve(s)
 	}
 	first := g.model
-	platform := first.Platform // nothing moves there, whatever is reloaded
 	heard := make([]<-chan struct{}, 0, len(g.pools))
 	for _, p := range g.pools {
 		heard = append(heard, p.ready)
 	}
 	g.mu.Unlock()
 	g.running.Go(func() {
-		late := time.NewTimer(g.readyWait())
-		defer late.Stop()
-		for _, h := range heard {
-			select {
-			case <-h:
-			case <-late.C:
-				late.Reset(0)
-			case <-ctx.Done():
-			}
-		}
-		g.succession.serve()
+		g.awaitReady(ctx, heard)
+		g.restart.serve()
 	})
 	if waits {
-		g.succession.share()
+		g.restart.share()
 	}
+	g.runParts(first)
+	endMoves := g.runMoves(!first.Platform) // nothing moves on the platform, whatever is reloaded
+	defer endMoves()
+	var err error
+	select {
+	case err = <-g.failed:
+	case <-g.restart.retired:
+		g.log.Info("another process has taken over")
+	case <-ctx.Done():
+		g.log.Info("stopping")
+	}
+	g.stop()
+	return err
+}
+
+// awaitReady waits until the lists of all pools have been heard, for readyWait at most.
+func (g *Gateway) awaitReady(ctx context.Context, heard []<-chan struct{}) {
+	late := time.NewTimer(g.readyWait())
+	defer late.Stop()
+	for _, h := range heard {
+		select {
+		case <-h:
+		case <-late.C:
+			late.Reset(0)
+		case <-ctx.Done():
+		}
+	}
+}
+
+// runParts starts what runs beside requests until the gateway stops.
+func (g *Gateway) runParts(first *config.Model) {
 	g.running.Go(func() { g.tellAccounts() })
 	if g.rights != nil {
 		g.running.Go(g.rights.run)
 	}
-	if g.hearing != nil {
-		g.running.Go(g.hearing.run)
+	if g.hostHealth != nil {
+		g.running.Go(g.hostHealth.run)
 	}
 	if g.loads != nil {
 		g.running.Go(g.loads.run)
 	}
-	if g.edicts != nil {
-		g.running.Go(g.edicts.run)
+	if g.overrides != nil {
+		g.running.Go(g.overrides.run)
 	}
 	if first.State != "" {
 		g.keptLast = make(chan struct{})
 		g.running.Go(func() { g.keep(first) })
 	}
-	if g.desk != nil {
-		g.running.Go(func() {
-			if err := g.desk.Serve(); err != nil {
-				select {
-				case g.failed <- err:
-				default:
-				}
-			}
-		})
+	if g.desk == nil {
+		return
 	}
-	turns, end := context.WithCancel(context.Background()) // up to the last request's end
-	var moving sync.WaitGroup
-	if !platform {
-		moving.Go(func() { g.moves.Run(turns) })
+	g.running.Go(func() {
+		if err := g.desk.Serve(); err != nil {
+			select {
+			case g.failed <- err:
+			default:
+			}
+		}
+	})
+}
+
+// runMoves starts the traffic shifts, if there are any, and operators' commands about them. They go on
+// up to the last request's end: end ends them, and closes what is remembered.
+func (g *Gateway) runMoves(move bool) (end func()) {
+	turns, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	if move {
+		running.Go(func() { g.moves.Run(turns) })
 	}
 	if g.state != nil {
-		moving.Go(func() {
+		running.Go(func() {
 			if err := g.moves.Control(turns); err != nil {
 				g.log.Warn("nobody can speak to the moves", "err", err)
 			}
 		})
 	}
-	defer func() {
-		end()
-		moving.Wait()
+	return func() {
+		cancel()
+		running.Wait()
 		g.closeState()
-	}()
-	var err error
-	select {
-	case err = <-g.failed:
-	case <-g.succession.retired:
-		g.log.Info("another process has taken over")
-	case <-ctx.Done():
-		g.log.Info("stopping")
 	}
-	g.stop()
-	return err
 }
 
 // readyWait is how long clients wait for the lists of all pools. A gateway that was told its
@@ -400,8 +433,8 @@
 
 // stop finishes what is held and ends everything.
 func (g *Gateway) stop() {
-	if !g.succession.isHanded() { // else another process is the member
-		g.leaveBank()
+	if !g.restart.isHanded() { // else another process is the member
+		g.leaveFleet()
 	}
 	close(g.halt)
 	g.mu.Lock()
@@ -412,7 +445,7 @@
 	}
 	g.mu.Unlock()
 	g.clients.stop()
-	if !g.succession.isHanded() { // else new connections are another process's
+	if !g.restart.isHanded() { // else new connections are another process's
 		g.opt.Linger()
 	}
 	if !shutdown(servers, stopWithin) {
@@ -436,8 +469,8 @@
 		<-g.keptLast
 	}
 	close(g.ended)
-	g.closeBank()
-	g.succession.end()
+	g.closeGossip()
+	g.restart.end()
 	g.admission.Use(nil)
 	if g.desk != nil {
 		g.desk.Close()
