--- a/internal/gateway/bank.go
+++ b/internal/gateway/gossip.go
@@ -8,38 +8,38 @@
 	"time"
 
 	"frostshift"
-	"frostshift/internal/bank"
 	"frostshift/internal/config"
-	"frostshift/internal/edict"
-	"frostshift/internal/hearsay"
+	"frostshift/internal/gossip"
+	"frostshift/internal/hosthealth"
 	"frostshift/internal/inflight"
 	"frostshift/internal/membership/keeper"
-	"frostshift/internal/roster"
+	"frostshift/internal/override"
+	"frostshift/internal/peers"
 )
 
 // talk is what the gateway's other gateways are known by. Pools get each change of the view; they
 // begin with the typed figures and keep what was said last.
 
-// bankAgain is the time between two tries to open the bank's sockets while another process of
+// gossipAgain is the time between two tries to open the agent's sockets while another process of
 // this gateway still has them.
-const bankAgain = 100 * time.Millisecond
+const gossipAgain = 100 * time.Millisecond
 
-// startBank opens the bank where one is configured. A process that takes over waits for the one
+// startGossip starts the gossip agent where one is configured. A process that takes over waits for the one
 // before it to close its own: a member is one process at a time.
-func (g *Gateway) startBank(m *config.Model) error {
-	if m.Bank == nil {
+func (g *Gateway) startGossip(m *config.Model) error {
+	if m.Gossip == nil {
 		return nil
 	}
-	cfg := *m.Bank
+	cfg := *m.Gossip
 	cfg.View, cfg.Log, cfg.Started = g.share, g.log, time.Now()
 	if g.rights != nil {
 		cfg.RoundTrip = g.rights.tooSlow
 	}
-	if g.rights != nil || g.hearing != nil || g.edicts != nil || g.loads != nil {
+	if g.rights != nil || g.hostHealth != nil || g.overrides != nil || g.loads != nil {
 		cfg.Alive, cfg.Heard = g.alive, g.heard
 	}
-	if !g.succession.joined() {
-		b, err := bank.Start(cfg)
+	if !g.restart.joined() {
+		b, err := gossip.Start(cfg)
 		if err == nil {
 			g.hold(b)
 		}
@@ -47,9 +47,9 @@
 	}
 	g.running.Go(func() {
 		for {
-			b, err := bank.Start(cfg)
+			b, err := gossip.Start(cfg)
 			if err == nil {
-				if g.rights != nil { // the one before it has pledged its last
+				if g.rights != nil { // the one before it has lent its last
 					g.rights.begin()
 				}
 				g.hold(b)
@@ -58,7 +58,7 @@
 			select {
 			case <-g.halt:
 				return
-			case <-time.After(bankAgain):
+			case <-time.After(gossipAgain):
 			}
 		}
 	})
@@ -66,7 +66,7 @@
 }
 
 // alive passes on who lives, and heard what they say.
-func (g *Gateway) alive(members []roster.Member, v roster.View) {
+func (g *Gateway) alive(members []peers.Member, v peers.View) {
 	names := make([]string, len(members))
 	for i, m := range members {
 		names[i] = m.Name
@@ -74,11 +74,11 @@
 	if g.rights != nil {
 		g.rights.alive(names, v)
 	}
-	if g.hearing != nil {
-		g.hearing.alive(members)
+	if g.hostHealth != nil {
+		g.hostHealth.alive(members)
 	}
-	if g.edicts != nil {
-		g.edicts.alive(names, v)
+	if g.overrides != nil {
+		g.overrides.alive(names, v)
 	}
 	if g.loads != nil {
 		g.loads.alive(names)
@@ -87,13 +87,13 @@
 
 func (g *Gateway) heard(data []byte) {
 	switch {
-	case len(data) > 0 && data[0] == hearsay.Mark:
-		if g.hearing != nil {
-			g.hearing.heard(data)
+	case len(data) > 0 && data[0] == hosthealth.Mark:
+		if g.hostHealth != nil {
+			g.hostHealth.heard(data)
 		}
-	case len(data) > 0 && data[0] == edict.Mark:
-		if g.edicts != nil {
-			g.edicts.heard(data)
+	case len(data) > 0 && data[0] == override.Mark:
+		if g.overrides != nil {
+			g.overrides.heard(data)
 		}
 	case len(data) > 0 && data[0] == inflight.Mark:
 		if g.loads != nil {
@@ -104,44 +104,44 @@
 	}
 }
 
-// hold keeps a bank that has started, or ends it where the gateway has ended its part in it.
-func (g *Gateway) hold(b *bank.Bank) {
-	g.bankMu.Lock()
-	over := g.bankOver
+// hold keeps an agent that has started, or ends it where the gateway has ended its part in it.
+func (g *Gateway) hold(b *gossip.Agent) {
+	g.gossipMu.Lock()
+	over := g.gossipOver
 	if !over {
-		g.bank = b
+		g.gossip = b
 	}
-	g.bankMu.Unlock()
+	g.gossipMu.Unlock()
 	if over {
 		b.Close()
 	}
 }
 
-// talks is the bank over which this process speaks; nil: it is no member, not yet or no longer.
-func (g *Gateway) talks() *bank.Bank {
-	g.bankMu.Lock()
-	defer g.bankMu.Unlock()
-	if g.bankOver {
+// talks is the agent over which this process speaks; nil: it is no member, not yet or no longer.
+func (g *Gateway) talks() *gossip.Agent {
+	g.gossipMu.Lock()
+	defer g.gossipMu.Unlock()
+	if g.gossipOver {
 		return nil
 	}
-	return g.bank
+	return g.gossip
 }
 
-// leaveBank says to the others that this gateway leaves: it is to be the first thing that a
+// leaveFleet says to the others that this gateway leaves: it is to be the first thing that a
 // stopping gateway does.
-func (g *Gateway) leaveBank() {
+func (g *Gateway) leaveFleet() {
 	if b := g.talks(); b != nil {
 		b.Leave()
 	}
 }
 
-// closeBank ends this process's part without a word. It waits for the bank's goroutine, which may
+// closeGossip ends this process's part without a word. It waits for the agent's goroutine, which may
 // wait for a reload, which may want the keys changed: so no lock is held meanwhile.
-func (g *Gateway) closeBank() {
-	g.bankMu.Lock()
-	b, over := g.bank, g.bankOver
-	g.bankOver = true
-	g.bankMu.Unlock()
+func (g *Gateway) closeGossip() {
+	g.gossipMu.Lock()
+	b, over := g.gossip, g.gossipOver
+	g.gossipOver = true
+	g.gossipMu.Unlock()
 	if g.rights != nil && !over {
 		g.rights.retire()
 	}
@@ -150,8 +150,8 @@
 	}
 }
 
-// share gives all pools the view. It is called from the bank's goroutine.
-func (g *Gateway) share(v roster.View, places []uint64) {
+// share gives all pools the view. It is called from the agent's goroutine.
+func (g *Gateway) share(v peers.View, places []uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.view, g.places = &v, places
@@ -163,7 +163,7 @@
 
 // share gives the pool what the view says; nil: nothing is known. Pools of one gateway that have
 // hosts in common count as one member each.
-func (p *pool) share(v *roster.View, places []uint64) {
+func (p *pool) share(v *peers.View, places []uint64) {
 	set := &p.def.Settings
 	if v == nil || set.Instances < 1 || p.typed < 1 {
 		return
@@ -179,12 +179,12 @@
 	if v.Typed {
 		place = frostshift.TypedPlace(set.Rank, set.Instances)
 	}
-	p.ex.Bank(frostshift.Bank{Place: place, Least: v.Least * alike, Most: v.Most * alike}, v.Most)
+	p.ex.Fleet(frostshift.Fleet{Place: place, Least: v.Least * alike, Most: v.Most * alike}, v.Most)
 }
 
-// bankStatus answers operators.
-func (g *Gateway) bankStatus(w http.ResponseWriter, r *http.Request) {
-	s, ok := g.bankView(r.Context())
+// fleetStatus answers operators.
+func (g *Gateway) fleetStatus(w http.ResponseWriter, r *http.Request) {
+	s, ok := g.fleetView(r.Context())
 	if !ok {
 		http.Error(w, "this gateway does not talk to others", http.StatusNotFound)
 		return
@@ -193,17 +193,17 @@
 	json.NewEncoder(w).Encode(s)
 }
 
-// bankLeave has the gateway say that it leaves, on an operator's word.
-func (g *Gateway) bankLeave(w http.ResponseWriter, _ *http.Request) {
-	g.leaveBank()
+// fleetLeave has the gateway say that it leaves, on an operator's word.
+func (g *Gateway) fleetLeave(w http.ResponseWriter, _ *http.Request) {
+	g.leaveFleet()
 	w.Write([]byte("ok\n"))
 }
 
-// bankView is what the bank knows; false: there is none.
-func (g *Gateway) bankView(ctx context.Context) (s bank.Status, ok bool) {
-	g.bankMu.Lock()
-	b := g.bank
-	g.bankMu.Unlock()
+// fleetView is what the agent knows; false: there is none.
+func (g *Gateway) fleetView(ctx context.Context) (s gossip.Status, ok bool) {
+	g.gossipMu.Lock()
+	b := g.gossip
+	g.gossipMu.Unlock()
 	if b == nil {
 		return s, false
 	}
@@ -211,7 +211,7 @@
 }
 
 // sameTalk says whether two configurations differ in nothing but keys.
-func sameTalk(x, y *bank.Config) bool {
+func sameTalk(x, y *gossip.Config) bool {
 	if x == nil || y == nil {
 		return x == y
 	}
@@ -222,10 +222,10 @@
 
 // useKeys takes the keys of a configuration that was read again.
 func (g *Gateway) useKeys(m *config.Model) error {
-	g.bankMu.Lock()
-	defer g.bankMu.Unlock()
-	if m.Bank == nil || g.bank == nil || g.bankOver {
+	g.gossipMu.Lock()
+	defer g.gossipMu.Unlock()
+	if m.Gossip == nil || g.gossip == nil || g.gossipOver {
 		return nil
 	}
-	return g.bank.Use(m.Bank.Keys)
+	return g.gossip.Use(m.Gossip.Keys)
 }
--- a/internal/gateway/hearsay.go
+++ b/internal/gateway/hosthealth.go
@@ -9,38 +9,38 @@
 
 	"frostshift"
 	"frostshift/internal/config"
-	"frostshift/internal/hearsay"
-	"frostshift/internal/roster"
+	"frostshift/internal/hosthealth"
+	"frostshift/internal/peers"
 	"frostshift/internal/upstream"
 )
 
-// hearing is the gateway's part in what gateways tell each other of hosts: it gives package hearsay
+// hostHealth is the gateway's part in what gateways tell each other of hosts: it gives package hosthealth
 // the time, the packets, the lists and its own outcomes, and pools the verdicts. Nothing waits for
 // it, and without the others there are none.
-type hearing struct {
+type hostHealth struct {
 	g *Gateway
 	inbox
 
-	mu   sync.Mutex
-	book *hearsay.Book
+	mu    sync.Mutex
+	store *hosthealth.Store
 	// lists are hosts of pools that run, and when they started. At a reload two pools may have one name.
-	lists map[*pool]map[hearsay.HostID]int64
+	lists map[*pool]map[hosthealth.HostID]int64
 	odd   bool // as logged last
 }
 
-// newHearing makes a part where it is asked for; nil: it is not.
-func newHearing(g *Gateway, m *config.Model) *hearing {
-	if m.Bank == nil || !m.Bank.Verdicts {
+// newHostHealth makes a part where it is asked for; nil: it is not.
+func newHostHealth(g *Gateway, m *config.Model) *hostHealth {
+	if m.Gossip == nil || !m.Gossip.Verdicts {
 		return nil
 	}
-	return &hearing{g: g, inbox: newInbox(), book: hearsay.New(hearsay.Config{Self: m.Name, Zone: m.Bank.Zone, Classes: len(m.Classes)}), lists: map[*pool]map[hearsay.HostID]int64{}}
+	return &hostHealth{g: g, inbox: newInbox(), store: hosthealth.New(hosthealth.Config{Self: m.Name, Zone: m.Gossip.Zone, Classes: len(m.Classes)}), lists: map[*pool]map[hosthealth.HostID]int64{}}
 }
 
-func (h *hearing) now() hearsay.Time { return h.g.exchange.Clock().Now() }
+func (h *hostHealth) now() hosthealth.Time { return h.g.exchange.Clock().Now() }
 
-// run has the book look in turns until the gateway ends.
-func (h *hearing) run() {
-	tick := time.NewTicker(h.book.Every())
+// run has the store look in turns until the gateway ends.
+func (h *hostHealth) run() {
+	tick := time.NewTicker(h.store.Every())
 	defer tick.Stop()
 	for {
 		select {
@@ -48,7 +48,7 @@
 			return
 		case data := <-h.in:
 			h.mu.Lock()
-			h.book.Take(h.now(), data)
+			h.store.Take(h.now(), data)
 			h.mu.Unlock()
 		case <-tick.C:
 			h.look()
@@ -57,11 +57,11 @@
 }
 
 // look sends what is to be said and gives pools what has changed.
-func (h *hearing) look() {
+func (h *hostHealth) look() {
 	h.mu.Lock()
-	out, changed := h.book.Tick(h.now())
+	out, changed := h.store.Tick(h.now())
 	out = slices.Clone(out)
-	odd := h.book.Odd()
+	odd := h.store.Odd()
 	turned := odd != h.odd
 	h.odd = odd
 	h.mu.Unlock()
@@ -72,78 +72,78 @@
 	if len(changed) == 0 {
 		return
 	}
-	list := make([]frostshift.Hearsay, len(changed))
+	list := make([]frostshift.HostHealth, len(changed))
 	for i, v := range changed {
-		list[i] = frostshift.Hearsay{Host: frostshift.HostID(v.Host), Doubt: v.Doubt, Down: v.Down, Wait: v.Wait, Until: v.Until}
+		list[i] = frostshift.HostHealth{Host: frostshift.HostID(v.Host), Doubt: v.Doubt, Down: v.Down, Wait: v.Wait, Until: v.Until}
 	}
 	for _, p := range h.g.exchanges() {
-		p.Hear(list)
+		p.HostHealth(list)
 	}
 }
 
 // alive takes who lives.
-func (h *hearing) alive(members []roster.Member) {
-	list := make([]hearsay.Member, len(members))
+func (h *hostHealth) alive(members []peers.Member) {
+	list := make([]hosthealth.Member, len(members))
 	for i, m := range members {
-		list[i] = hearsay.Member{Name: m.Name, Zone: m.Zone}
+		list[i] = hosthealth.Member{Name: m.Name, Zone: m.Zone}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.book.View(list)
+	h.store.View(list)
 }
 
 // met notes an own attempt. It is called in pools' loops.
-func (h *hearing) met(id frostshift.HostID, class int, r frostshift.Result, took frostshift.Time) {
-	o, says := hearsay.OutcomeOf(r)
+func (h *hostHealth) met(id frostshift.HostID, class int, r frostshift.Result, took frostshift.Time) {
+	o, says := hosthealth.OutcomeOf(r)
 	if !says {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.book.Saw(h.now(), hearsay.HostID(id), class, o, took)
+	h.store.Saw(h.now(), hosthealth.HostID(id), class, o, took)
 }
 
 // list takes a pool's hosts: all of them, or those that changed.
-func (h *hearing) list(p *pool, whole bool, list []upstream.Endpoint) {
+func (h *hostHealth) list(p *pool, whole bool, list []upstream.Endpoint) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if whole || h.lists[p] == nil {
-		h.lists[p] = map[hearsay.HostID]int64{}
+		h.lists[p] = map[hosthealth.HostID]int64{}
 	}
 	for _, e := range list {
 		if e.Gone {
-			delete(h.lists[p], hearsay.HostID(e.ID))
+			delete(h.lists[p], hosthealth.HostID(e.ID))
 		} else {
-			h.lists[p][hearsay.HostID(e.ID)] = int64(e.Started / frostshift.Time(time.Millisecond))
+			h.lists[p][hosthealth.HostID(e.ID)] = int64(e.Started / frostshift.Time(time.Millisecond))
 		}
 	}
 	h.merge()
 }
 
 // end forgets the hosts of a pool that has ended.
-func (h *hearing) end(p *pool) {
+func (h *hostHealth) end(p *pool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.lists, p)
 	h.merge()
 }
 
-// merge gives the book all pools' hosts. The lock is held.
-func (h *hearing) merge() {
-	all := map[hearsay.HostID]int64{}
+// merge gives the store all pools' hosts. The lock is held.
+func (h *hostHealth) merge() {
+	all := map[hosthealth.HostID]int64{}
 	for _, hosts := range h.lists {
 		for id, started := range hosts {
 			all[id] = max(all[id], started)
 		}
 	}
-	h.book.List(h.now(), all)
+	h.store.List(h.now(), all)
 }
 
 // VerdictsStatus is what operators are shown of what gateways say of hosts.
 type VerdictsStatus struct {
 	Name   string
 	Odd    bool // this gateway alone finds hosts bad
-	Counts hearsay.Counts
+	Counts hosthealth.Counts
 	Lost   int64 // packets that came and found no room
 	Hosts  []VerdictHost
 }
@@ -151,19 +151,19 @@
 // VerdictHost is a host that somebody speaks against.
 type VerdictHost struct {
 	Name string
-	hearsay.Status
+	hosthealth.Status
 }
 
 // verdictsStatus answers operators.
 func (g *Gateway) verdictsStatus(w http.ResponseWriter, _ *http.Request) {
-	if g.hearing == nil {
+	if g.hostHealth == nil {
 		http.Error(w, "nothing of hosts is told among gateways", http.StatusNotFound)
 		return
 	}
-	h := g.hearing
+	h := g.hostHealth
 	h.mu.Lock()
-	s := VerdictsStatus{Odd: h.book.Odd(), Counts: h.book.Counts(), Lost: h.lost.Load()}
-	list := h.book.Status(h.now())
+	s := VerdictsStatus{Odd: h.store.Odd(), Counts: h.store.Counts(), Lost: h.lost.Load()}
+	list := h.store.Status(h.now())
 	h.mu.Unlock()
 	var names map[frostshift.HostID]string
 	s.Name, names = g.names()
--- a/internal/gateway/inbox.go
+++ b/internal/gateway/inbox.go
@@ -8,7 +8,7 @@
 // packetsWaiting bounds packets that wait for a part. Beyond it they are lost, as on a link.
 const packetsWaiting = 512
 
-// inbox is packets from the bank that wait for one of the gateway's parts in the talk.
+// inbox is packets from other gateways that wait for one of the gateway's parts in the talk.
 type inbox struct {
 	in   chan []byte
 	lost atomic.Int64
@@ -16,7 +16,7 @@
 
 func newInbox() inbox { return inbox{in: make(chan []byte, packetsWaiting)} }
 
-// heard takes a packet from the bank. It does not wait.
+// heard takes a packet from another gateway. It does not wait.
 func (b *inbox) heard(data []byte) {
 	select {
 	case b.in <- slices.Clone(data):
--- a/internal/gateway/learned.go
+++ b/internal/gateway/learned.go
@@ -29,8 +29,8 @@
 	return save.Open(filepath.Join(m.State, LearnedDir))
 }
 
-// recall has pools begin with what the process before had learned, where it left that in a folder.
-func (g *Gateway) recall(m *config.Model) *config.Model {
+// restore has pools begin with what the process before had learned, where it left that in a folder.
+func (g *Gateway) restore(m *config.Model) *config.Model {
 	d, err := openLearned(m)
 	if err != nil || d == nil {
 		if err != nil {
@@ -67,7 +67,7 @@
 			over = true
 		case <-tick.C:
 		}
-		if g.succession.isHanded() { // it is the other process's from here on
+		if g.restart.isHanded() { // it is the other process's from here on
 			if g.kept != nil {
 				g.kept.Close()
 				g.kept = nil
@@ -79,7 +79,7 @@
 		if g.kept == nil { // the process before may have had it
 			g.kept, err = openLearned(m)
 		}
-		pools, whole := g.succession.gather()
+		pools, whole := g.restart.gather()
 		if over {
 			close(g.keptLast)
 		}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -32,7 +32,7 @@
 		if g.rights != nil && c.Rate > 0 && !c.Even {
 			fleet = g.rights.family(&c)
 		}
-		list = append(list, limit.New(now, c, old[c.Name], g.succession.joined(), fleet))
+		list = append(list, limit.New(now, c, old[c.Name], g.restart.joined(), fleet))
 	}
 	g.rules = list
 }
@@ -53,7 +53,7 @@
 func (r *rights) family(c *limit.Config) limit.Fleet {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return keyed{r, r.book.Family(familyOf(c))}
+	return keyed{r, r.store.Family(familyOf(c))}
 }
 
 func familyOf(c *limit.Config) quota.Limit {
@@ -74,7 +74,7 @@
 	return nil
 }
 
-// Want has a key shared. It waits for the book, which is held for microseconds, and only where the
+// Want has a key shared. It waits for the store, which is held for microseconds, and only where the
 // key was turned away.
 func (k keyed) Want(id uint64) limit.Right {
 	if right := k.Family.Right(id); right != nil {
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -22,8 +22,8 @@
 	inbox
 	kick chan struct{} // something is to be told
 
-	mu   sync.Mutex
-	book *inflight.Book
+	mu    sync.Mutex
+	store *inflight.Store
 }
 
 // drawsEvery is how often pools are asked which hosts they draw from.
@@ -31,15 +31,15 @@
 
 // newLoads makes a part where it is asked for; nil: it is not.
 func newLoads(g *Gateway, m *config.Model) *loads {
-	if m.Bank == nil || !m.Bank.Load {
+	if m.Gossip == nil || !m.Gossip.Load {
 		return nil
 	}
-	return &loads{g: g, inbox: newInbox(), kick: make(chan struct{}, 1), book: inflight.New(m.Name, rand.Uint32())}
+	return &loads{g: g, inbox: newInbox(), kick: make(chan struct{}, 1), store: inflight.New(m.Name, rand.Uint32())}
 }
 
 func (c *loads) now() inflight.Time { return c.g.exchange.Clock().Now() }
 
-// run has the book look whenever it has something to do, until the gateway ends.
+// run has the store look whenever it has something to do, until the gateway ends.
 func (c *loads) run() {
 	draws := time.NewTicker(drawsEvery)
 	defer draws.Stop()
@@ -54,21 +54,21 @@
 			continue
 		case data := <-c.in:
 			c.mu.Lock()
-			c.book.Take(c.now(), data)
+			c.store.Take(c.now(), data)
 			c.mu.Unlock()
 		case <-c.kick:
 		case <-wake.C:
 		}
 		c.mu.Lock()
 		now := c.now()
-		next := c.book.Next(now)
+		next := c.store.Next(now)
 		if next > now {
 			c.mu.Unlock()
 			wake.Reset(next - now)
 			continue
 		}
-		out, news := c.book.Tick(now)
-		next = c.book.Next(now)
+		out, news := c.store.Tick(now)
+		next = c.store.Next(now)
 		c.mu.Unlock()
 		wake.Reset(max(next-now, time.Millisecond))
 		sendAll(c.g, out)
@@ -95,7 +95,7 @@
 				list = append(list, inflight.HostID(id))
 			}
 			c.mu.Lock()
-			c.book.Draws(c.now(), list)
+			c.store.Draws(c.now(), list)
 			c.mu.Unlock()
 		})
 	}
@@ -104,7 +104,7 @@
 // out notes own attempts. It is called in pools' loops.
 func (c *loads) out(id frostshift.HostID, more int) {
 	c.mu.Lock()
-	c.book.Out(c.now(), inflight.HostID(id), more)
+	c.store.Out(c.now(), inflight.HostID(id), more)
 	c.mu.Unlock()
 	select {
 	case c.kick <- struct{}{}:
@@ -116,7 +116,7 @@
 func (c *loads) alive(names []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.book.View(c.now(), names)
+	c.store.View(c.now(), names)
 }
 
 // exchanges are the pools that run.
@@ -152,8 +152,8 @@
 		return
 	}
 	c.mu.Lock()
-	s := LoadStatus{Counts: c.book.Counts(), Lost: c.lost.Load()}
-	list := c.book.Status(c.now())
+	s := LoadStatus{Counts: c.store.Counts(), Lost: c.lost.Load()}
+	list := c.store.Status(c.now())
 	c.mu.Unlock()
 	var names map[frostshift.HostID]string
 	s.Name, names = g.names()
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -48,20 +48,20 @@
 
 // pool is a running pool: its loop, its connections and the follower of its hosts.
 type pool struct {
-	def     *config.Pool
-	log     *slog.Logger
-	names   membership.Names
-	ex      *exchange.Pool
-	up      hosts
-	list    list
-	keeper  *keeper.Keeper // nil: the list is followed blindly
-	views   *views         // nil: nobody wants to see
-	ready   chan struct{}  // closed behind the first list
-	first   sync.Once
-	hearing *hearing     // nil: nothing of hosts is told among gateways
-	refs    atomic.Int64 // configurations that name it and are still held
-	known   hostList
-	typed   int // gateways that the configuration names
+	def        *config.Pool
+	log        *slog.Logger
+	names      membership.Names
+	ex         *exchange.Pool
+	up         hosts
+	list       list
+	keeper     *keeper.Keeper // nil: the list is followed blindly
+	views      *views         // nil: nobody wants to see
+	ready      chan struct{}  // closed behind the first list
+	first      sync.Once
+	hostHealth *hostHealth  // nil: nothing of hosts is told among gateways
+	refs       atomic.Int64 // configurations that name it and are still held
+	known      hostList
+	typed      int // gateways that the configuration names
 
 	requests, conns, bodies, answers *share.Holder
 }
@@ -85,8 +85,8 @@
 	for name := range g.banned {
 		pc.Banned = append(pc.Banned, membership.HostID(name))
 	}
-	if g.hearing != nil {
-		pc.Met, p.hearing = g.hearing.met, g.hearing
+	if g.hostHealth != nil {
+		pc.Met, p.hostHealth = g.hostHealth.met, g.hostHealth
 	}
 	if g.loads != nil {
 		pc.Out = g.loads.out
@@ -109,7 +109,7 @@
 	}
 	var err error
 	if !m.Platform { // there are no contracts there; elsewhere a reload may bring some
-		pc.Scheduler, pc.Part, pc.Door = contract.NewScheduler(1), contract.NewPart(g.instances), g.door
+		pc.Scheduler, pc.FleetShare, pc.Limiter = contract.NewScheduler(1), contract.NewFleetShare(g.instances), g.limiter
 		if r := g.rights; r != nil {
 			pc.Scheduler.SetRights(func(t *contract.Terms) contract.Right { return r.team(def.Name, t) })
 			pc.RepeatRight = r.repeats(def.Name)
@@ -139,8 +139,8 @@
 		}
 		end()
 		parts.Wait()
-		if p.hearing != nil {
-			p.hearing.end(p)
+		if p.hostHealth != nil {
+			p.hostHealth.end(p)
 		}
 		for _, h := range []*share.Holder{p.requests, p.conns, p.bodies, p.answers} {
 			h.Leave()
@@ -164,8 +164,8 @@
 	}
 	p.up.Update(l.Snapshot, list)
 	p.known.learn(l)
-	if p.hearing != nil {
-		p.hearing.list(p, l.Snapshot, list)
+	if p.hostHealth != nil {
+		p.hostHealth.list(p, l.Snapshot, list)
 	}
 }
 
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -9,8 +9,8 @@
 
 	"frostshift/internal/config"
 	"frostshift/internal/contract"
+	"frostshift/internal/peers"
 	"frostshift/internal/quota"
-	"frostshift/internal/roster"
 	"frostshift/internal/verdict"
 )
 
@@ -23,8 +23,8 @@
 	inbox
 
 	mu    sync.Mutex
-	book  *quota.Book
-	view  roster.View
+	store *quota.Store
+	view  peers.View
 	times float64 // the bounds that were logged last
 	short float64
 	warn  time.Time // of round trips that are too long, last
@@ -36,28 +36,28 @@
 		return nil
 	}
 	cfg := quota.Config{Self: m.Name, Boot: uint64(time.Now().UnixNano()), Lease: m.Quota.Lease, Drift: m.Quota.Drift, Typed: m.Instances}
-	return &rights{g: g, cfg: cfg, mode: m.Quota.Mode, inbox: newInbox(), book: quota.NewBook(g.exchange.Clock().Now(), cfg)}
+	return &rights{g: g, cfg: cfg, mode: m.Quota.Mode, inbox: newInbox(), store: quota.NewStore(g.exchange.Clock().Now(), cfg)}
 }
 
 // begin says that this process is the gateway's only one among the others from now on.
 func (r *rights) begin() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.book.Begin(r.now())
+	r.store.Begin(r.now())
 }
 
 // retire ends this process's part, before another begins its own.
 func (r *rights) retire() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.book.Retire()
+	r.store.Retire()
 }
 
 func (r *rights) now() quota.Time { return r.g.exchange.Clock().Now() }
 
-// run has the book look in turns until the gateway ends.
+// run has the store look in turns until the gateway ends.
 func (r *rights) run() {
-	tick := time.NewTicker(r.book.Every())
+	tick := time.NewTicker(r.store.Every())
 	defer tick.Stop()
 	for {
 		var out []quota.Packet
@@ -66,19 +66,19 @@
 			return
 		case <-tick.C:
 			r.mu.Lock()
-			out = slices.Clone(r.book.Tick(r.now()))
+			out = slices.Clone(r.store.Tick(r.now()))
 			r.mu.Unlock()
 		case data := <-r.in:
 			r.mu.Lock()
-			out = slices.Clone(r.book.Take(r.now(), data))
+			out = slices.Clone(r.store.Take(r.now(), data))
 			r.mu.Unlock()
 		}
 		sendAll(r.g, out)
 	}
 }
 
-// alive takes who lives from the bank.
-func (r *rights) alive(names []string, v roster.View) {
+// alive takes who lives from the gossip agent.
+func (r *rights) alive(names []string, v peers.View) {
 	most := v.Most
 	if v.Typed {
 		most = 0
@@ -86,7 +86,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.view = v
-	r.book.View(r.now(), names, most)
+	r.store.View(r.now(), names, most)
 	times, short := r.bounds()
 	if times != r.times || short != r.short {
 		r.times, r.short = times, short
@@ -94,20 +94,20 @@
 		if times > 1 || short > 0 {
 			log = r.g.log.Warn
 		}
-		log("quota: the bounds in force have changed", "mostly_full up to times", times, "never_over short by", short, "alive", r.book.Alive(), "may be", max(v.Most, r.book.Alive()))
+		log("quota: the bounds in force have changed", "mostly_full up to times", times, "never_over short by", short, "alive", r.store.Alive(), "may be", max(v.Most, r.store.Alive()))
 	}
 }
 
 // bounds are Times and Short of a QuotaStatus.
 func (r *rights) bounds() (times, short float64) {
-	alive := r.book.Alive()
+	alive := r.store.Alive()
 	most := max(r.view.Most, alive)
 	// Two that hear each other make a side with the whole; one that hears nobody keeps to the even
 	// part of the configuration's figure.
 	missed := most - alive
 	times = 1 + float64(missed/2) + float64(missed%2)/float64(max(r.cfg.Typed, 1))
-	if born := max(r.cfg.Typed, most); born > alive {
-		short = float64(born-alive) / float64(born)
+	if all := max(r.cfg.Typed, most); all > alive {
+		short = float64(all-alive) / float64(all)
 	}
 	return times, short
 }
@@ -120,7 +120,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.book.Right(l)
+	return r.store.Right(l)
 }
 
 // limitOf is what a team's absolute figures are at a pool; false: they are divided evenly.
@@ -135,12 +135,12 @@
 func (r *rights) repeats(pool string) verdict.Right {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.book.Right(quota.Limit{Name: repeatLimit(pool), Amount: verdict.AlwaysRate, Mode: r.mode})
+	return r.store.Right(quota.Limit{Name: repeatLimit(pool), Amount: verdict.AlwaysRate, Mode: r.mode})
 }
 
 func repeatLimit(pool string) string { return "repeats at " + pool }
 
-// keep has the book know the limits that a configuration names, and no others: others may want of
+// keep has the store know the limits that a configuration names, and no others: others may want of
 // one that nobody has asked for here.
 func (r *rights) keep(m *config.Model) {
 	r.mu.Lock()
@@ -152,19 +152,19 @@
 			for _, t := range m.Contracts.Terms() {
 				if l, shared := limitOf(p.Name, t); shared {
 					named[l.Name] = true
-					r.book.Right(l)
+					r.store.Right(l)
 				}
 			}
 		}
 	}
-	r.book.Drop(func(l quota.Limit) bool { return named[l.Name] })
+	r.store.Drop(func(l quota.Limit) bool { return named[l.Name] })
 	families := map[string]bool{}
 	for i := range m.Rules {
 		if c := &m.Rules[i]; c.Rate > 0 && !c.Even {
 			families[c.Name] = true
 		}
 	}
-	r.book.DropFamilies(func(l quota.Limit) bool { return families[l.Name] })
+	r.store.DropFamilies(func(l quota.Limit) bool { return families[l.Name] })
 }
 
 // QuotaStatus is what operators are shown of limits of the whole fleet.
@@ -174,7 +174,7 @@
 	Alive  int // gateways, with this one
 	Most   int // that there may be
 	Typed  int
-	Side   roster.Side
+	Side   peers.Side
 	Counts quota.Counts
 	Lost   int64 // packets that came and found no room
 	// Times is how many times a limit that is mostly full may be in force, as seen from here, if
@@ -189,8 +189,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := r.view
-	s := QuotaStatus{Name: r.cfg.Self, Lease: r.cfg.Lease, Alive: r.book.Alive(), Most: max(v.Most, r.book.Alive()), Typed: r.cfg.Typed, Side: v.Side,
-		Counts: r.book.Counts(), Lost: r.lost.Load(), Limits: r.book.Status(r.now(), all)}
+	s := QuotaStatus{Name: r.cfg.Self, Lease: r.cfg.Lease, Alive: r.store.Alive(), Most: max(v.Most, r.store.Alive()), Typed: r.cfg.Typed, Side: v.Side,
+		Counts: r.store.Counts(), Lost: r.lost.Load(), Limits: r.store.Status(r.now(), all)}
 	s.Times, s.Short = r.bounds()
 	return s
 }
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -11,34 +11,35 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"frostshift"
+	"frostshift/internal/config"
 	"frostshift/internal/exchange"
-	"frostshift/internal/roster"
+	"frostshift/internal/peers"
 )
 
 // The figures that operators see, in Prometheus' text form: read where they stand when they are
 // asked for. Their labels are the configuration's classes and three outcomes, so that neither
 // clients nor hosts can make them grow.
 var (
-	requestsDesc    = prometheus.NewDesc("edge_gw_downstream_requests", "requests of clients that have their answer", []string{"lane", "result"}, nil)
-	attemptsDesc    = prometheus.NewDesc("edge_gw_upstream_requests", "attempts at hosts", nil, nil)
-	pendingDesc     = prometheus.NewDesc("edge_gw_pending", "requests of clients that are owed an answer", nil, nil)
-	membersDesc     = prometheus.NewDesc("edge_gw_members", "hosts that are listed", nil, nil)
-	awayDesc        = prometheus.NewDesc("edge_gw_members_unavailable", "hosts that are listed and get nothing: draining, ejected or out by hand", nil, nil)
-	partDesc        = prometheus.NewDesc("edge_gw_pool_part", "hosts of a pool that this gateway draws from", []string{"pool"}, nil)
-	admittedDesc    = prometheus.NewDesc("edge_gw_pool_admitted", "part of a pool's requests that is not refused on arrival", []string{"pool"}, nil)
-	lateDesc        = prometheus.NewDesc("edge_gw_pool_late", "how late a pool's answers are held to be, in aims; what is shed rests on it", []string{"pool"}, nil)
-	evidenceDesc    = prometheus.NewDesc("edge_gw_pool_late_answers", "recent answers that say so", []string{"pool"}, nil)
-	bankMembersDesc = prometheus.NewDesc("edge_gw_bank_members", "other gateways and this one, by what is held of them", []string{"state"}, nil)
-	bankCountDesc   = prometheus.NewDesc("edge_gw_bank_count", "gateways that have a place", nil, nil)
-	bankLeastDesc   = prometheus.NewDesc("edge_gw_bank_least", "fewest gateways there may be: parts of hosts go by it", nil, nil)
-	bankMostDesc    = prometheus.NewDesc("edge_gw_bank_most", "most gateways there may be: budgets go by it", nil, nil)
-	bankSideDesc    = prometheus.NewDesc("edge_gw_bank_side", "0: whole, 1: majority, 2: minority, 3: alone", nil, nil)
-	quotaLimitsDesc = prometheus.NewDesc("edge_gw_quota_limits", "limits of the fleet that are shared unevenly now", nil, nil)
-	quotaTimesDesc  = prometheus.NewDesc("edge_gw_quota_times", "how many times a limit that is mostly full may be in force", nil, nil)
-	quotaShortDesc  = prometheus.NewDesc("edge_gw_quota_short", "part of a limit that is never over which may be missing", nil, nil)
-	limitDesc       = prometheus.NewDesc("edge_gw_limit_requests", "requests and connections that met a limit by key, by what became of them", []string{"limit", "result"}, nil)
-	reloadsDesc     = prometheus.NewDesc("edge_gw_config_reloads", "configurations taken over", nil, nil)
-	badReloadDesc   = prometheus.NewDesc("edge_gw_config_reload_errors", "configurations turned down", nil, nil)
+	requestsDesc     = prometheus.NewDesc("edge_gw_downstream_requests", "requests of clients that have their answer", []string{"lane", "result"}, nil)
+	attemptsDesc     = prometheus.NewDesc("edge_gw_upstream_requests", "attempts at hosts", nil, nil)
+	pendingDesc      = prometheus.NewDesc("edge_gw_pending", "requests of clients that are owed an answer", nil, nil)
+	membersDesc      = prometheus.NewDesc("edge_gw_members", "hosts that are listed", nil, nil)
+	awayDesc         = prometheus.NewDesc("edge_gw_members_unavailable", "hosts that are listed and get nothing: draining, ejected or out by hand", nil, nil)
+	partDesc         = prometheus.NewDesc("edge_gw_pool_part", "hosts of a pool that this gateway draws from", []string{"pool"}, nil)
+	admittedDesc     = prometheus.NewDesc("edge_gw_pool_admitted", "part of a pool's requests that is not refused on arrival", []string{"pool"}, nil)
+	lateDesc         = prometheus.NewDesc("edge_gw_pool_late", "how late a pool's answers are held to be, in aims; what is shed rests on it", []string{"pool"}, nil)
+	evidenceDesc     = prometheus.NewDesc("edge_gw_pool_late_answers", "recent answers that say so", []string{"pool"}, nil)
+	fleetMembersDesc = prometheus.NewDesc("edge_gw_fleet_members", "other gateways and this one, by what is held of them", []string{"state"}, nil)
+	fleetCountDesc   = prometheus.NewDesc("edge_gw_fleet_count", "gateways that have a place", nil, nil)
+	fleetLeastDesc   = prometheus.NewDesc("edge_gw_fleet_least", "fewest gateways there may be: parts of hosts go by it", nil, nil)
+	fleetMostDesc    = prometheus.NewDesc("edge_gw_fleet_most", "most gateways there may be: budgets go by it", nil, nil)
+	fleetSideDesc    = prometheus.NewDesc("edge_gw_fleet_side", "0: whole, 1: majority, 2: minority, 3: alone", nil, nil)
+	quotaLimitsDesc  = prometheus.NewDesc("edge_gw_quota_limits", "limits of the fleet that are shared unevenly now", nil, nil)
+	quotaTimesDesc   = prometheus.NewDesc("edge_gw_quota_times", "how many times a limit that is mostly full may be in force", nil, nil)
+	quotaShortDesc   = prometheus.NewDesc("edge_gw_quota_short", "part of a limit that is never over which may be missing", nil, nil)
+	limitDesc        = prometheus.NewDesc("edge_gw_limit_requests", "requests and connections that met a limit by key, by what became of them", []string{"limit", "result"}, nil)
+	reloadsDesc      = prometheus.NewDesc("edge_gw_config_reloads", "configurations taken over", nil, nil)
+	badReloadDesc    = prometheus.NewDesc("edge_gw_config_reload_errors", "configurations turned down", nil, nil)
 )
 
 // lookWithin is how long pools may take to say how their hosts stand; what they do not say then
@@ -51,15 +52,15 @@
 // stats collects the figures.
 type stats struct{ *Gateway }
 
-// pages are what operators may read: the figures, and the bank.
+// pages are what operators may read: the figures, and the fleet.
 func (g *Gateway) pages() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /stats", stats{g}.handler())
-	mux.HandleFunc("GET /bank", g.bankStatus)
-	mux.HandleFunc("POST /bank/leave", g.bankLeave)
+	mux.HandleFunc("GET /fleet", g.fleetStatus)
+	mux.HandleFunc("POST /fleet/leave", g.fleetLeave)
 	mux.HandleFunc("GET /quota", g.quotaStatus)
 	mux.HandleFunc("GET /verdicts", g.verdictsStatus)
-	mux.HandleFunc("GET /edicts", g.edictsStatus)
+	mux.HandleFunc("GET /overrides", g.overridesStatus)
 	mux.HandleFunc("GET /load", g.loadStatus)
 	mux.HandleFunc("GET /limits", g.limitsStatus)
 	mux.HandleFunc("GET /limits/explain", g.limitsExplain)
@@ -75,7 +76,7 @@
 
 // Describe names the figures.
 func (s stats) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, pendingDesc, membersDesc, awayDesc, partDesc, admittedDesc, lateDesc, evidenceDesc, bankMembersDesc, bankCountDesc, bankLeastDesc, bankMostDesc, bankSideDesc, quotaLimitsDesc, quotaTimesDesc, quotaShortDesc, limitDesc, reloadsDesc, badReloadDesc} {
+	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, pendingDesc, membersDesc, awayDesc, partDesc, admittedDesc, lateDesc, evidenceDesc, fleetMembersDesc, fleetCountDesc, fleetLeastDesc, fleetMostDesc, fleetSideDesc, quotaLimitsDesc, quotaTimesDesc, quotaShortDesc, limitDesc, reloadsDesc, badReloadDesc} {
 		out <- d
 	}
 }
@@ -93,14 +94,52 @@
 	if model == nil {
 		return
 	}
-	count := func(d *prometheus.Desc, v int64, labels ...string) {
-		out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+	m := metrics(out)
+	s.collectRequests(m, model, pools)
+	m.gauge(pendingDesc, float64(s.exchange.Open()))
+	if members, away, ok := look(pools); ok {
+		m.gauge(membersDesc, float64(members))
+		m.gauge(awayDesc, float64(away))
+	}
+	for name, st := range standings(running) {
+		m.gauge(partDesc, float64(st.Reach), name)
+		m.gauge(admittedDesc, st.Admitted, name)
+		m.gauge(lateDesc, st.Late, name)
+		m.gauge(evidenceDesc, st.Answers, name)
 	}
-	gauge := func(d *prometheus.Desc, v int) {
-		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(v))
+	s.collectFleet(m)
+	if s.rights != nil {
+		q := s.rights.status(false)
+		m.gauge(quotaLimitsDesc, float64(len(q.Limits)))
+		m.gauge(quotaTimesDesc, q.Times)
+		m.gauge(quotaShortDesc, q.Short)
 	}
+	for _, r := range rules {
+		c := r.Counts()
+		for result, n := range map[string]int64{"passed": c.Passed, "held_back": c.Waited, "over_rate": c.Rate, "over_concurrency": c.Open, "dry_run": c.Dry} {
+			m.count(limitDesc, n, r.Name, result)
+		}
+	}
+	m.count(reloadsDesc, s.reloads.taken.Load())
+	m.count(badReloadDesc, s.reloads.refused.Load())
+}
+
+// metrics takes in what is read.
+type metrics chan<- prometheus.Metric
+
+func (m metrics) count(d *prometheus.Desc, v int64, labels ...string) {
+	m <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+}
+
+func (m metrics) gauge(d *prometheus.Desc, v float64, labels ...string) {
+	m <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+}
+
+// collectRequests reads how requests ended by class, and how many attempts there were. A class by
+// method stands in the model twice.
+func (s stats) collectRequests(m metrics, model *config.Model, pools []*exchange.Pool) {
 	results := [...]string{exchange.Served: "completed", exchange.Refused: "rejected", exchange.Failed: "failed"}
-	sums := map[string]*[len(results)]int64{} // a class by method stands in the model twice
+	sums := map[string]*[len(results)]int64{}
 	var attempts int64
 	for _, p := range pools {
 		attempts += p.Counts().Attempts.Load()
@@ -117,49 +156,31 @@
 	}
 	for name, sum := range sums {
 		for v, result := range results {
-			count(requestsDesc, sum[v], name, result)
-		}
-	}
-	count(attemptsDesc, attempts)
-	gauge(pendingDesc, s.exchange.Open())
-	if members, away, ok := look(pools); ok {
-		gauge(membersDesc, members)
-		gauge(awayDesc, away)
-	}
-	for name, st := range standings(running) {
-		for d, v := range map[*prometheus.Desc]float64{partDesc: float64(st.Reach), admittedDesc: st.Admitted, lateDesc: st.Late, evidenceDesc: st.Answers} {
-			out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, name)
+			m.count(requestsDesc, sum[v], name, result)
 		}
 	}
+	m.count(attemptsDesc, attempts)
+}
+
+// collectFleet reads who the other gateways are, where they are known.
+func (s stats) collectFleet(m metrics) {
 	ctx, end := context.WithTimeout(context.Background(), lookWithin)
 	defer end()
-	if b, ok := s.bankView(ctx); ok {
-		states := map[roster.State]int{}
-		for _, m := range b.Members {
-			states[m.State]++
-		}
-		for _, state := range []roster.State{roster.Alive, roster.Suspected, roster.Failed, roster.Unknown, roster.Left} {
-			out <- prometheus.MustNewConstMetric(bankMembersDesc, prometheus.GaugeValue, float64(states[state]), state.String())
-		}
-		gauge(bankCountDesc, b.View.Count)
-		gauge(bankLeastDesc, b.View.Least)
-		gauge(bankMostDesc, b.View.Most)
-		gauge(bankSideDesc, int(b.View.Side))
+	fleet, ok := s.fleetView(ctx)
+	if !ok {
+		return
 	}
-	if s.rights != nil {
-		q := s.rights.status(false)
-		gauge(quotaLimitsDesc, len(q.Limits))
-		out <- prometheus.MustNewConstMetric(quotaTimesDesc, prometheus.GaugeValue, q.Times)
-		out <- prometheus.MustNewConstMetric(quotaShortDesc, prometheus.GaugeValue, q.Short)
+	states := map[peers.State]int{}
+	for _, member := range fleet.Members {
+		states[member.State]++
 	}
-	for _, r := range rules {
-		c := r.Counts()
-		for result, n := range map[string]int64{"passed": c.Passed, "held_back": c.Waited, "over_rate": c.Rate, "over_concurrency": c.Open, "dry_run": c.Dry} {
-			count(limitDesc, n, r.Name, result)
-		}
+	for _, state := range []peers.State{peers.Alive, peers.Suspected, peers.Failed, peers.Unknown, peers.Left} {
+		m.gauge(fleetMembersDesc, float64(states[state]), state.String())
 	}
-	count(reloadsDesc, s.reloads.taken.Load())
-	count(badReloadDesc, s.reloads.refused.Load())
+	m.gauge(fleetCountDesc, float64(fleet.View.Count))
+	m.gauge(fleetLeastDesc, float64(fleet.View.Least))
+	m.gauge(fleetMostDesc, float64(fleet.View.Most))
+	m.gauge(fleetSideDesc, float64(fleet.View.Side))
 }
 
 // standings asks pools what they go by, all within one lookWithin; those that don't say are left out.
--- a/internal/bank/meta.go
+++ b/internal/gossip/meta.go
@@ -1,4 +1,4 @@
-package bank
+package gossip
 
 import (
 	"encoding/binary"
@@ -6,7 +6,7 @@
 	"math"
 	"unicode/utf8"
 
-	"frostshift/internal/roster"
+	"frostshift/internal/peers"
 )
 
 // What a member says of itself goes with memberlist's alive messages, at most metaMost bytes: a
@@ -34,7 +34,7 @@
 
 var errMeta = errors.New("what the member says of itself can't be read")
 
-func encodeMeta(m *roster.Member, leaves bool) []byte {
+func encodeMeta(m *peers.Member, leaves bool) []byte {
 	b := []byte{metaVersion}
 	b = append(b, tagStarted, 8)
 	b = binary.BigEndian.AppendUint64(b, uint64(m.Started))
@@ -50,7 +50,7 @@
 }
 
 // decodeMeta reads into a member what came from a peer: nothing in it is trusted.
-func decodeMeta(b []byte, m *roster.Member) (leaves bool, err error) {
+func decodeMeta(b []byte, m *peers.Member) (leaves bool, err error) {
 	m.Takes = 1
 	if len(b) == 0 || len(b) > metaMost {
 		return false, errMeta
--- a/internal/bank/status.go
+++ b/internal/gossip/status.go
@@ -1,4 +1,4 @@
-package bank
+package gossip
 
 import (
 	"context"
@@ -6,14 +6,14 @@
 	"encoding/hex"
 	"time"
 
-	"frostshift/internal/roster"
+	"frostshift/internal/peers"
 )
 
 // Status is what operators are shown.
 type Status struct {
 	Name    string
 	Listen  string
-	View    roster.View
+	View    peers.View
 	Members []MemberStatus
 	// Keys are fingerprints, the first is that which is used for sending.
 	Keys []string `json:",omitempty"`
@@ -26,18 +26,18 @@
 
 // MemberStatus is a member as it is held.
 type MemberStatus struct {
-	roster.Status
+	peers.Status
 	RoundTrip time.Duration `json:",omitempty"`
 	Twice     bool          `json:",omitempty"` // another has its name
 }
 
-// Status is how things stand. Where the bank has ended it is empty but for the name.
-func (b *Bank) Status(ctx context.Context) (s Status) {
+// Status is how things stand. Where the agent has ended it is empty but for the name.
+func (b *Agent) Status(ctx context.Context) (s Status) {
 	s.Name, s.Listen = b.cfg.Name, b.Addr()
 	s.Dropped, s.Refused, s.Sent, s.SentBytes = b.t.dropped.Load(), b.t.refused.Load(), b.t.sent.Load(), b.t.sentBytes.Load()
 	s.Health = b.list.GetHealthScore()
-	var members []roster.Status
-	b.ask(ctx, func(r *roster.Roster) {
+	var members []peers.Status
+	b.ask(ctx, func(r *peers.Registry) {
 		now := time.Since(b.began)
 		r.Tick(now)
 		s.View, members = r.View(), r.Members(now)
--- a/internal/bank/transport.go
+++ b/internal/gossip/transport.go
@@ -1,4 +1,4 @@
-package bank
+package gossip
 
 import (
 	"errors"
--- a/internal/hearsay/packet.go
+++ b/internal/hosthealth/packet.go
@@ -1,4 +1,4 @@
-package hearsay
+package hosthealth
 
 import (
 	"encoding/binary"
--- a/internal/handover/frame.go
+++ b/internal/hotrestart/frame.go
@@ -1,8 +1,8 @@
-// Package handover is the link between two processes of one gateway while one takes over from
+// Package hotrestart is the link between two processes of one gateway while one takes over from
 // the other: a Unix socket on which each tells the other what it has to know. It frames,
 // checks and bounds; what the messages say is for whoever sends and takes them. It knows
 // nothing of hosts, clients or requests.
-package handover
+package hotrestart
 
 import (
 	"bytes"
@@ -35,7 +35,7 @@
 const mostPayload = 16 << 20
 
 // ErrDamaged is a message that is none, or not as it was sent.
-var ErrDamaged = errors.New("handover: damaged message")
+var ErrDamaged = errors.New("hot restart: damaged message")
 
 // headLen is a frame's head: the payload's length, the kind, and a checksum over both.
 const headLen = 4 + 1 + 4
--- a/internal/handover/handover_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"bytes"
--- a/internal/handover/peer.go
+++ b/internal/hotrestart/peer.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"bufio"
@@ -27,7 +27,7 @@
 )
 
 // ErrGone says that the other process has gone.
-var ErrGone = errors.New("handover: the other process has gone")
+var ErrGone = errors.New("hot restart: the other process has gone")
 
 // Peer is a link to the other process. It is safe for concurrent use.
 type Peer struct {
--- a/internal/inflight/inflight.go
+++ b/internal/inflight/inflight.go
@@ -3,15 +3,15 @@
 // spread theirs nearly as one that sees all of it.
 //
 // Each gateway says which hosts it draws from, and tells those that draw from the same host as soon as
-// its own count there changes. A packet holds all that its teller has out where the two meet, so one that
+// its own count there changes. A packet holds all that its reporter has out where the two meet, so one that
 // comes late or twice changes nothing and the next mends one that was lost. News that is old makes herds:
-// what a teller says counts in full up to a lag of freshLag, less beyond it, and nothing from staleLag on,
-// the lag being half the round trip that echoes show and the time the packet waited at its teller. What is
-// not renewed within Lasts is gone. One teller's word stands for mostCount attempts at a host at most.
+// what a reporter says counts in full up to a lag of freshLag, less beyond it, and nothing from staleLag on,
+// the lag being half the round trip that echoes show and the time the packet waited at its reporter. What is
+// not renewed within Lasts is gone. One reporter's word stands for mostCount attempts at a host at most.
 // docs/design/even.md has the measurements and the bounds.
 //
 // It does no I/O and reads no clock; instants and packets are handed in, and the same code runs on sockets
-// and in a simulation. It knows hosts by number, and neither pools nor requests. A Book is not safe for
+// and in a simulation. It knows hosts by number, and neither pools nor requests. A Store is not safe for
 // concurrent use.
 //
 // inflight.go is what is told and held, packet.go the form in which gateways say it.
@@ -44,8 +44,8 @@
 	freshLag = 100 * time.Millisecond
 	staleLag = 250 * time.Millisecond
 	echoOld  = 2 * time.Second // an echo held for longer says nothing of the way
-	weights  = 16              // parts in which a teller's weight is reckoned
-	// mostCount is what one teller can say of a host, mostHosts of how many it may speak, and how many
+	weights  = 16              // parts in which a reporter's weight is reckoned
+	// mostCount is what one reporter can say of a host, mostHosts of how many it may speak, and how many
 	// it draws from by name: from more than that it draws from all.
 	mostCount = 8
 	mostHosts = 128
@@ -66,7 +66,7 @@
 	Until Time
 }
 
-// count is what a teller has out at a host.
+// count is what a reporter has out at a host.
 type count struct {
 	host HostID
 	n    int
@@ -107,17 +107,13 @@
 	news  bool // it has changed since
 }
 
-// Counts are totals since the start.
-type Counts struct {
-	Sent, Taken, Strange int64 // packets
-	Held                 int64 // packets that waited for the rate
-}
-
-// Book is what one gateway tells and holds.
-type Book struct {
+// Store is what one gateway tells and holds.
+type Store struct {
 	self    string
 	session uint32
 	peers   map[string]*peer
+	order   []*peer // the peers by name: nothing depends on the order of a map
+	first   int     // of order, behind the one that was greeted last
 	own     map[HostID]int
 	drawn   map[HostID]Time    // when this gateway was last said to draw from it
 	said    []HostID           // as others were told
@@ -141,33 +137,36 @@
 	told Time // unless it was since
 }
 
-// New makes a book of a gateway that knows nobody. The session tells its processes apart.
-func New(self string, session uint32) *Book {
-	return &Book{self: self, session: session, peers: map[string]*peer{}, own: map[HostID]int{}, drawn: map[HostID]Time{}, users: map[HostID][]*peer{}, sums: map[HostID]*sum{}, tokens: burst}
+// New makes a store of a gateway that knows nobody. The session tells its processes apart.
+func New(self string, session uint32) *Store {
+	return &Store{self: self, session: session, peers: map[string]*peer{}, own: map[HostID]int{}, drawn: map[HostID]Time{}, users: map[HostID][]*peer{}, sums: map[HostID]*sum{}, tokens: burst}
 }
 
 // View says who else is held alive. What one who is not has said counts no more.
-func (b *Book) View(now Time, names []string) {
+func (b *Store) View(now Time, names []string) {
 	there := make(map[string]bool, len(names))
 	for _, name := range names {
 		there[name] = true
 		if name != b.self && b.peers[name] == nil && len(b.peers) < mostPeers {
 			p := &peer{name: name, greetAt: now, pause: usesPause}
 			b.peers[name] = p
+			at, _ := slices.BinarySearchFunc(b.order, name, func(p *peer, name string) int { return cmp.Compare(p.name, name) })
+			b.order = slices.Insert(b.order, at, p)
 		}
 	}
-	for name, p := range b.peers {
-		if !there[name] {
+	for _, p := range b.order {
+		if !there[p.name] {
 			b.holds(p, nil, 0)
 			b.draws(p, nil, false)
-			delete(b.peers, name)
+			delete(b.peers, p.name)
 		}
 	}
+	b.order = slices.DeleteFunc(b.order, func(p *peer) bool { return b.peers[p.name] != p })
 	b.queue = slices.DeleteFunc(b.queue, func(p *peer) bool { return b.peers[p.name] != p })
 }
 
 // Draws says which hosts this gateway draws from now.
-func (b *Book) Draws(now Time, hosts []HostID) {
+func (b *Store) Draws(now Time, hosts []HostID) {
 	for _, h := range hosts {
 		b.drawn[h] = now
 	}
@@ -185,13 +184,13 @@
 		return
 	}
 	b.said, b.saidAt = list, now
-	for _, p := range b.peers {
+	for _, p := range b.order {
 		p.greetAt, p.pause = now, usesPause
 	}
 }
 
 // Out notes that this gateway has so many attempts more, or fewer, out at a host.
-func (b *Book) Out(now Time, h HostID, more int) {
+func (b *Store) Out(now Time, h HostID, more int) {
 	n := b.own[h] + more
 	if b.own[h] = n; n <= 0 {
 		delete(b.own, h)
@@ -210,7 +209,7 @@
 }
 
 // tell has a peer told.
-func (b *Book) tell(now Time, p *peer) {
+func (b *Store) tell(now Time, p *peer) {
 	if !p.queued {
 		p.queued, p.since = true, now
 		b.queue = append(b.queue, p)
@@ -218,7 +217,7 @@
 }
 
 // Next is when Tick has something to do.
-func (b *Book) Next(now Time) Time {
+func (b *Store) Next(now Time) Time {
 	next := b.scanAt
 	if len(b.agains) > 0 {
 		next = min(next, b.agains[0].at)
@@ -234,7 +233,7 @@
 
 // Tick looks at what is due, and returns what is to be sent and what has changed. The lists are the
 // caller's.
-func (b *Book) Tick(now Time) (out []Packet, news []News) {
+func (b *Store) Tick(now Time) (out []Packet, news []News) {
 	b.tokens = min(burst, b.tokens+perSec*(now-b.filled).Seconds())
 	b.filled = now
 	for len(b.agains) > 0 && b.agains[0].at <= now {
@@ -264,144 +263,8 @@
 	return out, b.changed(now)
 }
 
-// may takes a packet from the rate, if there is one.
-func (b *Book) may() bool {
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
-
-// scan greets, renews what is told, and lets what was not renewed go.
-func (b *Book) scan(now Time) (out []Packet) {
-	b.scanAt = now + scanEvery
-	for _, p := range b.peers {
-		// What is out goes before, but one is greeted in any case.
-		if p.greetAt <= now && (len(out) == 0 || b.tokens > burst/2) && b.may() {
-			p.greetAt, p.replies = now+p.pause, 0
-			p.pause = min(2*p.pause, usesEvery)
-			out = append(out, b.packet(now, p, kindDraws))
-		}
-		if p.out != nil && now-p.heardAt >= Lasts {
-			b.holds(p, nil, 0)
-		}
-		if p.told && now-p.toldAt >= Lasts/renews {
-			b.tell(now, p)
-		}
-	}
-	for h, s := range b.sums {
-		switch {
-		case s.parts > 0 && now-s.said >= Lasts/renews:
-			b.mark(h, s)
-		case s.parts == 0 && !s.news:
-			delete(b.sums, h)
-		}
-	}
-	return out
-}
-
-func (b *Book) mark(h HostID, s *sum) {
-	if !s.news {
-		s.news = true
-		b.fresh = append(b.fresh, h)
-	}
-}
-
-// changed is what is to be said of sums that have changed.
-func (b *Book) changed(now Time) (news []News) {
-	for _, h := range b.fresh {
-		s := b.sums[h]
-		s.news, s.said = false, now
-		news = append(news, News{h, float64(s.parts) / weights, now + Lasts})
-	}
-	b.fresh = b.fresh[:0]
-	return news
-}
-
-// holds puts what a peer says in the place of what it said before.
-func (b *Book) holds(p *peer, list []count, weight int) {
-	add := func(list []count, weight int) {
-		for _, c := range list {
-			s := b.sums[c.host]
-			if s == nil {
-				s = &sum{}
-				b.sums[c.host] = s
-			}
-			s.parts += c.n * weight
-			b.mark(c.host, s)
-		}
-	}
-	add(p.out, -p.weight)
-	add(list, weight)
-	p.out, p.weight = list, weight
-}
-
-// draws notes the hosts that a peer draws from.
-func (b *Book) draws(p *peer, list []HostID, all bool) {
-	for _, h := range p.uses {
-		b.users[h] = slices.DeleteFunc(b.users[h], func(o *peer) bool { return o == p })
-		if len(b.users[h]) == 0 {
-			delete(b.users, h)
-		}
-	}
-	if p.all {
-		b.wide = slices.DeleteFunc(b.wide, func(o *peer) bool { return o == p })
-	}
-	p.uses, p.all = list, all
-	for _, h := range list {
-		b.users[h] = append(b.users[h], p)
-	}
-	if all {
-		b.wide = append(b.wide, p)
-	}
-}
-
-// shared is what this gateway has out where a peer draws.
-func (b *Book) shared(p *peer) (list []count) {
-	if p.all {
-		for h, n := range b.own {
-			list = append(list, count{h, n})
-		}
-	} else {
-		for _, h := range p.uses {
-			if n := b.own[h]; n > 0 {
-				list = append(list, count{h, n})
-			}
-		}
-	}
-	if len(list) > mostHosts { // the fullest first
-		slices.SortFunc(list, func(x, y count) int { return y.n - x.n })
-		list = list[:mostHosts]
-	}
-	slices.SortFunc(list, func(x, y count) int { return cmp.Compare(x.host, y.host) })
-	return list
-}
-
-// packet says to a peer what is out where it draws, or where this gateway does.
-func (b *Book) packet(now Time, p *peer, kind byte) Packet {
-	m := message{kind: kind, asks: !p.tripped, from: b.self, session: b.session, stamp: stampOf(now), held: noEcho, knows: digest(p.uses, p.all)}
-	if held := now - p.stampAt; p.stampAt > 0 && held < echoOld {
-		m.echo, m.held = p.stamp, held
-	}
-	if kind == kindDraws {
-		m.all = len(b.said) > mostHosts
-		for _, h := range b.said[:min(len(b.said), mostHosts)] {
-			m.list = append(m.list, count{h, 0})
-		}
-	} else {
-		m.waited = now - p.since
-		m.list = b.shared(p)
-		p.told = len(m.list) > 0
-	}
-	b.counts.Sent++
-	p.sent++
-	m.seq, m.loses = p.sent, p.lost
-	return Packet{p.name, m.encode()}
-}
-
 // Take takes in what another gateway says. What is strange is counted and dropped.
-func (b *Book) Take(now Time, data []byte) {
+func (b *Store) Take(now Time, data []byte) {
 	var m message
 	p := (*peer)(nil)
 	if m.decode(data) {
@@ -460,59 +323,10 @@
 
 // weigh is how much what a peer says counts: whole while it is fresh, and not at all where nothing is
 // known of the way.
-func (b *Book) weigh(p *peer, waited Time) int {
+func (b *Store) weigh(p *peer, waited Time) int {
 	if !p.tripped {
 		return 0
 	}
 	lag := p.trip/2 + waited
 	return int(weights * min(1, max(0, staleLag-lag).Seconds()/(staleLag-freshLag).Seconds()))
 }
-
-// Counts are the totals.
-func (b *Book) Counts() Counts { return b.counts }
-
-// Status is what others have out at a host, for operators.
-type Status struct {
-	Host    HostID
-	Own     int
-	Others  float64 // as far as it counts
-	Tellers []Teller
-}
-
-// Teller is one who has attempts out at a host.
-type Teller struct {
-	Name   string
-	Out    int
-	Weight float64
-	Lag    time.Duration // half the round trip
-	Age    time.Duration
-}
-
-// Status is what is held of hosts at which anybody has something out, by number.
-func (b *Book) Status(now Time) (list []Status) {
-	by := map[HostID]*Status{}
-	at := func(h HostID) *Status {
-		if by[h] == nil {
-			by[h] = &Status{Host: h, Own: b.own[h]}
-			if s := b.sums[h]; s != nil {
-				by[h].Others = float64(s.parts) / weights
-			}
-		}
-		return by[h]
-	}
-	for h := range b.own {
-		at(h)
-	}
-	for _, p := range b.peers {
-		for _, c := range p.out {
-			s := at(c.host)
-			s.Tellers = append(s.Tellers, Teller{p.name, c.n, float64(p.weight) / weights, p.trip / 2, now - p.heardAt})
-		}
-	}
-	for _, s := range by {
-		slices.SortFunc(s.Tellers, func(x, y Teller) int { return y.Out - x.Out })
-		list = append(list, *s)
-	}
-	slices.SortFunc(list, func(x, y Status) int { return cmp.Compare(x.Host, y.Host) })
-	return list
-}
--- a/internal/membership/belief/belief.go
+++ b/internal/membership/belief/belief.go
@@ -165,99 +165,126 @@
 // Decide looks at all hosts and returns what has changed of what the pool goes by: entries
 // that are active or leaving, and those that have left.
 func (b *Belief) Decide(now time.Duration, seen func(name string) Seen) (changes []membership.Endpoint) {
-	if b.kept > 0 {
-		b.turnedAt = now
-	}
-	if now-b.turnedAt >= b.cfg.Window {
-		// What was listed at the last look was so until now, however long ago that is.
-		b.peak = [2]int{b.plausible, b.peak[0]}
-		if now-b.turnedAt >= 2*b.cfg.Window {
-			b.peak[1] = b.plausible
-		}
-		b.turnedAt = now
-	}
+	b.turnPeak(now)
 	vouched := 0
 	b.plausible, b.unsure = 0, 0
 	var damp []*host
 	for name, h := range b.hosts {
-		if !h.listed {
+		switch {
+		case !h.listed:
 			b.unsure++
 			if b.lost(h, now) && h.told.Status == "" && (b.faded(h, now) < 0.1 || len(b.hosts) > mostKnown) {
 				delete(b.hosts, name)
 			}
-			continue
-		}
-		if h.Status != membership.Active {
-			continue
-		}
-		s := seen(name)
-		if s.Bad > s.Good && s.Bad > h.since {
-			h.sure = false
-		} else if b.plausible++; s.Good > h.since || now-h.since >= b.cfg.Settle {
-			h.sure = true
-		}
-		if !h.sure {
-			b.unsure++
-		}
-		if h.penalty > 0 {
-			switch p := b.faded(h, now); {
-			case p >= b.cfg.Suppress:
-				h.damped = true
-			case p < b.cfg.Reuse:
-				h.damped = false
+		case h.Status == membership.Active:
+			b.vouch(h, now, seen(name))
+			if h.damped {
+				damp = append(damp, h)
+			} else if h.sure {
+				vouched++
 			}
 		}
-		if h.damped {
-			b.unsure++
-			damp = append(damp, h)
-		} else if h.sure {
-			vouched++
-		}
 	}
 	b.peak[0] = max(b.peak[0], b.plausible)
 	need := int(math.Ceil(b.cfg.Floor * float64(max(b.peak[0], b.peak[1]))))
 	b.short = vouched < need
-	// Those that flap least are used first, where the others are too few.
+	b.release(damp, max(need-vouched, 0), now)
+	b.believed, b.kept = 0, 0
+	for _, h := range b.hosts {
+		b.use(h, now, seen)
+		if change, ok := h.tell(); ok {
+			changes = append(changes, change)
+		}
+	}
+	slices.SortFunc(changes, func(x, y membership.Endpoint) int { return cmp.Compare(x.Name, y.Name) })
+	return changes
+}
+
+// turnPeak begins another window of the most hosts that were plausible, where one is over.
+func (b *Belief) turnPeak(now time.Duration) {
+	if b.kept > 0 {
+		b.turnedAt = now
+	}
+	if now-b.turnedAt < b.cfg.Window {
+		return
+	}
+	// What was listed at the last look was so until now, however long ago that is.
+	b.peak = [2]int{b.plausible, b.peak[0]}
+	if now-b.turnedAt >= 2*b.cfg.Window {
+		b.peak[1] = b.plausible
+	}
+	b.turnedAt = now
+}
+
+// vouch decides whether a listed host is sure, and whether it is left out for flapping.
+func (b *Belief) vouch(h *host, now time.Duration, s Seen) {
+	if s.Bad > s.Good && s.Bad > h.since {
+		h.sure = false
+	} else if b.plausible++; s.Good > h.since || now-h.since >= b.cfg.Settle {
+		h.sure = true
+	}
+	if !h.sure {
+		b.unsure++
+	}
+	if h.penalty > 0 {
+		switch p := b.faded(h, now); {
+		case p >= b.cfg.Suppress:
+			h.damped = true
+		case p < b.cfg.Reuse:
+			h.damped = false
+		}
+	}
+	if h.damped {
+		b.unsure++
+	}
+}
+
+// release takes so many of the hosts that flap back into use, where the others are too few: those
+// that flap least first.
+func (b *Belief) release(damp []*host, spare int, now time.Duration) {
 	slices.SortFunc(damp, func(x, y *host) int {
 		return cmp.Or(cmp.Compare(b.faded(x, now), b.faded(y, now)), cmp.Compare(x.Name, y.Name))
 	})
-	spare := max(need-vouched, 0)
 	b.damped = max(len(damp)-spare, 0)
 	for i, h := range damp {
 		h.damped = i >= spare
 	}
-	b.believed, b.kept = 0, 0
-	for _, h := range b.hosts {
-		h.used = h.Status == membership.Active && !h.damped
-		if !h.listed && h.used {
-			s := seen(h.Name)
-			if h.used = b.short && !b.lost(h, now) && !(s.Bad > s.Good); h.used {
-				b.kept++
-			} else {
-				h.Status = membership.Left // it is given up, whatever goes missing later
-			}
-		}
-		if h.used {
-			b.believed++
-		}
-		want := h.Endpoint
-		switch {
-		case h.used, h.listed && h.Status == membership.Leaving:
-		case h.listed && h.damped: // it finishes what it has
-			want.Status = membership.Leaving
-		default:
-			want.Status = membership.Left
-		}
-		if want.Status == membership.Left && h.told.Status == "" || want == h.told {
-			continue
-		}
-		if h.told = want; want.Status == membership.Left {
-			h.told = membership.Endpoint{}
+}
+
+// use decides whether the pool uses a host. One that the list misses is kept while too few are
+// vouched for and sockets do not speak against it.
+func (b *Belief) use(h *host, now time.Duration, seen func(name string) Seen) {
+	h.used = h.Status == membership.Active && !h.damped
+	if !h.listed && h.used {
+		s := seen(h.Name)
+		if h.used = b.short && !b.lost(h, now) && !(s.Bad > s.Good); h.used {
+			b.kept++
+		} else {
+			h.Status = membership.Left // it is given up, whatever goes missing later
 		}
-		changes = append(changes, want)
 	}
-	slices.SortFunc(changes, func(x, y membership.Endpoint) int { return cmp.Compare(x.Name, y.Name) })
-	return changes
+	if h.used {
+		b.believed++
+	}
+}
+
+// tell is what the pool is to be told of a host, if that has changed.
+func (h *host) tell() (membership.Endpoint, bool) {
+	want := h.Endpoint
+	switch {
+	case h.used, h.listed && h.Status == membership.Leaving:
+	case h.listed && h.damped: // it finishes what it has
+		want.Status = membership.Leaving
+	default:
+		want.Status = membership.Left
+	}
+	if want.Status == membership.Left && h.told.Status == "" || want == h.told {
+		return want, false
+	}
+	if h.told = want; want.Status == membership.Left {
+		h.told = membership.Endpoint{}
+	}
+	return want, true
 }
 
 // lost says that a missing host is given up in any case.
--- a/internal/membership/keeper/part.go
+++ b/internal/membership/keeper/part.go
@@ -13,7 +13,7 @@
 
 // Part says which part of a pool this gateway uses.
 type Part struct {
-	Bank  subset.Bank
+	Fleet subset.Fleet
 	Rank  int
 	Pools int // pools of one gateway that share the hosts; 0: 1
 	// WarmAfter is how long a host counts as cold. A wider subset takes in none that may
@@ -54,7 +54,7 @@
 	fresh    map[string]time.Duration       // since when a host has been known as it is
 	told     map[string]membership.Endpoint // the part, as handed on
 	sharers  int
-	most     int  // gateways that there may be, where that is known to be more than Bank.Count
+	most     int  // gateways that there may be, where that is known to be more than Fleet.Count
 	moved    bool // who shares the pool has changed since the last choice
 	width    subset.Width
 	wide     int
@@ -66,9 +66,9 @@
 
 // by has the part go by who shares the pool, or by the typed figures.
 func (p *part) by(s Shared, typed *Part) {
-	p.Bank.Count, p.Bank.IDs, p.Rank, p.most, p.moved = len(s.IDs), s.IDs, s.Rank, s.Most, true
+	p.Fleet.Count, p.Fleet.IDs, p.Rank, p.most, p.moved = len(s.IDs), s.IDs, s.Rank, s.Most, true
 	if s.IDs == nil {
-		p.Bank.Count, p.Rank, p.most = typed.Bank.Count, typed.Rank, 0
+		p.Fleet.Count, p.Rank, p.most = typed.Fleet.Count, typed.Rank, 0
 	}
 }
 
@@ -138,18 +138,18 @@
 		e := p.believed[name]
 		hosts[i] = subset.Host{Key: uint64(membership.HostID(name)), Zone: number(e.Zone), Group: e.Group}
 	}
-	usual := p.Bank.Choose(hosts, p.Rank, 1)
+	usual := p.Fleet.Choose(hosts, p.Rank, 1)
 	wide := usual
 	if p.wide > 1 {
-		wide = p.Bank.Choose(hosts, p.Rank, p.wide)
+		wide = p.Fleet.Choose(hosts, p.Rank, p.wide)
 	}
 	for i, name := range names {
 		if usual[i] || wide[i] && now-p.fresh[name] >= p.WarmAfter {
 			next[name] = p.believed[name]
 		}
 	}
-	sharers = p.Bank.Sharers(len(hosts))
-	if count := max(p.Bank.Count, 1); p.most > count { // more may use a host than are counted
+	sharers = p.Fleet.Sharers(len(hosts))
+	if count := max(p.Fleet.Count, 1); p.most > count { // more may use a host than are counted
 		sharers = (sharers*p.most + count - 1) / count
 	}
 	return next, sharers * cmp.Or(p.Pools, 1)
--- a/internal/membership/subset/subset.go
+++ b/internal/membership/subset/subset.go
@@ -1,4 +1,4 @@
-// Package subset chooses which hosts of a large pool each gateway of a bank uses, so that
+// Package subset chooses which hosts of a large pool each gateway of a fleet uses, so that
 // connections at a host stay bounded and load stays even. Gateways share nothing: each knows
 // its number, how many there are and the list. It does no I/O and reads no clock.
 //
@@ -29,8 +29,8 @@
 	Group int // that drops repeats
 }
 
-// Bank is the gateways that share a pool, and how they do.
-type Bank struct {
+// Fleet is the gateways that share a pool, and how they do.
+type Fleet struct {
 	Count int // gateways, at least 1
 	// IDs are those of the gateways by number, Count of them, where they are known by more than
 	// their numbers: a gateway more or less then moves no more places than its own. nil: the
@@ -57,7 +57,7 @@
 )
 
 // Sharers is how many gateways each of so many hosts meets.
-func (b Bank) Sharers(hosts int) int {
+func (b Fleet) Sharers(hosts int) int {
 	count := max(b.Count, 1)
 	if hosts == 0 {
 		return count
@@ -68,7 +68,7 @@
 
 // Choose marks the hosts that gateway number rank uses, in the order of the list. Wider is
 // how many times more gateways than usual a host meets, for a subset in trouble; at least 1.
-func (b Bank) Choose(hosts []Host, rank, wider int) (mine []bool) {
+func (b Fleet) Choose(hosts []Host, rank, wider int) (mine []bool) {
 	mine = make([]bool, len(hosts))
 	b.Count = max(b.Count, rank+1)
 	b.assign(hosts, wider, func(host, gateway int) {
@@ -78,13 +78,13 @@
 }
 
 // Assign is what all gateways choose: for each host, the numbers of those that use it.
-func (b Bank) Assign(hosts []Host, wider int) [][]int {
+func (b Fleet) Assign(hosts []Host, wider int) [][]int {
 	out := make([][]int, len(hosts))
 	b.assign(hosts, wider, func(host, gateway int) { out[host] = append(out[host], gateway) })
 	return out
 }
 
-func (b Bank) assign(hosts []Host, wider int, use func(host, gateway int)) {
+func (b Fleet) assign(hosts []Host, wider int, use func(host, gateway int)) {
 	count := max(b.Count, 1)
 	sharers := min(count, b.Sharers(len(hosts))*max(wider, 1))
 	room := make([]int, count) // places left at each gateway
--- a/internal/recall/recall.go
+++ b/internal/outcome/store.go
@@ -1,16 +1,16 @@
-// Package recall remembers for a bounded time, in bounded memory, which requests may have
-// run although their clients were never told how they ended. A client whose connection was
-// lost under its request may send it again with the same id; this memory is what keeps the
-// effect from happening twice. It does no I/O, reads no clock and knows nothing of requests
-// but a number each.
-package recall
+// Package outcome stores for a bounded time, in bounded memory, which requests may have run
+// although their clients were never told how they ended. A client whose connection was lost
+// under its request may send it again with the same id; the store is what keeps the effect
+// from happening twice. It does no I/O, reads no clock and knows nothing of requests but a
+// number each.
+package outcome
 
 import "frostshift"
 
-// Memory is a set of numbers that each stay for a span of time at the least and twice it at
+// Store is a set of numbers that each stay for a span of time at the least and twice it at
 // the most, in two generations: the older is forgotten whole, so no entry has a timer. Where
-// too many come, generations are shorter. A Memory is not safe for concurrent use.
-type Memory struct {
+// too many come, generations are shorter. A Store is not safe for concurrent use.
+type Store struct {
 	span  frostshift.Time
 	most  int
 	young map[uint64]struct{}
@@ -19,11 +19,11 @@
 	early int64
 }
 
-// New returns an empty memory for a span, with most numbers in a generation.
-func New(span frostshift.Time, most int) *Memory { return &Memory{span: span, most: most} }
+// New returns an empty store for a span, with most numbers in a generation.
+func New(span frostshift.Time, most int) *Store { return &Store{span: span, most: most} }
 
 // Note remembers a number from now on.
-func (m *Memory) Note(now frostshift.Time, key uint64) {
+func (m *Store) Note(now frostshift.Time, key uint64) {
 	m.turn(now)
 	if _, there := m.young[key]; !there && len(m.young) >= m.most {
 		m.early++
@@ -37,7 +37,7 @@
 }
 
 // Has says whether the number is remembered.
-func (m *Memory) Has(now frostshift.Time, key uint64) bool {
+func (m *Store) Has(now frostshift.Time, key uint64) bool {
 	m.turn(now)
 	if _, ok := m.young[key]; ok {
 		return true
@@ -47,10 +47,10 @@
 }
 
 // Early is how many generations have ended before their time, for want of room.
-func (m *Memory) Early() int64 { return m.early }
+func (m *Store) Early() int64 { return m.early }
 
 // turn ends generations whose time is over.
-func (m *Memory) turn(now frostshift.Time) {
+func (m *Store) turn(now frostshift.Time) {
 	switch age := now - m.since; {
 	case age >= 2*m.span:
 		m.young, m.old, m.since = nil, nil, now
@@ -60,10 +60,10 @@
 	}
 }
 
-func (m *Memory) next() { m.young, m.old = nil, m.young }
+func (m *Store) next() { m.young, m.old = nil, m.young }
 
 // All is the numbers that are remembered, in no order; some may stand in it twice.
-func (m *Memory) All(now frostshift.Time) []uint64 {
+func (m *Store) All(now frostshift.Time) []uint64 {
 	m.turn(now)
 	out := make([]uint64, 0, len(m.young)+len(m.old))
 	for _, generation := range [...]map[uint64]struct{}{m.young, m.old} {
--- a/internal/recall/recall_test.go
+++ b/internal/outcome/store_test.go
@@ -1,4 +1,4 @@
-package recall
+package outcome
 
 import (
 	"testing"
--- a/internal/edict/edict.go
+++ b/internal/override/override.go
@@ -1,20 +1,20 @@
-// Package edict keeps operators' words on hosts that are meant for the whole fleet: out of use, or back.
+// Package override keeps operators' overrides of hosts that are meant for the whole fleet: out of use, or back.
 //
-// What a gateway keeps is one word a host, and of two words the same one counts at all gateways, in
-// whatever order and however often they come: the later by version, where each word said is later
-// than all that its gateway had heard. Words said on two sides of a cut may be of one version; then out
-// counts before back, so that nothing is sent to a host that one side wanted out. A word that was
+// What a gateway keeps is one override a host, and of two overrides the same one counts at all gateways, in
+// whatever order and however often they come: the later by version, where each override said is later
+// than all that its gateway had heard. Overrides said on two sides of a cut may be of one version; then out
+// counts before back, so that nothing is sent to a host that one side wanted out. An override that was
 // held up, by a cut or in a gateway that was stopped, is older than what was said by those who had it,
 // and undoes nothing.
 //
-// The gateway at which a word is said tells all who live until each has said that it holds; the rest
+// The gateway at which an override is said tells all who live until each has said that it holds; the rest
 // is anti-entropy: gateways compare digests by turns, and give each other what differs. So a member
-// that was cut off has all words within Every of its return and a few round trips, and no packet flows for
-// words that all have, but one digest a gateway and Every.
+// that was cut off has all overrides within Every of its return and a few round trips, and no packet flows for
+// overrides that all have, but one digest a gateway and Every.
 //
 // It does no I/O and reads no clock, and knows neither pools nor who may speak: whoever can send it packets is
-// believed. A Book is not safe for concurrent use. docs/design/verdicts.md has the bounds.
-package edict
+// believed. A Store is not safe for concurrent use. docs/design/verdicts.md has the bounds.
+package override
 
 import (
 	"cmp"
@@ -29,16 +29,16 @@
 // Time is an instant on one process's clock, which never goes backward.
 type Time = time.Duration
 
-// Word is what counts of a host.
-type Word struct {
+// Entry is what counts of a host.
+type Entry struct {
 	Host    string
 	Out     bool   // not to be used
 	Version uint64 // 1 and up, by host
 	By      string // the gateway at which it was said
 }
 
-// after says whether w counts where both were said. It is a total order of the words of one host.
-func (w Word) after(o Word) bool {
+// after says whether w counts where both were said. It is a total order of the overrides of one host.
+func (w Entry) after(o Entry) bool {
 	if w.Version != o.Version {
 		return w.Version > o.Version
 	}
@@ -49,32 +49,32 @@
 }
 
 const (
-	// Step is how often Tick is to be called, and how soon an unanswered word is said again.
+	// Step is how often Tick is to be called, and how soon an unanswered override is said again.
 	Step = 50 * time.Millisecond
 	// Every is the time between two digests of one gateway.
 	Every = time.Second
-	// tellFor is how long a word is said again to those who do not answer. Anti-entropy does it later.
+	// tellFor is how long an override is said again to those who do not answer. Anti-entropy does it later.
 	tellFor = 10 * time.Second
-	// keepBack is how long a word that calls back is kept: a word that is held up for longer than
+	// keepBack is how long an override that calls back is kept: an override that is held up for longer than
 	// that counts again.
 	keepBack = 24 * time.Hour
-	// MostHosts bounds words kept; those that call back make room first.
+	// MostHosts bounds overrides kept; those that call back make room first.
 	MostHosts = 4096
-	// mostOwed bounds members that wait for an answer on one word.
+	// mostOwed bounds members that wait for an answer on one override.
 	mostOwed = 512
 	buckets  = 64 // of hosts, each with a digest
-	// mostWords is from how many words of a difference on no more go out on one digest; the next has the rest.
-	mostWords = 256
+	// mostEntries is from how many overrides of a difference on no more go out on one digest; the next has the rest.
+	mostEntries = 256
 	// reached is how many members that have come back are asked for their digests at once.
 	reached = 3
 )
 
-// ErrFull says that there are as many words as are kept.
-var ErrFull = errors.New("as many hosts as may be are out by operators' words")
+// ErrFull says that there are as many overrides as are kept.
+var ErrFull = errors.New("as many hosts as may be are out by operators' overrides")
 
-// entry is the word on one host.
-type entry struct {
-	Word
+// record is the override on one host.
+type record struct {
+	Entry
 	since Time // it came
 	holds bool // the gateway has done it
 	// lack are the members that have not said that it holds there: only at the gateway at which it was
@@ -87,15 +87,15 @@
 // Counts are totals since the start.
 type Counts struct {
 	Sent, Taken, Strange int64 // packets; Strange ones could not be read or were nobody's
-	Dropped              int64 // words for which there was no room
+	Dropped              int64 // overrides for which there was no room
 }
 
-// Book is what one gateway keeps.
-type Book struct {
+// Store is what one gateway keeps.
+type Store struct {
 	self    string
 	now     Time
-	words   map[string]*entry
-	busy    map[string]*entry // those that somebody is asked about, or asks for
+	entries map[string]*record
+	busy    map[string]*record // those that somebody is asked about, or asks for
 	digests [buckets]uint64
 	others  []string // alive, in order
 	turn    int      // of others, for the next digest
@@ -106,19 +106,19 @@
 	counts  Counts
 }
 
-// New makes a Book that knows nothing.
-func New(self string) *Book {
-	return &Book{self: self, words: map[string]*entry{}, busy: map[string]*entry{}}
+// New makes a Store that knows nothing.
+func New(self string) *Store {
+	return &Store{self: self, entries: map[string]*record{}, busy: map[string]*record{}}
 }
 
-// bucket is where a host's word belongs.
+// bucket is where a host's override belongs.
 func bucket(host string) int { return int(xxhash.Sum64String(host) % buckets) }
 
-// sum is a word in the digest of its bucket.
-func (w Word) sum() uint64 { return xxhash.Sum64(appendWord(nil, w)) }
+// sum is an override in the digest of its bucket.
+func (w Entry) sum() uint64 { return xxhash.Sum64(appendEntry(nil, w)) }
 
 // View says who else is held alive.
-func (b *Book) View(others []string) {
+func (b *Store) View(others []string) {
 	list := slices.DeleteFunc(slices.Clone(others), func(n string) bool { return n == b.self })
 	slices.Sort(list)
 	list = slices.Compact(list)
@@ -139,14 +139,14 @@
 }
 
 // Alive is how many gateways live as far as is known, this one among them.
-func (b *Book) Alive() int { return len(b.others) + 1 }
+func (b *Store) Alive() int { return len(b.others) + 1 }
 
-// Say is an operator's word at this gateway, from now on the one that counts. It is to be carried out here, and Holds
+// Set is an operator's override at this gateway, from now on the one that counts. It is to be carried out here, and Holds
 // to be called, like those that Take returns.
-func (b *Book) Say(now Time, host string, out bool) (Word, error) {
+func (b *Store) Set(now Time, host string, out bool) (Entry, error) {
 	b.now = max(b.now, now)
-	w := Word{Host: host, Out: out, Version: 1, By: b.self}
-	if e := b.words[host]; e != nil {
+	w := Entry{Host: host, Out: out, Version: 1, By: b.self}
+	if e := b.entries[host]; e != nil {
 		w.Version = e.Version + 1
 	}
 	e := b.keep(w)
@@ -161,11 +161,11 @@
 	return w, nil
 }
 
-// Adopt takes over a word of the process before, which did it; what is none of a member's, or older than what
+// Adopt takes over an override of the process before, which did it; what is none of a member's, or older than what
 // counts, is dropped.
-func (b *Book) Adopt(now Time, w Word) {
+func (b *Store) Adopt(now Time, w Entry) {
 	b.now = max(b.now, now)
-	if e := b.words[w.Host]; !w.valid() || e != nil && !w.after(e.Word) {
+	if e := b.entries[w.Host]; !w.valid() || e != nil && !w.after(e.Entry) {
 		return
 	}
 	if e := b.keep(w); e != nil {
@@ -173,26 +173,26 @@
 	}
 }
 
-// keep takes a word over, later than what there was; nil: there is no room.
-func (b *Book) keep(w Word) *entry {
-	i, e := bucket(w.Host), b.words[w.Host]
+// keep takes an override over, later than what there was; nil: there is no room.
+func (b *Store) keep(w Entry) *record {
+	i, e := bucket(w.Host), b.entries[w.Host]
 	if e != nil {
 		b.digests[i] ^= e.sum()
-	} else if len(b.words) >= MostHosts && !b.makeRoom() {
+	} else if len(b.entries) >= MostHosts && !b.makeRoom() {
 		b.counts.Dropped++
 		return nil
 	}
-	e = &entry{Word: w, since: b.now}
-	b.words[w.Host] = e
-	delete(b.busy, w.Host) // who asked for the word before it is told of this one
+	e = &record{Entry: w, since: b.now}
+	b.entries[w.Host] = e
+	delete(b.busy, w.Host) // who asked for the override before it is told of this one
 	b.digests[i] ^= e.sum()
 	return e
 }
 
-// makeRoom forgets the oldest word that calls back.
-func (b *Book) makeRoom() bool {
-	var oldest *entry
-	for _, e := range b.words {
+// makeRoom forgets the oldest override that calls back.
+func (b *Store) makeRoom() bool {
+	var oldest *record
+	for _, e := range b.entries {
 		if !e.Out && (oldest == nil || e.since < oldest.since || e.since == oldest.since && e.Host < oldest.Host) {
 			oldest = e
 		}
@@ -204,25 +204,25 @@
 	return true
 }
 
-func (b *Book) forget(e *entry) {
+func (b *Store) forget(e *record) {
 	b.digests[bucket(e.Host)] ^= e.sum()
-	delete(b.words, e.Host)
+	delete(b.entries, e.Host)
 	delete(b.busy, e.Host)
 }
 
-// Holds says that the gateway does what a word says. It does nothing for one that counts no more.
-func (b *Book) Holds(w Word) {
-	if e := b.words[w.Host]; e != nil && e.Word == w {
+// Done says that the gateway does what an override says. It does nothing for one that counts no more.
+func (b *Store) Done(w Entry) {
+	if e := b.entries[w.Host]; e != nil && e.Entry == w {
 		e.holds = true
 	}
 }
 
 // Tick returns what is to be sent. The list is the caller's until the next call.
-func (b *Book) Tick(now Time) []Packet {
+func (b *Store) Tick(now Time) []Packet {
 	b.now = max(b.now, now)
 	b.out = b.out[:0]
-	say := map[string][]Word{}    // to be answered, by member
-	answer := map[string][]Word{} // that hold
+	say := map[string][]Entry{}    // to be answered, by member
+	answer := map[string][]Entry{} // that hold
 	for _, host := range slices.Sorted(maps.Keys(b.busy)) {
 		e := b.busy[host]
 		switch {
@@ -232,13 +232,13 @@
 			e.told = b.now
 			for _, n := range b.others {
 				if e.lack[n] {
-					say[n] = append(say[n], e.Word)
+					say[n] = append(say[n], e.Entry)
 				}
 			}
 		}
 		if e.holds {
 			for _, n := range e.owed {
-				answer[n] = append(answer[n], e.Word)
+				answer[n] = append(answer[n], e.Entry)
 			}
 			e.owed = nil
 		}
@@ -266,32 +266,32 @@
 	return b.out
 }
 
-// age forgets words that call back and are old.
-func (b *Book) age() {
-	for _, e := range b.words {
+// age forgets overrides that call back and are old.
+func (b *Store) age() {
+	for _, e := range b.entries {
 		if !e.Out && b.now-e.since >= keepBack {
 			b.forget(e)
 		}
 	}
 }
 
-// send says words of one kind to a member.
-func (b *Book) send(to string, k kind, words []Word) {
-	for len(words) > 0 {
-		n := fitting(words)
-		b.put(to, message{kind: k, words: words[:n]})
-		words = words[n:]
+// send says overrides of one kind to a member.
+func (b *Store) send(to string, k kind, entries []Entry) {
+	for len(entries) > 0 {
+		n := fitting(entries)
+		b.put(to, message{kind: k, entries: entries[:n]})
+		entries = entries[n:]
 	}
 }
 
-func (b *Book) put(to string, m message) {
+func (b *Store) put(to string, m message) {
 	m.from = b.self
 	b.out = append(b.out, Packet{To: to, Data: m.encode()})
 }
 
-// Take takes in what another gateway says: what is to be sent at once, and the words that count from now on and
+// Take takes in what another gateway says: what is to be sent at once, and the overrides that count from now on and
 // are to be carried out here. Both are the caller's until the next call.
-func (b *Book) Take(now Time, data []byte) (out []Packet, words []Word) {
+func (b *Store) Take(now Time, data []byte) (out []Packet, entries []Entry) {
 	b.now = max(b.now, now)
 	b.out = b.out[:0]
 	var m message
@@ -304,20 +304,20 @@
 		return nil, nil
 	}
 	b.counts.Taken++
-	var newer []Word // that the teller lacks
-	for _, w := range m.words {
-		e := b.words[w.Host]
+	var newer []Entry // that the reporter lacks
+	for _, w := range m.entries {
+		e := b.entries[w.Host]
 		switch {
-		case e == nil || w.after(e.Word):
+		case e == nil || w.after(e.Entry):
 			if e = b.keep(w); e == nil {
 				continue
 			}
-			words = append(words, w)
+			entries = append(entries, w)
 		case e.after(w):
-			newer = append(newer, e.Word)
+			newer = append(newer, e.Entry)
 			continue
 		}
-		switch { // it counts here, and the teller has it
+		switch { // it counts here, and the reporter has it
 		case m.kind == holds:
 			delete(e.lack, m.from)
 		case m.kind == asks && len(e.owed) < mostOwed && !slices.Contains(e.owed, m.from):
@@ -330,38 +330,38 @@
 		b.compare(&m)
 	}
 	b.counts.Sent += int64(len(b.out))
-	return b.out, words
+	return b.out, entries
 }
 
-// compare gives the teller of a digest what it may lack.
-func (b *Book) compare(m *message) {
+// compare gives the reporter of a digest what it may lack.
+func (b *Store) compare(m *message) {
 	if m.digests == b.digests {
 		return
 	}
-	var differ [buckets][]Word
-	for host, e := range b.words {
+	var differ [buckets][]Entry
+	for host, e := range b.entries {
 		if i := bucket(host); m.digests[i] != b.digests[i] {
-			differ[i] = append(differ[i], e.Word)
+			differ[i] = append(differ[i], e.Entry)
 		}
 	}
-	var words []Word
+	var entries []Entry
 	for range buckets { // whole buckets, which are alike then; the next difference begins behind them
-		if len(words) >= mostWords {
+		if len(entries) >= mostEntries {
 			break
 		}
-		slices.SortFunc(differ[b.from], func(x, y Word) int { return cmp.Compare(x.Host, y.Host) })
-		words = append(words, differ[b.from]...)
+		slices.SortFunc(differ[b.from], func(x, y Entry) int { return cmp.Compare(x.Host, y.Host) })
+		entries = append(entries, differ[b.from]...)
 		b.from = (b.from + 1) % buckets
 	}
-	b.send(m.from, tells, words)
+	b.send(m.from, tells, entries)
 	if m.kind == compares { // and the other way round
 		b.put(m.from, message{kind: answers, digests: b.digests})
 	}
 }
 
-// Status is a word as operators are shown it.
+// Status is an override as operators are shown it.
 type Status struct {
-	Word
+	Entry
 	Age   time.Duration // since it came here
 	Holds bool          // here
 	// Asked says that the members that Lack are known: at the gateway at which it was said, for a while.
@@ -371,8 +371,8 @@
 	Away []string
 }
 
-func (b *Book) status(e *entry) Status {
-	s := Status{Word: e.Word, Age: b.now - e.since, Holds: e.holds, Asked: e.lack != nil}
+func (b *Store) status(e *record) Status {
+	s := Status{Entry: e.Entry, Age: b.now - e.since, Holds: e.holds, Asked: e.lack != nil}
 	for _, n := range slices.Sorted(maps.Keys(e.lack)) {
 		if _, alive := slices.BinarySearch(b.others, n); alive {
 			s.Lack = append(s.Lack, n)
@@ -383,29 +383,29 @@
 	return s
 }
 
-// Of is the word on a host; false: there is none.
-func (b *Book) Of(now Time, host string) (Status, bool) {
+// Of is the override on a host; false: there is none.
+func (b *Store) Of(now Time, host string) (Status, bool) {
 	b.now = max(b.now, now)
-	e := b.words[host]
+	e := b.entries[host]
 	if e == nil {
 		return Status{}, false
 	}
 	return b.status(e), true
 }
 
-// Status is all words by host.
-func (b *Book) Status(now Time) (list []Status) {
+// Status is all overrides by host.
+func (b *Store) Status(now Time) (list []Status) {
 	b.now = max(b.now, now)
-	for _, e := range b.words {
+	for _, e := range b.entries {
 		list = append(list, b.status(e))
 	}
 	slices.SortFunc(list, func(x, y Status) int { return cmp.Compare(x.Host, y.Host) })
 	return list
 }
 
-// Outs are the hosts that are out, in order.
-func (b *Book) Outs() (hosts []string) {
-	for _, e := range b.words {
+// Out are the hosts that are out, in order.
+func (b *Store) Out() (hosts []string) {
+	for _, e := range b.entries {
 		if e.Out {
 			hosts = append(hosts, e.Host)
 		}
@@ -415,4 +415,4 @@
 }
 
 // Counts are the totals.
-func (b *Book) Counts() Counts { return b.counts }
+func (b *Store) Counts() Counts { return b.counts }
