--- a/internal/edict/edict_test.go
+++ b/internal/override/override_test.go
@@ -1,4 +1,4 @@
-package edict
+package override
 
 import (
 	"fmt"
@@ -10,15 +10,15 @@
 	"pgregory.net/rapid"
 )
 
-// fleet is gateways that tell each other words over a network that loses, doubles, delays and is cut, on one
+// fleet is gateways that tell each other overrides over a network that loses, doubles, delays and is cut, on one
 // clock set by hand. All follows from a seed.
 type fleet struct {
 	r     *rand.Rand
 	now   Time
 	names []string
-	books []*Book
-	does  []map[string]Word // what each gateway has carried out
-	side  []int             // those of one side hear each other
+	books []*Store
+	does  []map[string]Entry // what each gateway has carried out
+	side  []int              // those of one side hear each other
 	loss  float64
 	mail  []letter
 	sent  int
@@ -46,7 +46,7 @@
 }
 
 // restart has a gateway begin with nothing.
-func (f *fleet) restart(g int) { f.books[g], f.does[g] = New(f.names[g]), map[string]Word{} }
+func (f *fleet) restart(g int) { f.books[g], f.does[g] = New(f.names[g]), map[string]Entry{} }
 
 // see gives each gateway its view.
 func (f *fleet) see() {
@@ -73,13 +73,13 @@
 	}
 }
 
-func (f *fleet) do(g int, w Word) {
+func (f *fleet) do(g int, w Entry) {
 	f.does[g][w.Host] = w
-	f.books[g].Holds(w)
+	f.books[g].Done(w)
 }
 
-func (f *fleet) say(g int, host string, out bool) Word {
-	w, err := f.books[g].Say(f.now, host, out)
+func (f *fleet) say(g int, host string, out bool) Entry {
+	w, err := f.books[g].Set(f.now, host, out)
 	if err != nil {
 		panic(err)
 	}
@@ -102,9 +102,9 @@
 			if f.side[to] != f.side[l.from] {
 				continue
 			}
-			out, words := f.books[to].Take(f.now, l.data)
+			out, entries := f.books[to].Take(f.now, l.data)
 			f.send(to, slices.Clone(out))
-			for _, w := range words {
+			for _, w := range entries {
 				f.do(to, w)
 			}
 		}
@@ -135,16 +135,16 @@
 	return true
 }
 
-// Words of operators at any gateways, through loss, doubles, cuts in up to three sides and restarts: all who hear each other
-// do the same within the stated time, and it is the last word by version; what was said to all is true.
+// Overrides of operators at any gateways, through loss, doubles, cuts in up to three sides and restarts: all who hear each other
+// do the same within the stated time, and it is the last override by version; what was said to all is true.
 func TestAllDoTheLastWord(t *testing.T) {
 	for seed := uint64(1); seed <= 1500; seed++ {
 		r := rand.New(rand.NewPCG(seed, 1))
 		n := 2 + r.IntN(8)
 		f := newFleet(seed, n)
 		f.loss = []float64{0, 0.1, 0.3}[r.IntN(3)]
-		last := map[string]Word{}
-		began := map[Word]Time{}
+		last := map[string]Entry{}
+		began := map[Entry]Time{}
 		for range 3 + r.IntN(12) {
 			switch r.IntN(5) {
 			case 0:
@@ -169,7 +169,7 @@
 			f.run(time.Duration(r.IntN(400))*time.Millisecond, func() bool {
 				for w := range began { // a yes is true of all who were alive and are
 					s, ok := f.books[slices.Index(f.names, w.By)].Of(f.now, w.Host)
-					if !ok || s.Word != w || !s.Asked || !s.Holds || len(s.Lack)+len(s.Away) > 0 {
+					if !ok || s.Entry != w || !s.Asked || !s.Holds || len(s.Lack)+len(s.Away) > 0 {
 						continue
 					}
 					for g, does := range f.does {
@@ -195,7 +195,7 @@
 		}
 		for host, w := range last {
 			if got := f.does[0][host]; got != w {
-				t.Errorf("seed %d: all do %+v, the last word is %+v", seed, got, w)
+				t.Errorf("seed %d: all do %+v, the last override is %+v", seed, got, w)
 			}
 		}
 	}
@@ -211,7 +211,7 @@
 	f.say(1, "h", false)
 	f.run(time.Second, nil)
 	if f.does[2]["h"].Out || !f.does[0]["h"].Out {
-		t.Fatal("each side goes by its own word")
+		t.Fatal("each side goes by its own override")
 	}
 	f.side = []int{0, 0, 0}
 	f.see()
@@ -237,12 +237,12 @@
 	}
 }
 
-// Three hundred with a thousand words cost a digest a second each when nothing is said, and one that begins anew has all
+// Three hundred with a thousand overrides cost a digest a second each when nothing is said, and one that begins anew has all
 // within some rounds; a yes comes from all who live.
 func TestManyWords(t *testing.T) {
 	f := newFleet(1, 300)
 	for i := range 1000 {
-		w := Word{Host: fmt.Sprintf("h%04d", i), Out: true, Version: 1, By: "g000"}
+		w := Entry{Host: fmt.Sprintf("h%04d", i), Out: true, Version: 1, By: "g000"}
 		for g, b := range f.books {
 			b.keep(w)
 			f.do(g, w)
@@ -255,61 +255,61 @@
 	w := f.say(0, "h0007", false)
 	if !f.run(400*time.Millisecond, func() bool {
 		s, _ := f.books[0].Of(f.now, "h0007")
-		return s.Word == w && len(s.Lack) == 0
+		return s.Entry == w && len(s.Lack) == 0
 	}) {
 		t.Error("not all 300 have said that it holds")
 	}
 	f.restart(7)
 	f.see()
 	if !f.run(6*Every, f.alike) {
-		t.Errorf("one that began anew has %d words of 1000", len(f.does[7]))
+		t.Errorf("one that began anew has %d overrides of 1000", len(f.does[7]))
 	}
 }
 
-// There is a bound, and words that call back make room.
+// There is a bound, and overrides that call back make room.
 func TestWordsAreBounded(t *testing.T) {
 	b := New("g")
 	now := time.Second
 	for i := range MostHosts {
-		if _, err := b.Say(now, fmt.Sprint(i), i != 5); err != nil {
+		if _, err := b.Set(now, fmt.Sprint(i), i != 5); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if _, err := b.Say(now, "one more", true); err != nil {
-		t.Errorf("%v, though one word calls back", err)
+	if _, err := b.Set(now, "one more", true); err != nil {
+		t.Errorf("%v, though one override calls back", err)
 	}
-	if _, err := b.Say(now, "and another", true); err != ErrFull {
+	if _, err := b.Set(now, "and another", true); err != ErrFull {
 		t.Errorf("%v beyond the bound", err)
 	}
-	b.Say(now, "7", false)
+	b.Set(now, "7", false)
 	b.View([]string{"h"})
 	b.Tick(now + keepBack)
 	if _, kept := b.Of(now+keepBack, "7"); kept {
-		t.Error("a word that calls back is kept for ever")
+		t.Error("an override that calls back is kept for ever")
 	}
 	again := New("h")
-	for _, e := range b.words {
-		again.keep(e.Word)
+	for _, e := range b.entries {
+		again.keep(e.Entry)
 	}
 	if again.digests != b.digests {
-		t.Error("the digests are not those of the words")
+		t.Error("the digests are not those of the overrides")
 	}
 }
 
-// Words come in any order, any number of times, through anybody: what counts is the same.
+// Overrides come in any order, any number of times, through anybody: what counts is the same.
 func TestWordsMerge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		words := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Word {
-			return Word{Host: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host"), Out: rapid.Bool().Draw(t, "out"),
+		entries := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Entry {
+			return Entry{Host: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host"), Out: rapid.Bool().Draw(t, "out"),
 				Version: rapid.Uint64Range(1, 3).Draw(t, "version"), By: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "by")}
-		}), 1, 12).Draw(t, "words")
-		var books [2]*Book
+		}), 1, 12).Draw(t, "overrides")
+		var books [2]*Store
 		for i := range books {
 			b := New("me")
 			b.View([]string{"x", "y"})
-			list := rapid.Permutation(words).Draw(t, "order")
+			list := rapid.Permutation(entries).Draw(t, "order")
 			for _, w := range append(list, list[:rapid.IntRange(0, len(list)).Draw(t, "twice")]...) {
-				m := message{kind: tells, from: "x", words: []Word{w}}
+				m := message{kind: tells, from: "x", entries: []Entry{w}}
 				b.Take(time.Second, m.encode())
 			}
 			books[i] = b
@@ -322,22 +322,22 @@
 
 // What comes from a socket neither breaks nor grows a book beyond its bound, and what is a message keeps its form.
 func FuzzTake(f *testing.F) {
-	for _, m := range []message{{kind: asks, from: "x", words: []Word{{Host: "h", Out: true, Version: 1, By: "x"}}},
-		{kind: holds, from: "x", words: []Word{{Host: "h", Version: 9, By: "y"}, {Host: "i", Version: 1, By: "y"}}}, {kind: compares, from: "x"}, {kind: answers, from: "x"}} {
+	for _, m := range []message{{kind: asks, from: "x", entries: []Entry{{Host: "h", Out: true, Version: 1, By: "x"}}},
+		{kind: holds, from: "x", entries: []Entry{{Host: "h", Version: 9, By: "y"}, {Host: "i", Version: 1, By: "y"}}}, {kind: compares, from: "x"}, {kind: answers, from: "x"}} {
 		f.Add(m.encode())
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		b := New("me")
 		b.View([]string{"x"})
-		b.Say(0, "h", true)
-		out, words := b.Take(time.Second, data)
+		b.Set(0, "h", true)
+		out, entries := b.Take(time.Second, data)
 		for _, p := range out {
 			if len(p.Data) > 1300 {
 				t.Errorf("a packet of %d bytes", len(p.Data))
 			}
 		}
-		for _, w := range words {
-			b.Holds(w)
+		for _, w := range entries {
+			b.Done(w)
 		}
 		var m message
 		if m.decode(data) {
--- a/internal/edict/packet.go
+++ b/internal/override/packet.go
@@ -1,4 +1,4 @@
-package edict
+package override
 
 import (
 	"encoding/binary"
@@ -11,7 +11,7 @@
 	Data []byte
 }
 
-// What members say to each other: a mark, a version, a kind, who speaks, and words or digests. A form
+// What members say to each other: a mark, a version, a kind, who speaks, and overrides or digests. A form
 // of another version is not read.
 const (
 	// Mark is the first byte of each packet, by which it is told from others.
@@ -19,12 +19,12 @@
 	packetVersion = 1
 	mostName      = 64   // bytes of a gateway's name
 	mostHost      = 255  // bytes of a host's
-	mostBytes     = 1024 // of the words in a packet
-	wordBytes     = 1 + 8 + 1 + 1
+	mostBytes     = 1024 // of the overrides in a packet
+	entryBytes    = 1 + 8 + 1 + 1
 )
 
-// valid says whether a member may say the word.
-func (w Word) valid() bool {
+// valid says whether a member may say the override.
+func (w Entry) valid() bool {
 	return name(w.Host, mostHost) && name(w.By, mostName) && w.Version > 0 && w.Version <= mostVersion
 }
 
@@ -33,9 +33,9 @@
 type kind byte
 
 const (
-	asks     kind = iota // words: say when they hold with you
-	holds                // words that hold here
-	tells                // words that you may lack
+	asks     kind = iota // overrides: say when they hold with you
+	holds                // overrides that hold here
+	tells                // overrides that you may lack
 	compares             // digests: give me what I lack, and yours
 	answers              // digests: give me what I lack
 )
@@ -43,12 +43,12 @@
 type message struct {
 	kind    kind
 	from    string
-	words   []Word
+	entries []Entry
 	digests [buckets]uint64
 }
 
-// appendWord is the form of a word, the same at all gateways.
-func appendWord(b []byte, w Word) []byte {
+// appendWord is the form of an override, the same at all gateways.
+func appendEntry(b []byte, w Entry) []byte {
 	out := byte(0)
 	if w.Out {
 		out = 1
@@ -59,11 +59,11 @@
 	return append(append(b, byte(len(w.By))), w.By...)
 }
 
-// fitting is how many of the words go in one packet, one at least.
-func fitting(words []Word) int {
+// fitting is how many of the overrides go in one packet, one at least.
+func fitting(entries []Entry) int {
 	n, size := 0, 0
-	for _, w := range words {
-		if size += wordBytes + len(w.Host) + len(w.By); n > 0 && size > mostBytes {
+	for _, w := range entries {
+		if size += entryBytes + len(w.Host) + len(w.By); n > 0 && size > mostBytes {
 			break
 		}
 		n++
@@ -80,8 +80,8 @@
 		}
 		return b
 	}
-	for _, w := range m.words {
-		b = appendWord(b, w)
+	for _, w := range m.entries {
+		b = appendEntry(b, w)
 	}
 	return b
 }
@@ -106,23 +106,23 @@
 		return true
 	}
 	for len(b) > 0 {
-		if len(b) < wordBytes || b[0] > 1 {
+		if len(b) < entryBytes || b[0] > 1 {
 			return false
 		}
-		w := Word{Out: b[0] == 1, Version: binary.BigEndian.Uint64(b[1:])}
+		w := Entry{Out: b[0] == 1, Version: binary.BigEndian.Uint64(b[1:])}
 		if w.Host, b, ok = cutName(b[9:]); !ok {
 			return false
 		}
 		if w.By, b, ok = cutName(b); !ok || !w.valid() {
 			return false
 		}
-		m.words = append(m.words, w)
+		m.entries = append(m.entries, w)
 	}
-	return len(m.words) > 0
+	return len(m.entries) > 0
 }
 
 // mostVersion is far more than operators say: one who claims the last version there is would leave no room
-// for later words.
+// for later overrides.
 const mostVersion = 1 << 62
 
 // cutName takes a name with its length before it.
--- a/internal/roster/roster.go
+++ b/internal/peers/peers.go
@@ -1,11 +1,11 @@
-// Package roster makes of what failure detection says about other gateways the view that the rest
+// Package peers makes of what failure detection says about other gateways the view that the rest
 // goes by: who shares the hosts, how many that may be at least and at most, where this gateway
 // stands among them, and which side of a partition it may be on.
 //
 // It decides without I/O and clock: times are handed in, and the same events lead to the same
 // view, on sockets and in the emulator. It knows nothing of packets, and its answers inform: who
 // uses them must be right without them.
-package roster
+package peers
 
 import (
 	"cmp"
@@ -111,7 +111,7 @@
 // gone at once, it is rather this gateway that hears nobody.
 //
 // A gateway that sizes what it shares by the smaller use (budgets by Most, its part of the hosts
-// by Least) is safe while it is wrong: see docs/design/bank.md.
+// by Least) is safe while it is wrong: see docs/design/gossip.md.
 type View struct {
 	Version int // grows with each change of what follows
 	// Typed says that the configuration's figures hold: nobody was heard yet, or nobody is.
@@ -152,9 +152,9 @@
 	order   uint64
 }
 
-// Roster keeps the view. What is heard changes it at the next Tick, so that a thousand words
+// Registry keeps the view. What is heard changes it at the next Tick, so that a thousand words
 // cost one look. It is not safe for concurrent use.
-type Roster struct {
+type Registry struct {
 	cfg     Config
 	began   time.Duration
 	members map[string]*member
@@ -169,8 +169,8 @@
 	n  int
 }
 
-// New makes a roster of this gateway alone.
-func New(now time.Duration, cfg Config) *Roster {
+// New makes a registry of peers of this gateway alone.
+func New(now time.Duration, cfg Config) *Registry {
 	cfg.Typed = max(cfg.Typed, 1)
 	cfg.Window = cmp.Or(cfg.Window, time.Minute)
 	cfg.Settle = cmp.Or(cfg.Settle, 2*time.Second)
@@ -178,14 +178,14 @@
 	cfg.Linger = cmp.Or(cfg.Linger, 5*time.Second)
 	cfg.Floor = cmp.Or(cfg.Floor, 0.7)
 	cfg.Most = cmp.Or(cfg.Most, 4096)
-	r := &Roster{cfg: cfg, began: now, members: map[string]*member{}}
+	r := &Registry{cfg: cfg, began: now, members: map[string]*member{}}
 	r.members[cfg.Self.Name] = &member{Member: cfg.Self, state: Alive, since: now, reached: now, placed: true, order: xxhash.Sum64String(cfg.Self.Name)}
 	r.Tick(now)
 	return r
 }
 
 // Heard says that detection holds a member to be alive, with what it says of itself.
-func (r *Roster) Heard(now time.Duration, m Member) {
+func (r *Registry) Heard(now time.Duration, m Member) {
 	if m.Name == r.cfg.Self.Name || m.Name == "" {
 		return
 	}
@@ -202,7 +202,7 @@
 }
 
 // Suspected says that a member did not answer, and may yet.
-func (r *Roster) Suspected(now time.Duration, name string) {
+func (r *Registry) Suspected(now time.Duration, name string) {
 	if x := r.members[name]; x != nil && x.state == Alive && name != r.cfg.Self.Name {
 		x.reached = now
 		r.set(now, x, Suspected, "does not answer")
@@ -210,7 +210,7 @@
 }
 
 // Gone says that a member left, by its own word, or that detection gave it up.
-func (r *Roster) Gone(now time.Duration, name string, said bool, reason string) {
+func (r *Registry) Gone(now time.Duration, name string, said bool, reason string) {
 	x := r.members[name]
 	if x == nil || name == r.cfg.Self.Name {
 		return
@@ -231,7 +231,7 @@
 	}
 }
 
-func (r *Roster) set(now time.Duration, x *member, to State, reason string) {
+func (r *Registry) set(now time.Duration, x *member, to State, reason string) {
 	if x.state == to {
 		return
 	}
@@ -246,14 +246,14 @@
 const mostChanges = 1024
 
 // Changes are those since the last call, in their order.
-func (r *Roster) Changes() []Change {
+func (r *Registry) Changes() []Change {
 	list := r.changes
 	r.changes = nil
 	return list
 }
 
 // forgetOne makes room: the member that has been gone for longest.
-func (r *Roster) forgetOne() bool {
+func (r *Registry) forgetOne() bool {
 	var oldest *member
 	for _, x := range r.members {
 		if x.state != Alive && x.state != Suspected && (oldest == nil || x.since < oldest.since) {
@@ -267,26 +267,61 @@
 }
 
 // Tick takes in that time has passed and says how long the view holds if nothing is heard.
-func (r *Roster) Tick(now time.Duration) (next time.Duration) {
-	reached, certain, seen := 0, 0, 0
+func (r *Registry) Tick(now time.Duration) (next time.Duration) {
 	next = now + r.cfg.Window
 	due := func(at time.Duration) {
 		if at > now {
 			next = min(next, at)
 		}
 	}
+	n := r.count(now, due)
+	r.peak(now, n.reached)
+	expected := r.peaks[0].n
+	due(r.peaks[0].at + r.cfg.Window)
+	v := View{Least: n.certain, Most: n.seen, Reached: n.reached, Expected: expected, Side: side(n.reached, expected, r.cfg.Floor)}
+	r.place(now, n.reached, expected, due)
+	if now-r.began < r.cfg.Window { // what was there before this gateway listened may be more
+		v.Most = max(v.Most, r.cfg.Typed)
+		due(r.began + r.cfg.Window)
+	}
+	if v.Typed = !r.heard || n.reached == 1 && n.seen == 1 || now-r.began < r.cfg.Settle; v.Typed {
+		v.Count, v.Place, v.Rank = r.cfg.Typed, r.cfg.Place, int(math.Round(r.cfg.Place*float64(r.cfg.Typed)))
+		v.Least, v.Most = r.cfg.Typed, max(v.Most, r.cfg.Typed)
+		due(r.began + r.cfg.Settle)
+	} else {
+		v.Count, v.Rank = r.rank()
+		v.Place = float64(v.Rank) / float64(v.Count)
+		v.Least = min(max(v.Least, (v.Count+1)/2), v.Most)
+	}
+	v.Version = r.view.Version
+	if v != r.view {
+		v.Version++
+		r.view = v
+	}
+	return next
+}
+
+// census counts members.
+type census struct {
+	reached int // alive or suspected
+	certain int // alive
+	seen    int // that may still send something
+}
+
+// count counts the members and forgets those that have been gone for long. due is told when that
+// changes by itself.
+func (r *Registry) count(now time.Duration, due func(time.Duration)) (n census) {
 	for _, x := range r.members {
-		self := x.Name == r.cfg.Self.Name
 		switch x.state {
 		case Alive, Suspected:
 			x.reached = now
-			reached++
+			n.reached++
 			if x.state == Alive {
-				certain++
+				n.certain++
 			}
 		default:
 			gone := now - x.reached
-			if gone >= r.cfg.Window && !self {
+			if gone >= r.cfg.Window && x.Name != r.cfg.Self.Name {
 				if gone >= 2*r.cfg.Window {
 					delete(r.members, x.Name)
 				}
@@ -295,18 +330,18 @@
 			due(x.reached + r.cfg.Window)
 		}
 		if x.state != Left {
-			seen++
+			n.seen++
 		} else if now-x.since < r.cfg.Linger {
-			seen++ // it ends what it has begun
+			n.seen++ // it ends what it has begun
 			due(x.since + r.cfg.Linger)
 		}
 	}
-	r.peak(now, reached)
-	expected := r.peaks[0].n
-	due(r.peaks[0].at + r.cfg.Window)
-	v := View{Least: certain, Most: seen, Reached: reached, Expected: expected, Side: side(reached, expected, r.cfg.Floor)}
-	// Below the floor those that failed are held to be cut off: they keep their places, and are
-	// called so. One alone that fails is taken for failed, in however small a fleet.
+	return n
+}
+
+// place decides who has a place. Below the floor those that failed are held to be cut off: they keep
+// their places, and are called so. One alone that fails is taken for failed, in however small a fleet.
+func (r *Registry) place(now time.Duration, reached, expected int, due func(time.Duration)) {
 	cut := expected-reached > 1 && float64(reached) < r.cfg.Floor*float64(expected)
 	for _, x := range r.members {
 		switch {
@@ -328,37 +363,25 @@
 			due(x.reached + r.cfg.Patience)
 		}
 	}
-	if now-r.began < r.cfg.Window { // what was there before this gateway listened may be more
-		v.Most = max(v.Most, r.cfg.Typed)
-		due(r.began + r.cfg.Window)
-	}
-	if v.Typed = !r.heard || reached == 1 && seen == 1 || now-r.began < r.cfg.Settle; v.Typed {
-		v.Count, v.Place, v.Rank = r.cfg.Typed, r.cfg.Place, int(math.Round(r.cfg.Place*float64(r.cfg.Typed)))
-		v.Least, v.Most = r.cfg.Typed, max(v.Most, r.cfg.Typed)
-		due(r.began + r.cfg.Settle)
-	} else {
-		self := r.members[r.cfg.Self.Name]
-		for _, x := range r.members {
-			if x.placed {
-				v.Count++
-				if x.order < self.order || x.order == self.order && x.Name < self.Name {
-					v.Rank++
-				}
-			}
+}
+
+// rank is how many members have a place, and how many of them stand before this gateway.
+func (r *Registry) rank() (count, rank int) {
+	self := r.members[r.cfg.Self.Name]
+	for _, x := range r.members {
+		if !x.placed {
+			continue
+		}
+		count++
+		if x.order < self.order || x.order == self.order && x.Name < self.Name {
+			rank++
 		}
-		v.Place = float64(v.Rank) / float64(v.Count)
-		v.Least = min(max(v.Least, (v.Count+1)/2), v.Most)
-	}
-	v.Version = r.view.Version
-	if v != r.view {
-		v.Version++
-		r.view = v
 	}
-	return next
+	return count, rank
 }
 
 // peak keeps the most members reached within the window: values that fall, the first is the most.
-func (r *Roster) peak(now time.Duration, n int) {
+func (r *Registry) peak(now time.Duration, n int) {
 	if last := len(r.peaks) - 1; last >= 0 && r.peaks[last].n > n {
 		r.peaks[last].at = now // so many were reached until just now
 	}
@@ -384,11 +407,11 @@
 }
 
 // View is the view as of the last Tick.
-func (r *Roster) View() View { return r.view }
+func (r *Registry) View() View { return r.view }
 
 // Places are the members that have one, by the numbers that scatter their names, in the order of
 // their ranks; nil: typed figures hold.
-func (r *Roster) Places() []uint64 {
+func (r *Registry) Places() []uint64 {
 	if r.view.Typed {
 		return nil
 	}
@@ -409,7 +432,7 @@
 }
 
 // Members are all that are held, by name.
-func (r *Roster) Members(now time.Duration) []Status {
+func (r *Registry) Members(now time.Duration) []Status {
 	list := make([]Status, 0, len(r.members))
 	for _, x := range r.members {
 		list = append(list, Status{Member: x.Member, State: x.state, Reason: x.reason, Since: now - x.since, Placed: x.placed})
--- a/internal/roster/roster_test.go
+++ b/internal/peers/peers_test.go
@@ -1,4 +1,4 @@
-package roster
+package peers
 
 import (
 	"fmt"
@@ -14,8 +14,8 @@
 
 func name(n int) string { return fmt.Sprintf("g%d", n) }
 
-// of is a roster of gateway 0 among n that are all heard at the beginning, long ago.
-func of(n int, change func(*Config)) *Roster {
+// of is a registry of peers of gateway 0 among n that are all heard at the beginning, long ago.
+func of(n int, change func(*Config)) *Registry {
 	cfg := Config{Self: Member{Name: name(0)}, Typed: 1}
 	if change != nil {
 		change(&cfg)
@@ -36,48 +36,48 @@
 	}
 	for _, c := range []struct {
 		name string
-		play func(r *Roster) time.Duration
+		play func(r *Registry) time.Duration
 		want want
 	}{
-		{"all there", func(r *Roster) time.Duration { return 61 * s }, want{false, 10, 10, 10, 10, Whole}},
-		{"one suspected", func(r *Roster) time.Duration { r.Suspected(61*s, name(3)); return 61 * s }, want{false, 10, 9, 10, 10, Whole}},
-		{"one that lives after all", func(r *Roster) time.Duration {
+		{"all there", func(r *Registry) time.Duration { return 61 * s }, want{false, 10, 10, 10, 10, Whole}},
+		{"one suspected", func(r *Registry) time.Duration { r.Suspected(61*s, name(3)); return 61 * s }, want{false, 10, 9, 10, 10, Whole}},
+		{"one that lives after all", func(r *Registry) time.Duration {
 			r.Suspected(61*s, name(3))
 			r.Heard(62*s, Member{Name: name(3)})
 			return 62 * s
 		}, want{false, 10, 10, 10, 10, Whole}},
-		{"one failed keeps its place for a restart", func(r *Roster) time.Duration { r.Gone(61*s, name(3), false, ""); return 70 * s }, want{false, 10, 9, 10, 9, Whole}},
-		{"one failed loses its place", func(r *Roster) time.Duration { r.Gone(61*s, name(3), false, ""); return 71 * s }, want{false, 9, 9, 10, 9, Whole}},
-		{"one failed may be cut off for a window", func(r *Roster) time.Duration { r.Gone(61*s, name(3), false, ""); return 121 * s }, want{false, 9, 9, 9, 9, Whole}},
-		{"one that said so", func(r *Roster) time.Duration { r.Gone(61*s, name(3), true, ""); return 61 * s }, want{false, 9, 9, 10, 9, Whole}},
-		{"... has ended what it had begun", func(r *Roster) time.Duration { r.Gone(61*s, name(3), true, ""); return 66 * s }, want{false, 9, 9, 9, 9, Whole}},
-		{"nine tenths gone at once are not believed gone", func(r *Roster) time.Duration {
+		{"one failed keeps its place for a restart", func(r *Registry) time.Duration { r.Gone(61*s, name(3), false, ""); return 70 * s }, want{false, 10, 9, 10, 9, Whole}},
+		{"one failed loses its place", func(r *Registry) time.Duration { r.Gone(61*s, name(3), false, ""); return 71 * s }, want{false, 9, 9, 10, 9, Whole}},
+		{"one failed may be cut off for a window", func(r *Registry) time.Duration { r.Gone(61*s, name(3), false, ""); return 121 * s }, want{false, 9, 9, 9, 9, Whole}},
+		{"one that said so", func(r *Registry) time.Duration { r.Gone(61*s, name(3), true, ""); return 61 * s }, want{false, 9, 9, 10, 9, Whole}},
+		{"... has ended what it had begun", func(r *Registry) time.Duration { r.Gone(61*s, name(3), true, ""); return 66 * s }, want{false, 9, 9, 9, 9, Whole}},
+		{"nine tenths gone at once are not believed gone", func(r *Registry) time.Duration {
 			for i := 1; i < 10; i++ {
 				r.Gone(61*s, name(i), false, "")
 			}
 			return 100 * s
 		}, want{false, 10, 5, 10, 1, Alone}},
-		{"... for a window, then the file's figures hold", func(r *Roster) time.Duration {
+		{"... for a window, then the file's figures hold", func(r *Registry) time.Duration {
 			for i := 1; i < 10; i++ {
 				r.Gone(61*s, name(i), false, "")
 			}
 			return 122 * s
 		}, want{true, 1, 1, 1, 1, Whole}},
-		{"four in ten cut off", func(r *Roster) time.Duration {
+		{"four in ten cut off", func(r *Registry) time.Duration {
 			for i := 1; i < 5; i++ {
 				r.Gone(61*s, name(i), false, "")
 			}
 			return 80 * s
 		}, want{false, 10, 6, 10, 6, Majority}},
-		{"six in ten cut off", func(r *Roster) time.Duration {
+		{"six in ten cut off", func(r *Registry) time.Duration {
 			for i := 1; i < 7; i++ {
 				r.Gone(61*s, name(i), false, "")
 			}
 			return 80 * s
 		}, want{false, 10, 5, 10, 4, Minority}},
-		{"a new one gets its place when it has stayed", func(r *Roster) time.Duration { r.Heard(61*s, Member{Name: "new"}); return 62 * s }, want{false, 10, 11, 11, 11, Whole}},
-		{"... after two seconds", func(r *Roster) time.Duration { r.Heard(61*s, Member{Name: "new"}); return 63 * s }, want{false, 11, 11, 11, 11, Whole}},
-		{"one that flaps keeps its place", func(r *Roster) time.Duration {
+		{"a new one gets its place when it has stayed", func(r *Registry) time.Duration { r.Heard(61*s, Member{Name: "new"}); return 62 * s }, want{false, 10, 11, 11, 11, Whole}},
+		{"... after two seconds", func(r *Registry) time.Duration { r.Heard(61*s, Member{Name: "new"}); return 63 * s }, want{false, 11, 11, 11, 11, Whole}},
+		{"one that flaps keeps its place", func(r *Registry) time.Duration {
 			for i := range 60 {
 				r.Gone(61*s+time.Duration(2*i)*s, name(3), false, "")
 				r.Tick(61*s + time.Duration(2*i)*s)
--- a/internal/quota/export_test.go
+++ b/internal/quota/export_test.go
@@ -3,7 +3,7 @@
 import "fmt"
 
 // Rewrite changes what a member says, as a liar would; polls and strange packets stay.
-func Rewrite(data []byte, f func(want, pledge float64) (float64, float64)) []byte {
+func Rewrite(data []byte, f func(want, loan float64) (float64, float64)) []byte {
 	var m message
 	if !m.decode(data) || m.kind != kindReply {
 		return data
@@ -14,8 +14,8 @@
 	return m.encode()
 }
 
-// Kept is how much state a book holds.
-func (b *Book) Kept() (played, owned, peers int) { return len(b.played), len(b.owned), len(b.peers) }
+// Kept is how much state a store holds.
+func (b *Store) Kept() (played, owned, peers int) { return len(b.played), len(b.owned), len(b.peers) }
 
 // Rename has a word come from another process each time, of the same name or of one that nobody has.
 func Rename(data []byte, turn int) []byte {
--- a/internal/quota/family.go
+++ b/internal/quota/family.go
@@ -31,7 +31,7 @@
 type Family struct {
 	limit  Limit // of each key; the name is the rule's
 	tag    uint64
-	book   *Book
+	store  *Store
 	n      atomic.Int64
 	rights sync.Map // id to *Right: those that are known
 }
@@ -42,19 +42,19 @@
 
 // Family is the family of a rule: the same for the same limit. Where its figures have changed, keys
 // of the one before go by the new ones from now on.
-func (b *Book) Family(l Limit) *Family {
+func (b *Store) Family(l Limit) *Family {
 	tag := Tag(l.Name)
 	f := b.families[tag]
 	if f != nil && f.limit == l {
 		return f
 	}
-	next := &Family{limit: l, tag: tag, book: b}
+	next := &Family{limit: l, tag: tag, store: b}
 	b.families[tag] = next
 	if f != nil {
 		for id, r := range b.derived {
 			if id>>tagShift == tag {
 				b.drop(id, r)
-				b.known(id) // what it has pledged is pledged
+				b.known(id) // what it has lent is lent
 			}
 		}
 	}
@@ -62,7 +62,7 @@
 }
 
 // DropFamilies forgets the families that are not to be kept, and their keys.
-func (b *Book) DropFamilies(keep func(Limit) bool) {
+func (b *Store) DropFamilies(keep func(Limit) bool) {
 	for tag, f := range b.families {
 		if keep(f.limit) {
 			continue
@@ -83,11 +83,11 @@
 // requests on its clients' connections: of what is mostly full it keeps its part for as long as one
 // that starts may have one beside it.
 func (f *Family) Part(now Time) float64 {
-	part := f.book.part(f.limit.Mode)
-	if last := f.book.last.Load(); last != 0 && f.limit.Mode == MostlyFull && now < Time(f.book.lastUntil.Load()) {
+	part := f.store.part(f.limit.Mode)
+	if last := f.store.last.Load(); last != 0 && f.limit.Mode == MostlyFull && now < Time(f.store.lastUntil.Load()) {
 		return math.Float64frombits(last)
 	}
-	if f.limit.Mode == NeverOver && now < Time(f.book.quietUntil.Load()) {
+	if f.limit.Mode == NeverOver && now < Time(f.store.quietUntil.Load()) {
 		return part * floorPart
 	}
 	return part
@@ -104,11 +104,11 @@
 	return nil
 }
 
-// Want makes a key known; nil: too many are. Unlike the rest it is called by who owns the book.
-func (f *Family) Want(key uint64) *Right { return f.book.known(f.id(key)) }
+// Want makes a key known; nil: too many are. Unlike the rest it is called by who owns the store.
+func (f *Family) Want(key uint64) *Right { return f.store.known(f.id(key)) }
 
 // known is the limit of an id: one that is named, or a key of a family.
-func (b *Book) known(id uint64) *Right {
+func (b *Store) known(id uint64) *Right {
 	r := b.limits[id]
 	if r != nil || id&familyBit == 0 {
 		return r
@@ -127,7 +127,7 @@
 }
 
 // drop forgets a key. What is held of its right holds no more.
-func (b *Book) drop(id uint64, r *Right) {
+func (b *Store) drop(id uint64, r *Right) {
 	delete(b.derived, id)
 	delete(b.limits, id)
 	if f := r.family(); f != nil {
@@ -140,7 +140,7 @@
 
 // family is where a key is found by who asks; nil: it is forgotten itself.
 func (r *Right) family() *Family {
-	f := r.book.families[r.id>>tagShift]
+	f := r.store.families[r.id>>tagShift]
 	if f == nil || f.limit.Amount != r.limit.Amount || f.limit.Mode != r.limit.Mode {
 		return nil
 	}
@@ -148,7 +148,7 @@
 }
 
 // forget drops keys that are neither shared nor asked for.
-func (b *Book) forget() {
+func (b *Store) forget() {
 	for id, r := range b.derived {
 		if b.played[id] == nil && b.owned[id] == nil && r.asked.Load() == 0 && b.now-r.demandAt > idleLeases*b.cfg.Lease {
 			b.drop(id, r)
@@ -157,4 +157,4 @@
 }
 
 // quietFor notes until when a process that may have had another before it has its floor alone.
-func (b *Book) quietFor() { b.quietUntil.Store(int64(min(b.began+b.outlast(), math.MaxInt64))) }
+func (b *Store) quietFor() { b.quietUntil.Store(int64(min(b.began+b.outlast(), math.MaxInt64))) }
--- a/internal/quota/member.go
+++ b/internal/quota/member.go
@@ -7,14 +7,14 @@
 
 // play is a limit that is shared, as one member holds it.
 type play struct {
-	right    *Right
-	to       peer
-	promises promises
-	grants   []grant
-	said     Time   // when an owner spoke of it last; 0: never
-	sharer   string // who that was
-	asked    Time   // when this gateway asked an owner
-	touched  Time
+	right   *Right
+	to      peer
+	loans   loans
+	grants  []grant
+	said    Time   // when an owner spoke of it last; 0: never
+	sharer  string // who that was
+	asked   Time   // when this gateway asked an owner
+	touched Time
 }
 
 // grant is what one owner has granted.
@@ -29,21 +29,21 @@
 // it and one more that another view names.
 const mostOwners = 3
 
-// promises are what one gateway has pledged, the larger and sooner ended first: a pledge can't be
+// loans are what one gateway has lent, the larger and sooner ended first: a loan can't be
 // lowered before it ends. The member that made them and the owner that counts on them each keep
 // them, with ends on their own clocks.
-type promises []promise
+type loans []loan
 
-type promise struct {
+type loan struct {
 	amount float64
 	until  Time
 }
 
-// mostPromises bounds the steps by which a pledge falls; beyond it they are taken together.
-const mostPromises = 2 * pollParts
+// mostLoans bounds the steps by which a loan falls; beyond it they are taken together.
+const mostLoans = 2 * pollParts
 
-// at is what is pledged at a time that is not past.
-func (p promises) at(t Time) float64 {
+// at is what is lent at a time that is not past.
+func (p loans) at(t Time) float64 {
 	for _, q := range p {
 		if t < q.until {
 			return q.amount
@@ -52,10 +52,10 @@
 	return 0
 }
 
-// add pledges as much for a time, longer than all before. Higher ones go on to their ends. Where
+// add lends as much for a time, longer than all before. Higher ones go on to their ends. Where
 // there are too many steps, late says which of two is taken for both: the end of the later, as the
 // one who is bound does, or of the earlier, as the one who counts on it.
-func (p *promises) add(now Time, amount float64, until Time, late bool) {
+func (p *loans) add(now Time, amount float64, until Time, late bool) {
 	list := *p
 	for len(list) > 0 && now >= list[0].until {
 		list = list[1:]
@@ -64,7 +64,7 @@
 	for n > 0 && list[n-1].amount <= amount {
 		n--
 	}
-	if n >= mostPromises {
+	if n >= mostLoans {
 		if late {
 			list[n-1].until = until
 			*p = list[:n]
@@ -73,7 +73,7 @@
 		list = list[1:]
 		n--
 	}
-	*p = append(list[:n:n], promise{amount, until})
+	*p = append(list[:n:n], loan{amount, until})
 }
 
 // granted is the sum of grants in force, and when the first of them ends.
@@ -89,34 +89,34 @@
 	return sum, until
 }
 
-// quiet says that a process before this one may have pledged its part: but for the floor it has
+// quiet says that a process before this one may have lent its part: but for the floor it has
 // nothing of its own yet. A limit that may be over while something fails does not wait.
-func (b *Book) quiet(r *Right) bool {
+func (b *Store) quiet(r *Right) bool {
 	return r.limit.Mode == NeverOver && b.now < b.began+b.outlast()
 }
 
-// outlast is how long a pledge binds the one who made it: longer than its owner counts on it,
+// outlast is how long a loan binds the one who made it: longer than its owner counts on it,
 // however far their clocks' rates are apart.
-func (b *Book) outlast() Time { return stretch(b.cfg.Lease, 1+2*b.drift) }
+func (b *Store) outlast() Time { return stretch(b.cfg.Lease, 1+2*b.drift) }
 
 // hasten is how long a grant holds for the one who has it: shorter than its owner counts it.
-func (b *Book) hasten() Time { return stretch(b.cfg.Lease, grantPart*(1-2*b.drift)) }
+func (b *Store) hasten() Time { return stretch(b.cfg.Lease, grantPart*(1-2*b.drift)) }
 
 func stretch(d Time, by float64) Time { return Time(float64(d) * by) }
 
-func (b *Book) even(r *Right) float64 { return r.limit.Amount * b.part(r.limit.Mode) }
+func (b *Store) even(r *Right) float64 { return r.limit.Amount * b.part(r.limit.Mode) }
 
-// kept is what is in force here of what was born here.
-func (b *Book) kept(p *play) float64 {
+// kept is what is in force here of its own part.
+func (b *Store) kept(p *play) float64 {
 	even := b.even(p.right)
 	if b.quiet(p.right) {
 		return even * floorPart
 	}
-	return max(even*floorPart, even-p.promises.at(b.now))
+	return max(even*floorPart, even-p.loans.at(b.now))
 }
 
 // publish says what is in force here.
-func (b *Book) publish(r *Right) {
+func (b *Store) publish(r *Right) {
 	if b.retired || b.limits[r.id] != r {
 		r.held.Store(&held{})
 		return
@@ -127,7 +127,7 @@
 			r.held.Store(nil)
 			return
 		}
-		// What is born here holds from its end on, also where nobody looks.
+		// Its own part holds from its end on, also where nobody looks.
 		r.held.Store(&held{value: b.even(r) * floorPart, until: b.began + b.outlast(), rest: b.even(r)})
 		return
 	}
@@ -138,7 +138,7 @@
 
 // hold looks at limits that were asked for, and at those that are shared: which want more, and
 // which are nobody's concern any more.
-func (b *Book) hold() {
+func (b *Store) hold() {
 	for r := b.touched.Swap(nil); r != nil; {
 		next := r.next
 		r.in.Store(false)
@@ -170,7 +170,7 @@
 			}
 		}
 		p.grants = ended(p.grants, b.now)
-		if p.promises.at(b.now) == 0 && len(p.grants) == 0 && b.now-max(p.touched, p.said) > 2*b.cfg.Lease {
+		if p.loans.at(b.now) == 0 && len(p.grants) == 0 && b.now-max(p.touched, p.said) > 2*b.cfg.Lease {
 			delete(b.played, id)
 		}
 		b.publish(p.right)
@@ -199,8 +199,8 @@
 	return kept
 }
 
-// answer takes an owner's grants and pledges what is not used here.
-func (b *Book) answer(m *message) {
+// answer takes an owner's grants and lends what is not used here.
+func (b *Store) answer(m *message) {
 	reply := &message{kind: kindReply, at: b.now, echoBoot: m.from.boot, echo: m.at}
 	for _, e := range m.entries {
 		r := b.known(e.id)
@@ -224,10 +224,10 @@
 		}
 		want, even := r.look(b.now), b.even(r)
 		offer := 0.0
-		if !b.quiet(r) && (p.promises.at(b.now) == 0 || p.to == m.from) {
+		if !b.quiet(r) && (p.loans.at(b.now) == 0 || p.to == m.from) {
 			p.to = m.from
 			if offer = max(0, even-max(even*floorPart, r.long*spare)); offer > 0 {
-				p.promises.add(b.now, offer, b.now+b.outlast(), true)
+				p.loans.add(b.now, offer, b.now+b.outlast(), true)
 			}
 		}
 		reply.entries = append(reply.entries, entry{id: e.id, a: max(0, want-b.kept(p)), b: offer})
@@ -240,7 +240,7 @@
 
 // take takes a grant in, unless a later word of the same owner came before. It holds from when
 // the owner heard this process last.
-func (b *Book) take(p *play, m *message, amount float64) bool {
+func (b *Store) take(p *play, m *message, amount float64) bool {
 	until := Time(0)
 	if m.echoBoot == b.cfg.Boot && m.echo <= b.now {
 		until = m.echo + b.hasten()
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -35,7 +35,7 @@
 
 type model struct {
 	now      time.Duration
-	books    [3]*Book
+	books    [3]*Store
 	boots    [3]uint64
 	flights  []flight
 	restarts int
@@ -52,7 +52,7 @@
 
 func (m *model) start(i int) {
 	m.boots[i]++
-	m.books[i] = NewBook(m.clock(i), Config{Self: modelNames[i], Boot: m.boots[i], Lease: modelLease, Drift: modelDrift, Typed: 3})
+	m.books[i] = NewStore(m.clock(i), Config{Self: modelNames[i], Boot: m.boots[i], Lease: modelLease, Drift: modelDrift, Typed: 3})
 	m.books[i].Right(Limit{"l", modelAmount, NeverOver})
 	m.books[i].View(m.clock(i), m.views[i], 3)
 }
@@ -144,27 +144,27 @@
 	return &n
 }
 
-func (b *Book) clone() *Book {
-	c := &Book{cfg: b.cfg, now: b.now, began: b.began, drift: b.drift, others: b.others, alive: b.alive, retired: b.retired, loud: b.loud,
+func (b *Store) clone() *Store {
+	c := &Store{cfg: b.cfg, now: b.now, began: b.began, drift: b.drift, others: b.others, alive: b.alive, retired: b.retired, loud: b.loud,
 		stamp: b.stamp, polled: b.polled, hurried: b.hurried, counts: b.counts, limits: map[uint64]*Right{}, played: map[uint64]*play{}, owned: map[uint64]*account{}, peers: map[peer]*heard{}}
 	for i := range b.parts {
 		c.parts[i].Store(b.parts[i].Load())
 	}
 	for id, r := range b.limits {
-		q := &Right{limit: r.limit, id: id, book: c, demand: r.demand, quick: r.quick, long: r.long, moved: r.moved, demandAt: r.demandAt}
+		q := &Right{limit: r.limit, id: id, store: c, demand: r.demand, quick: r.quick, long: r.long, moved: r.moved, demandAt: r.demandAt}
 		q.held.Store(r.held.Load())
 		c.limits[id] = q
 	}
 	for id, p := range b.played {
 		q := *p
-		q.right, q.promises, q.grants = c.limits[id], slices.Clone(p.promises), slices.Clone(p.grants)
+		q.right, q.loans, q.grants = c.limits[id], slices.Clone(p.loans), slices.Clone(p.grants)
 		c.played[id] = &q
 	}
 	for id, a := range b.owned {
 		q := &account{right: c.limits[id], until: a.until, holders: map[peer]*holder{}}
 		for p, h := range a.holders {
 			g := *h
-			g.pledged = slices.Clone(h.pledged)
+			g.lent = slices.Clone(h.lent)
 			q.holders[p] = &g
 		}
 		c.owned[id] = q
@@ -214,7 +214,7 @@
 		put(m.boots[i], now, b.loud, b.hurried, b.now-b.polled, len(b.others), b.stamp-now)
 		for _, p := range b.played {
 			put(p.to.name, p.to.boot, p.sharer, now-p.said, now-p.asked, now-p.touched)
-			for _, q := range p.promises {
+			for _, q := range p.loans {
 				put(q.amount, future(q.until))
 			}
 			slices.SortFunc(p.grants, func(x, y grant) int { return byPeer(x.by, y.by) })
@@ -226,7 +226,7 @@
 			put(future(a.until))
 			for _, p := range slices.SortedFunc(maps.Keys(a.holders), byPeer) {
 				h := a.holders[p]
-				for _, q := range h.pledged {
+				for _, q := range h.lent {
 					put(q.amount, future(q.until))
 				}
 				put(p.name, p.boot, h.at, h.echo, h.want, h.cur, future(h.curUntil), h.next, future(h.nextUntil), h.changed)
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -18,12 +18,12 @@
 	holders map[peer]*holder
 }
 
-// holder is a process that pledges, or holds grants.
+// holder is a process that lends, or holds grants.
 type holder struct {
-	at      Time // the last word of its that counts, on its clock
-	echo    Time // the last poll that it is known to have taken in
-	want    float64
-	pledged promises // that it may not use itself, for longer than they count here
+	at   Time // the last word of its that counts, on its clock
+	echo Time // the last poll that it is known to have taken in
+	want float64
+	lent loans // that it may not use itself, for longer than they count here
 	// next is the grant that was sent last, changed when it was first. Until it is known to have
 	// arrived, cur is the most that may be held instead.
 	cur, next           float64
@@ -54,38 +54,21 @@
 	h.nextUntil = until
 }
 
-// learn takes in what a member wants and pledges.
-func (b *Book) learn(m *message) {
+// learn takes in what a member wants and lends.
+func (b *Store) learn(m *message) {
 	if m.echo > b.stamp || m.echo != 0 && m.echoBoot != b.cfg.Boot {
 		return // said to a process before this one, or never
 	}
-	if _, member := slices.BinarySearch(b.others, m.from.name); !member && m.from.name != b.cfg.Self {
-		b.counts.Strange++ // nobody who is known to live: a name alone must not add pledges
-		return
-	}
-	p := b.peers[m.from]
+	p := b.peerOf(m.from)
 	if p == nil {
-		if len(b.peers) >= mostPeers {
-			b.counts.Strange++
-			return
-		}
-		p = &heard{}
-		b.peers[m.from] = p
+		b.counts.Strange++
+		return
 	}
 	p.stamp, p.at = max(p.stamp, m.at), b.now
 	for _, e := range m.entries {
-		a := b.owned[e.id]
+		a := b.accountOf(e)
 		if a == nil {
-			if e.a == 0 || len(b.owned) >= mostPlayed || b.owner(e.id) != b.cfg.Self {
-				continue
-			}
-			r := b.known(e.id)
-			if r == nil {
-				continue
-			}
-			a = &account{right: r, holders: map[peer]*holder{}}
-			b.owned[e.id] = a
-			b.hurried = true
+			continue
 		}
 		h := a.holders[m.from]
 		if h == nil {
@@ -100,33 +83,75 @@
 			continue // a later word came before
 		}
 		h.at = m.at
-		if e.a > h.want*1.25 && e.a > h.next || e.a < h.next/2 && a.short() {
-			b.hurried = true
-		}
-		if h.want = min(e.a, a.right.limit.Amount); e.a > 0 {
-			a.until = b.now + holdLeases*b.cfg.Lease
-		}
+		b.learnWant(a, h, e.a)
 		if m.echo == 0 && e.b > 0 { // it has missed a poll
 			b.hurried = true
 		}
-		if m.echo == 0 || m.echo < h.echo {
-			continue
-		}
-		h.echo = m.echo
-		if m.echo >= h.changed && h.curUntil > 0 {
-			h.cur, h.curUntil = 0, 0
-			b.hurried = b.hurried || a.short()
-		}
-		// The member was polled no earlier than the poll was sent: its pledge lasts longer.
-		if e.b > h.pledged.at(b.now) {
-			b.hurried = b.hurried || a.short()
-		}
-		if until := m.echo + b.cfg.Lease; until > b.now {
-			h.pledged.add(b.now, min(e.b, b.even(a.right)*(1-floorPart)), until, false)
+		if m.echo != 0 && m.echo >= h.echo {
+			b.learnLoan(a, h, m.echo, e.b)
 		}
 	}
 }
 
+// peerOf is what is heard of a process; nil: it belongs to nobody who is known to live, as a name
+// alone must not add loans, or there are too many.
+func (b *Store) peerOf(from peer) *heard {
+	if _, member := slices.BinarySearch(b.others, from.name); !member && from.name != b.cfg.Self {
+		return nil
+	}
+	p := b.peers[from]
+	if p == nil && len(b.peers) < mostPeers {
+		p = &heard{}
+		b.peers[from] = p
+	}
+	return p
+}
+
+// accountOf is the account of a limit that this gateway owns. One is opened where a member wants
+// rights and this gateway is to share them out; nil: there is none.
+func (b *Store) accountOf(e entry) *account {
+	if a := b.owned[e.id]; a != nil {
+		return a
+	}
+	if e.a == 0 || len(b.owned) >= mostPlayed || b.owner(e.id) != b.cfg.Self {
+		return nil
+	}
+	r := b.known(e.id)
+	if r == nil {
+		return nil
+	}
+	a := &account{right: r, holders: map[peer]*holder{}}
+	b.owned[e.id] = a
+	b.hurried = true
+	return a
+}
+
+// learnWant takes in how many rights a member wants.
+func (b *Store) learnWant(a *account, h *holder, want float64) {
+	if want > h.want*1.25 && want > h.next || want < h.next/2 && a.short() {
+		b.hurried = true
+	}
+	if h.want = min(want, a.right.limit.Amount); want > 0 {
+		a.until = b.now + holdLeases*b.cfg.Lease
+	}
+}
+
+// learnLoan takes in how many rights a member lends out, as it said behind the poll of that stamp. It
+// was polled no earlier than the poll was sent: its loan lasts longer.
+func (b *Store) learnLoan(a *account, h *holder, echo Time, lent float64) {
+	h.echo = echo
+	if echo >= h.changed && h.curUntil > 0 {
+		h.cur, h.curUntil = 0, 0
+		b.hurried = b.hurried || a.short()
+	}
+	if lent > h.lent.at(b.now) {
+		b.hurried = b.hurried || a.short()
+	}
+	if until := echo + b.cfg.Lease; until > b.now {
+		h.lent.add(b.now, min(lent, b.even(a.right)*(1-floorPart)), until, false)
+	}
+}
+
 // short says whether somebody wants more than was granted.
 func (a *account) short() bool {
 	for _, h := range a.holders {
@@ -137,17 +162,17 @@
 	return false
 }
 
-// figures are what is granted and pledged.
-func (a *account) figures(now Time) (granted, pledges float64, holders int) {
+// figures are what is granted and lent.
+func (a *account) figures(now Time) (granted, loans float64, holders int) {
 	for _, h := range a.holders {
 		granted += h.inForce(now)
-		pledges += h.pledged.at(now)
+		loans += h.lent.at(now)
 	}
-	return granted, pledges, len(a.holders)
+	return granted, loans, len(a.holders)
 }
 
-// poll asks all members what they want and pledge, and tells them what they have.
-func (b *Book) poll() {
+// poll asks all members what they want and lend, and tells them what they have.
+func (b *Store) poll() {
 	since := b.now - b.polled
 	if since < b.cfg.Lease/pollParts && !(b.hurried && since >= b.cfg.Lease/hurryParts) {
 		return
@@ -192,10 +217,10 @@
 	}
 }
 
-// over says that nothing which was granted or pledged can still hold.
+// over says that nothing which was granted or lent can still hold.
 func (a *account) over(now Time) bool {
 	for p, h := range a.holders {
-		if h.inForce(now) > 0 || h.pledged.at(now) > 0 {
+		if h.inForce(now) > 0 || h.lent.at(now) > 0 {
 			return false
 		}
 		delete(a.holders, p)
@@ -204,21 +229,21 @@
 }
 
 // share decides what each holder is granted until half a lease from now. What is out at any time
-// stays within pledges that last as long. Where pledges have been lost, what is out may be more
+// stays within loans that last as long. Where loans have been lost, what is out may be more
 // than those that are left: then grants only shrink, and what is out ends before the lost ones do.
-func (b *Book) share(a *account, newest map[string]peer) {
+func (b *Store) share(a *account, newest map[string]peer) {
 	until := b.now + stretch(b.cfg.Lease, grantPart)
 	pool := 0.0
 	var wants []*holder
-	born := map[string]float64{} // by name: however many processes say so, it was born once
+	own := map[string]float64{} // by name: however many processes say so, it is there once
 	for p, h := range a.holders {
-		if h.pledged.at(b.now) == 0 && h.inForce(b.now) == 0 && b.peers[p] == nil {
+		if h.lent.at(b.now) == 0 && h.inForce(b.now) == 0 && b.peers[p] == nil {
 			delete(a.holders, p)
 			continue
 		}
-		if v := h.pledged.at(until); v > born[p.name] {
-			pool += v - born[p.name]
-			born[p.name] = v
+		if v := h.lent.at(until); v > own[p.name] {
+			pool += v - own[p.name]
+			own[p.name] = v
 		}
 		if h.target = 0; newest[p.name] == p && h.want > 0 {
 			wants = append(wants, h)
--- a/internal/quota/packet.go
+++ b/internal/quota/packet.go
@@ -21,7 +21,7 @@
 const (
 	packetVersion = 1
 	kindPoll      = 1 // an owner's: entries are a limit and what is granted
-	kindReply     = 2 // a member's: a limit, what is wanted beyond what is kept, what is pledged; unasked (no echo): whether a poll was missed
+	kindReply     = 2 // a member's: a limit, what is wanted beyond what is kept, what is lent; unasked (no echo): whether a poll was missed
 	entryBytes    = 24
 	mostEntries   = 40 // in a packet: it stays below 1,200 bytes
 	mostName      = 64
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -12,10 +12,10 @@
 )
 
 // pair is two books with nothing between them but what a test hands over.
-func pair(mode Mode) (a, b *Book, now Time) {
+func pair(mode Mode) (a, b *Store, now Time) {
 	now = Time(time.Hour)
-	mk := func(self, other string) *Book {
-		k := NewBook(now, Config{Self: self, Boot: 1, Lease: time.Second, Typed: 2})
+	mk := func(self, other string) *Store {
+		k := NewStore(now, Config{Self: self, Boot: 1, Lease: time.Second, Typed: 2})
 		k.Right(Limit{"l", 100, mode})
 		k.View(now, []string{other}, 2)
 		return k
@@ -24,7 +24,7 @@
 }
 
 // exchange lets two books talk for so many looks, a fortieth of a lease apart.
-func exchange(a, b *Book, now Time, wantA, wantB float64, rounds int) Time {
+func exchange(a, b *Store, now Time, wantA, wantB float64, rounds int) Time {
 	for range rounds {
 		now += Time(time.Second) / hurryParts
 		a.Right(Limit{"l", 100, NeverOver}).Ask(wantA / hurryParts)
@@ -36,14 +36,14 @@
 }
 
 // send delivers packets and what they lead to.
-func send(from, to *Book, now Time, list []Packet) {
+func send(from, to *Store, now Time, list []Packet) {
 	for _, p := range list {
 		send(to, from, now, to.Take(now, p.Data))
 	}
 }
 
 // What was granted ends by the clock of who has it, in the nanosecond in which it does, looked at
-// or not; what was pledged is used again only later than its owner counts on it.
+// or not; what was lent is used again only later than its owner counts on it.
 func TestAGrantEndsAsItIsUsed(t *testing.T) {
 	a, b, now := pair(NeverOver)
 	now = exchange(a, b, now, 90, 4, 400)
@@ -57,21 +57,21 @@
 	if before < 85 || math.Abs(after-50) > 1 {
 		t.Errorf("%.2f in the last instant of the grant, %.2f at its end", before, after)
 	}
-	// Nobody has looked since: the other's part is pledged until well behind that.
+	// Nobody has looked since: the other's part is lent until well behind that.
 	last := Time(0)
 	var p *play
 	for _, p = range b.played {
-		for _, q := range p.promises {
+		for _, q := range p.loans {
 			last = max(last, q.until)
 		}
 	}
 	if last <= end+Time(400*time.Millisecond) {
-		t.Errorf("pledged until %v, granted until %v", last, end)
+		t.Errorf("lent until %v, granted until %v", last, end)
 	}
 	b.tick(last - 1)
 	held := b.kept(p)
 	if b.tick(last); held > 10 || b.kept(p) < 100*b.part(NeverOver) {
-		t.Errorf("%.2f kept while pledged, %.2f behind that", held, b.kept(p))
+		t.Errorf("%.2f kept while lent, %.2f behind that", held, b.kept(p))
 	}
 }
 
@@ -115,19 +115,19 @@
 	}
 }
 
-// A pledge that is lowered holds to its end, whatever is pledged in between; and who counts on it
+// A loan that is lowered holds to its end, whatever is lent in between; and who counts on it
 // counts on no more than the one who made it is bound to.
-func TestPledges(t *testing.T) {
+func TestLoans(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		var bound, counted promises
-		var all []promise
+		var bound, counted loans
+		var all []loan
 		now := Time(time.Hour)
-		for range rapid.IntRange(1, 80).Draw(rt, "pledges") {
+		for range rapid.IntRange(1, 80).Draw(rt, "loans") {
 			now += Time(rapid.IntRange(0, 300).Draw(rt, "later"))
 			amount := float64(rapid.IntRange(0, 40).Draw(rt, "amount"))
 			bound.add(now, amount, now+1000, true)
 			counted.add(now, amount, now+990, false)
-			all = append(all, promise{amount, now + 1000})
+			all = append(all, loan{amount, now + 1000})
 			for _, at := range []Time{now, now + 300, now + 980} {
 				most := 0.0
 				for _, m := range all {
@@ -135,10 +135,10 @@
 						most = max(most, m.amount)
 					}
 				}
-				if b, c := bound.at(at), counted.at(at); b < most || c > b || len(bound) > mostPromises || len(counted) > mostPromises {
+				if b, c := bound.at(at), counted.at(at); b < most || c > b || len(bound) > mostLoans || len(counted) > mostLoans {
 					rt.Fatalf("at %v bound to %v and counted as %v, in %d and %d steps, want %v", at, b, c, len(bound), len(counted), most)
 				}
-				if len(all) < mostPromises && bound.at(at) != most {
+				if len(all) < mostLoans && bound.at(at) != most {
 					rt.Fatalf("at %v bound to %v, want %v", at, bound.at(at), most)
 				}
 			}
--- a/internal/quota/trial/trial.go
+++ b/internal/quota/trial/trial.go
@@ -55,7 +55,7 @@
 	n      int
 	name   string
 	rate   float64 // of its clock
-	book   *quota.Book
+	store  *quota.Store
 	rights []part
 	boot   uint64
 	dead   bool
@@ -66,7 +66,7 @@
 	box    [][]byte // what came while it stood still
 	// heir is a second process that will take over; before are the rights of the one that did not
 	// die when it was replaced.
-	heir       *quota.Book
+	heir       *quota.Store
 	heirRights []part
 	before     []part
 }
@@ -157,14 +157,14 @@
 
 func (w *World) start(g *gate) {
 	g.boot++
-	g.book, g.rights = w.process(g)
+	g.store, g.rights = w.process(g)
 	g.heir, g.before = nil, nil
 	w.begin(g)
 }
 
 // process is another process of a gateway.
-func (w *World) process(g *gate) (b *quota.Book, rights []part) {
-	b = quota.NewBook(w.clock(g), quota.Config{Self: g.name, Boot: g.boot, Lease: w.Lease, Drift: w.Drift, Typed: w.Typed})
+func (w *World) process(g *gate) (b *quota.Store, rights []part) {
+	b = quota.NewStore(w.clock(g), quota.Config{Self: g.name, Boot: g.boot, Lease: w.Lease, Drift: w.Drift, Typed: w.Typed})
 	for _, l := range w.Limits {
 		if w.Keyed {
 			rights = append(rights, part{family: b.Family(l), amount: l.Amount})
@@ -185,14 +185,20 @@
 	}
 }
 
-// Kill ends a gateway's process, Start begins another, Still and Go stop it and let it go on.
+// Kill ends a gateway's process.
 func (w *World) Kill(n int) {
 	w.gates[n].dead = true
 	w.end(w.gates[n])
 }
+
+// Start begins another process of a gateway.
 func (w *World) Start(n int) { w.start(w.gates[n]) }
+
+// Still stops a gateway's process.
 func (w *World) Still(n int) { w.gates[n].still = true }
-func (w *World) Go(n int)    { w.gates[n].still = false }
+
+// Go lets a process that was stopped go on.
+func (w *World) Go(n int) { w.gates[n].still = false }
 
 // Upgrade begins a second process of a gateway, Take has it go on in place of the first, which
 // has let go or died.
@@ -209,11 +215,11 @@
 		return
 	}
 	if !g.dead { // it lives on until its last request has ended
-		g.book.Retire()
+		g.store.Retire()
 		g.before = g.rights
 	}
-	g.book, g.rights, g.heir = g.heir, g.heirRights, nil
-	g.book.Begin(w.clock(g))
+	g.store, g.rights, g.heir = g.heir, g.heirRights, nil
+	g.store.Begin(w.clock(g))
 	w.begin(g)
 }
 
@@ -232,9 +238,9 @@
 	}
 }
 
-// Born bounds what of a limit that is mostly full can be in force: each process that has lived
-// within the time that a pledge binds counts with the largest even part that it has gone by.
-func (w *World) Born() (sum float64) {
+// EvenParts bounds what of a limit that is mostly full can be in force: each process that has lived
+// within the time that a loan binds counts with the largest even part that it has gone by.
+func (w *World) EvenParts() (sum float64) {
 	from := w.Now - time.Duration(float64(w.Lease)*(1+4*w.Drift)) - 2*Step
 	w.lives = slices.DeleteFunc(w.lives, func(l *life) bool { return l.ended > 0 && l.ended < from })
 	for _, l := range w.lives {
@@ -284,7 +290,7 @@
 	if len(g.view) == 0 && w.Now < 2*time.Second {
 		most = 0
 	}
-	g.book.View(w.clock(g), g.view, most)
+	g.store.View(w.clock(g), g.view, most)
 	for _, l := range w.lives {
 		if l.gate == g.n && l.ended == 0 {
 			part := 1 / float64(len(g.view)+1)
@@ -332,7 +338,7 @@
 		}
 		return
 	}
-	w.post(g, g.book.Take(w.clock(g), data))
+	w.post(g, g.store.Take(w.clock(g), data))
 }
 
 // Run plays on, and calls each after every step.
@@ -348,7 +354,7 @@
 				continue
 			}
 			for _, data := range g.box {
-				w.post(g, g.book.Take(w.clock(g), data))
+				w.post(g, g.store.Take(w.clock(g), data))
 			}
 			g.box = nil
 			w.views(g)
@@ -364,8 +370,8 @@
 					r.ask(w.clock(g), d, rate)
 				}
 			}
-			if every := g.book.Every(); w.Now%max(every.Round(Step), Step) == 0 {
-				w.post(g, g.book.Tick(w.clock(g)))
+			if every := g.store.Every(); w.Now%max(every.Round(Step), Step) == 0 {
+				w.post(g, g.store.Tick(w.clock(g)))
 			}
 		}
 		if each != nil {
@@ -407,8 +413,8 @@
 	return sum / w.Limits[limit].Amount
 }
 
-// Book is a gateway's book.
-func (w *World) Book(n int) *quota.Book { return w.gates[n].book }
+// Store is a gateway's store.
+func (w *World) Store(n int) *quota.Store { return w.gates[n].store }
 
 // Skew deals traffic out by a power law, in an order of gateways that has nothing to do with
 // their names.
--- a/internal/quota/trial_test.go
+++ b/internal/quota/trial_test.go
@@ -51,7 +51,7 @@
 		w.Run(8*time.Second, nil)
 		known := func() (n int) {
 			for g := range 6 {
-				n += len(w.Book(g).Status(0, true))
+				n += len(w.Store(g).Status(0, true))
 			}
 			return n
 		}
@@ -71,7 +71,7 @@
 }
 
 // Whatever befalls processes, links and clocks, what is in force under NeverOver is never more
-// than the limit, and under MostlyFull no more than was born within a lease.
+// than the limit, and under MostlyFull no more than the even parts within a lease.
 func TestNothingIsInForceTwice(t *testing.T) {
 	for seed := uint64(1); seed <= 200; seed++ {
 		for _, mode := range []quota.Mode{quota.NeverOver, quota.MostlyFull} {
@@ -102,7 +102,7 @@
 	each := func() {
 		most := 1.0
 		if mode == quota.MostlyFull {
-			most = w.Born()
+			most = w.EvenParts()
 		}
 		if got := w.InForce(0); got > most+1e-6 && why == "" {
 			why = fmt.Sprintf("at %v %.4f of the limit is in force, %.4f may be", w.Now, got, most)
@@ -200,7 +200,7 @@
 }
 
 // The whole flood is on the smaller side of a cut: a limit that is never over gives that side what
-// was born there, one that is mostly full all of it; and once the cut is healed all is as before.
+// is its own, one that is mostly full all of it; and once the cut is healed all is as before.
 func TestTheFloodIsOnTheSmallerSide(t *testing.T) {
 	const n, small = 12, 4
 	for _, mode := range []quota.Mode{quota.NeverOver, quota.MostlyFull} {
@@ -265,7 +265,7 @@
 	}
 }
 
-// Liars want everything and pledge what they do not give: none takes what another uses of its own
+// Liars want everything and lend what they do not give: none takes what another uses of its own
 // even part, and honest gateways together have no more than the limit and the liars' parts of it.
 func TestLiarsTakeNothingThatIsUsed(t *testing.T) {
 	const n = 12
@@ -358,7 +358,7 @@
 		t.Errorf("%.1f packets a second and gateway, %.1f may be", each, most)
 	}
 	for g := range n {
-		if played, owned, peers := w.Book(g).Kept(); played > heavy || owned > heavy || peers > n {
+		if played, owned, peers := w.Store(g).Kept(); played > heavy || owned > heavy || peers > n {
 			t.Errorf("gateway %d keeps %d, %d and %d entries", g, played, owned, peers)
 		}
 	}
@@ -389,7 +389,7 @@
 	}
 	owner := -1
 	for g := range n {
-		if s := w.Book(g).Status(w.Now, true)[0]; s.Holders > 0 {
+		if s := w.Store(g).Status(w.Now, true)[0]; s.Holders > 0 {
 			owner = g
 		}
 	}
--- a/internal/route/compile.go
+++ b/internal/route/compile.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math/bits"
 	"regexp"
 	"slices"
 	"strings"
@@ -49,9 +48,27 @@
 	return t, append(bad, t.unreachable(entries)...)
 }
 
+// reporter takes in what is wrong with a field of a route.
+type reporter func(field, format string, args ...any)
+
 // compile checks one route by itself.
-func compile(r *Route, say func(field, format string, args ...any)) *entry {
+func compile(r *Route, say reporter) *entry {
 	e := &entry{Route: r}
+	compileHost(e, say)
+	compilePath(e, say)
+	checkMethods(r, say)
+	e.headers = slices.Clone(r.Headers)
+	for i := range e.headers {
+		e.headers[i].Name = canonical(e.headers[i].Name)
+	}
+	e.strict += checkConditions("headers", e.headers, say) + checkConditions("query", r.Query, say)
+	checkTarget(e, say)
+	return e
+}
+
+// compileHost reads which hosts a route is for: a name, *.suffix, name.*, ~expression, or any.
+func compileHost(e *entry, say reporter) {
+	r := e.Route
 	if text, ok := strings.CutPrefix(r.Host, "~"); ok {
 		re, err := regexp.Compile(text)
 		if err != nil {
@@ -75,24 +92,29 @@
 		}
 		e.host = host
 	}
+}
+
+// compilePath reads which paths a route is for.
+func compilePath(e *entry, say reporter) {
+	path := e.Route.Path
 	var err error
-	switch r.Path.Kind {
+	switch path.Kind {
 	case Regexp:
-		if e.expr, err = regexp.Compile("^(?:" + r.Path.Value + ")$"); err != nil {
+		if e.expr, err = regexp.Compile("^(?:" + path.Value + ")$"); err != nil {
 			say("expression", "%v", err)
 		}
-		e.path = r.Path.Value
+		e.path = path.Value
 	case Exact:
-		if e.path, err = normalPattern(r.Path.Value); err != nil {
+		if e.path, err = normalPattern(path.Value); err != nil {
 			say("path", "%v", err)
 		}
 	case Starts:
-		if e.path, err = normalPattern(r.Path.Value); err != nil {
+		if e.path, err = normalPattern(path.Value); err != nil {
 			say("starts", "%v", err)
 		}
 	default:
-		if r.Path.Value != "" {
-			if e.path, err = normalPattern(r.Path.Value); err != nil {
+		if path.Value != "" {
+			if e.path, err = normalPattern(path.Value); err != nil {
 				say("prefix", "%v", err)
 			}
 			e.path = strings.TrimSuffix(e.path, "/")
@@ -101,6 +123,9 @@
 			say("prefix", "more than %d segments", maxDepth)
 		}
 	}
+}
+
+func checkMethods(r *Route, say reporter) {
 	seen := map[string]bool{}
 	for _, m := range r.Methods {
 		if m == "" || strings.ContainsFunc(m, func(c rune) bool { return c <= ' ' || c > '~' || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, c) }) {
@@ -110,34 +135,28 @@
 		}
 		seen[m] = true
 	}
-	e.headers = slices.Clone(r.Headers)
-	for i := range e.headers {
-		e.headers[i].Name = canonical(e.headers[i].Name)
-	}
-	for _, list := range []struct {
-		field string
-		conds []Condition
-	}{{"headers", e.headers}, {"query", r.Query}} {
-		names := map[string]bool{}
-		for _, c := range list.conds {
-			switch {
-			case c.Name == "":
-				say(list.field, "a condition needs a name")
-			case list.field == "headers" && c.Name == "Host":
-				say(list.field, "the host is matched by host")
-			case names[c.Name]:
-				say(list.field, "%s stands twice", c.Name)
-			}
-			names[c.Name] = true
-			e.strict += int(c.Op)
+}
+
+// checkConditions checks the conditions on headers or query, and says how strict they are together.
+func checkConditions(field string, list []Condition, say reporter) (strict int) {
+	names := map[string]bool{}
+	for _, c := range list {
+		switch {
+		case c.Name == "":
+			say(field, "a condition needs a name")
+		case field == "headers" && c.Name == "Host":
+			say(field, "the host is matched by host")
+		case names[c.Name]:
+			say(field, "%s stands twice", c.Name)
 		}
+		names[c.Name] = true
+		strict += int(c.Op)
 	}
-	checkTarget(e, say)
-	return e
+	return strict
 }
 
-// checkTarget checks where a route sends its requests.
-func checkTarget(e *entry, say func(field, format string, args ...any)) {
+// checkTarget checks where a route sends its requests, and what as.
+func checkTarget(e *entry, say reporter) {
 	r := e.Route
 	total := 0
 	pools := map[string]bool{}
@@ -168,7 +187,12 @@
 	if r.Stable.Header != "" && r.Stable.Query != "" {
 		say("stable", "by a header or by a query parameter, not both")
 	}
-	rw := &r.Rewrite
+	compileRewrite(e, say)
+}
+
+// compileRewrite checks how a route rewrites paths, and brings its patterns into their normal form.
+func compileRewrite(e *entry, say reporter) {
+	r, rw := e.Route, &e.Route.Rewrite
 	ways := 0
 	for _, used := range []bool{rw.Strip != "", rw.Replace != "", rw.Expr != nil} {
 		if used {
@@ -284,83 +308,6 @@
 	return m[host]
 }
 
-// compare orders entries by precedence, the better first; 0 says that they are level.
-func compare(x, y *entry) int {
-	return cmp.Or(
-		cmp.Compare(y.Priority, x.Priority),
-		cmp.Compare(hostRank(y), hostRank(x)),
-		compareHostPatterns(x, y),
-		comparePaths(x, y),
-		compareMethods(x, y),
-		cmp.Compare(min(1, len(y.Listeners)), min(1, len(x.Listeners))),
-		cmp.Compare(len(y.headers), len(x.headers)),
-		cmp.Compare(len(y.Query), len(x.Query)),
-		cmp.Compare(y.strict, x.strict),
-		cmp.Compare(prefixLength(y), prefixLength(x)),
-	)
-}
-
-func hostRank(e *entry) int {
-	switch {
-	case e.host == "":
-		return 0
-	case e.hostRe != nil:
-		return 1
-	case strings.HasSuffix(e.host, ".*"):
-		return 2 + len(e.host)
-	case e.host[0] == '.':
-		return 1<<10 + len(e.host)
-	}
-	return 1 << 20
-}
-
-var pathRank = [...]int{Prefix: 0, Starts: 1, Regexp: 2, Exact: 3}
-
-func comparePaths(x, y *entry) int {
-	if c := cmp.Compare(pathRank[y.Path.Kind], pathRank[x.Path.Kind]); c != 0 {
-		return c
-	}
-	switch x.Path.Kind {
-	case Prefix:
-		return cmp.Compare(strings.Count(y.path, "/"), strings.Count(x.path, "/"))
-	case Starts:
-		return cmp.Compare(len(y.path), len(x.path))
-	case Regexp:
-		return cmp.Or(cmp.Compare(x.Order, y.Order), cmp.Compare(len(y.path), len(x.path)), cmp.Compare(x.path, y.path))
-	}
-	return 0
-}
-
-func compareMethods(x, y *entry) int {
-	count := func(e *entry) int {
-		if len(e.Methods) == 0 {
-			return 1 << 20
-		}
-		return len(e.Methods)
-	}
-	return cmp.Compare(count(x), count(y))
-}
-
-// prefixLength is the sum of the lengths of what conditions with a prefix ask for.
-func prefixLength(e *entry) (n int) {
-	for _, list := range [...][]Condition{e.headers, e.Query} {
-		for _, c := range list {
-			if c.Op == HasPrefix {
-				n += len(c.Value)
-			}
-		}
-	}
-	return n
-}
-
-// compareHostPatterns orders hosts that are expressions as those are tried.
-func compareHostPatterns(x, y *entry) int {
-	if x.hostRe == nil || y.hostRe == nil || x.host == y.host {
-		return 0
-	}
-	return cmp.Or(cmp.Compare(x.HostOrder, y.HostOrder), cmp.Compare(x.host, y.host))
-}
-
 // each calls f for the paths of each host.
 func (t *Table) each(f func(*paths)) {
 	for _, l := range t.levels {
@@ -408,219 +355,3 @@
 		}
 	})
 }
-
-// ambiguous finds routes that are level and that one request could match both.
-func (t *Table) ambiguous() (bad []Problem) {
-	t.buckets(func(list []*entry) {
-		for i, x := range list {
-			for _, y := range list[i+1:] {
-				if compare(x, y) != 0 {
-					break // the list is in order
-				}
-				if x, y := inFile(x, y); together(x, y) {
-					bad = append(bad, Problem{Route: y.Route, Text: fmt.Sprintf(
-						"is ambiguous: route %q%s matches alike and neither is more specific; give one of them a priority", x.Name, lineOf(x.Route))})
-				}
-			}
-		}
-	})
-	sortProblems(bad)
-	return bad
-}
-
-func inFile(x, y *entry) (*entry, *entry) {
-	if x.Index > y.Index {
-		return y, x
-	}
-	return x, y
-}
-
-func lineOf(r *Route) string {
-	if r.Line == 0 {
-		return ""
-	}
-	return fmt.Sprintf(" (line %d)", r.Line)
-}
-
-func sortProblems(bad []Problem) {
-	slices.SortStableFunc(bad, func(x, y Problem) int {
-		return cmp.Or(cmp.Compare(x.Route.Index, y.Route.Index), cmp.Compare(x.Text, y.Text))
-	})
-}
-
-// together says whether one request could match two entries of one host and path.
-func together(x, y *entry) bool {
-	if len(x.Methods) > 0 && len(y.Methods) > 0 &&
-		!slices.ContainsFunc(x.Methods, func(m string) bool { return slices.Contains(y.Methods, m) }) {
-		return false
-	}
-	if len(x.Listeners) > 0 && len(y.Listeners) > 0 &&
-		!slices.ContainsFunc(x.Listeners, func(l string) bool { return slices.Contains(y.Listeners, l) }) {
-		return false
-	}
-	return !apart(x.headers, y.headers) && !apart(x.Query, y.Query)
-}
-
-// apart says whether no values hold for both lists.
-func apart(x, y []Condition) bool {
-	for _, c := range x {
-		for _, d := range y {
-			if c.Name != d.Name {
-				continue
-			}
-			if c.Op > d.Op {
-				c, d = d, c
-			}
-			switch {
-			case c.Op == Equals && c.Value != d.Value,
-				c.Op == HasPrefix && d.Op == Equals && !strings.HasPrefix(d.Value, c.Value),
-				c.Op == HasPrefix && d.Op == HasPrefix && !strings.HasPrefix(d.Value, c.Value) && !strings.HasPrefix(c.Value, d.Value):
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// unreachable finds routes of which every request goes to a better one. It looks for one
-// better route that covers them; several that do so only together are not found.
-func (t *Table) unreachable(entries []*entry) (bad []Problem) {
-	for _, e := range entries {
-		if by := t.cover(e); by != nil {
-			bad = append(bad, Problem{Route: e.Route, Warning: true, Text: fmt.Sprintf(
-				"can never be reached: route %q%s stands before it and matches all that it does", by.Name, lineOf(by.Route))})
-		}
-	}
-	sortProblems(bad)
-	return bad
-}
-
-// cover finds a better route that matches all that e does. Such a one is found on the
-// walk of any request that e matches, so one is tried.
-func (t *Table) cover(e *entry) (found *entry) {
-	host := e.host
-	if host == "" {
-		host = "any.host.invalid"
-	} else if host[0] == '.' {
-		host = "any" + host
-	}
-	t.walk(host, samplePath(e), func(x *entry) bool {
-		switch {
-		case x == e || compare(x, e) > 0:
-			return false
-		case coversHost(x, e) && coversPath(x, e) && coversMethods(x, e) && len(x.Listeners) == 0 &&
-			implied(e.headers, x.headers) && implied(e.Query, x.Query) && compare(x, e) < 0:
-			found = x
-			return false
-		}
-		return true
-	})
-	return found
-}
-
-// samplePath is a path that the entry matches; for a regular expression it stands for
-// whatever it matches and is found below the prefix of no segments only.
-func samplePath(e *entry) string {
-	switch {
-	case e.Path.Kind == Regexp:
-		return "/\x00"
-	case e.path == "":
-		return "/"
-	}
-	return e.path
-}
-
-// walk calls f for the entries that could match host and path, in order of precedence,
-// until it says to stop. Regular expressions are all taken to match.
-func (t *Table) walk(host, path string, f func(*entry) bool) {
-	for i := range t.levels {
-		l := &t.levels[i]
-		list := []*paths{l.hosts[host]}
-		for at := strings.IndexByte(host, '.'); at > 0; {
-			list = append(list, l.suffixes[host[at:]])
-			next := strings.IndexByte(host[at+1:], '.')
-			if next < 0 {
-				break
-			}
-			at += 1 + next
-		}
-		for at := strings.LastIndexByte(host, '.'); at > 0; at = strings.LastIndexByte(host[:at], '.') {
-			list = append(list, l.tails[host[:at+1]])
-		}
-		for _, h := range l.patterns {
-			if h.expr.MatchString(host) {
-				list = append(list, h.paths)
-			}
-		}
-		for _, p := range append(list, l.any) {
-			if p != nil && !p.walk(path, f) {
-				return
-			}
-		}
-	}
-}
-
-func (p *paths) walk(path string, f func(*entry) bool) bool {
-	lists := [][]*entry{p.exact[path], p.exprs}
-	for n := p.starts.longest(path); n != nil; n = n.up {
-		lists = append(lists, n.list)
-	}
-	for end := len(path); ; end = strings.LastIndexByte(path[:end], '/') {
-		if depth := strings.Count(path[:end], "/"); depth < bits.UintSize && p.depths&(1<<depth) != 0 {
-			lists = append(lists, p.prefix[path[:end]])
-		}
-		if end <= 0 {
-			break
-		}
-	}
-	for _, list := range lists {
-		for _, e := range list {
-			if !f(e) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-func coversHost(x, e *entry) bool {
-	if x.hostRe != nil || e.hostRe != nil || strings.HasSuffix(x.host, ".*") || strings.HasSuffix(e.host, ".*") {
-		return x.host == "" || x.host == e.host
-	}
-	return x.host == "" || x.host == e.host || x.host[0] == '.' && strings.HasSuffix(e.host, x.host) && e.host != x.host
-}
-
-func coversPath(x, e *entry) bool {
-	switch {
-	case x.Path.Kind == Prefix && x.path == "":
-		return true
-	case x.Path.Kind == Starts || e.Path.Kind == Starts: // which is the longest, and firm, decides
-		return x.Path.Kind == Starts && e.Path.Kind == Starts && x.path == e.path
-	case x.Path.Kind == Regexp && len(x.Path.Within) > 0:
-		return false
-	case x.Path.Kind == Regexp && e.Path.Kind == Exact:
-		return x.expr.MatchString(e.path)
-	case x.Path.Kind == Regexp && e.Path.Kind == Prefix:
-		return e.path == "" && (x.path == ".*" || x.path == "/.*")
-	case x.Path.Kind == Regexp || e.Path.Kind == Regexp:
-		return x.Path.Kind == e.Path.Kind && (x.path == e.path || x.path == ".*" || x.path == "/.*")
-	case x.Path.Kind == Exact:
-		return e.Path.Kind == Exact && x.path == e.path
-	}
-	return under(e.path, x.path)
-}
-
-func coversMethods(x, e *entry) bool {
-	return len(x.Methods) == 0 || len(e.Methods) > 0 &&
-		!slices.ContainsFunc(e.Methods, func(m string) bool { return !slices.Contains(x.Methods, m) })
-}
-
-// implied says whether every condition of want holds where those of have do.
-func implied(have, want []Condition) bool {
-	return !slices.ContainsFunc(want, func(w Condition) bool {
-		return !slices.ContainsFunc(have, func(h Condition) bool {
-			return h.Name == w.Name && (w.Op == Present || h.Op >= w.Op && w.Op == HasPrefix && strings.HasPrefix(h.Value, w.Value) ||
-				h.Op == Equals && w.Op == Equals && h.Value == w.Value)
-		})
-	})
-}
--- a/internal/shift/plan.go
+++ b/internal/shift/plan.go
@@ -75,7 +75,7 @@
 	DefaultKeep     = 0.02
 )
 
-// Errors of a plan name the field that is wrong.
+// FieldError is an error of a plan, with the field that is wrong.
 type FieldError struct {
 	Field string
 	Err   error
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -2,111 +2,11 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
-
-	"pgregory.net/rapid"
 )
 
-func plan() Plan {
-	return Plan{Name: "m", From: "a", To: "b", Steps: []float64{0.1, 0.5, 1}, Least: 10 * time.Second, Longest: 10 * time.Minute, Tolerate: DefaultTolerate,
-		Margin: DefaultMargin, Error: DefaultError, Worst: DefaultWorst, Keep: DefaultKeep}
-}
-
-var fine = Pool{Ready: true, Capacity: 1000}
-
-// world plays requests against a move: each takes 10 ms and ends as bad says.
-type world struct {
-	m    *Move
-	now  Time
-	r    *rand.Rand
-	rate int // a second
-	// bad says whether a try fails.
-	bad func(w *world, s Side, class int, retry bool) bool
-	// slow says how long one takes.
-	slow    func(w *world, s Side) time.Duration
-	work    func(key uint64) time.Duration // that a request costs; nil: 10 ms
-	void    func(w *world, e *ending) bool // it was a contract that turned it away
-	from    Pool
-	to      Pool
-	retries bool // clients try again, once, marked
-	log     []Decision
-	next    uint64
-	cost    uint64 // key of the request that is sent
-	ends    []ending
-}
-
-type ending struct {
-	at    Time
-	u     Unit
-	ask   Ask
-	good  bool
-	retry bool
-}
-
-func newWorld(p Plan, seed uint64) *world {
-	w := &world{now: time.Hour, r: rand.New(rand.NewPCG(seed, 7)), rate: 200, from: fine, to: fine, retries: true,
-		bad:  func(w *world, _ Side, _ int, _ bool) bool { return w.r.Float64() < 0.01 },
-		slow: func(*world, Side) time.Duration { return 10 * time.Millisecond }}
-	w.m = New(w.now, p)
-	return w
-}
-
-func (w *world) send(a Ask, retry bool) {
-	u, err := w.m.Place(w.now, &a)
-	if err != nil {
-		return
-	}
-	w.cost = a.Cost
-	w.ends = append(w.ends, ending{w.now + w.slow(w, u.Side), u, a, !w.bad(w, u.Side, a.Class, retry), retry})
-}
-
-// play goes on for a time, or until the move is in one of the states.
-func (w *world) play(length time.Duration, until ...State) {
-	for end := w.now + length; w.now < end; {
-		w.now += 100 * time.Millisecond
-		for range w.rate / 10 {
-			w.next++
-			w.send(Ask{Key: w.next, Class: int(w.next % 2), Worth: 1, Aim: time.Second, Draw: w.r.Float64(), Cost: w.next%10 + 1}, false)
-		}
-		due := w.ends
-		w.ends = nil
-		for len(due) > 0 {
-			e := due[0]
-			if due = due[1:]; e.at > w.now {
-				w.ends = append(w.ends, e)
-				continue
-			}
-			work := 10 * time.Millisecond
-			if w.work != nil {
-				work = w.work(e.ask.Cost)
-			}
-			w.m.Ended(e.at, &e.u, End{Good: e.good, Void: w.void != nil && w.void(w, &e), Work: work})
-			if !e.good && !e.retry && w.retries {
-				a, now := e.ask, w.now
-				a.Repeat = true
-				w.now = e.at
-				w.send(a, true)
-				w.now = now
-			}
-		}
-		w.m.Tick(w.now, w.from, w.to)
-		w.log = append(w.log, w.m.Decisions()...)
-		if slices.Contains(until, w.m.State()) {
-			return
-		}
-	}
-}
-
-func (w *world) last() Decision {
-	if len(w.log) == 0 {
-		return Decision{}
-	}
-	return w.log[len(w.log)-1]
-}
-
 // A sound pool gets all of the traffic, step by step, and no step is shorter than it may be.
 func TestMoves(t *testing.T) {
 	w := newWorld(plan(), 1)
@@ -267,125 +167,6 @@
 	}
 }
 
-// A key with a third of the traffic, costly and failing, is one throw of the dice.
-func TestHeavyKeyIsSetAside(t *testing.T) {
-	for seed := range uint64(8) {
-		p := plan()
-		m := New(time.Hour, p)
-		r := rand.New(rand.NewPCG(seed, 1))
-		now := time.Hour
-		side := NewPool
-		for range 60_000 {
-			now += 5 * time.Millisecond
-			key := r.Uint64() | 1
-			if r.IntN(3) == 0 {
-				key = 12345
-			}
-			a := Ask{Key: key, Named: true, Worth: 1, Aim: time.Second, Sticky: key, Draw: Draw(key * 0x9e3779b97f4a7c15)}
-			if key == 12345 {
-				a.Draw = 0.05 // it falls to the new pool
-			}
-			u, err := m.Place(now, &a)
-			if err != nil {
-				t.Fatal(err)
-			}
-			m.Ended(now+time.Millisecond, &u, End{Good: key != 12345 || r.IntN(2) == 0})
-			if key == 12345 {
-				side = u.Side
-			}
-			if now%(100*time.Millisecond) < 5*time.Millisecond {
-				m.Tick(now, fine, fine)
-			}
-		}
-		for _, d := range m.Decisions() {
-			if d.Cause == Fell && d.At > time.Hour+20*time.Second {
-				t.Errorf("seed %d: undone by one key in %v: %+v", seed, side, d)
-			}
-		}
-		if m.books.setAside < 9_000 {
-			t.Errorf("%d units set aside", m.books.setAside)
-		}
-	}
-}
-
-// A key stays with the pool of its first try: whatever steps, falls and restarts come between.
-func TestKeysStay(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		p := plan()
-		p.Window = 20 * time.Second
-		p.Least = 2 * time.Second
-		now := time.Hour
-		wall := func() time.Time { return time.Unix(1_800_000_000, int64(now)) }
-		m := New(now, p)
-		if rapid.Bool().Draw(rt, "small") {
-			m.keys.now.most, m.keys.old.most = 40, 40
-		}
-		type first struct {
-			at   Time
-			side Side
-		}
-		went := map[uint64]first{}
-		saved := m.Save(now, wall())
-		remember := func() {
-			saved = m.Save(now, wall())
-			m.Grant(now, &saved)
-		}
-		bad := false
-		unsure := 0
-		next := uint64(0)
-		for range rapid.IntRange(20, 300).Draw(rt, "events") {
-			switch rapid.IntRange(0, 11).Draw(rt, "what") {
-			case 0, 1, 2, 3, 4:
-				for range 10 {
-					next++
-					key := next * 0x9e3779b97f4a7c15
-					if next%3 == 0 && len(went) > 0 { // an old one again
-						for k := range went {
-							key = max(k, 1)
-							break
-						}
-						key = (uint64(rapid.IntRange(1, int(next)).Draw(rt, "again"))) * 0x9e3779b97f4a7c15
-					}
-					u, err := m.Place(now, &Ask{Key: key, Named: true, Keyed: true, Worth: 1, Aim: time.Second, Sticky: key, Draw: Draw(key ^ key<<17)})
-					if err != nil {
-						unsure++
-						continue
-					}
-					if f, ok := went[key]; ok && now-f.at <= p.Window {
-						if f.side != u.Side {
-							rt.Fatalf("key %x went to %v at %v and to %v at %v", key, f.side, f.at, u.Side, now)
-						}
-					} else {
-						went[key] = first{now, u.Side}
-					}
-					m.Ended(now, &u, End{Good: !(bad && u.Side == NewPool)})
-				}
-			case 5, 6:
-				now += time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond
-				m.Tick(now, fine, fine)
-			case 7:
-				for range 50 {
-					now += 100 * time.Millisecond
-					m.Tick(now, fine, fine)
-				}
-			case 8:
-				remember()
-			case 9:
-				bad = !bad
-			case 10:
-				m.Tell(now, rapid.SampledFrom([]Cause{Pause, Resume, Back}).Draw(rt, "word"))
-			case 11: // a crash: what was saved last is what is known
-				if err := saved.Check(); err != nil {
-					rt.Fatal(err)
-				}
-				now += time.Duration(rapid.IntRange(0, 5000).Draw(rt, "down")) * time.Millisecond
-				m = Restore(now, p, &saved, wall(), true)
-				remember()
-			}
-		}
-	})
-}
-
 // A move goes back no faster than the old pool can take it, and never beyond its room.
 func TestUndoFollowsRoom(t *testing.T) {
 	w := newWorld(plan(), 9)
@@ -546,27 +327,6 @@
 	}
 }
 
-// A set of keys does what a map does.
-func TestKeySet(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		set, plain := keySet{most: 500}, map[uint64]Side{}
-		for range rapid.IntRange(0, 2000).Draw(rt, "n") {
-			key := uint64(rapid.IntRange(0, 900).Draw(rt, "key")) << 1
-			key |= key << 40
-			side, ok := set.find(key)
-			want, known := plain[key]
-			if ok != known || side != want {
-				rt.Fatalf("key %x: %v %v, want %v %v", key, side, ok, want, known)
-			}
-			if s := Side(key >> 2 & 1); !ok && set.put(key, s) != (len(plain) < 500) {
-				rt.Fatalf("%d keys: put", len(plain))
-			} else if !ok && len(plain) < 500 {
-				plain[key] = s
-			}
-		}
-	})
-}
-
 func BenchmarkUnit(b *testing.B) {
 	for _, keyed := range []bool{false, true} {
 		b.Run(fmt.Sprintf("keyed=%v", keyed), func(b *testing.B) {
@@ -590,30 +350,3 @@
 		})
 	}
 }
-
-// The set of keys beside a map, a million of them.
-func BenchmarkKeys(b *testing.B) {
-	b.Run("ours", func(b *testing.B) {
-		b.ReportAllocs()
-		set := keySet{most: mostKeys}
-		for i := 0; b.Loop(); i++ {
-			key := uint64(i) * 0x9e3779b97f4a7c15
-			if _, ok := set.find(key); !ok && !set.put(key, NewPool) {
-				set.clear()
-			}
-		}
-	})
-	b.Run("map", func(b *testing.B) {
-		b.ReportAllocs()
-		set := map[uint64]Side{}
-		for i := 0; b.Loop(); i++ {
-			key := uint64(i) * 0x9e3779b97f4a7c15
-			if _, ok := set[key]; !ok {
-				if len(set) >= mostKeys {
-					clear(set)
-				}
-				set[key] = NewPool
-			}
-		}
-	})
-}
--- a/internal/stream/upload_test.go
+++ b/internal/stream/upload_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"frostshift/internal/fake"
 	"pgregory.net/rapid"
 
 	"frostshift/internal/body"
@@ -66,24 +67,6 @@
 
 func (s *script) Trailer() http.Header { return http.Header{"X-T": {"t"}} }
 
-// room counts, up to a bound.
-type room struct {
-	mu         sync.Mutex
-	used, most int64
-}
-
-func (r *room) Take(n int64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.used+n > r.most {
-		return false
-	}
-	r.used += n
-	return true
-}
-
-func (r *room) Give(n int64) { r.mu.Lock(); r.used -= n; r.mu.Unlock() }
-
 // disk is a file that may fail.
 type disk struct {
 	mu     sync.Mutex
@@ -130,7 +113,7 @@
 			b.Length = int64(len(all)) + int64(rapid.IntRange(-1, 1).Draw(t, "off"))
 			b.Length = max(b.Length, 0)
 		}
-		r, d := &room{most: rapid.Int64Range(0, 200).Draw(t, "room")}, &disk{failAt: rapid.IntRange(0, 200).Draw(t, "fail")}
+		r, d := fake.NewRoom(rapid.Int64Range(0, 200).Draw(t, "room")), &disk{failAt: rapid.IntRange(0, 200).Draw(t, "fail")}
 		u := NewUpload(Config{Source: src, Room: r, Bounds: b, Spool: func() (File, error) { return d, nil }}, nil)
 		right := !broken && (b.Length < 0 || b.Length == int64(len(all)))
 		for range rapid.IntRange(1, 4).Draw(t, "attempts") {
@@ -163,8 +146,8 @@
 			}
 		}
 		u.Close()
-		if r.used != 0 {
-			t.Fatalf("%d bytes of room stay held", r.used)
+		if r.Used() != 0 {
+			t.Fatalf("%d bytes of room stay held", r.Used())
 		}
 		if len(d.b) > 0 && !d.closed {
 			t.Fatal("the file stays open")
@@ -177,7 +160,7 @@
 func TestNextAttemptHasWhatTheLastWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		src := &script{parts: [][]byte{[]byte("first"), []byte("second")}, err: io.EOF, slow: time.Second}
-		u := NewUpload(Config{Source: src, Room: &room{most: 100}, Bounds: body.Bounds{Memory: 100, Length: 11}}, nil)
+		u := NewUpload(Config{Source: src, Room: fake.NewRoom(100), Bounds: body.Bounds{Memory: 100, Length: 11}}, nil)
 		one, _ := u.Open()
 		ended := make(chan error, 1)
 		go func() {
@@ -226,7 +209,7 @@
 				for range 20 {
 					src.parts = append(src.parts, make([]byte, 10))
 				}
-				u := NewUpload(Config{Source: src, Room: &room{most: 1000}, Bounds: body.Bounds{Memory: 1000, Length: -1}, Idle: c.idle, Rate: c.rate}, nil)
+				u := NewUpload(Config{Source: src, Room: fake.NewRoom(1000), Bounds: body.Bounds{Memory: 1000, Length: -1}, Idle: c.idle, Rate: c.rate}, nil)
 				in, _ := u.Open()
 				_, err := io.ReadAll(in)
 				if c.ok != (err == nil) || !c.ok && !errors.Is(err, ErrSlow) {
@@ -240,15 +223,15 @@
 
 func TestFillStopsAtItsBound(t *testing.T) {
 	for _, size := range []int{0, 9, 10, 11} {
-		r := &room{most: 100}
+		r := fake.NewRoom(100)
 		u := NewUpload(Config{Source: &script{parts: [][]byte{make([]byte, size)}, err: io.EOF}, Room: r, Bounds: body.Bounds{Memory: 10, Length: -1}}, nil)
 		whole, err := u.Fill(10)
 		if err != nil || whole != (size < 10) || u.Touched() || u.State() == body.Dropped {
 			t.Errorf("%d bytes: whole %v, state %v, touched %v, %v", size, whole, u.State(), u.Touched(), err)
 		}
 		if whole {
-			if b, _ := u.Whole(); len(b) != size || r.used != int64(size) {
-				t.Errorf("%d bytes: handed over %d, %d held", size, len(b), r.used)
+			if b, _ := u.Whole(); len(b) != size || r.Used() != int64(size) {
+				t.Errorf("%d bytes: handed over %d, %d held", size, len(b), r.Used())
 			}
 		}
 		u.Close()
--- a/internal/upstream/http1/http1_test.go
+++ b/internal/upstream/http1/http1_test.go
@@ -13,9 +13,9 @@
 
 	"frostshift"
 	"frostshift/internal/exchange"
+	"frostshift/internal/fake"
 	"frostshift/internal/message"
 	"frostshift/internal/share"
-	"frostshift/internal/standin"
 	"frostshift/internal/upstream"
 	"frostshift/internal/verdict"
 )
@@ -82,7 +82,7 @@
 // whether to go on with that connection.
 func rawHost(t *testing.T, serve func(n int, c net.Conn, r *http.Request) bool) (string, func() int) {
 	t.Helper()
-	h, err := standin.NewHost(func(r *standin.Request) bool {
+	h, err := fake.NewHost(func(r *fake.Request) bool {
 		return serve(r.N, r.Conn, &http.Request{Method: r.Method, Header: r.Header})
 	})
 	if err != nil {
--- a/internal/upstream/http2/http2_test.go
+++ b/internal/upstream/http2/http2_test.go
@@ -16,9 +16,9 @@
 
 	"frostshift"
 	"frostshift/internal/exchange"
+	"frostshift/internal/fake"
 	"frostshift/internal/message"
 	"frostshift/internal/share"
-	"frostshift/internal/standin"
 	"frostshift/internal/upstream"
 )
 
@@ -84,9 +84,9 @@
 	}
 }
 
-func h2host(t *testing.T, settings []http2.Setting, begun, serve func(*standin.H2Stream)) *standin.H2Host {
+func h2host(t *testing.T, settings []http2.Setting, begun, serve func(*fake.H2Stream)) *fake.H2Host {
 	t.Helper()
-	h, err := standin.NewH2Host(settings, begun, serve)
+	h, err := fake.NewH2Host(settings, begun, serve)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,52 +100,52 @@
 	long := strings.Repeat("x", maxAnswer+1)
 	for _, c := range []struct {
 		name  string
-		serve func(s *standin.H2Stream)
+		serve func(s *fake.H2Stream)
 		want  exchange.Verdict
 		body  string
 	}{
-		{"served", func(s *standin.H2Stream) { s.Conn.Answer(s.ID, "200", "ok") }, exchange.Served, "ok"},
-		{"served, without a body", func(s *standin.H2Stream) { s.Conn.Answer(s.ID, "200", "") }, exchange.Served, ""},
-		{"served, long", func(s *standin.H2Stream) { s.Conn.Answer(s.ID, "200", long[:300<<10]) }, exchange.Served, long[:300<<10]},
-		{"answers ahead and trailers", func(s *standin.H2Stream) {
+		{"served", func(s *fake.H2Stream) { s.Conn.Answer(s.ID, "200", "ok") }, exchange.Served, "ok"},
+		{"served, without a body", func(s *fake.H2Stream) { s.Conn.Answer(s.ID, "200", "") }, exchange.Served, ""},
+		{"served, long", func(s *fake.H2Stream) { s.Conn.Answer(s.ID, "200", long[:300<<10]) }, exchange.Served, long[:300<<10]},
+		{"answers ahead and trailers", func(s *fake.H2Stream) {
 			s.Conn.Head(s.ID, false, ":status", "103")
 			s.Conn.Head(s.ID, false, ":status", "200")
 			s.Conn.Write(func(f *http2.Framer) error { return f.WriteData(s.ID, false, []byte("ok")) })
 			s.Conn.Head(s.ID, true, "x-trailer", "1")
 		}, exchange.Served, "ok"},
-		{"turned away", func(s *standin.H2Stream) { s.Conn.Answer(s.ID, "503", "", "x-unprocessed", "1") }, exchange.Refused, ""},
-		{"503 that proves nothing", func(s *standin.H2Stream) { s.Conn.Answer(s.ID, "503", "") }, exchange.Failed, ""},
-		{"error", func(s *standin.H2Stream) { s.Conn.Answer(s.ID, "500", "") }, exchange.Failed, ""},
-		{"REFUSED_STREAM", func(s *standin.H2Stream) {
+		{"turned away", func(s *fake.H2Stream) { s.Conn.Answer(s.ID, "503", "", "x-unprocessed", "1") }, exchange.Refused, ""},
+		{"503 that proves nothing", func(s *fake.H2Stream) { s.Conn.Answer(s.ID, "503", "") }, exchange.Failed, ""},
+		{"error", func(s *fake.H2Stream) { s.Conn.Answer(s.ID, "500", "") }, exchange.Failed, ""},
+		{"REFUSED_STREAM", func(s *fake.H2Stream) {
 			s.Conn.Write(func(f *http2.Framer) error { return f.WriteRSTStream(s.ID, http2.ErrCodeRefusedStream) })
 		}, exchange.Refused, ""},
-		{"reset", func(s *standin.H2Stream) {
+		{"reset", func(s *fake.H2Stream) {
 			s.Conn.Write(func(f *http2.Framer) error { return f.WriteRSTStream(s.ID, http2.ErrCodeCancel) })
 		}, exchange.Failed, ""},
-		{"reset behind half an answer", func(s *standin.H2Stream) {
+		{"reset behind half an answer", func(s *fake.H2Stream) {
 			s.Conn.Head(s.ID, false, ":status", "200")
 			s.Conn.Write(func(f *http2.Framer) error { return f.WriteRSTStream(s.ID, http2.ErrCodeRefusedStream+100) })
 		}, exchange.Failed, ""},
-		{"GOAWAY below the stream", func(s *standin.H2Stream) {
+		{"GOAWAY below the stream", func(s *fake.H2Stream) {
 			s.Conn.Write(func(f *http2.Framer) error { return f.WriteGoAway(0, http2.ErrCodeNo, nil) })
 		}, exchange.Refused, ""},
-		{"GOAWAY above the stream, then the answer", func(s *standin.H2Stream) {
+		{"GOAWAY above the stream, then the answer", func(s *fake.H2Stream) {
 			s.Conn.Write(func(f *http2.Framer) error { return f.WriteGoAway(s.ID, http2.ErrCodeNo, nil) })
 			s.Conn.Answer(s.ID, "200", "ok")
 		}, exchange.Served, "ok"},
-		{"the connection breaks", func(s *standin.H2Stream) { standin.Reset(s.Conn.Conn) }, exchange.Failed, ""},
-		{"the connection ends", func(s *standin.H2Stream) { s.Conn.Close() }, exchange.Failed, ""},
-		{"a length that is too long", func(s *standin.H2Stream) { s.Conn.Answer(s.ID, "200", "ok", "content-length", "3") }, exchange.Failed, ""},
-		{"a length that is too short", func(s *standin.H2Stream) { s.Conn.Answer(s.ID, "200", "ok", "content-length", "1") }, exchange.Failed, ""},
-		{"more than an answer may have", func(s *standin.H2Stream) { s.Conn.Answer(s.ID, "200", long) }, exchange.Failed, ""},
-		{"no status", func(s *standin.H2Stream) { s.Conn.Head(s.ID, true, "x-a", "b") }, exchange.Failed, ""},
-		{"odd status", func(s *standin.H2Stream) { s.Conn.Head(s.ID, true, ":status", "2x0") }, exchange.Failed, ""},
-		{"switched protocols", func(s *standin.H2Stream) { s.Conn.Head(s.ID, false, ":status", "101") }, exchange.Failed, ""},
-		{"a connection header", func(s *standin.H2Stream) { s.Conn.Answer(s.ID, "200", "ok", "transfer-encoding", "chunked") }, exchange.Failed, ""},
-		{"data ahead of the head", func(s *standin.H2Stream) {
+		{"the connection breaks", func(s *fake.H2Stream) { fake.Reset(s.Conn.Conn) }, exchange.Failed, ""},
+		{"the connection ends", func(s *fake.H2Stream) { s.Conn.Close() }, exchange.Failed, ""},
+		{"a length that is too long", func(s *fake.H2Stream) { s.Conn.Answer(s.ID, "200", "ok", "content-length", "3") }, exchange.Failed, ""},
+		{"a length that is too short", func(s *fake.H2Stream) { s.Conn.Answer(s.ID, "200", "ok", "content-length", "1") }, exchange.Failed, ""},
+		{"more than an answer may have", func(s *fake.H2Stream) { s.Conn.Answer(s.ID, "200", long) }, exchange.Failed, ""},
+		{"no status", func(s *fake.H2Stream) { s.Conn.Head(s.ID, true, "x-a", "b") }, exchange.Failed, ""},
+		{"odd status", func(s *fake.H2Stream) { s.Conn.Head(s.ID, true, ":status", "2x0") }, exchange.Failed, ""},
+		{"switched protocols", func(s *fake.H2Stream) { s.Conn.Head(s.ID, false, ":status", "101") }, exchange.Failed, ""},
+		{"a connection header", func(s *fake.H2Stream) { s.Conn.Answer(s.ID, "200", "ok", "transfer-encoding", "chunked") }, exchange.Failed, ""},
+		{"data ahead of the head", func(s *fake.H2Stream) {
 			s.Conn.Write(func(f *http2.Framer) error { return f.WriteData(s.ID, true, []byte("ok")) })
 		}, exchange.Failed, ""},
-		{"a push", func(s *standin.H2Stream) {
+		{"a push", func(s *fake.H2Stream) {
 			s.Conn.Write(func(f *http2.Framer) error {
 				return f.WritePushPromise(http2.PushPromiseParam{StreamID: s.ID, PromiseID: 2, EndHeaders: true})
 			})
@@ -185,8 +185,8 @@
 // time is over, and the rest never goes out. (The balancer answers while the attempt is out
 // and could yet run: it fails and is not refused.)
 func TestWithoutAWindowNothingRan(t *testing.T) {
-	began := make(chan *standin.H2Stream, 1)
-	h := h2host(t, []http2.Setting{{ID: http2.SettingInitialWindowSize, Val: 0}}, func(s *standin.H2Stream) { began <- s }, func(*standin.H2Stream) {})
+	began := make(chan *fake.H2Stream, 1)
+	h := h2host(t, []http2.Setting{{ID: http2.SettingInitialWindowSize, Val: 0}}, func(s *fake.H2Stream) { began <- s }, func(*fake.H2Stream) {})
 	s := start(t, h.Addr())
 	warm := s.ask("", 100*time.Millisecond) // the host's settings have come by its end
 	await(t, began, "the first head")
@@ -206,8 +206,8 @@
 // A client that leaves ends the stream at the host, and what the host still sends harms
 // nobody: others on the connection are served, and its window comes back.
 func TestAnswersAfterTheCallOff(t *testing.T) {
-	began := make(chan *standin.H2Stream, 4)
-	h := h2host(t, nil, nil, func(s *standin.H2Stream) {
+	began := make(chan *fake.H2Stream, 4)
+	h := h2host(t, nil, nil, func(s *fake.H2Stream) {
 		began <- s
 		if string(s.Body) == "leave" {
 			<-s.Reset
@@ -239,9 +239,9 @@
 // still has no place waits for one; a limit that rises or falls is kept.
 func TestStreamLimits(t *testing.T) {
 	var mu sync.Mutex
-	out, most := map[*standin.H2Conn]int{}, 0
+	out, most := map[*fake.H2Conn]int{}, 0
 	release := make(chan struct{})
-	h := h2host(t, []http2.Setting{{ID: http2.SettingMaxConcurrentStreams, Val: 2}}, nil, func(s *standin.H2Stream) {
+	h := h2host(t, []http2.Setting{{ID: http2.SettingMaxConcurrentStreams, Val: 2}}, nil, func(s *fake.H2Stream) {
 		mu.Lock()
 		out[s.Conn]++
 		most = max(most, out[s.Conn])
--- a/internal/verdict/compile.go
+++ b/internal/verdict/compile.go
@@ -81,22 +81,39 @@
 	lists   [1000][]headerRule
 }
 
-func (c *compiler) rule(i int, r *Rule) {
-	from := func(field, text string, names []string) (int, bool) {
-		at := slices.Index(names, text)
-		if text != "" && at < 0 {
-			c.say(i, field, false, "%q is none of %s", text, strings.Join(names, ", "))
-		}
-		return at, at >= 0
+// change is what a rule makes of a meaning.
+type change struct {
+	gives, ran, health          int
+	hasGives, hasRan, hasHealth bool
+}
+
+func (x *change) apply(m Meaning) Meaning {
+	if x.hasGives {
+		m.Gives = Gives(x.gives)
+	}
+	if x.hasRan {
+		m.Ran = Ran(x.ran)
 	}
-	gives, hasGives := from("answer", r.Answer, givesNames[:])
-	ran, hasRan := from("ran", r.Ran, ranNames[:])
-	health, hasHealth := from("health", r.Health, healthNames[:])
+	if x.hasHealth {
+		m.Health = Health(x.health)
+	}
+	if m.Ran == Never && m.Health == Good && m.Gives != Final {
+		m.Health = Silent // it has shown nothing but that it turns away
+	}
+	return m
+}
+
+// rule takes in one rule.
+func (c *compiler) rule(i int, r *Rule) {
+	var x change
+	x.gives, x.hasGives = c.named(i, "answer", r.Answer, givesNames[:])
+	x.ran, x.hasRan = c.named(i, "ran", r.Ran, ranNames[:])
+	x.health, x.hasHealth = c.named(i, "health", r.Health, healthNames[:])
 	if r.Event != "" {
-		c.event(i, r, gives, hasGives)
+		c.event(i, r, x.gives, x.hasGives)
 		return
 	}
-	if !hasGives && !hasRan && !hasHealth {
+	if !x.hasGives && !x.hasRan && !x.hasHealth {
 		c.say(i, "", false, "the rule changes nothing: it wants answer, ran or health")
 		return
 	}
@@ -108,7 +125,7 @@
 	if !ok {
 		return
 	}
-	if hasRan && Ran(ran) == Never && h.op == Any && slices.ContainsFunc(statuses, func(s int) bool { return s != 421 && s != 425 }) {
+	if x.hasRan && Ran(x.ran) == Never && h.op == Any && slices.ContainsFunc(statuses, func(s int) bool { return s != 421 && s != 425 }) {
 		c.say(i, "ran", true, "a status alone is taken for a proof that nothing ran: unsafe requests are sent again on it")
 	}
 	hit := false
@@ -117,19 +134,7 @@
 			continue
 		}
 		hit = true
-		m := c.set.status[status]
-		if hasGives {
-			m.Gives = Gives(gives)
-		}
-		if hasRan {
-			m.Ran = Ran(ran)
-		}
-		if hasHealth {
-			m.Health = Health(health)
-		}
-		if m.Ran == Never && m.Health == Good && m.Gives != Final {
-			m.Health = Silent // it has shown nothing but that it turns away
-		}
+		m := x.apply(c.set.status[status])
 		if h.op == Any {
 			c.settled[status] = true
 			c.set.status[status] = m
@@ -147,6 +152,15 @@
 	}
 }
 
+// named is the place of a field's value among the names that it may have.
+func (c *compiler) named(i int, field, text string, names []string) (int, bool) {
+	at := slices.Index(names, text)
+	if text != "" && at < 0 {
+		c.say(i, field, false, "%q is none of %s", text, strings.Join(names, ", "))
+	}
+	return at, at >= 0
+}
+
 // event reads a rule about an end without an answer.
 func (c *compiler) event(i int, r *Rule, gives int, hasGives bool) {
 	at := slices.Index(eventNames[:], r.Event)
--- a/state.go
+++ b/state.go
@@ -61,13 +61,13 @@
 	backups        int     // hosts that are used only where no other can be
 	weighted       bool    // hosts have weights that differ from 1
 	nearby         []*host // those of the subset that stand in the own zone, where they are preferred
-	shared         Bank    // who shares the hosts
+	shared         Fleet   // who shares the hosts
 	subset         int     // how many of them it draws from
 	reach          int     // ... with what its own load asks for
 	own            float64 // rate of its requests, a second, as of ownAt
 	ownAt, ownFrom Time
 	sharers        float64 // instances that draw from one host
-	bank           float64 // instances that share the hosts listed
+	fleet          float64 // instances that share the hosts listed
 	twins          float64 // processes that are this instance; 0: one
 	ready          []*host // scratch of pick
 	out            []*host // scratch of pick
