A request on a listener that a reload takes away keeps its connection up to its own deadline

Requests that took longer than 2.9 s lost their connection without an answer when a reload had taken their listener away: the time was fixed, whatever their deadlines were. Found as a related path of the fixed times of a shutdown.

They have the longest deadline and the time that a client may take to send. A stop that comes meanwhile ends them as any others, within its own time.

TestRequestOutlivesItsListener fails on the code before: "answered 0, unexpected EOF".

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,8 +101,10 @@
 	streams   int              // that an HTTP/2 connection may have open; 0: the front's default
 	pools     map[string]*pool // of the present configuration
 	servers   map[config.Listener]*server
-	serving   bool // Run has begun
-	stopped   bool
+	// retiring are servers of listeners that were taken away, up to their last request's end.
+	retiring map[*server]struct{}
+	serving  bool // Run has begun
+	stopped  bool
 
 	ended   chan struct{}  // closed once no client is left
 	halt    chan struct{}  // closed at the order to stop: a reload waits for nothing any more
@@ -137,7 +139,7 @@
 	}
 	x := exchange.New(exchange.NewClock())
 	g := &Gateway{log: log, opt: opt, exchange: x, conns: opt.Conns, bounded: opt.Conns == nil,
-		banned: map[string]bool{}, learned: map[string]learning.Pool{}, pools: map[string]*pool{}, servers: map[config.Listener]*server{},
+		banned: map[string]bool{}, learned: map[string]learning.Pool{}, pools: map[string]*pool{}, servers: map[config.Listener]*server{}, retiring: map[*server]struct{}{},
 		failed: make(chan error, 1), halt: make(chan struct{}), ended: make(chan struct{})}
 	g.setBounds(m.Limits)
 	g.instances = m.Instances
@@ -443,6 +445,9 @@
 	for _, s := range g.servers {
 		servers = append(servers, s)
 	}
+	for s := range g.retiring {
+		servers = append(servers, s)
+	}
 	g.mu.Unlock()
 	g.clients.stop()
 	if !g.restart.isHanded() { // else new connections are another process's
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -32,10 +32,7 @@
 
 // listen opens the sockets of a configuration that are not open yet. The lock is held.
 func (g *Gateway) listen(m *config.Model) (opened []*server, err error) {
-	var longest time.Duration
-	for i := range m.Classes {
-		longest = max(longest, m.Classes[i].Deadline)
-	}
+	longest := longestDeadline(m)
 	for _, l := range m.Listeners {
 		if g.servers[l] != nil {
 			continue
@@ -52,6 +49,14 @@
 	return opened, nil
 }
 
+// longestDeadline is the longest that any class has.
+func longestDeadline(m *config.Model) (longest time.Duration) {
+	for i := range m.Classes {
+		longest = max(longest, m.Classes[i].Deadline)
+	}
+	return longest
+}
+
 func (g *Gateway) open(l config.Listener, longest time.Duration) (*server, error) {
 	s := &server{Listener: l, closed: make(chan struct{}), sendWithin: g.opt.SendWithin}
 	if s.sendWithin == 0 {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"reflect"
@@ -9,6 +10,7 @@
 
 	"frostshift/internal/config"
 	"frostshift/internal/front"
+	"frostshift/internal/front/http1"
 	"frostshift/internal/share"
 )
 
@@ -207,6 +209,32 @@
 	return nil
 }
 
+// retire ends a server whose listener the configuration has no more. Its requests have so long for their
+// answers; a stop that comes meanwhile takes it over. The lock is held.
+func (g *Gateway) retire(s *server, within time.Duration) {
+	g.retiring[s] = struct{}{}
+	g.running.Go(func() {
+		s.Leave()
+		ctx, cancel := context.WithTimeout(context.Background(), within)
+		defer cancel()
+		go func() {
+			select {
+			case <-g.halt:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		err := s.Shutdown(ctx)
+		g.mu.Lock()
+		stopped := g.stopped
+		delete(g.retiring, s)
+		g.mu.Unlock()
+		if err != nil && !stopped {
+			s.Close()
+		}
+	})
+}
+
 // moveListeners serves at new listeners and takes the old ones back: they finish what
 // they hold.
 func (g *Gateway) moveListeners(m *config.Model, opened []*server) {
@@ -215,12 +243,7 @@
 			continue
 		}
 		delete(g.servers, l)
-		g.running.Go(func() {
-			s.Leave()
-			if !shutdown([]*server{s}, stopWithin) {
-				s.Close()
-			}
-		})
+		g.retire(s, http1.SendWithin+longestDeadline(m))
 	}
 	for _, s := range opened {
 		g.servers[s.Listener] = s
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"frostshift/internal/config"
 	"frostshift/internal/fake"
 )
 
@@ -64,3 +65,34 @@
 	}
 	await(t, g.end, "the end")
 }
+
+// A request on a listener that a reload takes away has its own time for its answer, and a stop that comes
+// meanwhile ends it as any other.
+func TestRequestOutlivesItsListener(t *testing.T) {
+	taken, release := make(chan struct{}, 2), make(chan struct{})
+	addr, _ := rawHost(t, func(_ int, c net.Conn, _ *fake.Request) bool {
+		taken <- struct{}{}
+		<-release
+		io.WriteString(c, fake.Answer(200, "ok"))
+		return true
+	})
+	m := booking(t, "", addr)
+	g := launch(t, m)
+	c, err := fake.Dial(g.Addr("clients").String(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Send("POST", "/book", "x")
+	await(t, taken, "the request at the host")
+	next := *m
+	next.Listeners = []config.Listener{{Name: "others", Address: "127.0.0.1:0"}}
+	if err := g.Reload(&next); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(3100 * time.Millisecond) // real time passes: less than its deadline
+	close(release)
+	if status, body, _, err := c.Receive(); err != nil || status != http.StatusOK || body != "ok" {
+		t.Errorf("answered %d %q, %v", status, body, err)
+	}
+}
