A shutdown is over before the earliest kill that the deadlines of the settings allow

Requests that were accepted late in a shutdown were forwarded and had no answer when the process was killed, dozens of times.

Cause: the steps of a stop had fixed times (0.5 s, then 2.9 s), which fit a kill at 3.7 s. SIGKILL comes the longest deadline (3 s at most) and 0.7 s behind SIGTERM: with a longest deadline of 0.8 s nearly two seconds before the last requests were failed. What was still read then was lost.

drain.ScheduleFor works the steps out from the longest deadline. The exchange knows the end: no request has longer, no attempt is told more, from then on nothing is sent and what comes is refused. What has been read in part is refused at that time (half a head, half a body, half a head behind another request, which counted as busy) in place of a close above it.

--- /dev/null
+++ b/internal/drain/schedule_test.go
@@ -0,0 +1,21 @@
+package drain
+
+import (
+	"testing"
+	"time"
+)
+
+// Whatever the longest deadline is, a process is done before the earliest kill, and with deadlines of
+// up to 3 s a request that is taken in the first 0.4 s may use up its time.
+func TestScheduleEndsBeforeTheKill(t *testing.T) {
+	for longest := time.Duration(0); longest < 12*time.Second; longest += 10 * time.Millisecond {
+		kill := min(longest, 3*time.Second) + 700*time.Millisecond
+		s := ScheduleFor(longest)
+		if s.Accept <= 0 || s.Accept > s.Answer || s.Answer >= s.Close || s.Close > kill-150*time.Millisecond {
+			t.Fatalf("longest %v: %+v, killed at %v", longest, s, kill)
+		}
+		if s.Accept < 400*time.Millisecond || s.Answer < min(longest, 3*time.Second)+400*time.Millisecond {
+			t.Fatalf("longest %v: %+v gives up too early", longest, s)
+		}
+	}
+}
--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -48,9 +48,9 @@
 // latest is when the request must be over.
 func (c *Call) latest() frostshift.Time {
 	if c.Body != nil {
-		return c.Ends
+		return c.x.before(c.Ends)
 	}
-	return c.Deadline
+	return c.x.before(c.Deadline)
 }
 
 // Undelivered says that the reply could not be written to the client whole: if the request
@@ -137,9 +137,9 @@
 // left is the time that a host may have for the answer.
 func (c *Call) left(now frostshift.Time) time.Duration {
 	if c.Body != nil {
-		return min(c.Rest, max(0, c.Ends-now))
+		return min(c.Rest, max(0, c.latest()-now))
 	}
-	return max(0, c.Deadline-now)
+	return max(0, c.latest()-now)
 }
 
 // handOn passes a request that this pool does not serve to its fallback and says whether
@@ -208,12 +208,12 @@
 	if c == nil {
 		return
 	}
-	until := c.Deadline
+	until := c.x.before(c.Deadline)
 	if act.At > 0 {
 		until = min(until, act.At)
 	}
 	now := p.clock.Now()
-	if !p.mayRepeat(now, c) {
+	if !p.maySend(now, c) {
 		return
 	}
 	if c.kept != nil && !c.kept.Light() { // others need the room that it holds meanwhile
@@ -222,7 +222,7 @@
 	}
 	left := until - now
 	if c.Body != nil {
-		until, left = c.Ends, c.left(now)
+		until, left = c.latest(), c.left(now)
 	}
 	a := &Attempt{Host: act.Host, Message: c.Message, Answers: c.Answers, Until: p.clock.At(until), Left: left,
 		pool: p, call: c, n: len(c.attempts), begun: now, sendBy: p.repeatBy(c), sent: now}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -31,6 +31,7 @@
 	clock Clock
 	seed  atomic.Uint64 // of the hashes of ids
 	ids   [16]idShard
+	endBy atomic.Int64 // see EndBy; 0: there is no end
 }
 
 // idShard holds a part of the ids of open requests, so that pools on several cores do
@@ -66,6 +67,21 @@
 // Clock is the clock that deadlines are told on.
 func (x *Exchange) Clock() Clock { return x.clock }
 
+// EndBy says when the process ends: no request has longer than until then. From then on nothing is sent
+// for any, and one that comes is refused.
+func (x *Exchange) EndBy(at frostshift.Time) { x.endBy.Store(int64(at)) }
+
+// before is the earlier of an instant and the end of the process.
+func (x *Exchange) before(at frostshift.Time) frostshift.Time {
+	if end := frostshift.Time(x.endBy.Load()); end != 0 {
+		return min(at, end)
+	}
+	return at
+}
+
+// isOver says whether the process has come to its end.
+func (x *Exchange) isOver(now frostshift.Time) bool { return x.before(now) < now }
+
 // shard is where an id belongs, with its hash there.
 func (x *Exchange) shard(id string) (*idShard, uint64) {
 	h := x.hashOf(id)
@@ -219,12 +235,18 @@
 // nothing that may have run stands in the way, the fallback gets it; nil: there is none.
 // Request.Hold keeps both pools from ending until the call is closed.
 func (x *Exchange) Submit(r Request, to, fallback *Pool) *Call {
+	r.Deadline, r.Ends = x.before(r.Deadline), x.before(r.Ends)
 	c := &Call{Request: r, x: x, fallback: fallback, Reply: make(chan Reply, 1)}
 	c.pool.Store(to)
 	if v, ok := x.claim(r.ID, to.set.Classes[r.Class].Effect); !ok {
 		c.turnAway(Reply{Verdict: v, Pool: to.name})
 		return c
 	}
+	if x.isOver(x.clock.Now()) {
+		x.free(r.ID)
+		c.turnAway(Reply{Verdict: Refused, After: to.advice, Pool: to.name})
+		return c
+	}
 	if !to.room.Take(1) { // nothing was sent, so a refusal is true
 		if fallback == nil || !fallback.room.Take(1) {
 			x.free(r.ID)
--- a/internal/exchange/fair.go
+++ b/internal/exchange/fair.go
@@ -89,12 +89,17 @@
 	p.sched.Done(now, c.Item, work, cut)
 }
 
-// mayRepeat says whether the balancer's next attempt is within the budgets of the pool and
-// of the team. If not, the request ends here, with an honest answer.
-func (p *Pool) mayRepeat(now frostshift.Time, c *Call) bool {
+// maySend says whether the balancer's next attempt may go out: the process is not at its end, and the
+// attempt is within the budgets of the pool and of the team. If not, the request ends here, with an
+// honest answer.
+func (p *Pool) maySend(now frostshift.Time, c *Call) bool {
 	r := Reply{Verdict: Failed, Why: c.why}
 	harmless := !c.mayRan || p.set.Classes[c.Class].Effect == frostshift.Safe
 	switch {
+	case c.x.isOver(now):
+		if harmless {
+			r = Reply{Verdict: Refused, After: p.advice}
+		}
 	case c.spent+len(c.attempts) == 0:
 		p.repeats.Asked()
 		return true
--- a/internal/exchange/send_test.go
+++ b/internal/exchange/send_test.go
@@ -95,3 +95,40 @@
 		})
 	}
 }
+
+// At the end of the process nothing is sent any more: a request that comes is refused, one that is open has
+// no longer than until then, and none of its attempts is told more.
+func TestNothingIsSentAtTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := New(NewClock())
+		left := make(chan time.Duration, 8)
+		u := newUpstream(func(a *Attempt) (frostshift.Result, time.Duration) {
+			left <- a.Remaining()
+			return frostshift.ConnectFailed, 400 * time.Millisecond
+		})
+		p := newPool(t, x, "a", u, 6, nil)
+		early := x.ask(0, "early", p, nil)
+		synctest.Wait()
+		x.EndBy(x.clock.Now() + 300*time.Millisecond)
+		late := x.ask(0, "late", p, nil)
+		synctest.Wait()
+		for _, want := range []time.Duration{time.Second, 300 * time.Millisecond} {
+			if got := <-left; got > want {
+				t.Errorf("told %v, at most %v are left", got, want)
+			}
+		}
+		time.Sleep(301 * time.Millisecond)
+		over := x.ask(0, "over", p, nil)
+		if r := <-over.Reply; r.Verdict != Refused || r.Tries != 0 {
+			t.Errorf("one that comes at the end: %+v", r)
+		}
+		if r := <-late.Reply; r.Verdict == Served || u.tries["late"] != 1 {
+			t.Errorf("one that came shortly before: %+v after %d attempts", r, u.tries["late"])
+		}
+		if r := <-early.Reply; r.Verdict != Refused || u.tries["early"] != 1 { // its second attempt is due now
+			t.Errorf("one that was open: %+v after %d attempts", r, u.tries["early"])
+		}
+		p.Drain()
+		<-p.Done()
+	})
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -37,8 +37,9 @@
 	net.Conn
 	all  *Conns
 	from *Listener
-	// Encrypted says that a protocol on top encrypts what is sent; set before it is served.
+	// Encrypted says that a protocol on top encrypts what is sent.
 	Encrypted bool
+	secure    net.Conn // ... and is this one
 	// phase changes under the lock of all; it is read without it where nothing comes of
 	// a quiet one's being seen late.
 	phase atomic.Int32
@@ -50,6 +51,8 @@
 	// closing says that its server or its client ends it, and not we to make room.
 	closing bool
 	reset   bool   // it ends with a reset
+	body    bool   // a body is read that must come whole
+	expels  bool   // no further request is taken, and none is waited for
 	asking  bool   // a request is open
 	many    bool   // it has rested before
 	trial   bool   // it rests for the first time and is let be
@@ -123,6 +126,7 @@
 	if !c.closed {
 		c.closed = true
 		c.all.open--
+		delete(c.from.conns, c)
 		if c.leave != nil {
 			c.leave()
 			c.leave = nil
@@ -239,7 +243,9 @@
 	if c.answered {
 		c.answered = false
 		switch {
-		case c.ahead || c.deadlines > 1 || c.phase.Load() != busy:
+		case c.phase.Load() != busy:
+		case c.ahead || c.deadlines > 1:
+			c.rest(halfway) // the server waits for the rest of the next head
 		case c.from.leaving.Load():
 			c.condemn() // its server closes it on the error
 		default:
@@ -307,8 +313,11 @@
 // SetReadDeadline sets when reads end.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
 	c.deadlines++
-	c.all.mu.Unlock()
+	if c.expels && c.body {
+		return nil
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -399,6 +408,15 @@
 	return nil
 }
 
+// NewSecure is a connection whose handshake with a client is done.
+func NewSecure(over net.Conn, under *Conn) *Secure {
+	under.all.mu.Lock()
+	under.Encrypted, under.secure = true, over
+	under.all.mu.Unlock()
+	under.Record() // what came so far was the handshake
+	return &Secure{Conn: over, Under: under}
+}
+
 // Secure is a connection of all with a protocol that encrypts it on top.
 type Secure struct {
 	net.Conn
--- /dev/null
+++ b/internal/front/expel.go
@@ -0,0 +1,87 @@
+package front
+
+import (
+	"net/http"
+	"time"
+)
+
+// refusal is the answer to a request whose head is not whole and is not waited for. Nothing of it has
+// been sent on.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// refusalWithin is how long the client's system may take to have room for it.
+const refusalWithin = 50 * time.Millisecond
+
+// Expel ends the reading of requests over HTTP/1.1: those of which a part has come are refused, and
+// connections without one are given up. Requests that have come whole keep their connection up to
+// their answer.
+func (ln *Listener) Expel() {
+	ln.End(true)
+	var idles, halves []*Conn
+	ln.all.mu.Lock()
+	for c := range ln.conns {
+		switch phase := c.phase.Load(); {
+		case c.closed || c.giveUp != nil:
+		case phase == halfway:
+			halves = append(halves, c)
+			c.condemn()
+		case phase == silent || phase == once || phase == idle:
+			idles = append(idles, c)
+			c.condemn()
+		default:
+			c.expel()
+		}
+	}
+	ln.all.mu.Unlock()
+	for _, c := range halves {
+		c.refuse()
+		c.endSoftly()
+	}
+	for _, c := range idles {
+		c.endSoftly()
+	}
+}
+
+// expel ends the wait for a body. The lock is held.
+func (c *Conn) expel() {
+	c.expels = true
+	if c.body {
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// refuse answers a request of which a part of the head has come. Its server has written nothing since the
+// last answer, and writes nothing from here on. A handshake that is under way gets nothing.
+func (c *Conn) refuse() {
+	over := c.secure
+	switch {
+	case over != nil:
+	case c.from.Secure:
+		return
+	default:
+		over = c.Conn
+	}
+	over.SetWriteDeadline(time.Now().Add(refusalWithin))
+	over.Write([]byte(refusal))
+	c.wrote.Store(true)
+}
+
+// ReadBody calls f, which reads a body that must come whole. Where that is not waited for any more the
+// read fails, and the error is the refusal of its request.
+func (c *Conn) ReadBody(f func() error) error {
+	c.all.mu.Lock()
+	c.body = true
+	if c.expels {
+		c.expel()
+	}
+	c.all.mu.Unlock()
+	err := f()
+	c.all.mu.Lock()
+	c.body = false
+	expels := c.expels
+	c.all.mu.Unlock()
+	if err != nil && expels {
+		return &Error{Status: http.StatusServiceUnavailable, Text: "stopping"}
+	}
+	return err
+}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -394,13 +394,13 @@
 	case !fits:
 		err = &front.Error{Status: http.StatusHTTPVersionNotSupported, Text: "this version of HTTP is not spoken here"}
 	case flows:
-		err = s.begin(w, t, r, conn)
+		err = conn.ReadBody(func() error { return s.begin(w, t, r, conn) })
 	case r.TransferEncoding != nil:
 		// A Content-Length beside it has been dropped by now; those who go by it would
 		// find another request in this body.
 		err = &front.Error{Status: http.StatusLengthRequired, Text: "Content-Length is needed, and no Transfer-Encoding"}
 	default:
-		err = readBody(t, r)
+		err = conn.ReadBody(func() error { return readBody(t, r) })
 		conn.Record()
 	}
 	if err != nil {
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -15,6 +15,9 @@
 	net.Listener
 	all     *Conns
 	leaving atomic.Bool
+	// Secure says that clients begin with a handshake; set before it is used.
+	Secure bool
+	conns  map[*Conn]struct{} // that are open; under the lock of all
 	// accepting says that Accept is called until it returns an error.
 	accepting atomic.Bool
 	closing   atomic.Bool // what waits in the kernel's queue is still taken, and nothing behind it
@@ -223,6 +226,7 @@
 		cc := &Conn{Conn: c, all: l, from: ln, leave: leave, left: make(chan struct{})}
 		l.mu.Lock()
 		l.open++
+		ln.conns[cc] = struct{}{}
 		cc.rest(silent)
 		l.mu.Unlock()
 		return cc, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"frostshift/internal/admin"
 	"frostshift/internal/config"
 	"frostshift/internal/contract"
+	"frostshift/internal/drain"
 	"frostshift/internal/exchange"
 	"frostshift/internal/front"
 	"frostshift/internal/gossip"
@@ -34,14 +35,6 @@
 
 const (
 	readyAfter = 2 * time.Second // without a list from every pool's source, we start with what is known
-	// lameDuck is how long new connections are taken after the order to stop: the
-	// front goes on dealing them out for 0.4 s. Closing the listener earlier would
-	// reset what waits in the kernel's queue, which counts as accepted.
-	lameDuck = 500 * time.Millisecond
-	// stopWithin is how long requests may take to be finished after that, and stopLast how
-	// long what is left then may take to fail: the kill comes 3.7 s after the order at the soonest.
-	stopWithin = 2900 * time.Millisecond
-	stopLast   = 100 * time.Millisecond
 	// settleWithin is how long connections whose last answer is on its way may then take to be closed
 	// by their clients: the end of the process closes them above what is unread.
 	settleWithin = 150 * time.Millisecond
@@ -60,11 +53,12 @@
 // Options are for tests; the zero value is what a gateway runs with.
 type Options struct {
 	SendWithin time.Duration
-	Linger     func()        // between the order to stop and the close of the listeners
-	Silence    time.Duration // of discovery
-	LookEvery  time.Duration // at files of hosts
-	TellEvery  time.Duration // what teams have had
-	KeepEvery  time.Duration // between two writes of what was learned
+	Linger     func()         // between the order to stop and the close of the listeners
+	Stop       drain.Schedule // of the stop; the zero value: by the longest deadline
+	Silence    time.Duration  // of discovery
+	LookEvery  time.Duration  // at files of hosts
+	TellEvery  time.Duration  // what teams have had
+	KeepEvery  time.Duration  // between two writes of what was learned
 	// Memory is told the part of the limit on memory that this process may use; nil: nobody is.
 	Memory    func(part float64)
 	RoundTrip time.Duration // for the first notice of an HTTP/2 drain to be answered
@@ -134,9 +128,6 @@
 // New prepares a gateway for the configuration: its listeners are open and its pools run
 // when it returns, but clients are served only by Run.
 func New(m *config.Model, log *slog.Logger, opt Options) (*Gateway, error) {
-	if opt.Linger == nil {
-		opt.Linger = func() { time.Sleep(lameDuck) }
-	}
 	x := exchange.New(exchange.NewClock())
 	g := &Gateway{log: log, opt: opt, exchange: x, conns: opt.Conns, bounded: opt.Conns == nil,
 		banned: map[string]bool{}, learned: map[string]learning.Pool{}, pools: map[string]*pool{}, servers: map[config.Listener]*server{}, retiring: map[*server]struct{}{},
@@ -433,8 +424,25 @@
 	})
 }
 
+// stopSchedule is the schedule of a stop. On the platform the kill follows the settings; where another
+// process has taken over no kill is known of, and the longest schedule holds.
+func (g *Gateway) stopSchedule() drain.Schedule {
+	if g.opt.Stop != (drain.Schedule{}) {
+		return g.opt.Stop
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.model == nil || !g.model.Platform || g.restart.isHanded() {
+		return drain.ScheduleFor(time.Hour)
+	}
+	return drain.ScheduleFor(longestDeadline(g.model))
+}
+
 // stop finishes what is held and ends everything.
 func (g *Gateway) stop() {
+	ordered := time.Now()
+	schedule := g.stopSchedule()
+	g.exchange.EndBy(g.exchange.Clock().Now() + schedule.Answer)
 	if !g.restart.isHanded() { // else another process is the member
 		g.leaveFleet()
 	}
@@ -451,16 +459,11 @@
 	g.mu.Unlock()
 	g.clients.stop()
 	if !g.restart.isHanded() { // else new connections are another process's
-		g.opt.Linger()
+		g.linger(ordered.Add(schedule.Accept))
 	}
-	if !shutdown(servers, stopWithin) {
-		// What is still held would be lost at the kill that follows: it fails instead.
-		g.mu.Lock()
-		for _, p := range g.pools {
-			p.ex.FailAll()
-		}
-		g.mu.Unlock()
-		if !shutdown(servers, stopLast) {
+	if !shutdown(servers, ordered.Add(schedule.Answer)) {
+		g.endRequests(servers)
+		if !shutdown(servers, ordered.Add(schedule.Close)) {
 			g.log.Warn("connections were still open at the end")
 			for _, s := range servers {
 				s.Close()
@@ -483,9 +486,32 @@
 	g.running.Wait()
 }
 
+// linger waits while the front still deals out connections. A listener that was closed earlier would
+// reset what waits in the kernel's queue, which counts as accepted.
+func (g *Gateway) linger(until time.Time) {
+	if g.opt.Linger != nil {
+		g.opt.Linger()
+		return
+	}
+	time.Sleep(time.Until(until))
+}
+
+// endRequests gives each request that is open its answer, and those that are still being read one that
+// refuses them: they would be lost at the kill that follows.
+func (g *Gateway) endRequests(servers []*server) {
+	g.mu.Lock()
+	for _, p := range g.pools {
+		p.ex.FailAll()
+	}
+	g.mu.Unlock()
+	for _, s := range servers {
+		s.ln.Expel()
+	}
+}
+
 // shutdown shuts servers down side by side and says whether all had finished in time.
-func shutdown(servers []*server, within time.Duration) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), within)
+func shutdown(servers []*server, by time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), by)
 	defer cancel()
 	var all sync.WaitGroup
 	clean := make([]error, len(servers))
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -74,6 +74,7 @@
 		return nil, err
 	}
 	s.ln = g.conns.Listen(ln)
+	s.ln.Secure = l.Certificate != ""
 	if l.Protocol == config.HTTP2 || l.Certificate != "" {
 		s.two = http2.New(http2.Config{Admission: g.admission, Log: g.log, Name: l.Name, SendWithin: g.opt.SendWithin,
 			MostOpen: g.budgets.requests.Total(), Streams: g.streams, Pressed: g.pressed, RoundTrip: g.opt.RoundTrip, Connect: g.upgrades.Load})
@@ -154,10 +155,7 @@
 				c.Close()
 				return
 			}
-			under := c.(*front.Conn)
-			under.Encrypted = true
-			under.Record() // what came so far was the handshake
-			secure := &front.Secure{Conn: t, Under: under}
+			secure := front.NewSecure(t, c.(*front.Conn))
 			if t.ConnectionState().NegotiatedProtocol == "h2" {
 				go s.two.ServeConn(secure)
 				return
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +13,7 @@
 	"time"
 
 	"frostshift/internal/config"
+	"frostshift/internal/drain"
 	"frostshift/internal/fake"
 )
 
@@ -66,6 +69,62 @@
 	await(t, g.end, "the end")
 }
 
+// What has been read in part when a process ends is refused, and its connection closed in good order: half a
+// head, half a head behind another request, half a body; over TLS as well. No host sees any of it.
+func TestHalfRequestsAreRefusedAtTheEnd(t *testing.T) {
+	certificate, key := fake.Certificate(t.TempDir(), "localhost")
+	const whole = "POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+	for _, listener := range []string{"", fmt.Sprintf("tls = { certificate = %q, key = %q }", certificate, key)} {
+		h := scripted(t, fake.Always(fake.Serve("ok")))
+		order := make(chan struct{})
+		g := launch(t, booking(t, listener, h.Addr()), func(o *Options) {
+			o.SendWithin = time.Hour
+			o.Linger = func() { <-order }
+			o.Stop = drain.Schedule{Accept: 1, Answer: 1, Close: time.Hour}
+		})
+		dial := func() *fake.Client {
+			c, err := fake.Dial(g.Addr("clients").String(), patience)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if listener == "" {
+				return c
+			}
+			secure := tls.Client(c.Conn, &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"http/1.1"}})
+			if err := secure.Handshake(); err != nil {
+				t.Fatal(err)
+			}
+			return fake.Over(secure)
+		}
+		halves := map[string]*fake.Client{"half a head": dial(), "half a body": dial(), "half a head behind a request": dial()}
+		io.WriteString(halves["half a head"], whole[:30])
+		io.WriteString(halves["half a body"], whole[:len(whole)-2])
+		behind := halves["half a head behind a request"]
+		io.WriteString(behind, whole+whole[:30])
+		if status, _, _, err := behind.Receive(); err != nil || status != http.StatusOK {
+			t.Fatalf("the request before: %d, %v", status, err)
+		}
+		until(t, "all are being read", func() bool { return g.conns.Busy() == len(halves) })
+		before := h.Total()
+		g.stop()
+		close(order)
+		for name, c := range halves {
+			status, _, _, err := c.Receive()
+			if err != nil || status != http.StatusServiceUnavailable || !c.Closing {
+				t.Errorf("%q, %s: answered %d, closing %t, %v", listener, name, status, c.Closing, err)
+			}
+			if n, err := c.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
+				t.Errorf("%q, %s: %d bytes and %v behind the answer", listener, name, n, err)
+			}
+			c.Close()
+		}
+		await(t, g.end, "the end")
+		if n := h.Total() - before; n != 0 {
+			t.Errorf("%q: %d of them reached a host", listener, n)
+		}
+	}
+}
+
 // A request on a listener that a reload takes away has its own time for its answer, and a stop that comes
 // meanwhile ends it as any other.
 func TestRequestOutlivesItsListener(t *testing.T) {
