Tests of processes know who opens a stream: a cut elsewhere keeps no two members apart

Cause: the relay between the processes broke every stream while any link was impaired, as it could not tell who had opened one. A member that was taken for failed in a moment without processor time, at a time when packets about it had been sent often enough, then could not be heard of before the cut was over: the view was right, a minute later, when the window of the side had passed.

Each process listens on a loopback address of its own, streams to members are opened from the address that packets come from, and the relay breaks those between members that a cut parts.

TestMembersMeetAgainBesideAnotherCut fails with the relay before ("g0 holds 3 for alive, want 4") and passes in 4 s.

--- a/internal/clustertest/gossip_test.go
+++ b/internal/clustertest/gossip_test.go
@@ -232,3 +232,18 @@
 	}
 	agree(t, "afterwards", w.List, w.List, peers.Whole)
 }
+
+// Members that a cut has kept apart meet again once it is over between them, also while another one is cut
+// off: what packets no longer tell, a stream does.
+func TestMembersMeetAgainBesideAnotherCut(t *testing.T) {
+	w := launch(t, Setup{Gateways: 5, Hosts: 2, Talk: true, Shape: Shape{Gateways: 5, Effect: "safe", Probe: 100 * time.Millisecond}})
+	all := w.List
+	agree(t, "at the start", all, all, peers.Whole)
+	w.Mesh.Set(func(from, to int) Way { return Way{Cut: (from < 3) != (to < 3)} })
+	agree(t, "one side", all[:3], all[:3], peers.Majority)
+	agree(t, "the other side", all[3:], all[3:], peers.Minority)
+	w.Mesh.Set(func(from, to int) Way { return Way{Cut: (from == 4) != (to == 4)} })
+	agree(t, "all but the last", all[:4], all[:4], peers.Whole)
+	w.Mesh.Set(nil)
+	agree(t, "all", all, all, peers.Whole)
+}
--- a/internal/clustertest/mesh.go
+++ b/internal/clustertest/mesh.go
@@ -11,7 +11,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"frostshift/internal/gossip"
@@ -33,9 +32,8 @@
 	mu    sync.Mutex
 	r     *rand.Rand
 	way   func(from, to int) Way
-	index map[netip.AddrPort]int // of members' own addresses
+	index map[netip.Addr]int // of members, by the loopback address that is each one's own
 	list  []*meshRelay
-	fuss  atomic.Bool // some way is not as it should be: streams, whose senders are not known, break
 	wg    sync.WaitGroup
 }
 
@@ -45,12 +43,12 @@
 	to   *net.UDPAddr
 	udp  *net.UDPConn
 	tcp  net.Listener
-	open sync.Map // connections
+	open sync.Map // connections, with the member that each came from
 }
 
 // NewMesh makes a mesh without members. Its chances follow from the seed.
 func NewMesh(seed uint64) *Mesh {
-	return &Mesh{r: rand.New(rand.NewPCG(seed, 13)), way: func(int, int) Way { return Way{} }, index: map[netip.AddrPort]int{}}
+	return &Mesh{r: rand.New(rand.NewPCG(seed, 13)), way: func(int, int) Way { return Way{} }, index: map[netip.Addr]int{}}
 }
 
 // Add puts a relay before a member; its address is for the member to advertise.
@@ -71,7 +69,7 @@
 	m.mu.Lock()
 	r := &meshRelay{m: m, n: len(m.list), to: to, udp: udp, tcp: tcp}
 	m.list = append(m.list, r)
-	m.index[plain(to.AddrPort())] = r.n
+	m.index[to.AddrPort().Addr().Unmap()] = r.n
 	m.mu.Unlock()
 	m.wg.Go(r.packets)
 	m.wg.Go(r.streams)
@@ -87,12 +85,31 @@
 	}
 	list := slices.Clone(m.list)
 	m.mu.Unlock()
-	m.fuss.Store(way != nil)
 	for _, r := range list {
-		if way != nil {
-			r.open.Range(func(c, _ any) bool { c.(net.Conn).Close(); return true })
-		}
+		r.open.Range(func(c, from any) bool {
+			if m.apart(from.(int), r.n) {
+				c.(net.Conn).Close()
+			}
+			return true
+		})
+	}
+}
+
+// apart says whether a stream from one member to another breaks: packets are cut on the way there or back.
+func (m *Mesh) apart(from, to int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.way(from, to).Cut || m.way(to, from).Cut
+}
+
+// sender is the member that an address belongs to; -1: none.
+func (m *Mesh) sender(at netip.Addr) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n, known := m.index[at.Unmap()]; known {
+		return n
 	}
+	return -1
 }
 
 // Close ends the relays.
@@ -106,14 +123,10 @@
 }
 
 // pass throws the dice for a packet: how often it comes, and how late.
-func (m *Mesh) pass(from netip.AddrPort, to int) (times int, delay time.Duration) {
+func (m *Mesh) pass(from, to int) (times int, delay time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	sender, known := m.index[plain(from)]
-	if !known {
-		sender = -1
-	}
-	w := m.way(sender, to)
+	w := m.way(from, to)
 	if w.Cut || w.Loss > 0 && m.r.Float64() < w.Loss {
 		return 0, 0
 	}
@@ -127,9 +140,6 @@
 	return times, delay
 }
 
-// plain is an address in its shortest form.
-func plain(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
-
 func (r *meshRelay) packets() {
 	buf := make([]byte, 64<<10)
 	for {
@@ -137,7 +147,7 @@
 		if err != nil {
 			return
 		}
-		times, delay := r.m.pass(from, r.n)
+		times, delay := r.m.pass(r.m.sender(from.Addr()), r.n)
 		for range times {
 			if delay == 0 {
 				r.udp.WriteToUDP(buf[:n], r.to)
@@ -155,7 +165,8 @@
 		if err != nil {
 			return
 		}
-		if r.m.fuss.Load() {
+		from := r.m.sender(near.RemoteAddr().(*net.TCPAddr).AddrPort().Addr())
+		if r.m.apart(from, r.n) {
 			near.Close()
 			continue
 		}
@@ -168,9 +179,12 @@
 			defer far.Close()
 			for _, c := range []net.Conn{near, far} {
 				c.SetDeadline(time.Now().Add(10 * time.Second))
-				r.open.Store(c, true)
+				r.open.Store(c, from)
 				defer r.open.Delete(c)
 			}
+			if r.m.apart(from, r.n) { // since it was let in
+				return
+			}
 			back := make(chan struct{})
 			go func() {
 				defer close(back)
@@ -187,7 +201,7 @@
 // Talk has a process talk to the others through the mesh, nil: without one. Its configuration
 // gets what Shape.Fleet says.
 func (p *Process) Talk(m *Mesh) (err error) {
-	if p.talk, err = p.hold(); err != nil {
+	if p.talk, err = p.holdAt(p.ownAddress()); err != nil {
 		return err
 	}
 	if err := p.Manage(); err != nil {
--- a/internal/clustertest/process.go
+++ b/internal/clustertest/process.go
@@ -72,6 +72,7 @@
 	Advertise string
 	talk      string
 	fleet     *Fleet
+	number    int // in the fleet
 	holds     []*fake.Place
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -86,6 +87,7 @@
 		return nil, err
 	}
 	f.mu.Lock()
+	p.number = len(f.all)
 	f.all = append(f.all, p)
 	f.mu.Unlock()
 	var err error
@@ -95,7 +97,11 @@
 
 // hold keeps an address for the process until the fleet is closed.
 func (p *Process) hold() (addr string, err error) {
-	place, err := fake.Reserve()
+	return p.holdAt([4]byte{127, 0, 0, 1})
+}
+
+func (p *Process) holdAt(ip [4]byte) (addr string, err error) {
+	place, err := fake.ReserveAt(ip)
 	if err != nil {
 		return "", err
 	}
@@ -103,6 +109,12 @@
 	return place.Addr, nil
 }
 
+// ownAddress is a loopback address that no other process of the fleet has: a relay tells by it who sends.
+func (p *Process) ownAddress() [4]byte {
+	n := p.number + 1
+	return [4]byte{127, 1, byte(n >> 8), byte(n)}
+}
+
 // Configure writes the process's configuration.
 func (p *Process) Configure(text string) error {
 	return os.WriteFile(p.config(), []byte(text), 0o600)
--- a/internal/fake/place.go
+++ b/internal/fake/place.go
@@ -17,13 +17,16 @@
 	once sync.Once
 }
 
-// Reserve makes a place.
-func Reserve() (*Place, error) {
+// Reserve makes a place at 127.0.0.1.
+func Reserve() (*Place, error) { return ReserveAt([4]byte{127, 0, 0, 1}) }
+
+// ReserveAt makes a place at a loopback address.
+func ReserveAt(ip [4]byte) (*Place, error) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, err
 	}
-	sa := syscall.Sockaddr(&syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	sa := syscall.Sockaddr(&syscall.SockaddrInet4{Addr: ip})
 	err = errors.Join(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1), syscall.Bind(fd, sa))
 	if err == nil {
 		sa, err = syscall.Getsockname(fd)
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -200,9 +200,13 @@
 // StreamCh has the connections that others opened.
 func (t *transport) StreamCh() <-chan net.Conn { return t.streams }
 
-// DialTimeout connects to a member.
+// DialTimeout connects to a member, from the address that packets come from.
 func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", addr, timeout)
+	d := net.Dialer{Timeout: timeout}
+	if ip := t.addr().Addr(); !ip.IsUnspecified() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))
+	}
+	return d.Dial("tcp", addr)
 }
 
 // Shutdown closes both sockets.
