Tests that wait, or play in virtual time, run beside each other

Those that mostly wait for an event, and those that play on a clock of their own, are marked to run in parallel; none is shorter or runs less often.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -99,6 +99,7 @@
 
 // In each trouble: no effect happens twice, and every request has an end.
 func TestTroublesKeepTheRules(t *testing.T) {
+	t.Parallel()
 	for i, x := range []Trouble{
 		{Pool: "new", Errors: 0.3}, {Pool: "new", Growth: 0.01}, {Pool: "new", Silent: true, From: 20 * time.Second}, {Pool: "new", Dead: true, From: 25 * time.Second, Until: 40 * time.Second},
 		{Pool: "old", Hosts: 0.5, Dead: true, From: 30 * time.Second}, {Pool: "new", Gone: true, From: 20 * time.Second, Until: 30 * time.Second}, {Pool: "new", Slow: 8, From: 15 * time.Second},
--- a/internal/emulator/even_test.go
+++ b/internal/emulator/even_test.go
@@ -25,6 +25,7 @@
 // the work, however unlike their own load is, and where their number is told wrong. Bounds are
 // on fit hosts, from 3 s to 9 s; a host drawn at random has a spread of 1.
 func TestLoadIsEvenThoughEachSeesLittle(t *testing.T) {
+	t.Parallel()
 	const s = time.Second
 	with := func(spec Spec, change func(*Spec)) Spec {
 		change(&spec)
--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -28,6 +28,7 @@
 // beside cold hosts. No cold host is over its budget, nothing runs twice, every request has its
 // answer, and afterwards the load lies evenly on the hosts and is served.
 func TestFleetThroughItsDays(t *testing.T) {
+	t.Parallel()
 	const s = time.Second
 	for _, day := range []struct {
 		name     string
--- a/internal/emulator/gossip_test.go
+++ b/internal/emulator/gossip_test.go
@@ -39,6 +39,7 @@
 // views differ, nobody reckons with fewer than live, nothing runs twice, and afterwards all
 // have one view. A failure names its seed.
 func TestSchedulesOfCutsAndDeaths(t *testing.T) {
+	t.Parallel()
 	seeds := uint64(40)
 	if testing.Short() {
 		seeds = 6
@@ -85,6 +86,7 @@
 
 // A thousand gateways come to one view at the start, and after a tenth has died.
 func TestThousandMembers(t *testing.T) {
+	t.Parallel()
 	info, _ := debug.ReadBuildInfo()
 	if testing.Short() || info != nil && slices.Contains(info.Settings, debug.BuildSetting{Key: "-race", Value: "true"}) {
 		t.Skip("a million pairs")
--- a/internal/emulator/hosthealth_test.go
+++ b/internal/emulator/hosthealth_test.go
@@ -25,6 +25,7 @@
 // What gateways tell each other saves attempts at hosts that are dead or fail, costs nothing in worth,
 // and breaks no rule: no cold host gets more than its budget, and nothing runs twice.
 func TestVerdictsSpareAttempts(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		trouble Trouble
--- a/internal/emulator/inflight_test.go
+++ b/internal/emulator/inflight_test.go
@@ -10,6 +10,7 @@
 // of it; where what they tell is old, or a part of it is lost, they do as well as without, and no cold host
 // gets more than its budget.
 func TestToldLoadIsEven(t *testing.T) {
+	t.Parallel()
 	type result struct{ p99, spread, refused, cold float64 }
 	day := func(load bool, way time.Duration, lost float64, troubles ...Trouble) (r result) {
 		const seeds = 2
--- a/internal/emulator/keep_test.go
+++ b/internal/emulator/keep_test.go
@@ -10,6 +10,7 @@
 // they begin with what they had learned; they push no cold host over, also not one that started while they were away; and
 // where all hosts are in order it costs nothing.
 func TestLearningOutlivesAKill(t *testing.T) {
+	t.Parallel()
 	worth := func(keeps, wrong bool, seed uint64, part float64, troubles ...Trouble) float64 {
 		s := troubled(seed, 60, false, Trouble{})
 		s.Keeps, s.Length = keeps, 21*time.Second
--- a/internal/emulator/quota_test.go
+++ b/internal/emulator/quota_test.go
@@ -48,6 +48,7 @@
 // What gateways may repeat whatever the load is the fleet's, and not each one's: a storm of repeats
 // over a hundred gateways is bounded as one gateway's is.
 func TestAStormOfRepeatsIsTheFleets(t *testing.T) {
+	t.Parallel()
 	own, ownBack := storm(t, nil)
 	shared, back := storm(t, &Quota{Lease: 2 * time.Second})
 	t.Logf("attempts a request while all fail: %.3f each for itself, %.3f shared; back after %v and %v", own, shared, ownBack, back)
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -151,6 +151,7 @@
 // Each status, of hosts and to clients of either protocol, for each effect: what the client
 // gets, and how often the host is asked for it.
 func TestEachStatus(t *testing.T) {
+	t.Parallel()
 	spare := map[int]bool{408: true, 421: true, 500: true, 502: true, 503: true, 504: true}
 	for _, client := range []string{"http1", "http2"} {
 		for _, host := range []string{"http1", "http2"} {
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -323,6 +323,7 @@
 // A host that is taken out and a gateway that is told to stop within an upload: what has begun
 // there ends there, served, with every byte; nothing more goes to the host.
 func TestOutAndStopWithinAnUpload(t *testing.T) {
+	t.Parallel()
 	inEach(t, func(t *testing.T, client, host string) {
 		for _, what := range []string{"out", "stop"} {
 			begun := make(chan struct{}, 4)
--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -163,6 +163,7 @@
 // back again and again: a close between requests is an end and never a reset, what it crosses
 // has not run, and no request is answered twice or not at all.
 func TestDrainsMeetNoRequest(t *testing.T) {
+	t.Parallel()
 	var mu sync.Mutex
 	ran := map[string]int{}
 	addr, _ := rawHost(t, func(_ int, c net.Conn, r *fake.Request) bool {
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -53,6 +53,7 @@
 // Discovery that breaks off, ends watches and says what can't be read: the last good list
 // stands, it is asked for what came after that, and a drain that it tells then is kept.
 func TestLastGoodListStandsThroughABadDiscovery(t *testing.T) {
+	t.Parallel()
 	a, gotA := serving(t, "a")
 	b, gotB := serving(t, "b")
 	d := discover(t)
@@ -127,6 +128,7 @@
 // A watch that ends or brings what can't be read is opened again from the last list
 // that was taken over, which stands meanwhile.
 func TestWatchIsOpenedAgain(t *testing.T) {
+	t.Parallel()
 	a, _ := serving(t, "a")
 	b, gotB := serving(t, "b")
 	d := discover(t)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -381,6 +381,7 @@
 
 // A client that drips its head or its body, or says nothing, must not hold a connection.
 func TestSlowSendersAreClosed(t *testing.T) {
+	t.Parallel()
 	addr, got := serving(t, "a")
 	d := discover(t)
 	g := launch(t, parse(t, d.Addr(), listOf(1, true, entry("a", addr, "active"))),
--- a/internal/gateway/http2_faults_test.go
+++ b/internal/gateway/http2_faults_test.go
@@ -22,6 +22,7 @@
 // its stream limit or is killed: no unsafe request runs twice, each accepted stream has one
 // answer, and no refusal hides one that may have run.
 func TestRoughHostsOverHTTP2(t *testing.T) {
+	t.Parallel()
 	var mu sync.Mutex
 	ran := map[string]int{} // requests that a host has run, or begun to
 	type state struct{ most, last uint32 }
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -95,6 +95,7 @@
 // Whatever way a request ends, it is open no more: served, refused, failed, broken off by its host,
 // left by its client while at a host or held back, handed on, at a stop.
 func TestLimitsOfOpenRequestsEnd(t *testing.T) {
+	t.Parallel()
 	var act atomic.Value
 	act.Store(fake.Serve("ok"))
 	h := scripted(t, func(*fake.Request) fake.Act { return act.Load().(fake.Act) })
@@ -291,6 +292,7 @@
 // Connections: so many at a time from one address, others beside them, and the same again when some
 // have gone; what a listener lets in is another at a reload.
 func TestLimitsOfConnections(t *testing.T) {
+	t.Parallel()
 	h := scripted(t, fake.Always(fake.Serve("ok")))
 	text := func(most int) string {
 		return fmt.Sprintf(`
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -219,7 +219,6 @@
 // A state file that is cut, flipped or of a later version loses nothing but what it held: the
 // gateway starts, goes on at most where it was, and keys that nothing tells fail.
 func TestDamagedState(t *testing.T) {
-	t.Parallel()
 	old := scripted(t, fake.Always(fake.Serve("old")))
 	fresh := scripted(t, fake.Always(fake.Serve("new")))
 	for name, damage := range map[string]func([]byte) []byte{
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -128,6 +128,7 @@
 // A request on a listener that a reload takes away has its own time for its answer, and a stop that comes
 // meanwhile ends it as any other.
 func TestRequestOutlivesItsListener(t *testing.T) {
+	t.Parallel()
 	taken, release := make(chan struct{}, 2), make(chan struct{})
 	addr, _ := rawHost(t, func(_ int, c net.Conn, _ *fake.Request) bool {
 		taken <- struct{}{}
