A connection to a host that timed out in the kernel is no end of an answer

Of the errors that a wait or a write has met, those that call themselves time-outs were not kept for the reads behind them. ETIMEDOUT is one of them, as which a broken connection may show; the read then says end of file, and an answer with no length passes for whole, as with the reset of the incident. Only the gateway's own deadline is left out now.

TestBrokenConnectionIsNoEnd fails on the code before ("connection timed out, then the end: read says EOF").

--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -123,7 +124,7 @@
 // ended its answer in good order need not read the rest of a request.
 func (c *conn) note(err error) {
 	var failed *net.OpError
-	if errors.As(err, &failed) && !failed.Timeout() && !errors.Is(err, syscall.EPIPE) {
+	if errors.As(err, &failed) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE) {
 		c.failed.CompareAndSwap(nil, failed)
 	}
 }
--- a/internal/upstream/http1/reset_test.go
+++ b/internal/upstream/http1/reset_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -81,6 +82,24 @@
 	}
 }
 
+// A connection that broke in another way than by a reset has no end either: the kernel may say that packets
+// were not answered for too long, or that there is no way to the host. A deadline of ours is no such end.
+func TestBrokenConnectionIsNoEnd(t *testing.T) {
+	for _, broke := range []error{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ECONNABORTED, os.ErrDeadlineExceeded} {
+		near, far := pair(t)
+		near.note(&net.OpError{Op: "read", Net: "tcp", Err: broke})
+		far.Close()
+		_, err := near.Read(make([]byte, 1))
+		want := broke
+		if errors.Is(broke, os.ErrDeadlineExceeded) {
+			want = io.EOF
+		}
+		if !errors.Is(err, want) {
+			t.Errorf("%v, then the end: read says %v", broke, err)
+		}
+	}
+}
+
 // A host that has ended its answer in good order and reads no more of the request has not broken it off.
 func TestEndAheadOfTheRequestsEndIsAnEnd(t *testing.T) {
 	near, far := pair(t)
