An accept that fails for a moment, or for one connection, ends no listener

Of the errors of accept only a want of descriptors was borne. Any other (ENOBUFS, ENOMEM, EPROTO, errors of the network that Linux reports by way of accept) ended the listener, and the gateway with it: all clients of one process lost what they had there.

TestFailedAcceptsEndNoListener and TestFailingListenerCloses fail on the code before ("it has ended: accept tcp: accept4: software caused connection abort").

--- a/internal/front/accept_test.go
+++ b/internal/front/accept_test.go
@@ -4,7 +4,11 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
+	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -182,3 +186,61 @@
 		t.Error(fmt.Errorf("%d are open", open))
 	}
 }
+
+// failing is a listener whose Accept fails so often before it takes a connection; below 0: always.
+type failing struct {
+	*net.TCPListener
+	errs  []error
+	calls atomic.Int64
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	n := f.calls.Add(1)
+	if int(n) <= len(f.errs) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", f.errs[n-1])}
+	}
+	return f.TCPListener.Accept()
+}
+
+// An accept that fails, for one connection or for a moment, ends no listener: who comes behind it is served.
+func TestFailedAcceptsEndNoListener(t *testing.T) {
+	f := &failing{TCPListener: listenLocal(t), errs: []error{syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.ETIMEDOUT}}
+	ln := NewConns(10, 10, SpareAfter).Listen(f)
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatalf("it has ended: %v", err)
+	}
+	c.Close()
+	if n := f.calls.Load(); n != int64(len(f.errs))+1 {
+		t.Errorf("accepted with call %d, %d failed", n, len(f.errs))
+	}
+}
+
+// A listener that is closed while accepts fail ends all the same.
+func TestFailingListenerCloses(t *testing.T) {
+	f := &failing{TCPListener: listenLocal(t), errs: slices.Repeat([]error{syscall.ENOBUFS}, 1<<20)}
+	ln := NewConns(10, 10, SpareAfter).Listen(f)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := ln.Accept()
+		ended <- err
+	}()
+	for f.calls.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	ln.Close()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, net.ErrClosed) {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("it goes on")
+	}
+}
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -178,6 +178,15 @@
 	return c, err
 }
 
+// bear waits for what made an accept fail to pass: whatever the system says of one connection, or lacks
+// for a moment, is no end of the listener (accept(2)). Where descriptors are short, one is given up.
+func (l *Conns) bear(err error) {
+	if (errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)) && l.shed() {
+		return
+	}
+	time.Sleep(fullWait)
+}
+
 func (ln *Listener) accept() (net.Conn, error) {
 	l := ln.all
 	ln.accepting.Store(true)
@@ -202,15 +211,13 @@
 		if closing && err == nil && begun.After(ln.drainBy) {
 			ln.Listener.Close() // others keep coming, and are not taken from here on
 		}
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-			if !l.shed() {
-				time.Sleep(fullWait)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) || closing && begun.After(ln.drainBy) {
+				return nil, net.ErrClosed
 			}
+			l.bear(err)
 			continue
 		}
-		if err != nil {
-			return nil, err
-		}
 		var leave func()
 		if guard := ln.guard.Load(); guard != nil {
 			ok := false
