A dial that fails for want of something on this machine is not held against its host

ENOBUFS, ENOMEM and EADDRNOTAVAIL while a connection was made counted as the host's failure, where EMFILE and ENFILE did not: hosts that were in order were ejected, one after another, when the machine was short of something for a moment.

They are the gateway's own, nothing was sent, and the next attempt may go anywhere. TestFailedDials fails on the code before ("no buffer space available: ended as ConnectFailed, want NotSent").

--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -14,7 +14,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"frostshift"
@@ -132,7 +131,7 @@
 	return u.open
 }
 
-// errNoSockets says that this gateway has no descriptor left for a connection.
+// errNoSockets says that this gateway has nothing left to make a connection with.
 var errNoSockets = errors.New("no sockets left")
 
 // get returns a connection to the attempt's host, a kept-alive one if one is fit for use.
@@ -174,7 +173,7 @@
 	if err != nil {
 		u.mu.Lock()
 		u.lose(h)
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		if upstream.IsLocal(err) {
 			u.shed() // room for the next
 			err = errNoSockets
 		}
--- a/internal/upstream/http2/upstream.go
+++ b/internal/upstream/http2/upstream.go
@@ -12,7 +12,6 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"frostshift"
@@ -170,7 +169,7 @@
 	}
 }
 
-// errNoSockets says that this gateway has no descriptor left for a connection.
+// errNoSockets says that this gateway has nothing left to make a connection with.
 var errNoSockets = errors.New("no sockets left")
 
 // errCalledOff says that the attempt was called off before it had a stream.
@@ -236,7 +235,7 @@
 		h.dialing--
 		u.lose()
 		u.mu.Unlock()
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		if upstream.IsLocal(err) {
 			err = errNoSockets
 		}
 		return nil, err
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,7 +3,10 @@
 package upstream
 
 import (
+	"errors"
 	"net/http"
+	"slices"
+	"syscall"
 	"time"
 
 	"frostshift"
@@ -38,6 +41,15 @@
 	Gone    bool            // it is on the list no more
 }
 
+// shortages are errors of a dial by which this machine lacks something: the host has no part in them.
+var shortages = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
+
+// IsLocal says whether a connection could not be made for want of something on this machine.
+func IsLocal(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && slices.Contains(shortages, errno)
+}
+
 // After is when the host that gave the answer wants to be asked again; 0: it does not say,
 // or what it says is about the client alone.
 func After(a *message.Answer) time.Duration {
