A poll that a signal interrupts is asked again

Where poll returned EINTR the writer of a long answer waited for the next change of the socket, which does not come while there is room: up to its deadline. A look at a client that may have left saw nothing. Found by reading, no test makes the kernel interrupt a poll that does not wait; both calls share one function now.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -228,11 +228,7 @@
 	if err != nil {
 		return
 	}
-	raw.Write(func(fd uintptr) bool {
-		at := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLOUT}}
-		n, err := unix.Poll(at, 0)
-		return n > 0 || err != nil && !errors.Is(err, unix.EINTR)
-	})
+	raw.Write(func(fd uintptr) bool { return poll(fd, unix.POLLOUT) != 0 })
 }
 
 // beforeRead makes a connection idle that has had its answer and holds nothing more, or
--- a/internal/front/hangup.go
+++ b/internal/front/hangup.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"sync"
 	"syscall"
 	"time"
@@ -79,6 +80,19 @@
 	return out
 }
 
+// poll is which of the events are there now, or an error of the socket. Signals may interrupt it.
+func poll(fd uintptr, events int16) int16 {
+	at := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	for {
+		switch _, err := unix.Poll(at, 0); {
+		case err == nil:
+			return at[0].Revents
+		case !errors.Is(err, unix.EINTR):
+			return unix.POLLERR
+		}
+	}
+}
+
 // hungUp says whether the client has ended its sending or reset the connection, whatever of it is
 // unread.
 func (c *Conn) hungUp() bool {
@@ -92,9 +106,7 @@
 	}
 	gone := false
 	if err := raw.Control(func(fd uintptr) {
-		at := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(at, 0)
-		gone = err == nil && n > 0 && at[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		gone = poll(fd, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	}); err != nil {
 		return true // it has been closed here
 	}
