A clock that is off leaves no cold host without slow start

A host's start is told by a clock, and the pace of a cold host was worked out from it: a start an hour ahead made the pace not a number, which holds nothing back (`failback`), or kept the host cold for an hour; one an hour back, by a process whose own clock was stepped, passed for warm.

A start that lies more than a minute ahead is now, and so is one that a change of the list tells first and that lies more than ten minutes back; ahead of a start the pace is that of its first moment. What remains: the first list that a process with a clock an hour ahead hears can't be told from one of hosts that have long been up.

The hosts that have just started are in coldhost.go, which `policy` names with balancer.go.

TestClockThatIsOffPacesAColdHost fails on the code before.

--- a/balancer.go
+++ b/balancer.go
@@ -1,10 +1,11 @@
 package frostshift
 
-// Every decision of the balancer. The types it speaks in are in api.go.
+// The decisions of the balancer but for hosts that have just started, which are in coldhost.go. The
+// types it speaks in are in api.go.
 //
 // Reading order: the constants; New (what a Balancer keeps is in state.go); one
 // method per event, from Start to Timer; then what they call: place and pick (the
-// ordinary path), load, estimate and sample (the score), allows to coldRate (who is
+// ordinary path), load, estimate and sample (the score), allows to atLimit (who is
 // ready), observe and adjust (what is learnt), settle to end (what follows an
 // attempt), enqueue to serve (waiting), listen (silence), and last discovery.
 //
@@ -71,6 +72,8 @@
 	saidAims    = 2        // others' refusals do not count so long after an own answer, in shortest aims
 	blindIn     = 8        // requests of which one does not heed what others have out at hosts
 	answerSteps = 2        // steps ahead of its deadline that a request is answered at the latest
+	newsWithin  = 600e9    // ns that a start may lie back when a change of the list tells it first
+	startAhead  = 60e9     // ns that a start may lie ahead, by a clock that is not this one
 	askAgain    = 0.8e9    // ns before a lost host list is asked for, as a mean; twice that from then on
 )
 
@@ -175,7 +178,7 @@
 		}
 	}
 	for _, e := range list {
-		b.learn(e)
+		b.learn(e, kind)
 	}
 	b.forgetAll()
 	b.layRing()
@@ -263,7 +266,7 @@
 	}
 }
 
-func (b *Balancer) learn(e Host) {
+func (b *Balancer) learn(e Host, kind ListKind) {
 	h := b.byID[e.ID]
 	if h == nil {
 		if e.State == Removed {
@@ -282,7 +285,7 @@
 	}
 	if e.Started > 0 && e.Started != started {
 		h.doubt = 0 // of another start
-		b.chill(h, max(e.Started, h.coldAt))
+		b.chill(h, max(b.startOf(&e, kind), h.coldAt))
 	}
 }
 
@@ -359,12 +362,6 @@
 	return nil
 }
 
-func (b *Balancer) chill(h *host, since Time) {
-	if b.set.ColdFrom < 1 && b.now-since < b.set.WarmAfter {
-		h.cold, h.coldAt, h.staggered = true, since, false
-	}
-}
-
 // Request is a client's request, owed one final answer from here on.
 func (b *Balancer) Request(now Time, q Request) {
 	b.now = now
@@ -951,66 +948,12 @@
 	}
 }
 
-// coldHold paces sends to a host that has just started, so that the fleet as a whole stays
-// within its budget. It acts while the host is cold: credit for sends grows at this instance's
-// part of the budget. Each whole one lapses by itself where it is not used soon (or where it is
-// the only one of the fleet): so instances keep their places in the cycle, which ranks spread
-// evenly, whatever traffic they have (docs/design/endings.md has the bound and its proof).
-func (b *Balancer) coldHold(h *host) bool {
-	age := b.now - h.coldAt
-	if h.cold = h.cold && age < b.set.WarmAfter; !h.cold {
-		return false
-	}
-	if !h.staggered { // as if it had counted from the start; what fell due before it heard is not its
-		_, h.credit = math.Modf(b.stagger(h) + b.coldRate(h, age/2)*age.Seconds())
-		h.creditAt, h.staggered = b.now, true
-	}
-	if dt := b.now - h.creditAt; dt > 0 {
-		n, fleet := b.coldRate(h, age)*b.set.Fall.Seconds(), max(1, h.sharers)
-		lapse := max(n*min(0.5, coldLapse/math.Sqrt(n*fleet)), 1/fleet)
-		h.credit += n * float64(dt) / float64(b.set.Fall)
-		if over := h.credit - lapse; over >= 1 {
-			h.credit = lapse + math.Mod(over, 1)
-		}
-		h.creditAt = b.now
-	}
-	return h.credit < 1
-}
-
 // atLimit says whether a host holds as much from this instance as it may: one at
 // least, as rests of a limit below one starve hosts where many share them.
 func (b *Balancer) atLimit(h *host) bool {
 	return h.pending > 0 && float64(h.pending+1) > h.limit/b.sharers
 }
 
-// coldRate is this instance's part of a cold host's budget, in sends a second. What a warm host
-// gives the fleet is within its capacity, less where its kind is slower; where nothing is known
-// of warm hosts, one request in the shortest aim is, or the aim could not be kept. Sends within
-// a Fall vary by chance and so does their work: their mean stays coldChance deviations (of a
-// count of requests of exponential work: the root of twice the mean, or of the mean alone where
-// one instance paces them evenly) under the budget.
-func (b *Balancer) coldRate(h *host, age Time) float64 {
-	fleet, fall := max(1, h.sharers)*max(1, b.twins), b.set.Fall.Seconds()
-	share := b.set.ColdFrom + (1-b.set.ColdFrom)*float64(age)/float64(b.set.WarmAfter)
-	capacity := max(b.warmRate()/max(1, b.slower(h)), 1/b.aim.Seconds())
-	c := coldChance * coldChance / 2 * (1 - 1/(2*fleet))
-	root := math.Sqrt(capacity*share*b.set.OverloadFactor*fall+c) - math.Sqrt(c)
-	return root * root / (fall * fleet)
-}
-
-// warmRate is the mean rate of good answers of a warm host to the fleet: this instance's own,
-// times the instances, over the warm hosts listed when they came. All count, also those that
-// are out: the rate of the rest would pass for any host's. With no warm host listed, what was
-// last learnt stays. One that began lately is made up for the time before, or instances that
-// start together would give cold hosts next to nothing.
-func (b *Balancer) warmRate() float64 {
-	rate, since := b.served, (b.now - b.servedFrom).Seconds()
-	if b.warm > 0 {
-		rate *= math.Exp(-(b.now - b.servedAt).Seconds() / b.span)
-	}
-	return rate / max(rateLeast, 1-math.Exp(-since/b.span))
-}
-
 func (b *Balancer) send(r *request, h *host) {
 	a := b.newAttempt()
 	a.req, a.host, a.sent, a.stood = r, h, b.now, b.stood
--- a/coldhost_test.go
+++ b/coldhost_test.go
@@ -289,3 +289,32 @@
 		t.Errorf("a cold host counts %v sharers, want %v", got, want)
 	}
 }
+
+// A host's start is told by a clock that may be off, by seconds or by an hour, either way. A host that a
+// change of the list tells of first is paced all the same, never faster than one that starts now, and is
+// warm in the end.
+func TestClockThatIsOffPacesAColdHost(t *testing.T) {
+	begins := func(off time.Duration) (g *gateway, rate float64) {
+		g = start(t, basic(), hosts(3)...)
+		g.serve(600, 0, func(HostID) time.Duration { return 10 * ms })
+		h := hosts(3)[2]
+		h.Started = g.now + off
+		g.list(ListChanges, h)
+		k := g.b.byID[3]
+		if !g.b.coldHold(k) && k.credit < 1 || !k.cold || math.IsNaN(k.credit) {
+			t.Errorf("off by %v: it is not paced: cold %v, credit %v", off, k.cold, k.credit)
+		}
+		return g, g.b.coldRate(k, max(0, g.now-k.coldAt))
+	}
+	_, right := begins(0)
+	for _, off := range []time.Duration{time.Hour, -time.Hour, 2 * time.Second} {
+		g, rate := begins(off)
+		if !(rate > 0 && rate <= right*1.01) {
+			t.Errorf("off by %v: paced at %v a second, right were %v", off, rate, right)
+		}
+		g.serve(2000, 0, func(HostID) time.Duration { return 10 * ms }) // 20 s
+		if k := g.b.byID[3]; g.b.coldHold(k) || k.cold {
+			t.Errorf("off by %v: it is cold for ever", off)
+		}
+	}
+}
--- a/settings_test.go
+++ b/settings_test.go
@@ -121,13 +121,13 @@
 	if m == nil {
 		t.Fatal("the deploy file names no policy")
 	}
-	lines := 0
 	for _, f := range regexp.MustCompile(`"([^"]+)"`).FindAllSubmatch(m[1], -1) {
 		name := string(f[1])
 		text, err := os.ReadFile(name)
 		if err != nil {
 			t.Fatal(err)
 		}
+		lines := 0
 		for i, l := range bytes.Split(text, []byte("\n")) {
 			if len(bytes.TrimSpace(l)) > 0 { // as the bench counts
 				lines++
@@ -136,11 +136,11 @@
 				t.Errorf("%s:%d has %d characters", name, i+1, n)
 			}
 		}
+		if lines == 0 || lines > 1200 {
+			t.Errorf("%s has %d lines, want 1 to 1200", name, lines)
+		}
 		if !strings.Contains(string(text[:min(600, len(text))]), "api.go") {
 			t.Errorf("the head of %s does not name api.go", name)
 		}
 	}
-	if lines == 0 || lines > 1200 {
-		t.Errorf("the policy has %d lines, want 1 to 1200", lines)
-	}
 }
--- a/state.go
+++ b/state.go
@@ -557,12 +557,6 @@
 	return mix(b.rng)
 }
 
-// stagger is this instance's place in the cycle of sends to a cold host: steps of the golden ratio spread
-// any run of neighbours on the ring evenly, and each host has an order of its own.
-func (b *Balancer) stagger(h *host) float64 {
-	return b.shared.Place*float64(b.shared.Most)*math.Phi + float64(h.place)/math.MaxUint64
-}
-
 // mix scatters the values of a number.
 func mix(z uint64) uint64 {
 	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
