Attempts and requests that end badly are logged and counted, and a stop says its times

A line a second of each kind has the request's id, the attempt's number, the host, how it ended and after how long, and counts those that it leaves out; a request that is refused or failed says what its last attempt came to, whether it may have run and whether the process was stopping. edge_gw_upstream_bad counts attempts by how they ended. A stop logs when it accepts, answers and closes, and how many requests it ends ahead of the kill.

TestTroubleIsLoggedWithItsIds.

--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -273,6 +273,7 @@
 	if e.answered {
 		result = p.judge(now, c, a, e.meaning)
 	}
+	p.attemptEnded(now, a, result, elapsed)
 	c.cut = c.cut || result == frostshift.TimedOut || result == frostshift.Canceled && !e.answered
 	switch result {
 	case frostshift.Full, frostshift.ConnectFailed, frostshift.NotSent:
@@ -391,6 +392,7 @@
 	r.Pool, r.Tries, r.Ran = p.name, c.spent+len(c.attempts), p.ran(c)
 	p.count(c, &r)
 	now := p.clock.Now()
+	p.requestEnded(now, c, &r)
 	c.told(Ending{At: now, Verdict: r.Verdict, Fault: c.fault, Bound: r.Violation != nil, Work: c.worked(now)})
 	p.close(c)
 	c.Reply <- r
--- /dev/null
+++ b/internal/exchange/events_test.go
@@ -0,0 +1,52 @@
+package exchange
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"frostshift"
+)
+
+// What ends badly is logged with its request's id, its attempt and its host; a flood is a line of each kind a
+// second, which counts the rest.
+func TestTroubleIsLoggedWithItsIds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var text bytes.Buffer
+		x := New(NewClock())
+		p := stillPool(t, x, "a", newUpstream(always(frostshift.Reset, time.Millisecond)), nil)
+		p.trouble = newEventLog(slog.New(slog.NewTextHandler(&text, nil)))
+		go p.Run(nil, nil)
+		p.News(frostshift.ListFull, hostsOf(6), nil)
+		ask := func(id string) {
+			if r := <-x.ask(1, id, p, nil).Reply; r.Verdict != Failed {
+				t.Errorf("%s: %+v", id, r)
+			}
+		}
+		for range 50 {
+			ask("flood")
+		}
+		time.Sleep(2 * eventsEvery)
+		ask("last")
+		synctest.Wait()
+		p.Drain()
+		<-p.Done()
+		var kinds [2]int
+		for i, kind := range []string{"attempt ended: Reset", "request failed"} {
+			kinds[i] = strings.Count(text.String(), kind)
+		}
+		lines := strings.Split(strings.TrimSpace(text.String()), "\n")
+		if last := lines[len(lines)-1]; kinds != [2]int{2, 2} || !strings.Contains(last, "request=last") || !strings.Contains(last, "attempts=1") || !strings.Contains(last, "more=49") {
+			t.Errorf("%v lines of each kind:\n%s", kinds, text.String())
+		}
+		if !strings.Contains(lines[0], "request=flood attempt=1 host=") {
+			t.Errorf("the attempt's line: %s", lines[0])
+		}
+		if n := p.Counts().Results[frostshift.Reset].Load(); n != 51 {
+			t.Errorf("%d attempts are counted", n)
+		}
+	})
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -87,8 +87,9 @@
 	behindAt frostshift.Time        // up to when stalls have been told of
 	acts     []frostshift.Action
 
-	counts Counts
-	ended  [][Failed + 1]atomic.Int64 // requests, by class and how
+	counts  Counts
+	trouble eventLog
+	ended   [][Failed + 1]atomic.Int64 // requests, by class and how
 }
 
 // Counts are a pool's totals since its start.
@@ -96,6 +97,8 @@
 	Served, Refused, Failed, HandedOn, Left, Attempts atomic.Int64
 	// Broke are answers whose bodies broke off on the way to the client: they are Failed too.
 	Broke atomic.Int64
+	// Results are attempts that brought no good answer, by frostshift.Result.
+	Results [frostshift.Busy + 1]atomic.Int64
 	// Faults are errors of the service; Blamed are those held against the host.
 	Faults, Blamed atomic.Int64
 }
@@ -133,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Pool{name: c.Name, set: c.Settings, log: c.Log, clock: x.clock, x: x, b: b, upstream: c.Upstream,
+	p := &Pool{name: c.Name, set: c.Settings, log: c.Log, trouble: newEventLog(c.Log), clock: x.clock, x: x, b: b, upstream: c.Upstream,
 		room: c.Room, watch: c.Watch, saw: c.Saw, met: c.Met, tellOut: c.Out, learned: c.Learned, sched: c.Scheduler, fleetShare: c.FleetShare, limiter: c.Limiter, advice: c.Settings.MaxRetryAfter,
 		events: make(chan event, 1024), quit: make(chan struct{}), done: make(chan struct{}),
 		calls: map[frostshift.RequestID]*Call{}, jury: verdict.NewJury(), repeats: verdict.NewBudget(c.Repeats)}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -324,7 +324,6 @@
 	case <-g.restart.retired:
 		g.log.Info("another process has taken over")
 	case <-ctx.Done():
-		g.log.Info("stopping")
 	}
 	g.stop()
 	return err
@@ -443,6 +442,7 @@
 	ordered := time.Now()
 	schedule := g.stopSchedule()
 	g.exchange.EndBy(g.exchange.Clock().Now() + schedule.Answer)
+	g.log.Info("stopping", "open", g.exchange.Open(), "accepts for", schedule.Accept, "answers within", schedule.Answer, "closes after", schedule.Close)
 	if !g.restart.isHanded() { // else another process is the member
 		g.leaveFleet()
 	}
@@ -462,6 +462,7 @@
 		g.linger(ordered.Add(schedule.Accept))
 	}
 	if !shutdown(servers, ordered.Add(schedule.Answer)) {
+		g.log.Warn("requests are ended ahead of the kill", "open", g.exchange.Open())
 		g.endRequests(servers)
 		if !shutdown(servers, ordered.Add(schedule.Close)) {
 			g.log.Warn("connections were still open at the end")
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -22,6 +22,7 @@
 var (
 	requestsDesc     = prometheus.NewDesc("edge_gw_downstream_requests", "requests of clients that have their answer", []string{"lane", "result"}, nil)
 	attemptsDesc     = prometheus.NewDesc("edge_gw_upstream_requests", "attempts at hosts", nil, nil)
+	badAttemptsDesc  = prometheus.NewDesc("edge_gw_upstream_bad", "attempts at hosts that brought no good answer, by how they ended", []string{"result"}, nil)
 	pendingDesc      = prometheus.NewDesc("edge_gw_pending", "requests of clients that are owed an answer", nil, nil)
 	membersDesc      = prometheus.NewDesc("edge_gw_members", "hosts that are listed", nil, nil)
 	awayDesc         = prometheus.NewDesc("edge_gw_members_unavailable", "hosts that are listed and get nothing: draining, ejected or out by hand", nil, nil)
@@ -76,7 +77,7 @@
 
 // Describe names the figures.
 func (s stats) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, pendingDesc, membersDesc, awayDesc, partDesc, admittedDesc, lateDesc, evidenceDesc, fleetMembersDesc, fleetCountDesc, fleetLeastDesc, fleetMostDesc, fleetSideDesc, quotaLimitsDesc, quotaTimesDesc, quotaShortDesc, limitDesc, reloadsDesc, badReloadDesc} {
+	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badAttemptsDesc, pendingDesc, membersDesc, awayDesc, partDesc, admittedDesc, lateDesc, evidenceDesc, fleetMembersDesc, fleetCountDesc, fleetLeastDesc, fleetMostDesc, fleetSideDesc, quotaLimitsDesc, quotaTimesDesc, quotaShortDesc, limitDesc, reloadsDesc, badReloadDesc} {
 		out <- d
 	}
 }
@@ -141,8 +142,12 @@
 	results := [...]string{exchange.Served: "completed", exchange.Refused: "rejected", exchange.Failed: "failed"}
 	sums := map[string]*[len(results)]int64{}
 	var attempts int64
+	var bad [frostshift.Busy + 1]int64
 	for _, p := range pools {
 		attempts += p.Counts().Attempts.Load()
+		for i := range bad {
+			bad[i] += p.Counts().Results[i].Load()
+		}
 		for i := range model.Classes {
 			sum := sums[model.Classes[i].Name]
 			if sum == nil {
@@ -160,6 +165,11 @@
 		}
 	}
 	m.count(attemptsDesc, attempts)
+	for result, n := range bad {
+		if n > 0 {
+			m.count(badAttemptsDesc, n, frostshift.Result(result).String())
+		}
+	}
 }
 
 // collectFleet reads who the other gateways are, where they are known.
