A closed listener ends, whatever its accept says of that

An old process did not end behind an upgrade: the listening socket that it had inherited says of its close only that a file is closed, which counts as one more failed accept since those end no listener. A listener that has been closed, and has emptied the kernel's queue, ends with any error.

TestClosedListenerEndsWhateverItSays fails without the change ("pause false: it goes on").

--- a/internal/front/accept_test.go
+++ b/internal/front/accept_test.go
@@ -244,3 +244,36 @@
 		t.Fatal("it goes on")
 	}
 }
+
+// unnamed is a listener that says of its end only that its file is closed.
+type unnamed struct{ net.Listener }
+
+func (u unnamed) Accept() (net.Conn, error) {
+	c, err := u.Listener.Accept()
+	if err != nil {
+		err = errors.New("use of closed file")
+	}
+	return c, err
+}
+
+// A listener that has no deadlines and does not name its end ends when it is closed, also where it was paused.
+func TestClosedListenerEndsWhateverItSays(t *testing.T) {
+	for _, pause := range []bool{false, true} {
+		ln := NewConns(10, 10, SpareAfter).Listen(unnamed{listenLocal(t)})
+		ended := make(chan error, 1)
+		go func() {
+			_, err := ln.Accept()
+			ended <- err
+		}()
+		ln.Pause(pause)
+		ln.Close()
+		select {
+		case err := <-ended:
+			if !errors.Is(err, net.ErrClosed) {
+				t.Errorf("pause %t: ended with %v", pause, err)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatalf("pause %t: it goes on", pause)
+		}
+	}
+}
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -89,14 +89,15 @@
 	case <-ln.closed:
 		return nil
 	default:
-		close(ln.closed)
 	}
 	due, ok := ln.Listener.(deadliner)
 	if ln.paused != nil || !ln.accepting.Load() || !ok {
+		close(ln.closed)
 		return ln.Listener.Close()
 	}
 	ln.drainBy = time.Now().Add(drainWithin)
 	ln.closing.Store(true)
+	close(ln.closed)
 	return due.SetDeadline(time.Unix(1, 0)) // ends an Accept that waits
 }
 
@@ -178,6 +179,17 @@
 	return c, err
 }
 
+// isOver says whether the listener has been closed, and whatever waited in the kernel's queue has had its
+// time to be accepted.
+func (ln *Listener) isOver(now time.Time) bool {
+	select {
+	case <-ln.closed:
+		return !ln.closing.Load() || now.After(ln.drainBy)
+	default:
+		return false
+	}
+}
+
 // bear waits for what made an accept fail to pass: whatever the system says of one connection, or lacks
 // for a moment, is no end of the listener (accept(2)). Where descriptors are short, one is given up.
 func (l *Conns) bear(err error) {
@@ -212,7 +224,7 @@
 			ln.Listener.Close() // others keep coming, and are not taken from here on
 		}
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) || closing && begun.After(ln.drainBy) {
+			if errors.Is(err, net.ErrClosed) || ln.isOver(begun) {
 				return nil, net.ErrClosed
 			}
 			l.bear(err)
