A client is looked for right before the first byte of each attempt

An attempt could begin for a client that had closed more than 0.1 s before, where the process had stood still meanwhile: behind a stall timers run first, and the pool's loop sends what is due before whoever reads the client's connection comes to its end (`lost`).

The exchange asks the front right before the first byte, which looks at the socket (poll, POLLRDHUP, under a microsecond); what was seen holds. Reading ahead would not see an end behind unread bytes, and the look every 20 ms needs a turn itself.

TestClientIsLookedForBeforeTheFirstByte and TestLookSeesWhoHasLeft.

--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -45,6 +45,17 @@
 	c.pool.Load().post(event{kind: clientGone, call: c})
 }
 
+// isHere says whether the client still waits. That it does not holds from then on.
+func (c *Call) isHere() bool {
+	if c.departed.Load() {
+		return false
+	}
+	if c.Client != nil && !c.Client.Here() {
+		c.departed.Store(true)
+	}
+	return !c.departed.Load()
+}
+
 // latest is when the request must be over.
 func (c *Call) latest() frostshift.Time {
 	if c.Body != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -159,6 +159,9 @@
 	// Hold is let go once, when the request has its answer or nobody waits for one: what
 	// it needs from outside, above all its pools, stays until then. nil: nothing.
 	Hold interface{ Release() }
+	// Client is asked right before the first byte of each attempt whether it still waits; nil: nobody is,
+	// and Gone says it in time.
+	Client Client
 	// Watch is told how the request ended, once, before it is let go; nil: nobody asks.
 	Watch Watcher
 }
@@ -170,6 +173,10 @@
 	Broken() bool // the client's sending has broken off
 }
 
+// Client is whoever waits for a request's answer. Here says whether it has not been seen to leave, by a look
+// at its connection: what reads there may have had no processor time since. It must not wait.
+type Client interface{ Here() bool }
+
 // Watcher is told how requests end. It is called in a pool's loop, or by Submit.
 type Watcher interface{ Ended(e Ending) }
 
--- a/internal/exchange/send_test.go
+++ b/internal/exchange/send_test.go
@@ -54,6 +54,39 @@
 	})
 }
 
+// away is a client that has left, though nobody has read the end of its connection.
+type away struct{ gone bool }
+
+func (a *away) Here() bool { return !a.gone }
+
+// A client that has left is looked for right before the first byte: whoever reads its connection may have had
+// no processor time since.
+func TestClientIsLookedForBeforeTheFirstByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := New(NewClock())
+		u := dialing{make(chan *Attempt, 4)}
+		p := newPool(t, x, "p", u, 2, nil)
+		client := &away{}
+		call := x.Submit(Request{ID: "a", Class: 1, Tenant: -1, Deadline: x.clock.Now() + time.Second, Client: client}, p, nil)
+		a := <-u.attempts
+		if !a.MaySend() {
+			t.Error("a request whose client waits may not go out")
+		}
+		client.gone = true
+		if a.MaySend() {
+			t.Error("a request may go out though its client has left")
+		}
+		client.gone = false // what was seen holds
+		if a.MaySend() {
+			t.Error("the client has come back")
+		}
+		call.Gone()
+		a.End(frostshift.NotSent)
+		p.Drain()
+		<-p.Done()
+	})
+}
+
 // A repeat of a keyed request goes out up to the end of the window since its first attempt that may
 // have run, and not later, however long its connection takes to come up. The attempt that never ran
 // does not count.
--- a/internal/exchange/upstream.go
+++ b/internal/exchange/upstream.go
@@ -63,7 +63,7 @@
 		return true
 	}
 	now := a.pool.clock.Now()
-	return !a.call.departed.Load() && (a.sendBy == 0 || now <= a.sendBy) && now < a.call.latest()
+	return (a.sendBy == 0 || now <= a.sendBy) && now < a.call.latest() && a.call.isHere()
 }
 
 // wayBack is what an answer may take from the host through the gateway to the client. It is no
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -37,6 +37,7 @@
 	net.Conn
 	all  *Conns
 	from *Listener
+	raw  syscall.RawConn // nil: there is no socket to look at
 	// Encrypted says that a protocol on top encrypts what is sent.
 	Encrypted bool
 	secure    net.Conn // ... and is this one
@@ -192,17 +193,13 @@
 // Await waits until the client has sent something, or has gone, and says whether there is
 // anything to serve. Until then the connection costs no buffer and no server.
 func (c *Conn) Await(within time.Duration) bool {
-	raw := syscall.RawConn(nil)
-	if s, ok := c.Conn.(syscall.Conn); ok {
-		raw, _ = s.SyscallConn()
-	}
-	if raw == nil {
+	if c.raw == nil {
 		return true // whoever reads finds out
 	}
 	c.Conn.SetReadDeadline(time.Now().Add(within))
 	var one [1]byte
 	var n int
-	if err := raw.Read(func(fd uintptr) bool {
+	if err := c.raw.Read(func(fd uintptr) bool {
 		var err error
 		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
@@ -220,15 +217,10 @@
 // AwaitWrite waits until the client's side has room for a part of an answer, within the deadline
 // of writes. Until then whoever writes need hold no buffer; its errors are Write's to tell.
 func (c *Conn) AwaitWrite() {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
+	if c.raw == nil {
 		return
 	}
-	raw.Write(func(fd uintptr) bool { return poll(fd, unix.POLLOUT) != 0 })
+	c.raw.Write(func(fd uintptr) bool { return poll(fd, unix.POLLOUT) != 0 })
 }
 
 // beforeRead makes a connection idle that has had its answer and holds nothing more, or
--- a/internal/front/hangup.go
+++ b/internal/front/hangup.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -96,16 +95,11 @@
 // hungUp says whether the client has ended its sending or reset the connection, whatever of it is
 // unread.
 func (c *Conn) hungUp() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return false
 	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return true
-	}
 	gone := false
-	if err := raw.Control(func(fd uintptr) {
+	if err := c.raw.Control(func(fd uintptr) {
 		gone = poll(fd, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	}); err != nil {
 		return true // it has been closed here
@@ -113,6 +107,9 @@
 	return gone
 }
 
+// Here says whether the client has not left, by a look at the socket.
+func (c *Conn) Here() bool { return !c.hungUp() }
+
 // Left is closed when the client has been seen to leave behind unread bytes. A client that leaves
 // with nothing unread is seen by whoever reads.
 func (c *Conn) Left() <-chan struct{} { return c.left }
--- a/internal/front/hangup_test.go
+++ b/internal/front/hangup_test.go
@@ -6,6 +6,39 @@
 	"time"
 )
 
+// A client that has ended or reset its connection is seen to have left by a look alone, with bytes of it unread
+// and with none.
+func TestLookSeesWhoHasLeft(t *testing.T) {
+	for _, says := range []string{"", "unread"} {
+		for _, reset := range []bool{false, true} {
+			ln := NewConns(10, 10, SpareAfter).Listen(listenLocal(t))
+			client, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			nc, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			client.Write([]byte(says))
+			if !nc.(*Conn).Here() {
+				t.Errorf("%q: a client that waits has left", says)
+			}
+			if reset {
+				client.(*net.TCPConn).SetLinger(0)
+			}
+			client.Close()
+			for end := time.Now().Add(20 * time.Second); nc.(*Conn).Here(); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("%q, reset %t: a client that left is not seen", says, reset)
+				}
+			}
+			nc.Close()
+			ln.Close()
+		}
+	}
+}
+
 // A connection that comes to be watched in the moment in which its request has its answer is not
 // watched on, and with nothing to watch nobody looks. One whose request is open is, until its
 // client leaves.
--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -137,6 +137,7 @@
 		}
 	})
 	conn := r.Context().Value(connKey{}).(*front.Conn)
+	t.Client = conn
 	conn.Open(up != nil && !up.Ended() && t.Upgrade == "")
 	defer conn.Answered()
 	call, deadline := t.Submit()
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -265,6 +265,7 @@
 	// a client that leaves, for as long as the request is open.
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	conn.Open(false)
+	ticket.Client = conn
 	defer conn.Answered()
 	call, deadline := ticket.Submit()
 	select {
--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -104,6 +104,7 @@
 	s.ticket.Hints(func(status int, h http.Header) {
 		s.c.link.Interim(s.h2, &h2.Out{Fields: h2.AppendFields([]hpack.HeaderField{{Name: ":status", Value: strconv.Itoa(status)}}, h)})
 	})
+	s.ticket.Client = s.c.all
 	call, deadline := s.ticket.Submit()
 	select {
 	case r := <-call.Reply:
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -245,6 +245,7 @@
 		s.answer(s.out((&front.Error{Status: http.StatusServiceUnavailable, Text: "busy"}).Answer()), time.Now().Add(sendWithin), true)
 		return
 	}
+	s.ticket.Client = s.c.all
 	call, deadline := s.ticket.Submit()
 	select {
 	case r := <-call.Reply:
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -243,6 +243,9 @@
 		for l.full() && l.shedSpare() {
 		}
 		cc := &Conn{Conn: c, all: l, from: ln, leave: leave, left: make(chan struct{})}
+		if s, ok := c.(syscall.Conn); ok {
+			cc.raw, _ = s.SyscallConn()
+		}
 		l.mu.Lock()
 		l.open++
 		ln.conns[cc] = struct{}{}
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -23,7 +23,8 @@
 type Ticket struct {
 	Message  *message.Request
 	Bodies   exchange.Room
-	Platform bool // the client speaks the platform's protocol
+	Platform bool  // the client speaks the platform's protocol
+	Client   *Conn // that the request came on; nil: nobody can look at it
 	request  exchange.Request
 	to       *exchange.Pool
 	fallback *exchange.Pool
@@ -182,6 +183,9 @@
 	t.request.Deadline = clock.Now() + t.left
 	t.request.Message = t.Message
 	t.request.Hold = t
+	if t.Client != nil {
+		t.request.Client = t.Client
+	}
 	if t.Flow != nil {
 		ends := t.request.Deadline - t.left + t.Flow.Longest
 		if t.asked && !t.Flow.HeadTimed {
