A stop ends a reload that waits, before it asks for anything that the reload holds

Since stops follow the settings, SIGTERM behind SIGHUP waited with the reload for the first lists of new pools, up to 2 s of the time that is left until the kill: the schedule is read under the lock that the reload holds, and the word that ends its wait came later. The word comes first now. The lock of hot restarts, which serve takes before the gateway's, is not asked for beneath that one any more.

TestStopEndsAReloadThatWaits fails on the code before ("waited in vain for the end of the process").

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	SendWithin time.Duration
 	Linger     func()         // between the order to stop and the close of the listeners
 	Stop       drain.Schedule // of the stop; the zero value: by the longest deadline
+	HeardBy    time.Duration  // that a reload waits for the first lists of new pools
 	Silence    time.Duration  // of discovery
 	LookEvery  time.Duration  // at files of hosts
 	TellEvery  time.Duration  // what teams have had
@@ -429,9 +430,10 @@
 	if g.opt.Stop != (drain.Schedule{}) {
 		return g.opt.Stop
 	}
+	handed := g.restart.isHanded() // its lock comes before the gateway's
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.model == nil || !g.model.Platform || g.restart.isHanded() {
+	if handed || g.model == nil || !g.model.Platform {
 		return drain.ScheduleFor(time.Hour)
 	}
 	return drain.ScheduleFor(longestDeadline(g.model))
@@ -440,13 +442,13 @@
 // stop finishes what is held and ends everything.
 func (g *Gateway) stop() {
 	ordered := time.Now()
+	close(g.halt) // a reload that waits holds the gateway's lock
 	schedule := g.stopSchedule()
 	g.exchange.EndBy(g.exchange.Clock().Now() + schedule.Answer)
 	g.log.Info("stopping", "open", g.exchange.Open(), "accepts for", schedule.Accept, "answers within", schedule.Answer, "closes after", schedule.Close)
 	if !g.restart.isHanded() { // else another process is the member
 		g.leaveFleet()
 	}
-	close(g.halt)
 	g.mu.Lock()
 	g.stopped = true
 	servers := make([]*server, 0, len(g.servers))
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -22,7 +23,7 @@
 // that are open keep the one they began with; a pool that is as it was goes on running.
 // Limits are those of the start: changing them wants a restart.
 func (g *Gateway) Reload(m *config.Model) error {
-	err := g.apply(m, heardWithin)
+	err := g.apply(m, cmp.Or(g.opt.HeardBy, heardWithin))
 	if err != nil {
 		g.reloads.refused.Add(1)
 	} else {
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"frostshift/internal/config"
 	"frostshift/internal/drain"
 	"frostshift/internal/fake"
+	"frostshift/internal/membership/source"
 )
 
 // A request that is read late in a shutdown and goes to a host that hangs: its host is told no more time
@@ -156,3 +158,21 @@
 		t.Errorf("answered %d %q, %v", status, body, err)
 	}
 }
+
+// A stop that comes while a reload waits for the first list of a pool does not wait along: the reload holds
+// what the stop needs, and the time up to the kill runs.
+func TestStopEndsAReloadThatWaits(t *testing.T) {
+	addr, _ := rawHost(t, func(int, net.Conn, *fake.Request) bool { return true })
+	m := booking(t, "", addr)
+	g := launch(t, m, func(o *Options) { o.HeardBy, o.Linger = time.Hour, func() {} })
+	silent := discover(t)
+	next, pool := *m, *m.Pools[0]
+	pool.Name, pool.Sources = "other", []source.Spec{{Discovery: silent.Addr()}}
+	next.Pools = append(slices.Clone(m.Pools), &pool)
+	over := make(chan error, 1)
+	go func() { over <- g.Reload(&next) }()
+	await(t, silent.Watches, "the new pool's watch")
+	g.stop()
+	await(t, g.end, "the end of the process")
+	await(t, over, "the end of the reload")
+}
