An order to stop that comes while the start waits for a reload ends that wait

SIGHUP early in a start holds the gateway's lock while it waits for lists, and the start waits for the lock: an order to stop in that time was heard up to 2 s later.

The order ends the wait by itself, whoever is at the lock. The test plays both orders; the early one fails without the change each time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,7 @@
 
 	ended   chan struct{}  // closed once no client is left
 	halt    chan struct{}  // closed at the order to stop: a reload waits for nothing any more
+	halted  sync.Once      // that it is
 	running sync.WaitGroup // whatever was started and must end
 	failed  chan error     // a listener that failed
 
@@ -296,6 +297,7 @@
 // Run serves until the context ends and then finishes what has been taken. It returns
 // when all that the gateway started has ended.
 func (g *Gateway) Run(ctx context.Context) error {
+	defer context.AfterFunc(ctx, g.endWaits)() // it may come while this waits for a reload
 	g.mu.Lock()
 	g.serving = true
 	waits := g.restart.begin()
@@ -424,6 +426,9 @@
 	})
 }
 
+// endWaits ends the wait of a reload, which holds the gateway's lock.
+func (g *Gateway) endWaits() { g.halted.Do(func() { close(g.halt) }) }
+
 // stopSchedule is the schedule of a stop. On the platform the kill follows the settings; where another
 // process has taken over no kill is known of, and the longest schedule holds.
 func (g *Gateway) stopSchedule() drain.Schedule {
@@ -442,7 +447,7 @@
 // stop finishes what is held and ends everything.
 func (g *Gateway) stop() {
 	ordered := time.Now()
-	close(g.halt) // a reload that waits holds the gateway's lock
+	g.endWaits()
 	schedule := g.stopSchedule()
 	g.exchange.EndBy(g.exchange.Clock().Now() + schedule.Answer)
 	g.log.Info("stopping", "open", g.exchange.Open(), "accepts for", schedule.Accept, "answers within", schedule.Answer, "closes after", schedule.Close)
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -160,19 +162,37 @@
 }
 
 // A stop that comes while a reload waits for the first list of a pool does not wait along: the reload holds
-// what the stop needs, and the time up to the kill runs.
+// what the stop needs, and what the start needs where it comes that early, and the time up to the kill runs.
 func TestStopEndsAReloadThatWaits(t *testing.T) {
-	addr, _ := rawHost(t, func(int, net.Conn, *fake.Request) bool { return true })
-	m := booking(t, "", addr)
-	g := launch(t, m, func(o *Options) { o.HeardBy, o.Linger = time.Hour, func() {} })
-	silent := discover(t)
-	next, pool := *m, *m.Pools[0]
-	pool.Name, pool.Sources = "other", []source.Spec{{Discovery: silent.Addr()}}
-	next.Pools = append(slices.Clone(m.Pools), &pool)
-	over := make(chan error, 1)
-	go func() { over <- g.Reload(&next) }()
-	await(t, silent.Watches, "the new pool's watch")
-	g.stop()
-	await(t, g.end, "the end of the process")
-	await(t, over, "the end of the reload")
+	for _, early := range []bool{false, true} {
+		addr, _ := rawHost(t, func(int, net.Conn, *fake.Request) bool { return true })
+		m, silent := booking(t, "", addr), discover(t)
+		g, err := New(m, slog.New(slog.DiscardHandler), Options{HeardBy: time.Hour, Linger: func() {}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		ended, over := make(chan error, 1), make(chan error, 1)
+		run := func() { go func() { ended <- g.Run(ctx) }() }
+		if !early {
+			run()
+			until(t, "it serves", func() bool {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				return g.serving
+			})
+		}
+		next, pool := *m, *m.Pools[0]
+		pool.Name, pool.Sources = "other", []source.Spec{{Discovery: silent.Addr()}}
+		next.Pools = append(slices.Clone(m.Pools), &pool)
+		go func() { over <- g.Reload(&next) }()
+		await(t, silent.Watches, "the new pool's watch")
+		if early {
+			run()
+		}
+		stop()
+		await(t, ended, "the end of the process")
+		await(t, over, "the end of the reload")
+	}
 }
