A half request behind an answer is refused in whichever moment the stop ends it

A client that had its answer at the very end of a stop and had sent half of the next request got no refusal: its connection was left to wait for the rest, up to the kill. Class: an order that looks at a state between two steps of its change.

An answer is flushed before its handler returns, so the client knows it while its connection still counts as one with an open request. The end of the reading (Expel) found it so and marked it only, and the mark was looked at for bodies alone.

A connection that waits for the rest of a head and has the mark is refused and given up at its next read.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -169,8 +169,11 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	if c.phase.Load() != busy || c.answered {
 		if err := c.beforeRead(); err != nil {
+			if errors.Is(err, errExpelled) {
+				c.refuse()
+			}
 			c.lastRead()
-			return 0, err
+			return 0, ErrCondemned
 		}
 	}
 	c.reading.Store(true)
@@ -224,7 +227,8 @@
 }
 
 // beforeRead makes a connection idle that has had its answer and holds nothing more, or
-// gives it up at that point if the listener leaves.
+// gives it up at that point if the listener leaves. One that has been expelled and waits for the
+// rest of a head is given up with errExpelled, and is still to be refused.
 func (c *Conn) beforeRead() error {
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
@@ -240,8 +244,13 @@
 			c.rest(idle)
 		}
 	}
-	if c.phase.Load() == condemned && c.giveUp == nil {
+	switch {
+	case c.giveUp != nil:
+	case c.phase.Load() == condemned:
 		return ErrCondemned
+	case c.phase.Load() == halfway && c.expels:
+		c.condemn()
+		return errExpelled
 	}
 	return nil
 }
--- a/internal/front/expel.go
+++ b/internal/front/expel.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"net/http"
 	"time"
 )
@@ -9,6 +10,9 @@
 // been sent on.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
+// errExpelled says that a request is to be refused of which a part has come.
+var errExpelled = errors.New("the rest of the request is not waited for")
+
 // refusalWithin is how long the client's system may take to have room for it.
 const refusalWithin = 50 * time.Millisecond
 
