A handshake that crosses a stop ends, and what comes behind it has its answer

Cause: the close of a TLS listener closed each connection whose handshake ended after it, and Expel gave up those in a handshake with nothing said. Plain connections were waited for. Evidence: TestHandshakeAcrossTheEnd holds the client's second flight back until the listener is closed; without the change "answered 0, closing false, unexpected EOF" for a whole request, half a head and half a body.

The HTTP/1.1 front accepts until the last handshake has ended; a listener's hard close breaks off those that are left. A connection in its handshake is marked by Expel, and what comes on it afterwards is refused. The wait for the listener's end keeps to the time of the shutdown.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -248,7 +248,7 @@
 	case c.giveUp != nil:
 	case c.phase.Load() == condemned:
 		return ErrCondemned
-	case c.phase.Load() == halfway && c.expels:
+	case c.phase.Load() == halfway && c.expels && !c.handshakes():
 		c.condemn()
 		return errExpelled
 	}
--- a/internal/front/expel.go
+++ b/internal/front/expel.go
@@ -18,7 +18,7 @@
 
 // Expel ends the reading of requests over HTTP/1.1: those of which a part has come are refused, and
 // connections without one are given up. Requests that have come whole keep their connection up to
-// their answer.
+// their answer. A handshake that is under way goes on, and what comes behind it is refused.
 func (ln *Listener) Expel() {
 	ln.End(true)
 	var idles, halves []*Conn
@@ -26,6 +26,8 @@
 	for c := range ln.conns {
 		switch phase := c.phase.Load(); {
 		case c.closed || c.giveUp != nil:
+		case c.handshakes():
+			c.expels = true
 		case phase == halfway:
 			halves = append(halves, c)
 			c.condemn()
@@ -54,15 +56,14 @@
 	}
 }
 
+// handshakes says whether the handshake of a protocol that encrypts is still under way. The lock is held.
+func (c *Conn) handshakes() bool { return c.from.Secure && c.secure == nil }
+
 // refuse answers a request of which a part of the head has come. Its server has written nothing since the
-// last answer, and writes nothing from here on. A handshake that is under way gets nothing.
+// last answer, and writes nothing from here on.
 func (c *Conn) refuse() {
 	over := c.secure
-	switch {
-	case over != nil:
-	case c.from.Secure:
-		return
-	default:
+	if over == nil {
 		over = c.Conn
 	}
 	over.SetWriteDeadline(time.Now().Add(refusalWithin))
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -202,7 +202,11 @@
 	began := s.began
 	s.mu.Unlock()
 	if began {
-		<-s.taken
+		select {
+		case <-s.taken:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 	for {
 		s.mu.Lock()
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -23,11 +23,14 @@
 	one         *http1.Server // nil: not spoken here
 	two         *http2.Server // nil: not spoken here
 	certificate atomic.Pointer[tls.Certificate]
-	handshakes  sync.WaitGroup
 	sendWithin  time.Duration
-	shaken      chan net.Conn // with TLS: connections that speak HTTP/1.1
-	closed      chan struct{}
-	closeOnce   sync.Once
+
+	// With TLS:
+	handshakes      sync.WaitGroup
+	shaken          chan net.Conn   // connections that speak HTTP/1.1
+	over            chan struct{}   // closed: no further handshake ends
+	handshaking     context.Context // of all handshakes
+	breakHandshakes context.CancelFunc
 }
 
 // listen opens the sockets of a configuration that are not open yet. The lock is held.
@@ -58,7 +61,8 @@
 }
 
 func (g *Gateway) open(l config.Listener, longest time.Duration) (*server, error) {
-	s := &server{Listener: l, closed: make(chan struct{}), sendWithin: g.opt.SendWithin}
+	s := &server{Listener: l, over: make(chan struct{}), sendWithin: g.opt.SendWithin}
+	s.handshaking, s.breakHandshakes = context.WithCancel(context.Background())
 	if s.sendWithin == 0 {
 		s.sendWithin = http1.SendWithin
 	}
@@ -127,6 +131,8 @@
 		go func() { served <- s.one.Serve() }()
 		err := s.handshake()
 		s.handshakes.Wait()
+		s.breakHandshakes()
+		close(s.over)
 		return errors.Join(err, <-served)
 	case s.two != nil:
 		return s.two.Serve(s.ln)
@@ -149,7 +155,7 @@
 		}
 		s.handshakes.Go(func() {
 			t := tls.Server(c, cfg)
-			ctx, cancel := context.WithTimeout(context.Background(), s.sendWithin)
+			ctx, cancel := context.WithTimeout(s.handshaking, s.sendWithin)
 			defer cancel()
 			if err := t.HandshakeContext(ctx); err != nil {
 				c.Close()
@@ -160,11 +166,7 @@
 				go s.two.ServeConn(secure)
 				return
 			}
-			select {
-			case s.shaken <- secure:
-			case <-s.closed:
-				c.Close()
-			}
+			s.shaken <- secure
 		})
 	}
 }
@@ -176,21 +178,14 @@
 	select {
 	case c := <-l.s.shaken:
 		return c, nil
-	case <-l.s.closed:
+	case <-l.s.over:
 		return nil, net.ErrClosed
 	}
 }
 
-func (l shakenListener) Close() error   { l.s.end(); return nil }
+func (l shakenListener) Close() error   { return l.s.ln.Close() }
 func (l shakenListener) Addr() net.Addr { return l.s.ln.Addr() }
 
-func (s *server) end() {
-	s.closeOnce.Do(func() {
-		close(s.closed)
-		s.ln.Close()
-	})
-}
-
 // Leave tells clients that have connected to leave, while the listener is still open.
 func (s *server) Leave() {
 	if s.one != nil {
@@ -207,7 +202,7 @@
 	if s.one != nil {
 		err = s.one.Shutdown(ctx)
 	}
-	s.end()
+	s.ln.Close()
 	if s.two != nil {
 		err = errors.Join(err, s.two.Shutdown(ctx))
 	}
@@ -216,7 +211,8 @@
 
 // Close ends what is left at once.
 func (s *server) Close() {
-	s.end()
+	s.ln.Close()
+	s.breakHandshakes()
 	if s.one != nil {
 		s.one.Close()
 	}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -196,3 +196,64 @@
 		await(t, over, "the end of the reload")
 	}
 }
+
+// heldWrites is a client's connection whose writes behind the first wait until they are let go.
+type heldWrites struct {
+	net.Conn
+	first   bool
+	release chan struct{}
+}
+
+func (c *heldWrites) Write(b []byte) (int, error) {
+	if c.first {
+		<-c.release
+	}
+	c.first = true
+	return c.Conn.Write(b)
+}
+
+// A connection over TLS that was accepted before a stop has its handshake, and what comes on it its answer,
+// though the handshake ends after the listener and after the order to read no further requests.
+func TestHandshakeAcrossTheEnd(t *testing.T) {
+	certificate, key := fake.Certificate(t.TempDir(), "localhost")
+	listener := fmt.Sprintf("tls = { certificate = %q, key = %q }", certificate, key)
+	const whole = "POST /book HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+	for _, says := range []string{whole, whole[:30], whole[:len(whole)-2]} {
+		h := scripted(t, fake.Always(fake.Serve("ok")))
+		g := launch(t, booking(t, listener, h.Addr()), func(o *Options) {
+			o.SendWithin = time.Hour
+			o.Linger = func() {}
+			o.Stop = drain.Schedule{Accept: 1, Answer: 1, Close: time.Hour}
+		})
+		c, err := net.Dial("tcp", g.Addr("clients").String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(patience))
+		held := &heldWrites{Conn: c, release: make(chan struct{})}
+		secure := tls.Client(held, &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"http/1.1"}})
+		shaken := make(chan error, 1)
+		go func() { shaken <- secure.Handshake() }()
+		until(t, "the handshake has begun", func() bool { return g.conns.Busy() == 1 })
+		g.stop()
+		until(t, "nothing is accepted any more", func() bool {
+			probe, err := net.Dial("tcp", g.Addr("clients").String())
+			if err == nil {
+				probe.Close()
+			}
+			return err != nil
+		})
+		close(held.release)
+		if err := <-shaken; err != nil {
+			t.Fatalf("the handshake: %v", err)
+		}
+		client := fake.Over(secure)
+		io.WriteString(client, says)
+		status, _, _, err := client.Receive()
+		if err != nil || status != http.StatusServiceUnavailable || !client.Closing {
+			t.Errorf("%d bytes: answered %d, closing %t, %v", len(says), status, client.Closing, err)
+		}
+		client.Close()
+		await(t, g.end, "the end")
+	}
+}
