Connections beyond the bound: the overflow is forced by a test, and no fault

Traced: where all that is open asks, has just been answered or is newer than 100 ms, clients may hold a sixteenth and one more of the bound for a moment (overflowPart, made for that), which is 7 for 6. TestOverflowEndsWithTheNextConnection plays that order in virtual time: never more than 7, and the next connection waits for 100 ms and brings all back to 6.

The check knew nothing of the overflow and depended on how far the server's goroutines had come. It is replaced by one as strict: never beyond bound and overflow, and within both bounds as soon as another connection comes once no one is new or in between.

--- a/internal/front/conns_test.go
+++ b/internal/front/conns_test.go
@@ -344,6 +344,34 @@
 	})
 }
 
+// Where one client has just had its answer and the others have said nothing for less than they are given, one
+// more comes in beyond the bound: no more than the overflow, and the next brings all back within the bound.
+func TestOverflowEndsWithTheNextConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const most = 6
+		l := NewConns(most, most, 0)
+		ln := l.Listen(make(wires))
+		held, answered := join(t, ln, newWire()), join(t, ln, newWire())
+		held.Active()
+		l.State(answered, http.StateActive)
+		l.State(answered, http.StateIdle) // its server has not come to its next read
+		for i := range most - 1 {
+			join(t, ln, newWire())
+			if open, _ := l.Counts(); open != i+3 {
+				t.Fatalf("%d are open, want %d", open, i+3)
+			}
+		}
+		if open, _ := l.Counts(); open != most+most/overflowPart+1 {
+			t.Fatalf("%d are open", open)
+		}
+		began := time.Now()
+		join(t, ln, newWire())
+		if open, _ := l.Counts(); open != most || time.Since(began) != firstWord || held.closed || answered.closed {
+			t.Errorf("%d are open after %v, closed: %v, %v", open, time.Since(began), held.closed, answered.closed)
+		}
+	})
+}
+
 // Whatever order things happen in, the lists hold what the phases say.
 func TestListsAgreeWithPhases(t *testing.T) {
 	rapid.Check(t, listsAgreeWithPhases)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -507,10 +507,19 @@
 		if status, _, _ := do(t, request(t, g.url, "book", "x")); status != 200 {
 			t.Errorf("answered %d", status)
 		}
-		open, asked := conns.Counts()
-		if open > bound[0] || asked > bound[1] {
-			t.Errorf("%d connections are open, %d of them have asked", open, asked)
-		}
+		// One may be open beyond the bound for as long as all others are new or ask, and the next that comes
+		// once they are neither brings them back within it.
+		if open, _ := conns.Counts(); open > bound[0]+bound[0]/16+1 {
+			t.Errorf("%d connections are open", open)
+		}
+		until(t, "all are within their bounds", func() bool {
+			open, asked := conns.Counts()
+			if open <= bound[0] && asked <= bound[1] {
+				return true
+			}
+			do(t, request(t, g.url, "book", "x"))
+			return false
+		})
 		closed := 0
 		for _, c := range quiet {
 			c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
