Why a client's connection was closed is counted and logged

The incident's logs said which attempts and requests ended badly, but not why a connection was closed: by its client, behind its last answer, unused, within a head, within a request, to make room, for a drain, at the end of a stop with nothing read, or with a refusal.

Each connection ends with one CloseReason. All are counted (edge_gw_downstream_closes, by reason); those that may have cost a request its answer get a line with the client's address and the connection's age. Floods are a line a second of a kind, as with attempts: that log is package eventlog now, which both use.

--- a/internal/exchange/events_test.go
+++ b/internal/exchange/events_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"frostshift"
+	"frostshift/internal/eventlog"
 )
 
 // What ends badly is logged with its request's id, its attempt and its host; a flood is a line of each kind a
@@ -18,7 +19,7 @@
 		var text bytes.Buffer
 		x := New(NewClock())
 		p := stillPool(t, x, "a", newUpstream(always(frostshift.Reset, time.Millisecond)), nil)
-		p.trouble = newEventLog(slog.New(slog.NewTextHandler(&text, nil)))
+		p.trouble = eventlog.New(slog.New(slog.NewTextHandler(&text, nil)))
 		go p.Run(nil, nil)
 		p.News(frostshift.ListFull, hostsOf(6), nil)
 		ask := func(id string) {
@@ -29,7 +30,7 @@
 		for range 50 {
 			ask("flood")
 		}
-		time.Sleep(2 * eventsEvery)
+		time.Sleep(2 * eventlog.Every)
 		ask("last")
 		synctest.Wait()
 		p.Drain()
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -7,6 +7,7 @@
 
 	"frostshift"
 	"frostshift/internal/contract"
+	"frostshift/internal/eventlog"
 	"frostshift/internal/verdict"
 )
 
@@ -88,7 +89,7 @@
 	acts     []frostshift.Action
 
 	counts  Counts
-	trouble eventLog
+	trouble *eventlog.Log
 	ended   [][Failed + 1]atomic.Int64 // requests, by class and how
 }
 
@@ -136,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Pool{name: c.Name, set: c.Settings, log: c.Log, trouble: newEventLog(c.Log), clock: x.clock, x: x, b: b, upstream: c.Upstream,
+	p := &Pool{name: c.Name, set: c.Settings, log: c.Log, trouble: eventlog.New(c.Log), clock: x.clock, x: x, b: b, upstream: c.Upstream,
 		room: c.Room, watch: c.Watch, saw: c.Saw, met: c.Met, tellOut: c.Out, learned: c.Learned, sched: c.Scheduler, fleetShare: c.FleetShare, limiter: c.Limiter, advice: c.Settings.MaxRetryAfter,
 		events: make(chan event, 1024), quit: make(chan struct{}), done: make(chan struct{}),
 		calls: map[frostshift.RequestID]*Call{}, jury: verdict.NewJury(), repeats: verdict.NewBudget(c.Repeats)}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -35,9 +35,10 @@
 // the close is ever taken, and its client may send it again (RFC 9112 section 9.3.1).
 type Conn struct {
 	net.Conn
-	all  *Conns
-	from *Listener
-	raw  syscall.RawConn // nil: there is no socket to look at
+	all      *Conns
+	from     *Listener
+	accepted time.Time
+	raw      syscall.RawConn // nil: there is no socket to look at
 	// Encrypted says that a protocol on top encrypts what is sent.
 	Encrypted bool
 	secure    net.Conn // ... and is this one
@@ -51,14 +52,15 @@
 	closed bool
 	// closing says that its server or its client ends it, and not we to make room.
 	closing bool
-	reset   bool   // it ends with a reset
-	body    bool   // a body is read that must come whole
-	expels  bool   // no further request is taken, and none is waited for
-	asking  bool   // a request is open
-	many    bool   // it has rested before
-	trial   bool   // it rests for the first time and is let be
-	leave   func() // of a guard; nil: it has been called, or there is none
-	giveUp  func() // how to end it in its protocol; nil: it is closed
+	reason  CloseReason // once it is closed
+	reset   bool        // it ends with a reset
+	body    bool        // a body is read that must come whole
+	expels  bool        // no further request is taken, and none is waited for
+	asking  bool        // a request is open
+	many    bool        // it has rested before
+	trial   bool        // it rests for the first time and is let be
+	leave   func()      // of a guard; nil: it has been called, or there is none
+	giveUp  func()      // how to end it in its protocol; nil: it is closed
 
 	// Of an http.Server's reader. It says that a connection is idle before it has looked
 	// whether it holds bytes of the next request already: so the connection rests from its
@@ -78,6 +80,7 @@
 	wrote    atomic.Bool
 	left     chan struct{}
 	leftOnce sync.Once
+	told     atomic.Bool // its close has been logged
 
 	// Of whoever writes:
 	corked bool
@@ -122,10 +125,10 @@
 }
 
 // condemn gives the connection up; end then ends it, without the lock. The lock is held.
-func (c *Conn) condemn() {
+func (c *Conn) condemn(why CloseReason) {
 	c.wake(condemned)
 	if !c.closed {
-		c.closed = true
+		c.closed, c.reason = true, why
 		c.all.open--
 		delete(c.from.conns, c)
 		if c.leave != nil {
@@ -239,7 +242,7 @@
 		case c.ahead || c.deadlines > 1:
 			c.rest(halfway) // the server waits for the rest of the next head
 		case c.from.leaving.Load():
-			c.condemn() // its server closes it on the error
+			c.condemn(ClosedForDrain) // its server closes it on the error
 		default:
 			c.rest(idle)
 		}
@@ -249,7 +252,7 @@
 	case c.phase.Load() == condemned:
 		return ErrCondemned
 	case c.phase.Load() == halfway && c.expels && !c.handshakes():
-		c.condemn()
+		c.condemn(RefusedByStop)
 		return errExpelled
 	}
 	return nil
@@ -326,8 +329,9 @@
 	if linger {
 		c.all.lingering++
 	}
-	c.condemn()
+	c.condemn(c.reasonOfClose())
 	c.all.mu.Unlock()
+	c.logClose()
 	c.all.hangups.remove(c)
 	if linger {
 		return c.linger()
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"frostshift/internal/eventlog"
 )
 
 const (
@@ -53,6 +55,10 @@
 
 	keepHeads atomic.Bool
 
+	begun  time.Time
+	events atomic.Pointer[eventlog.Log]
+	closes [closeReasons]atomic.Uint64
+
 	mu    sync.Mutex
 	open  int
 	quiet [5]list.List // by phase: silent, once, idle, ending, halfway; the longest first
@@ -67,7 +73,7 @@
 // NewConns allows most connections, and room for those that have asked something; one that
 // has been idle for longer than spare is held to be of no use to its client.
 func NewConns(most, room int, spare time.Duration) *Conns {
-	return &Conns{most: most, room: room, spare: spare}
+	return &Conns{most: most, room: room, spare: spare, begun: time.Now()}
 }
 
 // Bound changes how many connections are allowed, and how many of those that have asked. Spare
@@ -186,7 +192,7 @@
 // drop gives up a connection, if there is one, and lets go of the lock.
 func (l *Conns) drop(c *Conn) bool {
 	if c != nil {
-		c.condemn()
+		c.condemn(ClosedForRoom)
 	}
 	l.mu.Unlock()
 	if c != nil {
--- a/internal/front/expel.go
+++ b/internal/front/expel.go
@@ -30,10 +30,10 @@
 			c.expels = true
 		case phase == halfway:
 			halves = append(halves, c)
-			c.condemn()
+			c.condemn(RefusedByStop)
 		case phase == silent || phase == once || phase == idle:
 			idles = append(idles, c)
-			c.condemn()
+			c.condemn(ClosedByStop)
 		default:
 			c.expel()
 		}
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -157,7 +157,7 @@
 		}, silent)
 	}
 	for _, c := range given {
-		c.condemn()
+		c.condemn(ClosedForDrain)
 	}
 	ln.all.mu.Unlock()
 	for _, c := range given {
@@ -242,7 +242,7 @@
 		}
 		for l.full() && l.shedSpare() {
 		}
-		cc := &Conn{Conn: c, all: l, from: ln, leave: leave, left: make(chan struct{})}
+		cc := &Conn{Conn: c, all: l, from: ln, accepted: time.Now(), leave: leave, left: make(chan struct{})}
 		if s, ok := c.(syscall.Conn); ok {
 			cc.raw, _ = s.SyscallConn()
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,6 +193,7 @@
 	if g.conns == nil {
 		g.conns = front.NewConns(clients, asked, front.SpareAfter)
 	}
+	g.conns.LogTo(g.log)
 	g.budgets = budgets{share.New(requests), share.New(conns), share.New(bodies), share.New(answers)}
 	g.whole = wholes{conns, bodies, answers, clients, asked}
 	g.streams = limits.Streams
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -18,6 +18,7 @@
 	"frostshift/internal/config"
 	"frostshift/internal/drain"
 	"frostshift/internal/fake"
+	"frostshift/internal/front"
 	"frostshift/internal/membership/source"
 )
 
@@ -126,6 +127,10 @@
 		if n := h.Total() - before; n != 0 {
 			t.Errorf("%q: %d of them reached a host", listener, n)
 		}
+		// The half body's refusal is an answer of its server.
+		if n := g.conns.Closes()[front.RefusedByStop]; n < 1 || n > 2 {
+			t.Errorf("%q: %d were closed with the refusal of a half head", listener, n)
+		}
 	}
 }
 
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -23,6 +23,7 @@
 	requestsDesc     = prometheus.NewDesc("edge_gw_downstream_requests", "requests of clients that have their answer", []string{"lane", "result"}, nil)
 	attemptsDesc     = prometheus.NewDesc("edge_gw_upstream_requests", "attempts at hosts", nil, nil)
 	badAttemptsDesc  = prometheus.NewDesc("edge_gw_upstream_bad", "attempts at hosts that brought no good answer, by how they ended", []string{"result"}, nil)
+	closesDesc       = prometheus.NewDesc("edge_gw_downstream_closes", "connections of clients that were closed, by why", []string{"reason"}, nil)
 	pendingDesc      = prometheus.NewDesc("edge_gw_pending", "requests of clients that are owed an answer", nil, nil)
 	membersDesc      = prometheus.NewDesc("edge_gw_members", "hosts that are listed", nil, nil)
 	awayDesc         = prometheus.NewDesc("edge_gw_members_unavailable", "hosts that are listed and get nothing: draining, ejected or out by hand", nil, nil)
@@ -77,7 +78,7 @@
 
 // Describe names the figures.
 func (s stats) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badAttemptsDesc, pendingDesc, membersDesc, awayDesc, partDesc, admittedDesc, lateDesc, evidenceDesc, fleetMembersDesc, fleetCountDesc, fleetLeastDesc, fleetMostDesc, fleetSideDesc, quotaLimitsDesc, quotaTimesDesc, quotaShortDesc, limitDesc, reloadsDesc, badReloadDesc} {
+	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badAttemptsDesc, closesDesc, pendingDesc, membersDesc, awayDesc, partDesc, admittedDesc, lateDesc, evidenceDesc, fleetMembersDesc, fleetCountDesc, fleetLeastDesc, fleetMostDesc, fleetSideDesc, quotaLimitsDesc, quotaTimesDesc, quotaShortDesc, limitDesc, reloadsDesc, badReloadDesc} {
 		out <- d
 	}
 }
@@ -97,6 +98,9 @@
 	}
 	m := metrics(out)
 	s.collectRequests(m, model, pools)
+	for reason, n := range s.conns.Closes() {
+		m.count(closesDesc, int64(n), reason.String())
+	}
 	m.gauge(pendingDesc, float64(s.exchange.Open()))
 	if members, away, ok := look(pools); ok {
 		m.gauge(membersDesc, float64(members))
