--- a/internal/clustertest/process.go
+++ b/internal/clustertest/process.go
@@ -68,6 +68,7 @@
 type Process struct {
 	Name, Dir string
 	Addr      string // where clients connect
+	Platform  bool   // it is configured as the platform does it, by one JSON object; set before Configure
 	Desk      string // where operators call, and Advertise where others talk to it; see Talk
 	Advertise string
 	talk      string
@@ -120,12 +121,22 @@
 	return os.WriteFile(p.config(), []byte(text), 0o600)
 }
 
-func (p *Process) config() string { return filepath.Join(p.Dir, "gateway.toml") }
+func (p *Process) config() string {
+	if p.Platform {
+		return filepath.Join(p.Dir, "gateway.json")
+	}
+	return filepath.Join(p.Dir, "gateway.toml")
+}
 
 // Start starts the process. Ready tells when it serves.
 func (p *Process) Start() error {
-	cmd := exec.Command(p.fleet.Program, "run", "--config", p.config())
+	cmd := exec.Command(p.fleet.Program, "run")
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=1", "TMPDIR="+p.Dir)
+	if p.Platform {
+		cmd.Env = append(cmd.Env, "GW_CONFIG="+p.config())
+	} else {
+		cmd.Args = append(cmd.Args, "--config", p.config())
+	}
 	cmd.Stdout, cmd.Stderr = &p.log, &p.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	s := start{cmd, make(chan error, 1)}
@@ -149,9 +160,13 @@
 	p.mu.Lock()
 	ended := p.ended
 	p.mu.Unlock()
+	path := ReadyPath
+	if p.Platform {
+		path = "/ready"
+	}
 	for {
 		// With contracts it says whom it does not know.
-		if status, err := ask(ctx, p.Addr, ReadyPath); err == nil && (status == 204 || status == 401) {
+		if status, err := ask(ctx, p.Addr, path); err == nil && (status == 200 || status == 204 || status == 401) {
 			return nil
 		}
 		select {
