A log that nobody reads holds up no request and ends no process

Where the reader of a gateway's log hangs, its pipe fills and the next line waits for good: with it the pool's loop, and every request (rule `lost`). Where the reader goes, the next line ends the process: SIGPIPE on standard error kills a Go program that has not asked for the signal. Found while looking for faults of the incident's class: what the gateway owes hangs on something that it does not own.

Lines are queued up to 256 KiB and written by a goroutine of their own; what does not fit is lost and counted in the log once it is read again. The end of the process gives the last lines 0.1 s. SIGPIPE is caught, so that the write fails instead.

--- a/cmd/stilespool/run.go
+++ b/cmd/stilespool/run.go
@@ -11,9 +11,11 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"frostshift/internal/asynclog"
 	"frostshift/internal/config"
 	"frostshift/internal/gateway"
 )
@@ -27,6 +29,13 @@
 // collecting took a tenth of the processor's time.
 const gcPercent = 200
 
+const (
+	// mostLogged is how many bytes of log wait for whoever reads it.
+	mostLogged = 256 << 10
+	// logWithin is how long the last of it may take at the end.
+	logWithin = 100 * time.Millisecond
+)
+
 // runCommand runs a gateway until SIGTERM.
 func runCommand() *cobra.Command {
 	c := &cobra.Command{Use: "run", Short: "run a gateway; without --config as the platform says in GW_CONFIG", Args: none}
@@ -40,6 +49,7 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	// The signals stay caught to the end: an order to stop that comes while the gateway ends by
 	// itself must not look like a death.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE) // else a log without a reader ends the process
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	ctx, stop := context.WithCancel(context.Background())
@@ -59,7 +69,9 @@
 		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(heapShare * float64(m.Limits.MemoryMB) * (1 << 20)))
 	}
-	log := logger(m, errs)
+	lines := asynclog.New(errs, mostLogged)
+	defer lines.Close(logWithin)
+	log := logger(m, lines)
 	for _, w := range warnings {
 		log.Warn("configuration", "problem", w.Error())
 	}
--- a/internal/clustertest/process.go
+++ b/internal/clustertest/process.go
@@ -67,9 +67,10 @@
 // Process is one process of the program and what it keeps over restarts: name, folder, address.
 type Process struct {
 	Name, Dir string
-	Addr      string // where clients connect
-	Platform  bool   // it is configured as the platform does it, by one JSON object; set before Configure
-	Desk      string // where operators call, and Advertise where others talk to it; see Talk
+	Addr      string   // where clients connect
+	Stderr    *os.File // where its log goes; nil: it is kept for Log
+	Platform  bool     // it is configured as the platform does it, by one JSON object; set before Configure
+	Desk      string   // where operators call, and Advertise where others talk to it; see Talk
 	Advertise string
 	talk      string
 	fleet     *Fleet
@@ -138,6 +139,9 @@
 		cmd.Args = append(cmd.Args, "--config", p.config())
 	}
 	cmd.Stdout, cmd.Stderr = &p.log, &p.log
+	if p.Stderr != nil {
+		cmd.Stderr = p.Stderr
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	s := start{cmd, make(chan error, 1)}
 	p.fleet.starts <- s
--- a/internal/faultinject/gateway.go
+++ b/internal/faultinject/gateway.go
@@ -17,7 +17,7 @@
 )
 
 // readyWithin is how long a process may take to serve; there is no rule about it here.
-const readyWithin = time.Minute
+const readyWithin = 30 * time.Second
 
 // gateway is a process of the program, configured as the platform does it, before hosts that are known to it.
 type gateway struct {
@@ -39,18 +39,23 @@
 // startGateway starts the hosts, a function for each, and the process, in a folder of its own, and waits until
 // it serves. longest is the longest deadline of its settings.
 func startGateway(program, dir string, longest time.Duration, hosts ...func(*fake.Request) bool) (*gateway, error) {
+	return startLogging(program, dir, nil, longest, hosts...)
+}
+
+// startLogging is startGateway with a file that the log goes to; nil: it is kept.
+func startLogging(program, dir string, log *os.File, longest time.Duration, hosts ...func(*fake.Request) bool) (*gateway, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
 	g := &gateway{fleet: clustertest.NewFleet(program, dir)}
-	if err := g.start(longest, hosts); err != nil {
+	if err := g.start(longest, log, hosts); err != nil {
 		g.close()
 		return nil, err
 	}
 	return g, nil
 }
 
-func (g *gateway) start(longest time.Duration, hosts []func(*fake.Request) bool) (err error) {
+func (g *gateway) start(longest time.Duration, log *os.File, hosts []func(*fake.Request) bool) (err error) {
 	var known []string
 	for n, serve := range hosts {
 		h, err := fake.NewHost(serve)
@@ -63,7 +68,7 @@
 	if g.Process, err = g.fleet.Add("gateway"); err != nil {
 		return err
 	}
-	g.Platform = true
+	g.Platform, g.Stderr = true, log
 	limit := longest.Microseconds()
 	if err := g.Configure(fmt.Sprintf(platformConfig, g.Addr, strings.Join(known, ","), limit/2, limit, limit/3, limit*2/3)); err != nil {
 		return err
