A look at a socket that a signal interrupts is taken again

The front looks whether a new connection holds bytes before it gives it a server. And a poll that failed for want of memory passed for a client that had left, so that its request was given up.

Cause: EINTR was treated as "nothing has come", which holds only where the wait behind it would be woken; epoll reports an edge once. Class: an error of the call taken for a state of the socket.

The three places that peek and the two that poll go through package socket, which asks again behind a signal and keeps the call's errors apart from the socket's.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"frostshift/internal/socket"
 )
 
 // ErrCondemned is what a read of a connection ends with that has been given up: nothing
@@ -203,12 +205,11 @@
 		return true // whoever reads finds out
 	}
 	c.Conn.SetReadDeadline(time.Now().Add(within))
-	var one [1]byte
 	var n int
 	if err := c.raw.Read(func(fd uintptr) bool {
 		var err error
-		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		n, err = socket.Peek(fd)
+		return !errors.Is(err, syscall.EAGAIN)
 	}); err != nil || n <= 0 {
 		return false
 	}
@@ -226,7 +227,10 @@
 	if c.raw == nil {
 		return
 	}
-	c.raw.Write(func(fd uintptr) bool { return poll(fd, unix.POLLOUT) != 0 })
+	c.raw.Write(func(fd uintptr) bool {
+		events, err := socket.Poll(fd, unix.POLLOUT)
+		return events != 0 || err != nil
+	})
 }
 
 // beforeRead makes a connection idle that has had its answer and holds nothing more, or
--- a/internal/front/hangup.go
+++ b/internal/front/hangup.go
@@ -1,11 +1,12 @@
 package front
 
 import (
-	"errors"
 	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"frostshift/internal/socket"
 )
 
 // hangupEvery is how often connections are looked at whose client may have left behind bytes
@@ -79,28 +80,16 @@
 	return out
 }
 
-// poll is which of the events are there now, or an error of the socket. Signals may interrupt it.
-func poll(fd uintptr, events int16) int16 {
-	at := []unix.PollFd{{Fd: int32(fd), Events: events}}
-	for {
-		switch _, err := unix.Poll(at, 0); {
-		case err == nil:
-			return at[0].Revents
-		case !errors.Is(err, unix.EINTR):
-			return unix.POLLERR
-		}
-	}
-}
-
 // hungUp says whether the client has ended its sending or reset the connection, whatever of it is
-// unread.
+// unread. A look that fails has seen nothing.
 func (c *Conn) hungUp() bool {
 	if c.raw == nil {
 		return false
 	}
 	gone := false
 	if err := c.raw.Control(func(fd uintptr) {
-		gone = poll(fd, unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		events, err := socket.Poll(fd, unix.POLLRDHUP)
+		gone = err == nil && events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	}); err != nil {
 		return true // it has been closed here
 	}
--- /dev/null
+++ b/internal/socket/socket.go
@@ -0,0 +1,40 @@
+// Package socket looks at sockets without taking anything from them. Signals end no look.
+package socket
+
+import (
+	"errors"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// The system calls; tests let them fail.
+var (
+	recvfrom = unix.Recvfrom
+	poll     = unix.Poll
+)
+
+// Peek looks whether a byte can be read, and does not wait for one. 0 without an error is the end of the other
+// side's sending; syscall.EAGAIN says that nothing has come. Any other error is the socket's, which reports it
+// this once.
+func Peek(fd uintptr) (n int, err error) {
+	var one [1]byte
+	for {
+		n, _, err = recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if !errors.Is(err, syscall.EINTR) {
+			return max(n, 0), err
+		}
+	}
+}
+
+// Poll is which of the events are there now, with errors of the socket and hang-ups among them (poll(2)). An error
+// is the call's own and says nothing of the socket.
+func Poll(fd uintptr, events int16) (int16, error) {
+	at := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	for {
+		_, err := poll(at, 0)
+		if !errors.Is(err, syscall.EINTR) {
+			return at[0].Revents, err
+		}
+	}
+}
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"frostshift/internal/socket"
 )
 
 // conn is a connection to a host. It belongs to one attempt or is idle.
@@ -85,16 +87,14 @@
 	if c.raw == nil {
 		return true
 	}
-	var n int
 	var err error
-	var one [1]byte
 	// Control, unlike Read, does not mind that the last answer's deadline has passed.
 	if e := c.raw.Control(func(fd uintptr) {
-		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, err = socket.Peek(fd)
 	}); e != nil {
 		return false
 	}
-	return n <= 0 && errors.Is(err, syscall.EAGAIN)
+	return errors.Is(err, syscall.EAGAIN)
 }
 
 // Read reads from the host. Where the connection has failed it never says io.EOF.
@@ -135,13 +135,12 @@
 		c.in.Peek(1)
 		return
 	}
-	var one [1]byte
 	c.raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, err := socket.Peek(fd)
 		switch {
 		case errors.Is(err, syscall.EAGAIN):
 			return false
-		case err != nil && !errors.Is(err, syscall.EINTR):
+		case err != nil:
 			c.note(&net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err})
 		}
 		return true
