--- a/internal/front/closes.go
+++ b/internal/front/closes.go
@@ -11,23 +11,23 @@
 type CloseReason uint8
 
 const (
-	// ClosedByClient: the client ended it, or it broke.
+	// ClosedByClient says: the client ended it, or it broke.
 	ClosedByClient CloseReason = iota
-	// ClosedAfterAnswer: its last answer said so.
+	// ClosedAfterAnswer says: its last answer said so.
 	ClosedAfterAnswer
-	// ClosedUnused: no request came on it in time.
+	// ClosedUnused says: no request came on it in time.
 	ClosedUnused
-	// ClosedInHead: the head of a request was malformed, or did not come whole in time.
+	// ClosedInHead says: the head of a request was malformed, or did not come whole in time.
 	ClosedInHead
-	// ClosedInRequest: a request was open on it, or its answer broke off.
+	// ClosedInRequest says: a request was open on it, or its answer broke off.
 	ClosedInRequest
-	// ClosedForRoom: others needed its place.
+	// ClosedForRoom says: others needed its place.
 	ClosedForRoom
-	// ClosedForDrain: the gateway gives its clients up.
+	// ClosedForDrain says: the gateway gives its clients up.
 	ClosedForDrain
-	// ClosedByStop: the time of a stop had ended, and nothing had come that was owed an answer.
+	// ClosedByStop says: the time of a stop had ended, and nothing had come that was owed an answer.
 	ClosedByStop
-	// RefusedByStop: the time of a stop had ended, and what had come of a request was refused.
+	// RefusedByStop says: the time of a stop had ended, and what had come of a request was refused.
 	RefusedByStop
 
 	closeReasons = iota // how many there are
