A start outlasts a moment without descriptors or memory for its listening sockets

A gateway that started while the system had no descriptor (ENFILE, EMFILE) or no memory (ENOBUFS, ENOMEM) for its listening socket ended with status 1.

A listen that fails for want of something is tried again for 2 s, every 20 ms. An address that is taken or not this machine's is an error at once, as before.

--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"frostshift/internal/config"
@@ -99,7 +100,36 @@
 	if l.Descriptor > 0 {
 		return inherit(l.Descriptor)
 	}
-	return net.Listen("tcp", l.Address)
+	return listenAt(l.Address)
+}
+
+const (
+	// listenWithin is how long a socket is waited for that the system lacks something for.
+	listenWithin = 2 * time.Second
+	listenEvery  = 20 * time.Millisecond
+)
+
+// listenTCP is net.Listen; tests let it fail.
+var listenTCP = net.Listen
+
+// listenAt listens at an address. What the system lacks for a moment is waited for.
+func listenAt(address string) (net.Listener, error) {
+	for by := time.Now().Add(listenWithin); ; time.Sleep(listenEvery) {
+		ln, err := listenTCP("tcp", address)
+		if err == nil || !isShortage(err) || time.Now().After(by) {
+			return ln, err
+		}
+	}
+}
+
+// isShortage says whether the system had no descriptors or memory for a socket.
+func isShortage(err error) bool {
+	for _, shortage := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, shortage) {
+			return true
+		}
+	}
+	return false
 }
 
 // pressed says that bodies hold more than half of what they may.
