--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -22,7 +22,7 @@
 func descriptors(t *testing.T) int {
 	list, err := os.ReadDir("/proc/self/fd")
 	if err != nil {
-		t.Skip("this system does not list descriptors")
+		t.Fatalf("this system does not list descriptors: %v", err)
 	}
 	return len(list)
 }
