Keys that nothing tells of stay unsure once their move is taken out

A keyed request could run in both pools of a move: tried in the new pool, asked again after a restart (502, as a try may have run elsewhere), and asked once more when the move had been taken out of the configuration, it was sent to the old pool.

Cause: shift.Move.Pool of a retired move asked only the two generations of known keys. What Restore marks for a window (the band of shares, the older generation of the file) and what a full memory leaves to a pinned share was told by Place alone.

Change: Pool takes the key's draw and deals keys that are not known as Place does while an earlier deal may be unknown (keys.forgot). A move that knows all its keys still says "any" of others.

--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -89,10 +89,14 @@
 	}
 	if a.Keyed {
 		for _, old := range v.old {
-			if pool, ok := old.Belongs(a.Key); ok {
-				if out.at = poolAt(r, pool); out.at < 0 {
-					return out, s.unsure()
-				}
+			pool, known, err := old.Belongs(a.Key, shift.Draw(sticky(h, r, old.Plan().Name, true)))
+			if known {
+				out.at = poolAt(r, pool)
+			}
+			if err != nil || known && out.at < 0 {
+				return out, s.unsure()
+			}
+			if known {
 				return out, nil
 			}
 		}
@@ -100,11 +104,7 @@
 	if v.move == nil {
 		return out, nil
 	}
-	if value, ok := r.Stable.Value(&route.Request{Query: h.Query, Header: h.Header}); ok {
-		a.Sticky = hashOf("stable", v.name, value)
-	} else if a.Named {
-		a.Sticky = hashOf("stable", v.name, h.Header.Get("Idempotency-Key"))
-	}
+	a.Sticky = sticky(h, r, v.name, a.Named)
 	if a.Draw = rand.Float64(); a.Sticky != 0 {
 		a.Draw = shift.Draw(a.Sticky)
 	}
@@ -116,6 +116,17 @@
 	return out, nil
 }
 
+// sticky is the hash by which a move deals a request whose place must stay; 0: it need not.
+func sticky(h *Head, r *route.Route, move string, named bool) uint64 {
+	if value, ok := r.Stable.Value(&route.Request{Query: h.Query, Header: h.Header}); ok {
+		return hashOf("stable", move, value)
+	}
+	if named {
+		return hashOf("stable", move, h.Header.Get("Idempotency-Key"))
+	}
+	return 0
+}
+
 func (s *Snapshot) unsure() *Error {
 	return &Error{Status: http.StatusBadGateway, Text: "an earlier try may have run elsewhere", Keeps: true, Header: http.Header{"Proxy-Status": {s.name + "; error=proxy_internal_error"}}}
 }
--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -203,19 +203,24 @@
 		t.Errorf("after a restart it is %s at %v", s.State, s.Share)
 	}
 	check("after a restart")
-	// The move goes, and its new pool with it.
-	text := fmt.Sprintf("state = %q\n", dir) + head + moveClasses + fmt.Sprintf("[[pool]]\nname = \"old\"\nhosts = [%q]\n[[route]]\nname = \"report\"\nprefix = \"/report\"\nclass = \"report\"\npool = \"old\"\n", old.Addr())
-	plain, _, err := config.Parse("gw.toml", []byte(text))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := g.Reload(plain); err != nil {
+	if err := g.Reload(parseMoved(t, dir, old)); err != nil {
 		t.Fatal(err)
 	}
 	check("after the move was taken out")
 	halt(t, g)
 }
 
+// parseMoved is what parseMoving gives without its move and its new pool.
+func parseMoved(t *testing.T, dir string, old *fake.Host) *config.Model {
+	t.Helper()
+	text := fmt.Sprintf("state = %q\n", dir) + head + moveClasses + fmt.Sprintf("[[pool]]\nname = \"old\"\nhosts = [%q]\n[[route]]\nname = \"report\"\nprefix = \"/report\"\nclass = \"report\"\npool = \"old\"\n", old.Addr())
+	m, _, err := config.Parse("gw.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
 // A state file that is cut, flipped or of a later version loses nothing but what it held: the
 // gateway starts, goes on at most where it was, and keys that nothing tells fail.
 func TestDamagedState(t *testing.T) {
@@ -255,6 +260,12 @@
 			if s := statusOf(t, g); s.Share >= 0.2 {
 				t.Errorf("it begins at %v", s.Share)
 			}
+			if err := g.Reload(parseMoved(t, dir, old)); err != nil {
+				t.Fatal(err)
+			}
+			if status, body, _ := ask(t, g, "POST", "/report/x", "Idempotency-Key: a"); status != 502 {
+				t.Errorf("the same key after the move was taken out: %d %q", status, body)
+			}
 		})
 	}
 }
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -146,11 +146,11 @@
 	v.m.Ended(e.At, u, end)
 }
 
-// Belongs is the pool that a key belongs to by a move that is retired; false: any.
-func (v *Move) Belongs(key uint64) (string, bool) {
+// Belongs is the pool that a key belongs to by a move that is retired; see shift.Move.Pool.
+func (v *Move) Belongs(key uint64, draw float64) (pool string, known bool, err error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.m.Pool(v.clock.Now(), key)
+	return v.m.Pool(v.clock.Now(), key, draw)
 }
 
 // Plan is what the move was made of.
--- a/internal/shift/keys.go
+++ b/internal/shift/keys.go
@@ -36,6 +36,8 @@
 	// it ended; until doubtful.
 	doubt    keySet
 	doubtful Time
+	// overflowed is until when keys may come again for which a generation had no room; 0: none.
+	overflowed Time
 	// life is all shares that keys have been dealt by.
 	life span
 }
@@ -83,6 +85,11 @@
 	return s, ok
 }
 
+// forgot says whether keys that are not known may have been dealt within the window.
+func (k *keys) forgot(now Time) bool {
+	return now < k.unsure || now < k.doubtful || now < k.overflowed
+}
+
 // deal chooses the pool of a key that is not known, draw being its hash from 0 to 1. p is the
 // share that it was dealt by, 0 where units dealt so can't be compared; ok is false where an
 // earlier try may have gone to either pool.
@@ -111,6 +118,7 @@
 	}
 	if !k.now.put(key, s) {
 		k.pin(now, share)
+		k.overflowed = k.pinUntil
 	}
 	return s, p, true
 }
--- a/internal/shift/keys_test.go
+++ b/internal/shift/keys_test.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"errors"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -120,9 +121,63 @@
 				remember()
 			}
 		}
+		// The move is taken out: a key still goes where it went, or nothing tells.
+		m.Retire(now)
+		for key, f := range went {
+			if now-f.at >= p.Window {
+				continue
+			}
+			pool, known, err := m.Pool(now, key, Draw(key^key<<17))
+			if err == nil && (!known || pool != m.PoolOf(f.side)) {
+				rt.Fatalf("key %x went to %v at %v, and to %q at %v, when the move was taken out", key, f.side, f.at, pool, now)
+			}
+		}
 	})
 }
 
+// A key that an earlier process may have dealt to either pool belongs to none, once its move
+// is taken out as much as before. In memory it is of the older generation, or it is too new.
+func TestUnsureKeysStayUnsure(t *testing.T) {
+	const window = 20 * time.Second
+	p := plan()
+	p.Window = window
+	now := time.Hour
+	wall := func() time.Time { return time.Unix(1_800_000_000, int64(now)) }
+	for _, generation := range []string{"older", "lost"} {
+		t.Run(generation, func(t *testing.T) {
+			m := New(now, p)
+			m.state, m.step, m.share = Held, 0, 0.5
+			m.granted = span{0.1, 0.5}
+			m.keys.pinUntil = 0
+			m.dealt(now)
+			ask := Ask{Key: 12345, Named: true, Keyed: true, Worth: 1, Aim: time.Second, Sticky: 12345, Draw: 0.3}
+			saved := m.Save(now, wall())
+			if u, err := m.Place(now, &ask); err != nil || u.Side != NewPool {
+				t.Fatal(u.Side, err)
+			}
+			if generation == "older" {
+				m.keys.old, m.keys.now = m.keys.now, m.keys.old
+				saved = m.Save(now, wall())
+			}
+			saved.Low = 0.1
+			m = Restore(now, p, &saved, wall(), true)
+			if _, err := m.Place(now, &ask); !errors.Is(err, ErrUnsure) {
+				t.Fatalf("after a restart: %v", err)
+			}
+			m.Retire(now)
+			if pool, _, err := m.Pool(now, ask.Key, ask.Draw); !errors.Is(err, ErrUnsure) {
+				t.Errorf("after the move was taken out: %q, %v", pool, err)
+			}
+			if pool, known, err := m.Pool(now, 777, 0.7); pool != p.From || !known || err != nil {
+				t.Errorf("a key that only the old pool can have: %q %v %v", pool, known, err)
+			}
+			if _, known, err := m.Pool(now+window+time.Second, ask.Key, ask.Draw); known || err != nil {
+				t.Errorf("a window later: %v %v", known, err)
+			}
+		})
+	}
+}
+
 // A set of keys does what a map does.
 func TestKeySet(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/shift/move.go
+++ b/internal/shift/move.go
@@ -401,13 +401,19 @@
 // Lasts says whether a retired move still knows keys.
 func (m *Move) Lasts(now Time) bool { return m.retired == 0 || now < m.retired }
 
-// Pool is the pool that a key belongs to, for a move that has been retired; false: any.
-func (m *Move) Pool(now Time, key uint64) (string, bool) {
-	s, ok := m.keys.find(now, key)
-	if !ok {
-		return "", false
+// Pool is the pool that a key belongs to, for a move that has been retired; known is false for
+// any. draw is the key's, as in Ask. It fails with ErrUnsure as Place does.
+func (m *Move) Pool(now Time, key uint64, draw float64) (pool string, known bool, err error) {
+	side, known := m.keys.find(now, key)
+	if !known && m.keys.forgot(now) {
+		if side, _, known = m.keys.deal(now, key, draw, m.dealtBy); !known {
+			return "", false, ErrUnsure
+		}
+	}
+	if !known {
+		return "", false, nil
 	}
-	return m.PoolOf(s), true
+	return m.PoolOf(side), true, nil
 }
 
 // PoolOf names a side's pool.
