Tests hold the addresses that they hand to processes

Cause: four tests of cmd/stilespool, one of the gossip, and one more address of a member that had ended, asked the kernel for a port, gave it back and had it listened at later. In between, the harness of another package reserves it: its socket is bound and does not listen, so that its own process can. So could the other one, and the process that the place is held for could not.

Change: fake.ReservedAddress keeps the place until the test ends, for all of them. Three tests that need an address at which nobody listens, and that gave one back, use it as well.

--- a/cmd/stilespool/commands_test.go
+++ b/cmd/stilespool/commands_test.go
@@ -191,12 +191,7 @@
 		hosts[port] = h
 		config = strings.ReplaceAll(config, fmt.Sprintf("127.0.0.1:%d", port), h.Addr())
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free port, given back for the program
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := ln.Addr().String()
-	ln.Close()
+	addr := fake.ReservedAddress(t)
 	config = strings.ReplaceAll(config, "127.0.0.1:8080", addr)
 	path := filepath.Join(t.TempDir(), "gw.toml")
 	write := func(text string) {
--- a/cmd/stilespool/descriptors_test.go
+++ b/cmd/stilespool/descriptors_test.go
@@ -18,17 +18,6 @@
 // soon bounds the wait for an event that must come; a test that passes never waits for it.
 const soon = 30 * time.Second
 
-// freeAddress is one that the kernel has just given, and that the program opens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // eventually asks until it holds.
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
@@ -78,7 +67,7 @@
 	discovery := fake.NewDiscoveryOn(outage)
 	defer discovery.End()
 	text := strings.Replace(fmt.Sprintf(upgraded, ""), `"sockets":512`, fmt.Sprintf(`"sockets":%d`, descriptors), 1)
-	address, management := freeAddress(t), freeAddress(t)
+	address, management := fake.ReservedAddress(t), fake.ReservedAddress(t)
 	cmd, log := program(t, text, "GW_LISTEN="+address, "GW_MANAGEMENT="+management, "GW_DISCOVERY="+discovery.Addr())
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/cmd/stilespool/main_test.go
+++ b/cmd/stilespool/main_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -17,6 +16,7 @@
 	"testing"
 	"time"
 
+	"frostshift/internal/fake"
 	"frostshift/internal/moves"
 	"frostshift/internal/shift"
 )
@@ -72,12 +72,7 @@
 func TestTermEndsWithZero(t *testing.T) {
 	discovery := httptest.NewServer(http.NotFoundHandler())
 	defer discovery.Close()
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free port, given back for the program
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := ln.Addr().String()
-	ln.Close()
+	addr := fake.ReservedAddress(t)
 	cmd, log := program(t, platform, "GW_LISTEN="+addr, "GW_DISCOVERY="+discovery.Listener.Addr().String())
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -179,12 +174,7 @@
 func TestKilledInAMove(t *testing.T) {
 	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "ok") }))
 	defer host.Close()
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free port, given back for the program
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := ln.Addr().String()
-	ln.Close()
+	addr := fake.ReservedAddress(t)
 	dir := t.TempDir()
 	path, state := filepath.Join(dir, "gw.toml"), filepath.Join(dir, "state")
 	text := fmt.Sprintf("state = %q\n[[listener]]\nname = \"l\"\naddress = %q\n[[class]]\nname = \"c\"\neffect = \"keyed\"\nwindow = \"60s\"\ndeadline = \"2s\"\n"+
--- a/cmd/stilespool/upgrade_test.go
+++ b/cmd/stilespool/upgrade_test.go
@@ -92,12 +92,7 @@
 
 func (s *site) start(env ...string) *process {
 	s.t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free port, given back for the process
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	desk := ln.Addr().String()
-	ln.Close()
+	desk := fake.ReservedAddress(s.t)
 	self, err := os.Executable()
 	if err != nil {
 		s.t.Fatal(err)
--- a/internal/fake/place.go
+++ b/internal/fake/place.go
@@ -17,6 +17,25 @@
 	once sync.Once
 }
 
+// Test is what ReservedAddress needs of a test.
+type Test interface {
+	Helper()
+	Fatal(args ...any)
+	Cleanup(func())
+}
+
+// ReservedAddress is the address of a place that is kept until the test ends: for a process that
+// the test starts, or as one at which nobody listens.
+func ReservedAddress(t Test) string {
+	t.Helper()
+	place, err := Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(place.Close)
+	return place.Addr
+}
+
 // Reserve makes a place at 127.0.0.1.
 func Reserve() (*Place, error) { return ReserveAt([4]byte{127, 0, 0, 1}) }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -84,13 +84,8 @@
 }
 
 func TestRefusedConnectionIsTriedElsewhere(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln.Close()
 	addr, _ := serving(t, "b")
-	g := gatewayFor(t, "a", ln.Addr().String(), "b", addr)
+	g := gatewayFor(t, "a", fake.ReservedAddress(t), "b", addr)
 	for range 20 {
 		if status, body, _ := do(t, request(t, g.url, "book", "x")); status != 200 || body != "b" {
 			t.Fatalf("answered %d %q", status, body)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/goleak"
 
+	"frostshift/internal/fake"
 	"frostshift/internal/peers"
 )
 
@@ -110,10 +111,10 @@
 	until(t, "a leave is known for what it is", func() bool { return a.state("c") == left && b.state("c") == left })
 	d.Close()
 	until(t, "a death is known for what it is", func() bool { return a.state("d") == failed && b.state("d") == failed })
-	d = member(t, "d", b.Addr(), nil)
+	at := fake.ReservedAddress(t)
+	d = member(t, "d", b.Addr(), func(c *Config) { c.Listen = at })
 	until(t, "one that is back after it died lives", func() bool { return a.state("d") == alive && d.sees(alive, alive, alive) })
 	// A process that takes over at the same address is the same member.
-	at := d.Addr()
 	d.Close()
 	d = member(t, "d", a.Addr(), func(c *Config) { c.Listen = at })
 	until(t, "one that takes over is the same member", func() bool { return a.state("d") == alive && b.state("d") == alive && d.sees(alive, alive, alive) })
@@ -121,12 +122,7 @@
 
 // A member that hears nobody starts, says so, and finds the others when they come.
 func TestNobodyAnswers(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // an address that nobody talks at
-	if err != nil {
-		t.Fatal(err)
-	}
-	at := ln.Addr().String()
-	ln.Close()
+	at := fake.ReservedAddress(t) // nobody talks there
 	log := &said{}
 	a := member(t, "a", at, func(c *Config) { c.Log = slog.New(slog.NewTextHandler(log, nil)) })
 	until(t, "it says that nobody answers", func() bool { return strings.Contains(log.String(), "nobody answers") })
--- a/internal/upstream/http1/http1_test.go
+++ b/internal/upstream/http1/http1_test.go
@@ -336,13 +336,8 @@
 }
 
 func TestNoConnectionProvesThatNothingRan(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln.Close()
 	a := newAttempt(t, "book", "x")
-	if result, _ := try(a, hostAt(ln.Addr().String()), time.Second); result != frostshift.ConnectFailed {
+	if result, _ := try(a, hostAt(fake.ReservedAddress(t)), time.Second); result != frostshift.ConnectFailed {
 		t.Errorf("ended as %v, want ConnectFailed", result)
 	}
 }
--- a/internal/upstream/http2/http2_test.go
+++ b/internal/upstream/http2/http2_test.go
@@ -170,12 +170,7 @@
 }
 
 func TestNoConnectionProvesThatNothingRan(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln.Close()
-	s := start(t, ln.Addr().String())
+	s := start(t, fake.ReservedAddress(t))
 	if r := await(t, s.ask("x", patience).Reply, "the reply"); r.Verdict != exchange.Refused || r.Tries != 1 {
 		t.Errorf("%+v", r)
 	}
