Hosts that all seem to take no connection are tried again soon

Where connections to all hosts of a gateway failed for a moment, it refused nearly everything for 2 to 2.5 shortest aims, though all hosts were idle by then: "refusing: hosts are full, 7 requests wait", attempts=0.

Cause: one failed connection ejects a host for two shortest aims, and one that is down is not among those that failing open uses. When the last of them went out, nothing could be tried until the first ejection ended.

Change: where the walk finds no host at all, one that is down is tried, one attempt at a time per host, after an eighth of the shortest aim, and after twice as long each time in a row.

Tests: TestMomentOfFailedConnectionsIsShort (5 ms of failures cost 654 ms before); TestHostsThatTakeNoConnectionDoNotFailOpen now has the hosts go on refusing, and counts what is sent there before its ejection ends: as strict.

--- a/balancer.go
+++ b/balancer.go
@@ -35,6 +35,8 @@
 	yieldsAt    = 2        // loads of the second host drawn at which the one by weights gives way
 	hintAims    = 64       // longest hint of when to come back that is heeded, in shortest aims
 	backoffMax  = 5        // doublings of an ejection at most
+	retryAims   = 1.0 / 8  // first wait for a trial where all hosts take no connection, in shortest aims
+	retryMost   = 16       // ... and the longest: a trial there sends nothing
 	coldChance  = 3.0      // deviations of what the fleet sends by chance that a cold budget leaves
 	coldLapse   = 4.0      // deviations of what the fleet sends that unused credit may add to it
 	rateFalls   = 4        // span of the rate of answers, in Falls
@@ -654,6 +656,9 @@
 		}
 	}
 	n := len(b.ready)
+	if n == 0 && full == 0 {
+		return b.lastResort(r)
+	}
 	if n == 0 {
 		return nil
 	}
@@ -689,6 +694,24 @@
 	return b.lighter(x, y)
 }
 
+// lastResort is the host to try where none of the subset takes connections, nil: none yet. It guards
+// against a path that fails for a moment, which ejects them all: waits begin short, and grow while no
+// host is reached.
+func (b *Balancer) lastResort(r *request) (best *host) {
+	for _, h := range b.ring[:min(b.reach, len(b.ring))] {
+		if h.State != Ready || !h.down || h.trialOut || h.waits || b.now < h.retryAt || !b.allows(r, h) {
+			continue
+		}
+		if b.coldHold(h) || h.cold && !h.mine {
+			continue
+		}
+		if best == nil || h.retryAt < best.retryAt {
+			best = h
+		}
+	}
+	return best
+}
+
 // walk collects the hosts of the subset that are ready, and those that are ejected, either of
 // the backups or of all others. It says how many more hold all they may.
 func (b *Balancer) walk(r *request, backups bool) (full int) {
@@ -1018,7 +1041,11 @@
 		h.faulty = true
 		b.sample(h, rtt)
 		b.eject(h, "connections fail")
-		h.down = a.result == ConnectFailed
+		if h.down = a.result == ConnectFailed; h.down {
+			wait := min(math.Ldexp(retryAims, h.refusals), retryMost)
+			h.retryAt = b.now + Time(wait*float64(b.aim))
+			h.refusals++
+		}
 	}
 }
 
@@ -1045,7 +1072,7 @@
 	if h.fails == 0 {
 		return
 	}
-	h.fails, h.down, h.said, h.waits = 0, false, false, false
+	h.fails, h.down, h.said, h.waits, h.refusals = 0, false, false, false, 0
 	b.log(logReturn, "host %x is back", h.ID)
 }
 
--- a/eject_test.go
+++ b/eject_test.go
@@ -1,6 +1,7 @@
 package frostshift
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -37,6 +38,54 @@
 	}
 }
 
+// Connections that fail for a moment at all hosts, as where this machine has no route for so long, cost little more
+// than that moment; and few are tried, however long it is.
+func TestMomentOfFailedConnectionsIsShort(t *testing.T) {
+	for _, moment := range []time.Duration{5 * ms, 50 * ms, 500 * ms, 5 * time.Second} {
+		g := start(t, basic(), hosts(4)...)
+		begun, tries, served := g.now, 0, time.Duration(-1)
+		attempts := map[RequestID]int{}
+		end := func(sends []Action) {
+			for len(sends) > 0 {
+				id := sends[0].Request
+				sends = sends[1:]
+				tries++
+				attempts[id]++
+				if g.now-begun >= moment {
+					served = g.now - begun
+					return
+				}
+				g.outcome(id, attempts[id]-1, ConnectFailed, 0)
+				sends = append(sends, sendsOf(g.acts)...)
+			}
+		}
+		for served < 0 && g.now-begun < time.Minute {
+			g.request(0, time.Second)
+			end(sendsOf(g.acts))
+			if served < 0 {
+				end(sendsOf(g.advance(ms)))
+			}
+		}
+		first := time.Duration(retryAims * float64(g.b.aim))
+		if served < 0 || served > 3*moment+2*first {
+			t.Errorf("connections failed for %v, and the first was tried behind it after %v", moment, served)
+		}
+		rounds := 2 + math.Log2(1+float64(moment)/float64(first)) // each ejection is twice as long as the last
+		if most := int(4 * (rounds + 1)); tries > most {
+			t.Errorf("connections failed for %v, and %d were tried, %d at most are expected", moment, tries, most)
+		}
+	}
+}
+
+func sendsOf(acts []Action) (sends []Action) {
+	for _, a := range acts {
+		if a.Kind == Send {
+			sends = append(sends, a)
+		}
+	}
+	return sends
+}
+
 // passau rough-1: a host that fails most requests within milliseconds was readmitted
 // by its own errors, and each cost a request that must not be repeated.
 func TestErrorsEject(t *testing.T) {
@@ -133,7 +182,22 @@
 		g.b.Gone(g.now, id)
 		g.drain()
 	}
-	if got := g.serve(40, 0, func(HostID) time.Duration { return ms }); len(got) != 1 || got[4] != 40 {
-		t.Errorf("sends %v, want all at the one host that takes connections", got)
+	trials := 0
+	for range 40 {
+		id := g.request(0, time.Second)
+		n := 0
+		for sends := sendsOf(g.acts); sends[0].Host != 4; sends = sendsOf(g.acts) {
+			if h := g.b.byID[sends[0].Host]; g.now < h.ejectUntil {
+				t.Errorf("sent to host %d, which is out for %v", h.ID, h.ejectUntil-g.now)
+			}
+			trials++
+			g.outcome(id, n, ConnectFailed, 0)
+			n++
+		}
+		g.advance(ms)
+		g.outcome(id, n, OK, ms)
+	}
+	if trials > 0 { // their ejections outlast the requests
+		t.Errorf("%d sends to hosts that take no connection", trials)
 	}
 }
--- a/state.go
+++ b/state.go
@@ -107,6 +107,8 @@
 	good       int  // answers since its last error
 	ejectUntil Time
 	trialOut   bool // the one attempt of a host on trial is out
+	refusals   int  // connections that failed one after the other
+	retryAt    Time // when it may be tried again where all others are down as well
 
 	cold   bool // it started less than WarmAfter ago
 	coldAt Time
@@ -218,6 +220,7 @@
 		h.fresh, h.rtt, h.rttAt, h.heard = true, 0, b.now, b.now
 		h.limit, h.lat, h.cutAt, h.good = limitStart, mean{}, 0, errorGap
 		h.fails, h.down, h.ejectUntil, h.trialOut = 0, false, 0, false
+		h.refusals, h.retryAt = 0, 0
 		b.owing = append(b.owing, h)
 	}
 }
