System calls of the unmodified binary fail in tests, as Linux documents

Go makes them without the C library, so nothing here could have them fail.

internal/sysfault starts a program by way of a launcher that sets a seccomp filter on itself: each call of the listed kinds then waits for the parent's word (user notification), which lets it go on, fail with an error, or read and write no more than so many bytes. No rights are needed, and nothing but that process is touched. internal/faultinject plays sixteen such faults, alone and together, and three stops among them; clients pipeline, reuse connections and end them, hosts answer with a length, without one, and close. Every request must have one whole answer, unsafe ones one attempt, and where no attempt ends by a fault all are served.

Not played: epoll_ctl and getpeername, whose failures Go's own net package turns into a connection that is closed at once, or a dial that hangs until its time is over.

--- a/internal/clustertest/process.go
+++ b/internal/clustertest/process.go
@@ -72,6 +72,8 @@
 	Platform  bool     // it is configured as the platform does it, by one JSON object; set before Configure
 	Desk      string   // where operators call, and Advertise where others talk to it; see Talk
 	Advertise string
+	// Supervise changes a command that is about to start, and gives what comes behind its start; nil: nothing does.
+	Supervise func(*exec.Cmd) (started func() error, err error)
 	talk      string
 	fleet     *Fleet
 	number    int // in the fleet
@@ -143,11 +145,23 @@
 		cmd.Stderr = p.Stderr
 	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := func() error { return nil }
+	if p.Supervise != nil {
+		var err error
+		if started, err = p.Supervise(cmd); err != nil {
+			return err
+		}
+	}
 	s := start{cmd, make(chan error, 1)}
 	p.fleet.starts <- s
 	if err := <-s.done; err != nil {
 		return err
 	}
+	if err := started(); err != nil {
+		cmd.Process.Kill()
+		cmd.Wait()
+		return err
+	}
 	ended := make(chan struct{})
 	p.mu.Lock()
 	p.cmd, p.ended = cmd, ended
--- a/internal/faultinject/faultinject_test.go
+++ b/internal/faultinject/faultinject_test.go
@@ -9,12 +9,14 @@
 	"time"
 
 	"frostshift/internal/clustertest"
+	"frostshift/internal/sysfault"
 )
 
 // program is the binary that all tests play.
 var program string
 
 func TestMain(m *testing.M) {
+	sysfault.Launch()
 	os.Exit(func() int {
 		dir, err := os.MkdirTemp("", "faultinject")
 		if err == nil {
@@ -49,6 +51,27 @@
 	}
 }
 
+// The same beside system calls that fail for a moment.
+func TestStopAmongFailingCalls(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r, err := Stop{Program: program, Dir: filepath.Join(t.TempDir(), "run"), Seed: seed, Longest: 1800 * time.Millisecond, KillLate: 700 * time.Millisecond,
+				Faults: rarely()}.Play()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, lost := range r.Lost {
+				t.Error(lost)
+			}
+			if r.Answered == 0 {
+				t.Error("nothing was answered")
+			}
+			t.Logf("%d answered, %d crossed, ended by itself: %v", r.Answered, r.Crossed, r.Ended)
+		})
+	}
+}
+
 // Answers that hosts break off, by a reset or before their told end, are never served as whole ones, and unsafe
 // requests are not sent again for them. Those that come whole are served, without a length too.
 func TestBrokenAnswersAreNotServed(t *testing.T) {
--- a/internal/faultinject/gateway.go
+++ b/internal/faultinject/gateway.go
@@ -2,7 +2,8 @@
 // hosts of its own, and judges by what those saw whether each request had one honest answer. What is drawn
 // follows from a seed. It is for tests and benchmarks and knows the program from outside only.
 //
-// gateway.go is the process and its hosts, stop.go stops, answer.go answers that break off.
+// gateway.go is the process and its hosts, stop.go stops, answer.go answers that break off, system.go system
+// calls that fail, calls.go load beside them.
 package faultinject
 
 import (
@@ -39,23 +40,23 @@
 // startGateway starts the hosts, a function for each, and the process, in a folder of its own, and waits until
 // it serves. longest is the longest deadline of its settings.
 func startGateway(program, dir string, longest time.Duration, hosts ...func(*fake.Request) bool) (*gateway, error) {
-	return startLogging(program, dir, nil, longest, hosts...)
+	return startChanged(program, dir, longest, func(*gateway) {}, hosts...)
 }
 
-// startLogging is startGateway with a file that the log goes to; nil: it is kept.
-func startLogging(program, dir string, log *os.File, longest time.Duration, hosts ...func(*fake.Request) bool) (*gateway, error) {
+// startChanged is startGateway with a change to the process before it starts.
+func startChanged(program, dir string, longest time.Duration, change func(*gateway), hosts ...func(*fake.Request) bool) (*gateway, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
 	g := &gateway{fleet: clustertest.NewFleet(program, dir)}
-	if err := g.start(longest, log, hosts); err != nil {
+	if err := g.start(longest, change, hosts); err != nil {
 		g.close()
 		return nil, err
 	}
 	return g, nil
 }
 
-func (g *gateway) start(longest time.Duration, log *os.File, hosts []func(*fake.Request) bool) (err error) {
+func (g *gateway) start(longest time.Duration, change func(*gateway), hosts []func(*fake.Request) bool) (err error) {
 	var known []string
 	for n, serve := range hosts {
 		h, err := fake.NewHost(serve)
@@ -68,7 +69,8 @@
 	if g.Process, err = g.fleet.Add("gateway"); err != nil {
 		return err
 	}
-	g.Platform, g.Stderr = true, log
+	g.Platform = true
+	change(g)
 	limit := longest.Microseconds()
 	if err := g.Configure(fmt.Sprintf(platformConfig, g.Addr, strings.Join(known, ","), limit/2, limit, limit/3, limit*2/3)); err != nil {
 		return err
--- a/internal/faultinject/stop.go
+++ b/internal/faultinject/stop.go
@@ -41,6 +41,8 @@
 	Longest time.Duration // the longest deadline of the settings
 	// KillLate is how much later SIGKILL comes than it may, for machines that are short of processor time.
 	KillLate time.Duration
+	// Faults are of the process's system calls.
+	Faults []CallFault
 }
 
 // DrawLongest draws a longest deadline from a seed.
@@ -60,7 +62,13 @@
 // Play plays the stop.
 func (s Stop) Play() (StopResult, error) {
 	p := &stopping{Stop: s}
-	g, err := startGateway(s.Program, s.Dir, s.Longest, p.serve(0), p.serve(1), p.serve(2), p.serve(3))
+	change := func(*gateway) {}
+	if len(s.Faults) > 0 {
+		faults := &callFaults{faults: s.Faults, seed: s.Seed}
+		defer faults.close()
+		change = faults.attach
+	}
+	g, err := startChanged(s.Program, s.Dir, s.Longest, change, p.serve(0), p.serve(1), p.serve(2), p.serve(3))
 	if err != nil {
 		return StopResult{}, err
 	}
--- /dev/null
+++ b/internal/sysfault/arch_amd64.go
@@ -0,0 +1,5 @@
+package sysfault
+
+import "golang.org/x/sys/unix"
+
+const auditArch = unix.AUDIT_ARCH_X86_64
