A connection that ends with its answer is not logged as closed within a request

The log said "client connection closed: in request" some 25 times a second beside ordinary clients, and edge_gw_downstream_closes counted them as closes that may have cost an answer: where those were to be looked for, they could not be found.

Cause: the reason is told by the phase, and a request that asks for the connection's end leaves its connection busy until the server closes it.

Change: the front notes when a request's handler has ended without aborting the answer (Conn.Given); a busy connection closed behind that was closed after its answer. Answers that break off abort, and count as before.

Test: two cases of TestClosesHaveReasons.

--- a/internal/front/closes_test.go
+++ b/internal/front/closes_test.go
@@ -37,6 +37,15 @@
 			read(c)
 		}},
 		{"an answer that ends it", ClosedAfterAnswer, false, func(_ *Conns, _ *Listener, c *Conn, _ net.Conn) { c.CloseWrite() }},
+		{"an answer to a request that ends it", ClosedAfterAnswer, false, func(l *Conns, _ *Listener, c *Conn, _ net.Conn) {
+			l.State(c, http.StateActive)
+			c.Given()
+		}},
+		{"a request behind an answer", ClosedInRequest, true, func(l *Conns, _ *Listener, c *Conn, _ net.Conn) {
+			l.State(c, http.StateActive)
+			c.Given()
+			l.State(c, http.StateActive)
+		}},
 		{"no further request", ClosedUnused, false, func(l *Conns, _ *Listener, c *Conn, _ net.Conn) { answered(l, c) }},
 		{"a head that stops", ClosedInHead, true, func(_ *Conns, _ *Listener, c *Conn, client net.Conn) {
 			io.WriteString(client, head)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -56,6 +56,7 @@
 	closing bool
 	reason  CloseReason // once it is closed
 	reset   bool        // it ends with a reset
+	given   bool        // the answer to the last request has been given, and nothing aborted it
 	body    bool        // a body is read that must come whole
 	expels  bool        // no further request is taken, and none is waited for
 	asking  bool        // a request is open
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -241,6 +241,12 @@
 	if !conn.Taken() {
 		panic(http.ErrAbortHandler) // its client has seen the end, and may send again
 	}
+	s.handle(w, r, conn)
+	conn.Given()
+}
+
+// handle answers a request that has been taken. It panics where its answer is to break off.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, conn *front.Conn) {
 	w = &leavingWriter{ResponseWriter: w, conn: conn}
 	if r.URL.Path == "/ready" {
 		s.serveReady(w, r)
