The note that an answer has been given takes no lock

Each request took the lock of all connections once more for a reason in the log (Conn.Given). It is an atomic flag now; TestClosesHaveReasons holds it.

--- a/internal/front/closes.go
+++ b/internal/front/closes.go
@@ -70,7 +70,7 @@
 	switch phase := c.phase.Load(); {
 	case c.reset:
 		return ClosedInRequest
-	case phase == ending || phase == busy && c.given:
+	case phase == ending || phase == busy && c.given.Load():
 		return ClosedAfterAnswer
 	case c.ended.Load() || c.hasLeft():
 		return ClosedByClient
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -56,7 +56,6 @@
 	closing bool
 	reason  CloseReason // once it is closed
 	reset   bool        // it ends with a reset
-	given   bool        // the answer to the last request has been given, and nothing aborted it
 	body    bool        // a body is read that must come whole
 	expels  bool        // no further request is taken, and none is waited for
 	asking  bool        // a request is open
@@ -81,6 +80,7 @@
 	ended    atomic.Bool // it has ended its sending, or the connection broke
 	reading  atomic.Bool // a Read is under way
 	wrote    atomic.Bool
+	given    atomic.Bool // the answer to the last request has been given, and nothing aborted it
 	left     chan struct{}
 	leftOnce sync.Once
 	told     atomic.Bool // its close has been logged
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -217,7 +217,8 @@
 	switch s {
 	case http.StateActive:
 		c.wake(busy)
-		c.answered, c.ahead, c.given = false, false, false
+		c.answered, c.ahead = false, false
+		c.given.Store(false)
 	case http.StateIdle:
 		c.answered, c.deadlines = true, 0
 	}
--- a/internal/front/hangup.go
+++ b/internal/front/hangup.go
@@ -116,11 +116,7 @@
 }
 
 // Given notes that the answer to the last request has been given to its end, as far as the server knows.
-func (c *Conn) Given() {
-	c.all.mu.Lock()
-	c.given = true
-	c.all.mu.Unlock()
-}
+func (c *Conn) Given() { c.given.Store(true) }
 
 // isAsking says whether a request is open.
 func (c *Conn) isAsking() bool {
