One list of the system's shortages for dials, listening sockets and looks

The same four errors stood in the upstreams, the gateway's listen and, in part, the look at a socket. socket.IsShortage has them; a dial adds EADDRNOTAVAIL. In run the comment about caught signals stands above its signal again.

--- a/cmd/stilespool/run.go
+++ b/cmd/stilespool/run.go
@@ -45,11 +45,11 @@
 }
 
 func serve(path string, errs io.Writer) error {
-	hup := make(chan os.Signal, 1) // one more while one is waiting asks for the same
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE) // else a log without a reader ends the process
+	hup := make(chan os.Signal, 1)                          // one more while one is waiting asks for the same
 	signal.Notify(hup, syscall.SIGHUP)
 	// The signals stay caught to the end: an order to stop that comes while the gateway ends by
 	// itself must not look like a death.
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE) // else a log without a reader ends the process
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -8,13 +8,13 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"frostshift/internal/config"
 	"frostshift/internal/front"
 	"frostshift/internal/front/http1"
 	"frostshift/internal/front/http2"
+	"frostshift/internal/socket"
 )
 
 // server is a listener with the fronts that serve its connections.
@@ -74,7 +74,7 @@
 		}
 		s.certificate.Store(&c)
 	}
-	ln, err := socket(l)
+	ln, err := openSocket(l)
 	if err != nil {
 		return nil, err
 	}
@@ -95,8 +95,8 @@
 	return s, nil
 }
 
-// socket is the listening socket of a listener: its own, or one that the process was given.
-func socket(l config.Listener) (net.Listener, error) {
+// openSocket is the listening socket of a listener: its own, or one that the process was given.
+func openSocket(l config.Listener) (net.Listener, error) {
 	if l.Descriptor > 0 {
 		return inherit(l.Descriptor)
 	}
@@ -116,22 +116,12 @@
 func listenAt(address string) (net.Listener, error) {
 	for by := time.Now().Add(listenWithin); ; time.Sleep(listenEvery) {
 		ln, err := listenTCP("tcp", address)
-		if err == nil || !isShortage(err) || time.Now().After(by) {
+		if err == nil || !socket.IsShortage(err) || time.Now().After(by) {
 			return ln, err
 		}
 	}
 }
 
-// isShortage says whether the system had no descriptors or memory for a socket.
-func isShortage(err error) bool {
-	for _, shortage := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, shortage) {
-			return true
-		}
-	}
-	return false
-}
-
 // pressed says that bodies hold more than half of what they may.
 func (g *Gateway) pressed() bool { return 2*g.budgets.bodies.Used() > g.budgets.bodies.Total() }
 
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,8 +1,10 @@
-// Package socket looks at sockets without taking anything from them. Signals end no look.
+// Package socket looks at sockets without taking anything from them, and tells what errors of the system mean.
+// Signals end no look.
 package socket
 
 import (
 	"errors"
+	"slices"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -14,6 +16,16 @@
 	poll     = unix.Poll
 )
 
+// shortages are errors of calls for which the system had no descriptor or no memory.
+var shortages = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
+
+// IsShortage says whether a call failed as the system had no descriptor or no memory for it: that may pass, and
+// says nothing of the other side.
+func IsShortage(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && slices.Contains(shortages, errno)
+}
+
 // ErrNotSeen says that the system lacked the means to look: it says nothing of the socket.
 var ErrNotSeen = errors.New("the system could not look at the socket")
 
@@ -25,7 +37,7 @@
 	for {
 		n, _, err = recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
-		case errors.Is(err, syscall.ENOMEM), errors.Is(err, syscall.ENOBUFS):
+		case IsShortage(err):
 			return 0, ErrNotSeen
 		case !errors.Is(err, syscall.EINTR):
 			return max(n, 0), err
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,13 +5,13 @@
 import (
 	"errors"
 	"net/http"
-	"slices"
 	"syscall"
 	"time"
 
 	"frostshift"
 	"frostshift/internal/exchange"
 	"frostshift/internal/message"
+	"frostshift/internal/socket"
 	"frostshift/internal/verdict"
 )
 
@@ -41,13 +41,10 @@
 	Gone    bool            // it is on the list no more
 }
 
-// shortages are errors of a dial by which this machine lacks something: the host has no part in them.
-var shortages = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
-
-// IsLocal says whether a connection could not be made for want of something on this machine.
+// IsLocal says whether a connection could not be made for want of something on this machine, an address of its
+// own included: the host has no part in it.
 func IsLocal(err error) bool {
-	var errno syscall.Errno
-	return errors.As(err, &errno) && slices.Contains(shortages, errno)
+	return socket.IsShortage(err) || errors.Is(err, syscall.EADDRNOTAVAIL)
 }
 
 // After is when the host that gave the answer wants to be asked again; 0: it does not say,
