--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"sync"
@@ -24,17 +25,24 @@
 )
 
 // Guard ends all processes and this one, as a case that could not run, if that is still there after
-// a time.
+// a time or is told to end.
 func Guard(rec *Record, within time.Duration) {
-	time.AfterFunc(within, func() {
-		rec.Say("the case takes longer than %v", within)
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		select {
+		case <-told:
+			rec.Say("the case is told to end")
+		case <-time.After(within):
+			rec.Say("the case takes longer than %v", within)
+		}
 		runningMu.Lock()
 		for p := range running {
 			p.Kill()
 		}
 		rec.Close()
 		os.Exit(Failed)
-	})
+	}()
 }
 
 // Gateway is a process of the program, started as the platform does it.
