A stop behind a hand-over follows the longest deadline of the settings

Cause: Gateway.stopSchedule planned a stop behind a hand-over, and every one off the platform, for a longest deadline of 3 s, as no kill was thought to be known there. The kill follows the settings: it comes 1.7 s behind SIGTERM, while answers were planned up to 3.4 s. Beside it idle connections went on being closed over 1.8 s from the hand-over on, so requests came in on them up to the kill.

Evidence: in the case's record the old process logs "answers within"=3.4s "closes after"=3.5s and is killed 1.76 s behind SIGTERM; the same program with the same settings and no second process logs 1.4 s and 1.5 s. The lost requests were sent 0.9 to 1.3 s behind SIGTERM, to hosts that take 0.8 s.

Change: the schedule goes by the longest deadline of the present settings wherever the process runs and whoever has its clients. Where the process that takes over has other settings it says its longest deadline with the message Serving, again as a reload or a further hand-over changes it, and the shorter one counts. A drain in progress is shortened at SIGTERM: idle connections are closed within 0.4 s, spread over that time, so a request that is read by then has its own deadline up to the last answer. The line "stopping" says the deadline and whether clients were handed over, which it did not.

Why it works: everything that is read is answered 0.3 s ahead of the earliest kill that the settings of either process allow, and the connections are closed 0.2 s ahead of it.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -46,7 +46,8 @@
 // is not safe for concurrent use.
 type Machine struct {
 	state State
-	since time.Duration // the time of the order, when Leaving began
+	// closing and drained are the times at which the states of these names begin.
+	closing, drained time.Duration
 }
 
 // State returns the state as of the last call of Drain, Resume or Step.
@@ -58,10 +59,21 @@
 // Drain begins to drain the gateway. It does nothing if a drain is already in progress.
 func (m *Machine) Drain(now time.Duration) {
 	if m.state == Working {
-		m.state, m.since = Leaving, now
+		m.state, m.closing = Leaving, now+LeavingFor
+		m.drained = m.closing + ClosingFor
 	}
 }
 
+// CloseBy shortens a drain in progress so that each idle connection is closed by the given time. The
+// closes are spread from now on over the time that is left. It never extends a drain.
+func (m *Machine) CloseBy(now, by time.Duration) {
+	if m.state == Working || by >= m.drained {
+		return
+	}
+	m.drained = by
+	m.closing = min(m.closing, now, by)
+}
+
 // Resume puts the gateway back into service.
 func (m *Machine) Resume() { m.state = Working }
 
@@ -69,16 +81,15 @@
 // now are to be closed, so that the closes are spread evenly, and whether to close connections that
 // have been without any request for SilentAfter.
 func (m *Machine) Step(now time.Duration, idle int) (closes int, silent bool) {
-	age := now - m.since
 	switch {
 	case m.state == Working:
 		return 0, false
-	case age < LeavingFor:
+	case now < m.closing:
 		m.state = Leaving
 		return 0, false
-	case age < LeavingFor+ClosingFor:
+	case now < m.drained:
 		m.state = Closing
-		left := int((LeavingFor + ClosingFor - age + StepInterval - 1) / StepInterval) // remaining steps, including this one
+		left := int((m.drained - now + StepInterval - 1) / StepInterval) // remaining steps, including this one
 		return (idle + left - 1) / left, true
 	}
 	m.state = Drained
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -76,3 +76,36 @@
 		}
 	})
 }
+
+// A drain that is shortened at any moment closes all that is idle by the time given, spread over what is
+// left, and one that would end sooner anyway stays as it is.
+func TestDrainIsShortened(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var m Machine
+		m.Drain(0)
+		idle := rapid.IntRange(1, 1000).Draw(rt, "idle")
+		shortened := StepInterval * time.Duration(rapid.IntRange(0, 50).Draw(rt, "shortened at"))
+		within := StepInterval * time.Duration(rapid.IntRange(0, 50).Draw(rt, "within"))
+		for now := time.Duration(0); now < shortened; now += StepInterval {
+			n, _ := m.Step(now, idle)
+			idle -= n
+		}
+		end := min(shortened+within, LeavingFor+ClosingFor)
+		m.CloseBy(shortened, shortened+within)
+		most := (idle + int(within/StepInterval)) / max(1, int(within/StepInterval))
+		for now := shortened; now <= max(end, shortened); now += StepInterval {
+			n, _ := m.Step(now, idle)
+			if now < end && shortened+within <= LeavingFor+ClosingFor && n > most {
+				rt.Fatalf("%d of %d are closed at %v, with %v to go", n, idle, now, end-now)
+			}
+			idle -= n
+		}
+		if idle > 0 || m.Ready() {
+			rt.Fatalf("%d are idle at %v, ready %v", idle, end, m.Ready())
+		}
+	})
+	var m Machine
+	if m.CloseBy(0, 0); !m.Ready() {
+		t.Error("a gateway that is not being drained is drained")
+	}
+}
--- a/internal/drain/schedule.go
+++ b/internal/drain/schedule.go
@@ -17,6 +17,9 @@
 // Schedule holds the times of the steps of a process's shutdown, counted from the order to stop.
 type Schedule struct {
 	Accept time.Duration // until then new connections are accepted
+	// Idle is the latest time at which idle connections are closed. A request that is read by then can
+	// use its whole deadline before Answer, if that deadline is not above maxDeadline.
+	Idle time.Duration
 	// Answer is the latest time at which each open request is answered. From then on nothing is sent
 	// to a host, and newly read requests are refused.
 	Answer time.Duration
@@ -26,7 +29,8 @@
 // ScheduleFor returns the schedule of a process whose longest request deadline is given. The process
 // ends before the kill, which comes 0.7 s after that deadline, and 3.7 s after the order at most.
 func ScheduleFor(longest time.Duration) Schedule {
-	kill := min(longest, maxDeadline) + killDelay
+	longest = min(longest, maxDeadline)
+	kill := longest + killDelay
 	answer := kill - answerLead
-	return Schedule{Accept: min(LeavingFor, answer), Answer: answer, Close: kill - closeLead}
+	return Schedule{Accept: min(LeavingFor, answer), Idle: answer - longest, Answer: answer, Close: kill - closeLead}
 }
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -67,12 +67,16 @@
 	return c.asked
 }
 
-// stop is the order to stop: nothing leads back, and idle connections are closed at once
-// unless they are being given up already.
-func (c *clients) stop() {
+// stop is the order to stop: nothing leads back, and idle connections are closed at once. Those that are
+// being given up already are closed within the time given at the latest.
+func (c *clients) stop(within time.Duration) {
 	c.mu.Lock()
 	c.stopped = true
 	leaving := c.machine.State() != drain.Working
+	if leaving {
+		now := c.gateway.exchange.Clock().Now()
+		c.machine.CloseBy(now, now+within)
+	}
 	c.mu.Unlock()
 	c.give(true)
 	if !leaving {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -430,55 +430,34 @@
 // endWaits ends the wait of a reload, which holds the gateway's lock.
 func (g *Gateway) endWaits() { g.halted.Do(func() { close(g.halt) }) }
 
-// stopSchedule is the schedule of a stop. On the platform the kill follows the settings; where another
-// process has taken over no kill is known of, and the longest schedule holds.
-func (g *Gateway) stopSchedule() drain.Schedule {
+// stopSchedule is the schedule of a stop, and the longest deadline that it goes by: that of the present
+// settings, as the kill does, wherever the process runs and whether or not another one has taken over.
+func (g *Gateway) stopSchedule() (schedule drain.Schedule, longest time.Duration) {
+	longest = g.restart.longestDeadline()
 	if g.opt.Stop != (drain.Schedule{}) {
-		return g.opt.Stop
+		return g.opt.Stop, longest
 	}
-	handed := g.restart.isHanded() // its lock comes before the gateway's
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if handed || g.model == nil || !g.model.Platform {
-		return drain.ScheduleFor(time.Hour)
-	}
-	return drain.ScheduleFor(longestDeadline(g.model))
+	return drain.ScheduleFor(longest), longest
 }
 
 // stop finishes what is held and ends everything.
 func (g *Gateway) stop() {
 	ordered := time.Now()
 	g.endWaits()
-	schedule := g.stopSchedule()
+	handed := g.restart.isHanded()
+	schedule, longest := g.stopSchedule()
 	g.exchange.EndBy(g.exchange.Clock().Now() + schedule.Answer)
-	g.log.Info("stopping", "open", g.exchange.Open(), "accepts for", schedule.Accept, "answers within", schedule.Answer, "closes after", schedule.Close)
-	if !g.restart.isHanded() { // else another process is the member
+	g.log.Info("stopping", "open", g.exchange.Open(), "longest deadline", longest, "handed over", handed,
+		"accepts for", schedule.Accept, "answers within", schedule.Answer, "closes after", schedule.Close)
+	if !handed { // else another process is the member
 		g.leaveFleet()
 	}
-	g.mu.Lock()
-	g.stopped = true
-	servers := make([]*server, 0, len(g.servers))
-	for _, s := range g.servers {
-		servers = append(servers, s)
-	}
-	for s := range g.retiring {
-		servers = append(servers, s)
-	}
-	g.mu.Unlock()
-	g.clients.stop()
-	if !g.restart.isHanded() { // else new connections are another process's
+	servers := g.beginStop()
+	g.clients.stop(schedule.Idle)
+	if !handed { // else new connections are another process's
 		g.linger(ordered.Add(schedule.Accept))
 	}
-	if !shutdown(servers, ordered.Add(schedule.Answer)) {
-		g.log.Warn("requests are ended ahead of the kill", "open", g.exchange.Open())
-		g.endRequests(servers)
-		if !shutdown(servers, ordered.Add(schedule.Close)) {
-			g.log.Warn("connections were still open at the end")
-			for _, s := range servers {
-				s.Close()
-			}
-		}
-	}
+	g.finish(servers, ordered, schedule)
 	settling, settled := context.WithTimeout(context.Background(), settleWithin)
 	g.conns.Settle(settling)
 	settled()
@@ -495,6 +474,38 @@
 	g.running.Wait()
 }
 
+// beginStop has no further configuration taken over, and returns all servers that may hold requests.
+func (g *Gateway) beginStop() []*server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
+	servers := make([]*server, 0, len(g.servers)+len(g.retiring))
+	for _, s := range g.servers {
+		servers = append(servers, s)
+	}
+	for s := range g.retiring {
+		servers = append(servers, s)
+	}
+	return servers
+}
+
+// finish waits for what the servers hold, ends the requests that are open at the schedule's time for
+// answers, and closes what is left at its end.
+func (g *Gateway) finish(servers []*server, ordered time.Time, schedule drain.Schedule) {
+	if shutdown(servers, ordered.Add(schedule.Answer)) {
+		return
+	}
+	g.log.Warn("requests are ended ahead of the kill", "open", g.exchange.Open())
+	g.endRequests(servers)
+	if shutdown(servers, ordered.Add(schedule.Close)) {
+		return
+	}
+	g.log.Warn("connections were still open at the end")
+	for _, s := range servers {
+		s.Close()
+	}
+}
+
 // linger waits while the front still deals out connections. A listener that was closed earlier would
 // reset what waits in the kernel's queue, which counts as accepted.
 func (g *Gateway) linger(until time.Time) {
--- a/internal/gateway/hotrestart.go
+++ b/internal/gateway/hotrestart.go
@@ -32,10 +32,12 @@
 	open     bool // this process takes clients
 	handed   bool // another process does
 	after    bool // another process ran when this one came
-	ending   bool
-	retired  chan struct{} // closed once another process has taken over and no client is left here
-	once     sync.Once
-	files    sync.Mutex
+	// successor is what the process says that has taken over.
+	successor successor
+	ending    bool
+	retired   chan struct{} // closed once another process has taken over and no client is left here
+	once      sync.Once
+	files     sync.Mutex
 }
 
 // stateVersion is that of what one process tells the next.
@@ -139,11 +141,7 @@
 		server.ln.Pause(false)
 	}
 	s.gateway.admission.SetReady()
-	for l := range s.links {
-		if l.older {
-			l.peer.Send(hotrestart.Serving, nil)
-		}
-	}
+	s.tellOlder()
 	s.listen()
 }
 
--- a/internal/gateway/hotrestart_link.go
+++ b/internal/gateway/hotrestart_link.go
@@ -115,15 +115,26 @@
 	return nil
 }
 
-// Serves gives this process's clients up: another takes them from now on.
-func (l *link) Serves() {
+// Serves gives this process's clients up: another takes them from now on. It is told again as that process
+// changes.
+func (l *link) Serves(text []byte) {
 	s, g := l.s, l.s.gateway
+	var told successor
+	if err := json.Unmarshal(text, &told); len(text) > 0 && err != nil {
+		g.log.Warn("what the process that takes over says of itself can't be read", "err", err)
+	}
 	s.mu.Lock()
 	if l.older || s.ending {
 		s.mu.Unlock()
 		return
 	}
-	l.serves, s.handed = true, true
+	again := l.serves
+	l.serves, s.handed, s.successor = true, true, told
+	s.tellOlder()
+	if again {
+		s.mu.Unlock()
+		return
+	}
 	for _, server := range g.present() {
 		server.ln.Pause(true)
 	}
@@ -147,7 +158,8 @@
 	s.tell()
 	back := l.serves && s.handed && !s.ending
 	if back {
-		s.handed = false
+		s.handed, s.successor = false, successor{}
+		s.tellOlder()
 		for _, server := range g.present() {
 			server.ln.Pause(false)
 		}
--- /dev/null
+++ b/internal/gateway/hotrestart_test.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"frostshift/internal/config"
+	"frostshift/internal/drain"
+	"frostshift/internal/fake"
+)
+
+// upgradable returns settings of a gateway whose processes find each other, with the given deadline.
+func upgradable(t *testing.T, host string, deadline time.Duration) *config.Model {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "up") // short: the path of a socket must be
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	m := withDeadline(booking(t, "", host), deadline)
+	m.HotRestart = filepath.Join(dir, "g.sock")
+	return m
+}
+
+// withDeadline returns the settings with another deadline of all classes.
+func withDeadline(m *config.Model, deadline time.Duration) *config.Model {
+	next := *m
+	next.Classes = append([]config.Class(nil), m.Classes...)
+	for i := range next.Classes {
+		next.Classes[i].Deadline = deadline
+	}
+	return &next
+}
+
+// heldHost is a host that answers once it is let go, and says when it has had a request.
+func heldHost(t *testing.T) (addr string, taken chan struct{}, release func()) {
+	t.Helper()
+	taken = make(chan struct{}, 8)
+	released := make(chan struct{})
+	release = sync.OnceFunc(func() { close(released) })
+	addr, _ = rawHost(t, func(_ int, c net.Conn, _ *fake.Request) bool {
+		taken <- struct{}{}
+		<-released
+		_, err := io.WriteString(c, fake.Answer(200, "ok"))
+		return err == nil
+	})
+	t.Cleanup(release)
+	return addr, taken, release
+}
+
+// Guards against stops that are planned by another time than the longest deadline of the present settings,
+// which the kill follows: behind a hand-over, off the platform, behind a reload, through a chain of upgrades.
+func TestStopFollowsThePresentSettings(t *testing.T) {
+	addr, taken, release := heldHost(t)
+	m := upgradable(t, addr, 900*time.Millisecond)
+	check := func(what string, g *running, want time.Duration) {
+		t.Helper()
+		until(t, what, func() bool {
+			schedule, longest := g.stopSchedule()
+			return longest == want && schedule == drain.ScheduleFor(want)
+		})
+	}
+	first := launch(t, m)
+	check("alone", first, 900*time.Millisecond)
+	if err := first.Reload(withDeadline(m, 800*time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	check("behind a reload", first, 800*time.Millisecond)
+	c, err := fake.Dial(first.Addr("clients").String(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Send("POST", "/book", "x") // keeps the first process
+	await(t, taken, "the request at the host")
+	second := launch(t, withDeadline(m, 800*time.Millisecond))
+	until(t, "the second has taken over", first.restart.isHanded)
+	check("behind a hand-over", first, 800*time.Millisecond)
+	if err := second.Reload(withDeadline(m, 700*time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	check("behind a reload of the second", first, 700*time.Millisecond)
+	third := launch(t, withDeadline(m, 600*time.Millisecond))
+	until(t, "the third has taken over", second.restart.isHanded)
+	check("the second behind a hand-over", second, 600*time.Millisecond)
+	check("the first at the end of the chain", first, 600*time.Millisecond)
+	check("the third", third, 600*time.Millisecond)
+	release()
+}
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -28,6 +28,7 @@
 		g.reloads.refused.Add(1)
 	} else {
 		g.reloads.taken.Add(1)
+		g.restart.settingsChanged()
 	}
 	return err
 }
--- a/internal/hotrestart/frame.go
+++ b/internal/hotrestart/frame.go
@@ -27,7 +27,7 @@
 	Note                    // what has changed since
 	Call                    // asks for something: a number, and what
 	Ack                     // says what came of it: the number, and what is wrong
-	Serving                 // the process that started takes clients now
+	Serving                 // the process that started takes clients now, and what it says of itself; again as that changes
 	kinds
 )
 
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -30,8 +30,8 @@
 	}
 	return nil
 }
-func (t *taken) Serves() { t.serve <- struct{}{} }
-func (t *taken) Gone()   { close(t.gone) }
+func (t *taken) Serves([]byte) { t.serve <- struct{}{} }
+func (t *taken) Gone()         { close(t.gone) }
 
 func folder(t *testing.T) string {
 	dir, err := os.MkdirTemp("", "ho") // short: a socket's path is
--- a/internal/hotrestart/peer.go
+++ b/internal/hotrestart/peer.go
@@ -15,7 +15,7 @@
 type Takes interface {
 	Noted(payload []byte)
 	Called(payload []byte) error
-	Serves()
+	Serves(payload []byte)
 	Gone()
 }
 
@@ -144,7 +144,7 @@
 		case Note:
 			to.Noted(payload)
 		case Serving:
-			to.Serves()
+			to.Serves(payload)
 		case Call, Ack:
 			if len(payload) < 4 {
 				return
