A process stays handed over when its successor ends behind a further upgrade

What callers saw: behind two upgrades in a row of which the oldest process still holds a request (a long body, say), the oldest takes clients again as soon as the second has ended, beside the third. It also listens for the next process, which then joins the oldest, and the third is never told to go.

Cause: link.Gone took the end of the process that had taken over for its death, whatever had become of its clients. The second ends in good order once the third has them.

Change: a process that has handed its clients on says so to the one before (HandedOn in the message Serving), and takes that back where they come back to it. Its end then gives no clients back.

Found while looking for stops that are planned by anything but the present settings (chains of upgrades).

--- a/internal/gateway/hotrestart.go
+++ b/internal/gateway/hotrestart.go
@@ -32,7 +32,8 @@
 	open     bool // this process takes clients
 	handed   bool // another process does
 	after    bool // another process ran when this one came
-	// successor is what the process says that has taken over.
+	// successor is what the process says that has taken over; it stays beyond that one's end if it has
+	// handed the clients on.
 	successor successor
 	ending    bool
 	retired   chan struct{} // closed once another process has taken over and no client is left here
--- a/internal/gateway/hotrestart_link.go
+++ b/internal/gateway/hotrestart_link.go
@@ -150,13 +150,14 @@
 	g.running.Go(s.retire)
 }
 
-// Gone notes that the other process has ended. Where that was to take over, this one goes on.
+// Gone notes that the other process has ended. Where that was to take over, this one goes on, unless yet
+// another process has the clients by then.
 func (l *link) Gone() {
 	s, g := l.s, l.s.gateway
 	s.mu.Lock()
 	delete(s.links, l)
 	s.tell()
-	back := l.serves && s.handed && !s.ending
+	back := l.serves && s.handed && !s.successor.HandedOn && !s.ending
 	if back {
 		s.handed, s.successor = false, successor{}
 		s.tellOlder()
--- a/internal/gateway/hotrestart_successor.go
+++ b/internal/gateway/hotrestart_successor.go
@@ -13,6 +13,8 @@
 	// LongestMicros is the longest deadline, in microseconds, of the settings of the process and of those
 	// that have taken over from it. 0: not known.
 	LongestMicros int64 `json:",omitempty"`
+	// HandedOn says that a further process has taken over: the end of this one gives no clients back.
+	HandedOn bool `json:",omitempty"`
 }
 
 // longest is the longest deadline that holds for a process with the given one in its settings and with this
@@ -47,12 +49,12 @@
 	s.tellOlder()
 }
 
-// tellOlder says to the process before that this one takes clients. The lock is held.
+// tellOlder says to the process before that this one takes clients, or has handed them on. The lock is held.
 func (s *hotRestart) tellOlder() {
 	if !s.open {
 		return
 	}
-	text, err := json.Marshal(successor{LongestMicros: s.longest().Microseconds()})
+	text, err := json.Marshal(successor{LongestMicros: s.longest().Microseconds(), HandedOn: s.handed})
 	if err != nil {
 		s.gateway.log.Error("what this process is can't be told", "err", err)
 	}
--- a/internal/gateway/hotrestart_test.go
+++ b/internal/gateway/hotrestart_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -92,3 +93,38 @@
 	check("the third", third, 600*time.Millisecond)
 	release()
 }
+
+// Guards against a process that takes clients back from one that has handed them on: two processes of three
+// would then serve, and the next one would join the one that is about to end.
+func TestProcessStaysHandedOverThroughAChain(t *testing.T) {
+	addr, taken, release := heldHost(t)
+	m := upgradable(t, addr, patience)
+	first := launch(t, m)
+	c, err := fake.Dial(first.Addr("clients").String(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Send("POST", "/book", "x") // keeps the first process
+	await(t, taken, "the request at the host")
+	second := launch(t, m)
+	until(t, "the second has taken over", first.restart.isHanded)
+	third := launch(t, m)
+	await(t, second.end, "the end of the second, which has no client")
+	until(t, "the first has seen the second's end", func() bool {
+		first.restart.mu.Lock()
+		defer first.restart.mu.Unlock()
+		return len(first.restart.links) == 0
+	})
+	if !first.restart.isHanded() {
+		t.Error("the first process takes clients again beside the third")
+	}
+	if !third.restart.serves() {
+		t.Error("the third process does not serve")
+	}
+	release()
+	if status, _, _, err := c.Receive(); err != nil || status != http.StatusOK {
+		t.Errorf("what the first process holds is answered %d, %v", status, err)
+	}
+	await(t, first.end, "the end of the first")
+}
