TestBadInheritance waits for the line that it looks for in the log

Cause, in the test: the log is written beside what the process does (asynclog), through a pipe that the test's own goroutine reads. "serves" waits for an operator's call alone, which may be answered before.

The check is as strict: the same line has to come while the process serves, within the 20 s that all waits of these tests have, before it is told to stop.

--- a/cmd/stilespool/upgrade_test.go
+++ b/cmd/stilespool/upgrade_test.go
@@ -134,6 +134,17 @@
 	}
 }
 
+// logs waits for a text in the log, which is written beside what the process does: a line may come behind
+// the answer that follows it.
+func (p *process) logs(text string) bool {
+	for end := time.Now().Add(20 * time.Second); !strings.Contains(p.log.String(), text); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *process) end(t *testing.T) error {
 	t.Helper()
 	select {
@@ -400,7 +411,7 @@
 		os.WriteFile(filepath.Join(s.dir, "stilespool.sock"), text, 0o600) // no socket at all
 		p := s.start()
 		p.serves(t)
-		if !strings.Contains(p.log.String(), "can't be read") {
+		if !p.logs("can't be read") {
 			t.Errorf("%q: %s", text, p.log)
 		}
 		p.Process.Signal(syscall.SIGTERM)
