A stop answers requests at pools that a reload has replaced

What callers saw: a request at a pool that a SIGHUP has replaced, at a host that holds it, got no answer at a stop: its connection was closed.

Cause: Gateway.endRequests failed what is open in the pools of the present configuration alone.

Change: the gateway keeps the pools that reloads have replaced up to their last request's end, and a stop fails what is open there too.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,8 +93,9 @@
 	model *config.Model
 	// instances are the gateways that share what contracts state for all, this one included.
 	instances int
-	streams   int              // that an HTTP/2 connection may have open; 0: the front's default
-	pools     map[string]*pool // of the present configuration
+	streams   int                // that an HTTP/2 connection may have open; 0: the front's default
+	pools     map[string]*pool   // of the present configuration
+	replaced  map[*pool]struct{} // that a reload has taken away, up to their last request's end
 	servers   map[config.Listener]*server
 	// retiring are servers of listeners that were taken away, up to their last request's end.
 	retiring map[*server]struct{}
@@ -132,7 +133,7 @@
 func New(m *config.Model, log *slog.Logger, opt Options) (*Gateway, error) {
 	x := exchange.New(exchange.NewClock())
 	g := &Gateway{log: log, opt: opt, exchange: x, conns: opt.Conns, bounded: opt.Conns == nil,
-		banned: map[string]bool{}, learned: map[string]learning.Pool{}, pools: map[string]*pool{}, servers: map[config.Listener]*server{}, retiring: map[*server]struct{}{},
+		banned: map[string]bool{}, learned: map[string]learning.Pool{}, pools: map[string]*pool{}, replaced: map[*pool]struct{}{}, servers: map[config.Listener]*server{}, retiring: map[*server]struct{}{},
 		failed: make(chan error, 1), halt: make(chan struct{}), ended: make(chan struct{})}
 	g.setBounds(m.Limits)
 	g.instances = m.Instances
@@ -519,16 +520,29 @@
 // endRequests gives each request that is open its answer, and those that are still being read one that
 // refuses them: they would be lost at the kill that follows.
 func (g *Gateway) endRequests(servers []*server) {
-	g.mu.Lock()
-	for _, p := range g.pools {
+	for _, p := range g.runningPools() {
 		p.ex.FailAll()
 	}
-	g.mu.Unlock()
 	for _, s := range servers {
 		s.ln.Expel()
 	}
 }
 
+// runningPools returns the pools of the present configuration and those that a reload has replaced and
+// that still hold requests.
+func (g *Gateway) runningPools() []*pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	running := make([]*pool, 0, len(g.pools)+len(g.replaced))
+	for _, p := range g.pools {
+		running = append(running, p)
+	}
+	for p := range g.replaced {
+		running = append(running, p)
+	}
+	return running
+}
+
 // shutdown shuts servers down side by side and says whether all had finished in time.
 func shutdown(servers []*server, by time.Time) bool {
 	ctx, cancel := context.WithDeadline(context.Background(), by)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -145,9 +145,17 @@
 		for _, h := range []*share.Holder{p.requests, p.conns, p.bodies, p.answers} {
 			h.Leave()
 		}
+		g.poolEnded(p)
 	})
 }
 
+// poolEnded notes that a pool has had its last request.
+func (g *Gateway) poolEnded(p *pool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.replaced, p)
+}
+
 // letGo ends the pool with the last configuration that names it.
 func (p *pool) letGo() {
 	if p.refs.Add(-1) == 0 {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -178,6 +178,7 @@
 	}))
 	for name, p := range old {
 		if next[name] != p {
+			g.replaced[p] = struct{}{}
 			g.log.Info("pool ends with its last request", "pool", name)
 		}
 	}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -168,6 +168,46 @@
 	}
 }
 
+// withNewPool returns settings whose pool is another one: it replaces the one that runs.
+func withNewPool(m *config.Model) *config.Model {
+	next, pool := *m, *m.Pools[0]
+	pool.DialTimeout += time.Millisecond
+	next.Pools = []*config.Pool{&pool}
+	return &next
+}
+
+// Guards against requests lost at a stop behind a reload: those at a pool that the reload had replaced were
+// not failed at the end, and their connections were closed without an answer.
+func TestStopAnswersRequestsOfReplacedPools(t *testing.T) {
+	addr, taken, _ := heldHost(t)
+	m := booking(t, "", addr)
+	g := launch(t, m, func(o *Options) {
+		o.Linger = func() {}
+		o.Stop = drain.Schedule{Accept: 1, Answer: 100 * time.Millisecond, Close: time.Second}
+	})
+	c, err := fake.Dial(g.Addr("clients").String(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Send("POST", "/book", "x")
+	await(t, taken, "the request at the host")
+	for range 2 { // one that has replaced another is replaced
+		m = withNewPool(m)
+		if err := g.Reload(m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.stop()
+	if status, _, _, err := c.Receive(); err != nil || status != http.StatusBadGateway {
+		t.Errorf("answered %d, %v", status, err)
+	}
+	await(t, g.end, "the end")
+	if n := len(g.replaced); n != 0 {
+		t.Errorf("%d pools are still held", n)
+	}
+}
+
 // A stop that comes while a reload waits for the first list of a pool does not wait along: the reload holds
 // what the stop needs, and what the start needs where it comes that early, and the time up to the kill runs.
 func TestStopEndsAReloadThatWaits(t *testing.T) {
