A failure is said to its client behind a reload to longer deadlines

Cause: the time for writes of an HTTP/1.1 server (3 s and the longest deadline) is that of the settings with which its listener was opened. Answers of hosts set it anew, the gateway's own did not.

Evidence: TestFailureIsSaidBehindALongerDeadline without the mend: "answered 0, unexpected EOF".

Change: each answer sets it by its request's own deadline.

--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -345,9 +345,9 @@
 	if last {
 		w.Header().Set("Connection", "close")
 	}
-	if r.Answer != nil { // a client that reads slowly gets nothing more once its time is up
-		http.NewResponseController(w).SetWriteDeadline(front.SendBy(deadline, time.Now()))
-	}
+	// The request's own deadline, as that of the server is older than a reload may be. A client that reads
+	// slowly gets nothing more once its time is up.
+	http.NewResponseController(w).SetWriteDeadline(front.SendBy(deadline, time.Now()))
 	write(w, method, a)
 	if a.Again != nil {
 		http.NewResponseController(w).Flush()
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -19,6 +19,7 @@
 	"frostshift/internal/drain"
 	"frostshift/internal/fake"
 	"frostshift/internal/front"
+	"frostshift/internal/front/http1"
 	"frostshift/internal/membership/source"
 )
 
@@ -168,6 +169,31 @@
 	}
 }
 
+// Guards against answers that are never written: the time for writes was that of the settings at the start,
+// and a failure that came later than it allows, behind a reload to longer deadlines, could not be said.
+func TestFailureIsSaidBehindALongerDeadline(t *testing.T) {
+	t.Parallel()
+	const short = 100 * time.Millisecond
+	addr, _ := rawHost(t, func(_ int, c net.Conn, _ *fake.Request) bool {
+		time.Sleep(http1.SendWithin + short + 200*time.Millisecond) // real time passes: longer than the first settings allow
+		return false
+	})
+	m := booking(t, "", addr)
+	g := launch(t, withDeadline(m, short))
+	if err := g.Reload(m); err != nil {
+		t.Fatal(err)
+	}
+	c, err := fake.Dial(g.Addr("clients").String(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Send("POST", "/book", "x")
+	if status, _, _, err := c.Receive(); err != nil || status != http.StatusBadGateway {
+		t.Errorf("answered %d, %v", status, err)
+	}
+}
+
 // withNewPool returns settings whose pool is another one: it replaces the one that runs.
 func withNewPool(m *config.Model) *config.Model {
 	next, pool := *m, *m.Pools[0]
