Requests outlive their listener by the deadlines that they came with

What callers saw: a request with a deadline of 10 s on a listener that a reload takes away had its connection closed after 3.1 s, with no answer, where the new settings have a longest deadline of 0.1 s.

Cause: the time that Gateway.retire left a listener was worked out from the new settings, while its requests came with those before.

Evidence: TestRequestOutlivesItsListenerAndSettings without the mend: "answered 0, unexpected EOF".

Change: the gateway notes the latest deadline that a request of an earlier configuration may have, over any number of reloads, and a listener that is taken away has until then.

Found while looking for connections that are given up by anything but the settings that apply.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,8 +99,10 @@
 	servers   map[config.Listener]*server
 	// retiring are servers of listeners that were taken away, up to their last request's end.
 	retiring map[*server]struct{}
-	serving  bool // Run has begun
-	stopped  bool
+	// answersOwed is the latest deadline that a request of an earlier configuration may have.
+	answersOwed time.Time
+	serving     bool // Run has begun
+	stopped     bool
 
 	ended   chan struct{}  // closed once no client is left
 	halt    chan struct{}  // closed at the order to stop: a reload waits for nothing any more
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -169,6 +169,9 @@
 		return p != nil && p.Bodies != nil && len(p.Bodies.Upgrades) > 0
 	}))
 	old := g.pools
+	if g.model != nil {
+		g.answersOwed = later(g.answersOwed, time.Now().Add(longestDeadline(g.model)))
+	}
 	g.pools, g.model = next, m
 	led := g.moves.Use(m.Moves)
 	g.admission.Use(front.NewSnapshot(m, targets, led, g.moves.Retired(), g.rules, func() {
@@ -212,13 +215,21 @@
 	return nil
 }
 
-// retire ends a server whose listener the configuration has no more. Its requests have so long for their
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// retire ends a server whose listener the configuration has no more. Its requests have until then for their
 // answers; a stop that comes meanwhile takes it over. The lock is held.
-func (g *Gateway) retire(s *server, within time.Duration) {
+func (g *Gateway) retire(s *server, by time.Time) {
 	g.retiring[s] = struct{}{}
 	g.running.Go(func() {
 		s.Leave()
-		ctx, cancel := context.WithTimeout(context.Background(), within)
+		ctx, cancel := context.WithDeadline(context.Background(), by)
 		defer cancel()
 		go func() {
 			select {
@@ -246,7 +257,8 @@
 			continue
 		}
 		delete(g.servers, l)
-		g.retire(s, http1.SendWithin+longestDeadline(m))
+		lastDeadline := later(g.answersOwed, time.Now().Add(longestDeadline(m)))
+		g.retire(s, lastDeadline.Add(http1.SendWithin))
 	}
 	for _, s := range opened {
 		g.servers[s.Listener] = s
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -194,6 +194,37 @@
 	}
 }
 
+// Guards against requests that are cut off with the listener that a reload takes away: their time was taken
+// from the new settings, whose deadlines may be shorter than the one that they came with.
+func TestRequestOutlivesItsListenerAndSettings(t *testing.T) {
+	t.Parallel()
+	const short = 100 * time.Millisecond
+	addr, taken, release := heldHost(t)
+	m := booking(t, "", addr)
+	g := launch(t, m)
+	c, err := fake.Dial(g.Addr("clients").String(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Send("POST", "/book", "x")
+	await(t, taken, "the request at the host")
+	next := withDeadline(m, short)
+	if err := g.Reload(next); err != nil {
+		t.Fatal(err)
+	}
+	last := *next
+	last.Listeners = []config.Listener{{Name: "others", Address: "127.0.0.1:0"}}
+	if err := g.Reload(&last); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(http1.SendWithin + short + 200*time.Millisecond) // real time passes: less than its deadline
+	release()
+	if status, body, _, err := c.Receive(); err != nil || status != http.StatusOK || body != "ok" {
+		t.Errorf("answered %d %q, %v", status, body, err)
+	}
+}
+
 // withNewPool returns settings whose pool is another one: it replaces the one that runs.
 func withNewPool(m *config.Model) *config.Model {
 	next, pool := *m, *m.Pools[0]
