A new discovery is called again while the watch of the old one goes on

What callers saw: where lists are asked for, behind a SIGHUP that moves discovery and one call that is turned away with 503, the new list is never read.

Cause: the balancer knows of one watch. The failed call told it that the list was lost, and the next line of the old watch that it was back, so the timer for the next call asked for nothing and was not set again. The turn that follows the new address waits for that call (Follower.runWatch).

Evidence: TestMovedDiscoveryIsCalledAgain without the mend: "waited in vain for another call" for 20 s, while the old watch renews its list every 50 ms.

Change: until a later source has said its first list it is called by its own back-off, 0.6 to 1.2 s and then 1.2 to 2.4 s, and says nothing of it to the balancer, whose watch is that of the earlier source.

Why it works: a call that hangs (3.5 s) and the longest wait come to 5.9 s, under the 6 s within which a change counts as told, whatever the old watch says meanwhile.

--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -237,3 +239,50 @@
 		}
 	}
 }
+
+// Guards against a new discovery that is called once and never again: behind a call that was turned away, the
+// next line of the old watch had the balancer believe that it watches, and the new list was never read.
+func TestMovedDiscoveryIsCalledAgain(t *testing.T) {
+	const toldWithin = 6 * time.Second
+	old := discover(t)
+	text := strings.Replace(testConfig, `"discovery":"automatic"`, `"discovery":"subscribe"`, 1)
+	text = strings.Replace(text, `"obligations":{`, `"obligations":{"ask_within":10000000,`, 1)
+	addr, _ := serving(t, "a")
+	m := parseText(t, fmt.Sprintf(text, old.Addr(), listOf(1, true, entry("a", addr, "active"))))
+	g := launch(t, m)
+	watch := await(t, old.Watches, "the first watch")
+	calls := make(chan time.Time, 16)
+	var called atomic.Int64
+	moved := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- time.Now()
+		if called.Add(1) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, listOf(1, true, entry("a", addr, "active")))
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(moved.Close)
+	t.Cleanup(moved.CloseClientConnections)
+	over := make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	go func() { // the old discovery goes on renewing its list
+		for index := 2; ; index++ {
+			select {
+			case watch.Lines <- listOf(index, false, entry("a", addr, "active")):
+			case <-watch.Gone:
+				return
+			case <-over:
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	g.moveTo(t, moved.Listener.Addr().String())
+	first := await(t, calls, "the first call, which is turned away")
+	if second := await(t, calls, "another call"); second.Sub(first) > toldWithin {
+		t.Errorf("called again after %v", second.Sub(first))
+	}
+	await(t, watch.Gone, "the end of the old watch")
+}
--- a/internal/membership/source/follower.go
+++ b/internal/membership/source/follower.go
@@ -74,14 +74,18 @@
 // wait before the next call (retryFirst) and a call that never comes up (openPushed): 5.6 s. A call
 // that was made just before discovery came back costs openPushed and retryMost, 2 s, where lists
 // are pushed. Where they are asked for the balancer says when: 1.2 s at most behind a watch that
-// broke, 2.4 s behind further calls that failed; that makes 5.7 s, and 5.9 s with openAsked.
+// broke, 2.4 s behind further calls that failed; that makes 5.7 s, and 5.9 s with openAsked. A source that
+// follows another one is called by the same waits until it has said its first list.
 const (
 	silence    = 4500 * time.Millisecond // a watch that says nothing for so long is dead: it has an empty line every 2 s
 	openPushed = time.Second             // for the answer to a call to begin: an agent on this machine answers at once
 	openAsked  = 3500 * time.Millisecond // ... and where it works through calls in turn, failing those that wait for 2 s
 	retryFirst = 100 * time.Millisecond
 	retryMost  = time.Second
-	lookEvery  = 250 * time.Millisecond // at a file
+	// Where lists are asked for, and while the watch of an earlier source goes on.
+	retryAskedFirst = 1200 * time.Millisecond
+	retryAskedMost  = 2400 * time.Millisecond
+	lookEvery       = 250 * time.Millisecond // at a file
 )
 
 // Follower follows a source and then, where it is moved, another.
@@ -207,6 +211,14 @@
 	}
 }
 
+// isLatest says whether no earlier source speaks in the place of this one: it is the first, or has said a
+// list.
+func (t *turn) isLatest() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.n <= t.latest
+}
+
 // errMoved says that a later source has spoken.
 var errMoved = errors.New("the source has moved")
 
--- a/internal/membership/source/watch.go
+++ b/internal/membership/source/watch.go
@@ -17,11 +17,12 @@
 const maxMessage = 4 << 20 // bytes of one message of discovery
 
 // runWatch keeps a watch open until the context ends. Where the list is pushed it opens
-// a new one by itself; where it must be asked for, the balancer says when.
+// a new one by itself; where it must be asked for, the balancer says when. The balancer knows of one
+// watch: while that of an earlier source goes on, a later source is called by its own back-off.
 func (t *turn) runWatch(ctx context.Context) {
-	wait, said := retryFirst, ""
-	for first := true; ctx.Err() == nil; first = false {
-		if t.cfg.Asked && (!first || t.n == 0) {
+	wait, said := t.firstRetry(), ""
+	for ctx.Err() == nil {
+		if t.cfg.Asked && t.isLatest() {
 			select {
 			case <-t.ask:
 			case <-ctx.Done():
@@ -37,21 +38,37 @@
 			t.cfg.Log.Warn("watch of the host list ended", "err", err, "discovery", t.source.Discovery, "index", t.index)
 			said = text
 		}
-		if t.cfg.Asked {
+		if t.cfg.Asked && t.isLatest() {
 			t.cfg.Sink.Lost()
 			continue
 		}
-		if time.Since(opened) > retryMost { // it worked for a while
+		if !t.cfg.Asked && time.Since(opened) > retryMost { // it worked for a while
 			wait, said = retryFirst, ""
 		}
 		select {
 		case <-time.After(wait/2 + rand.N(wait/2)):
 		case <-ctx.Done():
 		}
-		wait = min(2*wait, retryMost)
+		wait = min(2*wait, t.mostRetry())
 	}
 }
 
+// firstRetry is the longest wait behind the first call that failed.
+func (t *turn) firstRetry() time.Duration {
+	if t.cfg.Asked {
+		return retryAskedFirst
+	}
+	return retryFirst
+}
+
+// mostRetry is the longest wait between two calls.
+func (t *turn) mostRetry() time.Duration {
+	if t.cfg.Asked {
+		return retryAskedMost
+	}
+	return retryMost
+}
+
 // opens is how long a call may take to be answered.
 func (t *turn) opens() time.Duration {
 	if t.cfg.Asked {
