Play upgrades of real processes with the old one killed at the earliest, by seed

faultinject.Stop can have a second process take the clients over right ahead of SIGTERM, on a listening socket that both inherit: clients go on using, and resting on, their connections to the first one up to its kill.

Late clients of a stop now wait for SIGTERM itself in place of the time at which it is due.

--- a/internal/benchmarks/shutdown.go
+++ b/internal/benchmarks/shutdown.go
@@ -19,7 +19,13 @@
 )
 
 // runShutdown plays stops of real processes with SIGKILL at the earliest moment.
-func runShutdown(out io.Writer) (string, bool, error) {
+func runShutdown(out io.Writer) (string, bool, error) { return playStops(out, false) }
+
+// runUpgradeStops plays the same behind an upgrade.
+func runUpgradeStops(out io.Writer) (string, bool, error) { return playStops(out, true) }
+
+// playStops plays a stop for each seed, some beside each other.
+func playStops(out io.Writer, upgrade bool) (string, bool, error) {
 	dir, err := os.MkdirTemp("", "shutdown")
 	if err != nil {
 		return "", false, err
@@ -38,7 +44,7 @@
 		places <- struct{}{}
 		all.Go(func() {
 			defer func() { <-places }()
-			stop := faultinject.Stop{Program: program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, Longest: faultinject.DrawLongest(seed)}
+			stop := faultinject.Stop{Program: program, Dir: filepath.Join(dir, fmt.Sprint(seed)), Seed: seed, Longest: faultinject.DrawLongest(seed), Upgrade: upgrade}
 			r, e := stop.Play()
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/faultinject/faultinject_test.go
+++ b/internal/faultinject/faultinject_test.go
@@ -51,6 +51,27 @@
 	}
 }
 
+// The same where a second process has taken the clients over right ahead of SIGTERM, as in an upgrade: clients
+// go on using their connections to the first one up to its kill.
+func TestUpgradeLosesNoRequest(t *testing.T) {
+	for seed, longest := range []time.Duration{1000 * time.Millisecond, 1400 * time.Millisecond, 1900 * time.Millisecond} {
+		t.Run(longest.String(), func(t *testing.T) {
+			t.Parallel()
+			r, err := Stop{Program: program, Dir: filepath.Join(t.TempDir(), "run"), Seed: uint64(seed), Longest: longest, KillLate: 700 * time.Millisecond, Upgrade: true}.Play()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, lost := range r.Lost {
+				t.Error(lost)
+			}
+			if r.Answered == 0 {
+				t.Error("nothing was answered")
+			}
+			t.Logf("%d answered, %d crossed, ended by itself: %v", r.Answered, r.Crossed, r.Ended)
+		})
+	}
+}
+
 // The same beside system calls that fail for a moment.
 func TestStopAmongFailingCalls(t *testing.T) {
 	for seed := range uint64(3) {
--- a/internal/faultinject/gateway.go
+++ b/internal/faultinject/gateway.go
@@ -2,7 +2,7 @@
 // hosts of its own, and judges by what those saw whether each request had one honest answer. What is drawn
 // follows from a seed. It is for tests and benchmarks and knows the program from outside only.
 //
-// gateway.go is the process and its hosts, stop.go stops, answer.go answers that break off, system.go system
+// gateway.go is the process and its hosts, stop.go stops, upgrade.go a second process, answer.go answers that break off, system.go system
 // calls that fail, calls.go load beside them.
 package faultinject
 
@@ -40,11 +40,11 @@
 // startGateway starts the hosts, a function for each, and the process, in a folder of its own, and waits until
 // it serves. longest is the longest deadline of its settings.
 func startGateway(program, dir string, longest time.Duration, hosts ...func(*fake.Request) bool) (*gateway, error) {
-	return startChanged(program, dir, longest, func(*gateway) {}, hosts...)
+	return startChanged(program, dir, longest, func(*gateway) error { return nil }, hosts...)
 }
 
 // startChanged is startGateway with a change to the process before it starts.
-func startChanged(program, dir string, longest time.Duration, change func(*gateway), hosts ...func(*fake.Request) bool) (*gateway, error) {
+func startChanged(program, dir string, longest time.Duration, change func(*gateway) error, hosts ...func(*fake.Request) bool) (*gateway, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
@@ -56,7 +56,7 @@
 	return g, nil
 }
 
-func (g *gateway) start(longest time.Duration, change func(*gateway), hosts []func(*fake.Request) bool) (err error) {
+func (g *gateway) start(longest time.Duration, change func(*gateway) error, hosts []func(*fake.Request) bool) (err error) {
 	var known []string
 	for n, serve := range hosts {
 		h, err := fake.NewHost(serve)
@@ -70,7 +70,9 @@
 		return err
 	}
 	g.Platform = true
-	change(g)
+	if err := change(g); err != nil {
+		return err
+	}
 	limit := longest.Microseconds()
 	if err := g.Configure(fmt.Sprintf(platformConfig, g.Addr, strings.Join(known, ","), limit/2, limit, limit/3, limit*2/3)); err != nil {
 		return err
--- a/internal/faultinject/log_test.go
+++ b/internal/faultinject/log_test.go
@@ -28,7 +28,7 @@
 				fake.Reset(q.Conn)
 				return false
 			}
-			g, err := startChanged(program, filepath.Join(t.TempDir(), "run"), time.Second, func(g *gateway) { g.Stderr = write }, breaks, breaks)
+			g, err := startChanged(program, filepath.Join(t.TempDir(), "run"), time.Second, func(g *gateway) error { g.Stderr = write; return nil }, breaks, breaks)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/faultinject/stop.go
+++ b/internal/faultinject/stop.go
@@ -43,6 +43,8 @@
 	KillLate time.Duration
 	// Faults are of the process's system calls.
 	Faults []CallFault
+	// Upgrade has a second process take the clients over right ahead of SIGTERM.
+	Upgrade bool
 }
 
 // DrawLongest draws a longest deadline from a seed.
@@ -61,13 +63,22 @@
 
 // Play plays the stop.
 func (s Stop) Play() (StopResult, error) {
-	p := &stopping{Stop: s}
-	change := func(*gateway) {}
+	p := &stopping{Stop: s, ordered: make(chan struct{})}
+	change := func(*gateway) error { return nil }
 	if len(s.Faults) > 0 {
 		faults := &callFaults{faults: s.Faults, seed: s.Seed}
 		defer faults.close()
 		change = faults.attach
 	}
+	var socket *inherited
+	if s.Upgrade {
+		var err error
+		if socket, err = newInherited(); err != nil {
+			return StopResult{}, err
+		}
+		defer socket.close()
+		change = func(g *gateway) error { return socket.attach(g.Process) }
+	}
 	g, err := startChanged(s.Program, s.Dir, s.Longest, change, p.serve(0), p.serve(1), p.serve(2), p.serve(3))
 	if err != nil {
 		return StopResult{}, err
@@ -82,9 +93,13 @@
 		clients.Go(func() { p.late(n) })
 	}
 	time.Sleep(stopRuns)
+	if s.Upgrade {
+		err = g.succeed(socket)
+	}
 	p.mu.Lock()
 	p.term = time.Now()
 	p.mu.Unlock()
+	close(p.ordered)
 	g.Signal(syscall.SIGTERM)
 	time.Sleep(time.Until(p.term.Add(min(s.Longest, longestCounted) + killBehind + s.KillLate)))
 	p.mu.Lock()
@@ -97,13 +112,14 @@
 	}
 	g.Kill()
 	clients.Wait()
-	return p.result, nil
+	return p.result, err
 }
 
 // stopping is a stop that is played.
 type stopping struct {
 	Stop
 	gateway *gateway
+	ordered chan struct{} // closed: SIGTERM is sent
 
 	mu     sync.Mutex
 	term   time.Time // when SIGTERM was sent; zero: it was not
@@ -139,6 +155,13 @@
 	return s.term.IsZero() || time.Since(s.term) < frontDeals
 }
 
+// isKilled says whether the time of SIGKILL has come: a process that has taken over goes on serving.
+func (s *stopping) isKilled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.killed
+}
+
 // client asks over one connection after another, as its draws say, until no new connection is dealt.
 func (s *stopping) client(n int) {
 	r := rand.New(rand.NewPCG(s.Seed, uint64(100+n)))
@@ -149,17 +172,28 @@
 			continue
 		}
 		in := bufio.NewReader(c)
-		for first := s.isDealt(); ; first = false {
+		for first := s.isDealt(); !s.isKilled(); first = false {
 			request++
 			if !s.ask(r, c, in, fmt.Sprintf("%d-%d", n, request), first) {
 				break
 			}
-			time.Sleep(time.Duration(r.IntN(60)) * time.Millisecond)
+			time.Sleep(s.rest(r))
 		}
 		c.Close()
 	}
 }
 
+// restPart is one part in so many of the rests on a connection, beside an upgrade, that may last up to the kill.
+const restPart = 8
+
+// rest draws how long a client waits before its next request on a connection.
+func (s *stopping) rest(r *rand.Rand) time.Duration {
+	if s.Upgrade && r.IntN(restPart) == 0 {
+		return time.Duration(r.Int64N(int64(min(s.Longest, longestCounted) + killBehind)))
+	}
+	return time.Duration(r.IntN(60)) * time.Millisecond
+}
+
 // lateID begins the ids of late clients' requests.
 const lateID = "late-"
 
@@ -178,7 +212,8 @@
 	if _, err := io.WriteString(c, text[:len(text)/2]); err != nil {
 		return
 	}
-	time.Sleep(stopRuns/2 + rest)
+	<-s.ordered
+	time.Sleep(rest)
 	s.exchange(c, bufio.NewReader(c), id, text[len(text)/2:], true)
 }
 
--- a/internal/faultinject/system.go
+++ b/internal/faultinject/system.go
@@ -41,7 +41,7 @@
 }
 
 // attach has calls of a process fail that is about to start.
-func (f *callFaults) attach(g *gateway) {
+func (f *callFaults) attach(g *gateway) error {
 	f.seen, f.changed = make([]int, len(f.faults)), make([]int, len(f.faults))
 	f.hosts = map[netip.AddrPort]bool{}
 	for _, h := range g.hosts {
@@ -57,6 +57,7 @@
 		}
 		return func() error { return f.supervisor.Follow(cmd) }, nil
 	}
+	return nil
 }
 
 // close comes behind the end of the process, and says how many calls of each fault failed or were short.
