--- a/internal/faultinject/faultinject_test.go
+++ b/internal/faultinject/faultinject_test.go
@@ -31,22 +31,30 @@
 	}())
 }
 
+// play plays a stop of the program. No request may be lost, and some are answered.
+func (s Stop) play(t *testing.T) {
+	t.Helper()
+	s.Program, s.Dir, s.KillLate = program, filepath.Join(t.TempDir(), "run"), 700*time.Millisecond
+	r, err := s.Play()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, lost := range r.Lost {
+		t.Error(lost)
+	}
+	if r.Answered == 0 {
+		t.Error("nothing was answered")
+	}
+	t.Logf("%d answered, %d crossed, ended by itself: %v", r.Answered, r.Crossed, r.Ended)
+}
+
 // Requests that are read late in a shutdown have their answer before the kill that the settings allow, beside
 // hosts that hang. The kill comes late, for busy machines; cmd/benchmarks plays it sharp.
 func TestStopLosesNoRequest(t *testing.T) {
 	for seed, longest := range []time.Duration{1500 * time.Millisecond, 1700 * time.Millisecond, 1900 * time.Millisecond} {
 		t.Run(longest.String(), func(t *testing.T) {
 			t.Parallel()
-			r, err := Stop{Program: program, Dir: filepath.Join(t.TempDir(), "run"), Seed: uint64(seed), Longest: longest, KillLate: 700 * time.Millisecond}.Play()
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, lost := range r.Lost {
-				t.Error(lost)
-			}
-			if r.Answered == 0 {
-				t.Error("nothing was answered")
-			}
+			Stop{Seed: uint64(seed), Longest: longest}.play(t)
 		})
 	}
 }
@@ -57,17 +65,7 @@
 	for seed, longest := range []time.Duration{1000 * time.Millisecond, 1400 * time.Millisecond, 1900 * time.Millisecond} {
 		t.Run(longest.String(), func(t *testing.T) {
 			t.Parallel()
-			r, err := Stop{Program: program, Dir: filepath.Join(t.TempDir(), "run"), Seed: uint64(seed), Longest: longest, KillLate: 700 * time.Millisecond, Upgrade: true}.Play()
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, lost := range r.Lost {
-				t.Error(lost)
-			}
-			if r.Answered == 0 {
-				t.Error("nothing was answered")
-			}
-			t.Logf("%d answered, %d crossed, ended by itself: %v", r.Answered, r.Crossed, r.Ended)
+			Stop{Seed: uint64(seed), Longest: longest, Upgrade: true}.play(t)
 		})
 	}
 }
@@ -77,18 +75,7 @@
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			r, err := Stop{Program: program, Dir: filepath.Join(t.TempDir(), "run"), Seed: seed, Longest: 1800 * time.Millisecond, KillLate: 700 * time.Millisecond,
-				Faults: rarely()}.Play()
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, lost := range r.Lost {
-				t.Error(lost)
-			}
-			if r.Answered == 0 {
-				t.Error("nothing was answered")
-			}
-			t.Logf("%d answered, %d crossed, ended by itself: %v", r.Answered, r.Crossed, r.Ended)
+			Stop{Seed: seed, Longest: 1800 * time.Millisecond, Faults: rarely()}.play(t)
 		})
 	}
 }
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,11 +122,7 @@
 func (g *Gateway) present() []*server {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := make([]*server, 0, len(g.servers))
-	for _, s := range g.servers {
-		out = append(out, s)
-	}
-	return out
+	return slices.Collect(maps.Values(g.servers))
 }
 
 // endsNext has connections end with their next answer, or takes that back.
--- a/internal/gateway/hotrestart_test.go
+++ b/internal/gateway/hotrestart_test.go
@@ -54,6 +54,19 @@
 	return addr, taken, release
 }
 
+// held sends an unsafe request and waits until a host of heldHost has it.
+func held(t *testing.T, g *running, taken <-chan struct{}) *fake.Client {
+	t.Helper()
+	c, err := fake.Dial(g.Addr("clients").String(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.Send("POST", "/book", "x")
+	await(t, taken, "the request at the host")
+	return c
+}
+
 // Guards against stops that are planned by another time than the longest deadline of the present settings,
 // which the kill follows: behind a hand-over, off the platform, behind a reload, through a chain of upgrades.
 func TestStopFollowsThePresentSettings(t *testing.T) {
@@ -72,13 +85,7 @@
 		t.Fatal(err)
 	}
 	check("behind a reload", first, 800*time.Millisecond)
-	c, err := fake.Dial(first.Addr("clients").String(), patience)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.Send("POST", "/book", "x") // keeps the first process
-	await(t, taken, "the request at the host")
+	held(t, first, taken) // keeps the first process
 	second := launch(t, withDeadline(m, 800*time.Millisecond))
 	until(t, "the second has taken over", first.restart.isHanded)
 	check("behind a hand-over", first, 800*time.Millisecond)
@@ -100,13 +107,7 @@
 	addr, taken, release := heldHost(t)
 	m := upgradable(t, addr, patience)
 	first := launch(t, m)
-	c, err := fake.Dial(first.Addr("clients").String(), patience)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.Send("POST", "/book", "x") // keeps the first process
-	await(t, taken, "the request at the host")
+	c := held(t, first, taken) // keeps the first process
 	second := launch(t, m)
 	until(t, "the second has taken over", first.restart.isHanded)
 	third := launch(t, m)
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -141,29 +141,17 @@
 // meanwhile ends it as any other.
 func TestRequestOutlivesItsListener(t *testing.T) {
 	t.Parallel()
-	taken, release := make(chan struct{}, 2), make(chan struct{})
-	addr, _ := rawHost(t, func(_ int, c net.Conn, _ *fake.Request) bool {
-		taken <- struct{}{}
-		<-release
-		io.WriteString(c, fake.Answer(200, "ok"))
-		return true
-	})
+	addr, taken, release := heldHost(t)
 	m := booking(t, "", addr)
 	g := launch(t, m)
-	c, err := fake.Dial(g.Addr("clients").String(), patience)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.Send("POST", "/book", "x")
-	await(t, taken, "the request at the host")
+	c := held(t, g, taken)
 	next := *m
 	next.Listeners = []config.Listener{{Name: "others", Address: "127.0.0.1:0"}}
 	if err := g.Reload(&next); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(3100 * time.Millisecond) // real time passes: less than its deadline
-	close(release)
+	release()
 	if status, body, _, err := c.Receive(); err != nil || status != http.StatusOK || body != "ok" {
 		t.Errorf("answered %d %q, %v", status, body, err)
 	}
@@ -202,13 +190,7 @@
 	addr, taken, release := heldHost(t)
 	m := booking(t, "", addr)
 	g := launch(t, m)
-	c, err := fake.Dial(g.Addr("clients").String(), patience)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.Send("POST", "/book", "x")
-	await(t, taken, "the request at the host")
+	c := held(t, g, taken)
 	next := withDeadline(m, short)
 	if err := g.Reload(next); err != nil {
 		t.Fatal(err)
@@ -242,13 +224,7 @@
 		o.Linger = func() {}
 		o.Stop = drain.Schedule{Accept: 1, Answer: 100 * time.Millisecond, Close: time.Second}
 	})
-	c, err := fake.Dial(g.Addr("clients").String(), patience)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	c.Send("POST", "/book", "x")
-	await(t, taken, "the request at the host")
+	c := held(t, g, taken)
 	for range 2 { // one that has replaced another is replaced
 		m = withNewPool(m)
 		if err := g.Reload(m); err != nil {
