Play hostile clients and slow hosts to a process within its limits, tests failing

internal/faultinject plays groups of clients by kind (heads of many fields, half heads, stopped and slow bodies, slow readers, floods, leavers, ids that come again, odd forms) to an unmodified process that is held to its memory and descriptors, before hosts that do what requests say, and judges what both sides saw: one answer in time, each request in its form, nothing unsafe twice, nothing behind a client's close, peak memory.

--- a/internal/clustertest/process.go
+++ b/internal/clustertest/process.go
@@ -309,3 +309,29 @@
 	}
 	return float64(resident) * float64(os.Getpagesize()) / (1 << 20), nil
 }
+
+// PID is the process's id; 0: it does not run.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// PeakMemory is the most that the process has had in memory since its start, in MiB.
+func (p *Process) PeakMemory() (mib float64, err error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			var kib float64
+			_, err := fmt.Sscan(rest, &kib)
+			return kib / 1024, err
+		}
+	}
+	return 0, errors.New("the system tells no peak")
+}
--- /dev/null
+++ b/internal/faultinject/trial_clients.go
@@ -0,0 +1,526 @@
+package faultinject
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+)
+
+// kinds are the kinds of clients by name.
+var kinds = map[string]func(*client){
+	"quiet":       quiet,
+	"heads":       wholeHeads,
+	"halfheads":   halfHeads,
+	"stopped":     stoppedBodies,
+	"slowbody":    slowBodies,
+	"uploads":     uploads,
+	"readers":     slowReaders,
+	"slowanswers": slowAnswers,
+	"answerheads": answerHeads,
+	"flood":       flood,
+	"leavers":     leavers,
+	"again":       again,
+	"odd":         odd,
+	"idle":        idle,
+	"each":        eachOnItsOwn,
+}
+
+// client is one client of a trial.
+type client struct {
+	*trial
+	r    *rand.Rand
+	name string
+	n    int
+}
+
+// sleep waits; false: the trial is over.
+func (c *client) sleep(d time.Duration) bool {
+	select {
+	case <-c.over:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// call is a request that a client sends and whose answer it judges.
+type call struct {
+	class, target string
+	left          time.Duration // what the client says that it waits
+	body          []byte        // of POST
+	chunked       bool
+	rate          int // bytes of the body that are written a second; 0: all at once
+	plan          string
+	fields        string // further lines
+	quiet         bool
+	ends          bool // the client asks for the end of the connection
+}
+
+// link is a client's connection.
+type link struct {
+	net.Conn
+	in     *bufio.Reader
+	opened time.Time
+	used   bool // it has had an answer
+}
+
+// dial connects; nil: it can't, or the trial is over.
+func (c *client) dial() *link {
+	for {
+		nc, err := net.DialTimeout("tcp", c.addr(), time.Second)
+		if err == nil {
+			return &link{Conn: nc, in: bufio.NewReader(nc), opened: time.Now()}
+		}
+		if !c.sleep(20 * time.Millisecond) {
+			return nil
+		}
+	}
+}
+
+// newID is an id that no other request has.
+func (c *client) newID() string {
+	c.n++
+	return fmt.Sprintf("%s-%d", c.name, c.n)
+}
+
+// head is the head of a request. It is noted as sent.
+func (c *client) head(id string, q *call) string {
+	f := form{method: http.MethodGet, target: q.target, id: id, body: sumOf(q.body)}
+	if f.target == "" {
+		f.target = "/" + q.class
+	}
+	var b strings.Builder
+	if q.class != safeClass {
+		f.method, f.unsafe = http.MethodPost, q.class == unsafeClass
+	}
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: a\r\nX-Service-Class: %s\r\nX-Correlation-Id: %s\r\nX-Time-Left: %dm\r\n", f.method, f.target, q.class, id, q.left.Milliseconds())
+	if q.class == keyedClass {
+		f.key, f.keyed = "key-"+id, true
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", f.key)
+	}
+	switch {
+	case q.chunked:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case f.method == http.MethodPost:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
+	}
+	if q.plan != "" {
+		fmt.Fprintf(&b, "%s: %s\r\n", planField, q.plan)
+	}
+	if q.ends {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString(q.fields + "\r\n")
+	c.record.send(f)
+	return b.String()
+}
+
+// keyedClass is the class of trialConfig whose requests have keys.
+const keyedClass = "deliver"
+
+// ask sends a request and judges its answer. false: the connection is of no more use.
+func (c *client) ask(l *link, q *call) bool {
+	id := c.newID()
+	answered := make(chan struct{})
+	go func() { // an early answer ends the sending
+		defer close(answered)
+		l.in.Peek(1)
+	}()
+	text := c.head(id, q)
+	l.SetDeadline(time.Now().Add(time.Minute))
+	begun := time.Now()
+	whole := c.write(l, text, q, answered)
+	wrote := time.Now()
+	if whole {
+		c.record.wrote(id, wrote)
+		l.SetReadDeadline(wrote.Add(q.left + 3*time.Second))
+	} else {
+		l.SetReadDeadline(time.Now().Add(3 * time.Second))
+	}
+	<-answered
+	first := time.Now()
+	resp, err := http.ReadResponse(l.in, nil)
+	if err != nil {
+		c.record.leaves(id, time.Now())
+		l.Close()
+		c.unanswered(l, q, id, whole, begun, err)
+		return false
+	}
+	l.SetReadDeadline(time.Now().Add(time.Minute)) // a long one may take its time
+	body, err := io.ReadAll(resp.Body)
+	last := time.Now()
+	if len(body) <= 64<<10 {
+		first = last
+	}
+	c.judge(q, id, whole, wrote, first, resp.StatusCode, body, err)
+	l.used = true
+	if resp.Close || err != nil || !whole {
+		l.Close()
+		return false
+	}
+	return true
+}
+
+// write writes a request and says whether its last byte was.
+func (c *client) write(l *link, head string, q *call, answered <-chan struct{}) bool {
+	if q.rate == 0 && !q.chunked {
+		_, err := l.Write(append([]byte(head), q.body...))
+		return err == nil
+	}
+	if _, err := io.WriteString(l, head); err != nil {
+		return false
+	}
+	part, pause := 32<<10, time.Duration(0)
+	if q.rate > 0 {
+		part, pause = max(q.rate/10, 1), 100*time.Millisecond
+	}
+	for rest := q.body; len(rest) > 0; {
+		n := min(part, len(rest))
+		text := rest[:n]
+		if q.chunked {
+			text = fmt.Appendf(nil, "%x\r\n%s\r\n", n, text)
+		}
+		if _, err := l.Write(text); err != nil {
+			return false
+		}
+		rest = rest[n:]
+		select {
+		case <-answered:
+			return false
+		case <-time.After(pause):
+		}
+	}
+	if q.chunked {
+		if _, err := io.WriteString(l, "0\r\n\r\n"); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// judge holds an answer against what is owed.
+func (c *client) judge(q *call, id string, whole bool, wrote, at time.Time, status int, body []byte, err error) {
+	what := verdictOf(status)
+	due := wrote.Add(q.left)
+	switch {
+	case err != nil && !c.mayBreak(wrote, time.Now()):
+		what = "cut off"
+		c.record.fail("%s: its answer of %d was cut off behind %d bytes: %v", id, status, len(body), err)
+	case err != nil:
+		what = "cut off by a kill"
+	case whole && at.After(due.Add(overdueAfter)):
+		what = "overdue"
+		c.record.fail("%s (%s): answered with %d %v behind its time, of %v", id, q.plan, status, at.Sub(due).Round(time.Millisecond), q.left)
+	case whole && at.After(due):
+		what = "late"
+	case status == http.StatusOK && !strings.Contains(q.plan, "long=") && string(body) != id:
+		c.record.fail("%s: served with %.40q", id, body)
+	}
+	c.record.count(q.quiet, what)
+}
+
+// unanswered judges a request without an answer. One that a host has seen, or that was written whole to a new
+// connection, is lost, unless the process was killed.
+func (c *client) unanswered(l *link, q *call, id string, whole bool, begun time.Time, err error) {
+	seen := c.record.seen(id)
+	switch {
+	case c.mayBreak(begun, time.Now()):
+		c.record.count(q.quiet, "killed")
+		return
+	case errors.Is(err, os.ErrDeadlineExceeded) && whole:
+		c.record.fail("%s (%s): no answer %v behind its last byte, of %v, %d attempts", id, q.plan, 3*time.Second+q.left, q.left, seen)
+	case whole && (seen > 0 || !l.used && !closedUnread(l, begun)):
+		c.record.fail("%s (%s): %v, %d attempts, new connection: %t", id, q.plan, err, seen, !l.used)
+	default:
+		c.record.count(q.quiet, "crossed")
+		return
+	}
+	c.record.count(q.quiet, "unanswered")
+}
+
+// closedUnread says whether a request was sent so late on a new connection that a close of it may have crossed.
+func closedUnread(l *link, begun time.Time) bool { return begun.Sub(l.opened) > 100*time.Millisecond }
+
+// each asks over one connection after another, with a rest between requests.
+func (c *client) each(q func() *call, rest func() time.Duration) {
+	for {
+		l := c.dial()
+		if l == nil {
+			return
+		}
+		for c.ask(l, q()) {
+			if !c.sleep(rest()) {
+				l.Close()
+				return
+			}
+		}
+		l.Close()
+		if !c.sleep(rest()) {
+			return
+		}
+	}
+}
+
+func quiet(c *client) {
+	c.each(func() *call { return &call{class: safeClass, left: trialLongest, quiet: true} },
+		func() time.Duration { return 100 * time.Millisecond })
+}
+
+// eachOnItsOwn are clients that connect anew for each request.
+func eachOnItsOwn(c *client) {
+	c.each(func() *call { return &call{class: safeClass, left: trialLongest, ends: true} },
+		func() time.Duration { return 50 * time.Millisecond })
+}
+
+// shortFields are many short fields with names of their own.
+func shortFields(bytes int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < bytes; i++ {
+		fmt.Fprintf(&b, "%x:\r\n", 0xa00+i)
+	}
+	return b.String()
+}
+
+const headBytes = 18 << 10
+
+func wholeHeads(c *client) {
+	c.each(func() *call {
+		return &call{class: safeClass, left: trialLongest, plan: "after=500", fields: shortFields(headBytes)}
+	}, func() time.Duration { return 10 * time.Millisecond })
+}
+
+// halfHeads stop within a head, and come again when they are closed.
+func halfHeads(c *client) {
+	for c.sleep(10 * time.Millisecond) {
+		l := c.dial()
+		if l == nil {
+			return
+		}
+		text := c.head(c.newID(), &call{class: safeClass, left: trialLongest, fields: shortFields(headBytes)})
+		io.WriteString(l, text[:len(text)-2])
+		c.linger(l)
+	}
+}
+
+// linger waits until the other side ends the connection, and ends it then.
+func (c *client) linger(l *link) {
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		io.Copy(io.Discard, l.in)
+	}()
+	select {
+	case <-gone:
+	case <-c.over:
+	}
+	l.Close()
+	<-gone
+}
+
+// stoppedBodies stop 0.5 MB into a body of 8 MB.
+func stoppedBodies(c *client) {
+	const whole, sent = 8 << 20, 512 << 10
+	part := make([]byte, sent)
+	for c.sleep(10 * time.Millisecond) {
+		l := c.dial()
+		if l == nil {
+			return
+		}
+		head := c.head(c.newID(), &call{class: unsafeClass, left: trialLongest})
+		head = strings.Replace(head, "Content-Length: 0", fmt.Sprintf("Content-Length: %d", whole), 1)
+		if _, err := io.WriteString(l, head); err == nil {
+			l.SetWriteDeadline(time.Now().Add(5 * time.Second))
+			l.Write(part)
+		}
+		c.linger(l)
+	}
+}
+
+// bodyOf is a body of a length, which differs from others of the length.
+func (c *client) bodyOf(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte(i>>8) ^ byte(i)
+	}
+	copy(b, c.name)
+	return b
+}
+
+func (c *client) uploadClass() string { return []string{keyedClass, unsafeClass}[c.r.IntN(2)] }
+
+func slowBodies(c *client) {
+	c.each(func() *call {
+		return &call{class: c.uploadClass(), left: trialLongest, body: c.bodyOf(64<<10 + c.r.IntN(400<<10)), rate: 64_000, chunked: c.r.IntN(2) == 0, plan: "read=80000"}
+	}, func() time.Duration { return 50 * time.Millisecond })
+}
+
+// uploads send large bodies at once to hosts that read them slowly, in part or not at all.
+func uploads(c *client) {
+	plans := []string{"stops=1", "stops=4096", "read=80000", "silent=1", ""}
+	c.each(func() *call {
+		return &call{class: c.uploadClass(), left: 600*time.Millisecond + time.Duration(c.r.IntN(900))*time.Millisecond,
+			body: c.bodyOf(uploadBytes(c.r)), chunked: c.r.IntN(2) == 0, plan: plans[c.r.IntN(len(plans))]}
+	}, func() time.Duration { return 50 * time.Millisecond })
+}
+
+// uploadBytes draws the length of a body: one that the systems on its way take in at once, or much of which stays
+// with its client's system.
+func uploadBytes(r *rand.Rand) int {
+	if r.IntN(2) == 0 {
+		return 4<<20 + r.IntN(2<<20)
+	}
+	return 500<<10 + r.IntN(350<<10)
+}
+
+// slowReaders read 8 MB at 60 kB a second, up to the trial's end.
+func slowReaders(c *client) {
+	for c.sleep(10 * time.Millisecond) {
+		l := c.dial()
+		if l == nil {
+			return
+		}
+		id, begun := c.newID(), time.Now()
+		io.WriteString(l, c.head(id, &call{class: safeClass, left: trialLongest, plan: "long=8388608"}))
+		l.SetReadDeadline(time.Now().Add(trialLongest + 3*time.Second))
+		resp, err := http.ReadResponse(l.in, nil)
+		if err != nil {
+			c.unanswered(l, &call{plan: "long"}, id, true, begun, err)
+			l.Close()
+			continue
+		}
+		c.record.count(false, verdictOf(resp.StatusCode))
+		l.SetReadDeadline(time.Now().Add(10 * time.Minute))
+		for got, ok := int64(0), true; ok; ok = c.sleep(100 * time.Millisecond) {
+			n, err := io.CopyN(io.Discard, resp.Body, 6_000)
+			got += n
+			if err == io.EOF {
+				break
+			}
+			if err != nil {
+				if !c.mayBreak(begun, time.Now()) {
+					c.record.fail("%s: an answer that its client reads slowly was cut off behind %d bytes: %v", id, got, err)
+				}
+				break
+			}
+		}
+		c.record.leaves(id, time.Now())
+		l.Close()
+	}
+}
+
+// slowAnswers ask for long answers that hosts write slowly.
+func slowAnswers(c *client) {
+	c.each(func() *call {
+		return &call{class: safeClass, left: 500 * time.Millisecond, plan: fmt.Sprintf("long=%d&write=%d&pause=%d&form=%s", 70_000+c.r.IntN(200_000), 30_000+c.r.IntN(60_000), c.r.IntN(1000),
+			[]string{"length", "chunked", "close"}[c.r.IntN(3)])}
+	}, func() time.Duration { return 50 * time.Millisecond })
+}
+
+// answerHeads have hosts answer with very many fields.
+func answerHeads(c *client) {
+	c.each(func() *call { return &call{class: safeClass, left: trialLongest, plan: "fields=2500"} },
+		func() time.Duration { return 10 * time.Millisecond })
+}
+
+// flood sends small requests, some of them unsound, on one connection at full speed.
+func flood(c *client) {
+	for {
+		l := c.dial()
+		if l == nil {
+			return
+		}
+		go io.Copy(io.Discard, l.in)
+		for {
+			var text strings.Builder
+			for range 50 {
+				c.n++
+				switch c.r.IntN(40) {
+				case 0:
+					fmt.Fprintf(&text, "GET /x%d HTTP/1.1\r\nHost: a\r\nX-Service-Class: x%d\r\nX-Correlation-Id: %s-%d\r\n\r\n", c.n, c.n, c.name, c.n)
+				case 1:
+					fmt.Fprintf(&text, "GET /ready HTTP/1.1\r\nHost: a%d\r\n\r\n", c.n)
+				default:
+					text.WriteString(c.head(c.newID(), &call{class: safeClass, left: time.Duration(c.r.IntN(3)) * time.Second}))
+				}
+			}
+			l.SetWriteDeadline(time.Now().Add(time.Second))
+			if _, err := io.WriteString(l, text.String()); err != nil {
+				break
+			}
+			if !c.sleep(0) {
+				l.Close()
+				return
+			}
+		}
+		l.Close()
+	}
+}
+
+// leavers send many requests at once and close with all unread.
+func leavers(c *client) {
+	for c.sleep(time.Duration(100+c.r.IntN(200)) * time.Millisecond) {
+		l := c.dial()
+		if l == nil {
+			return
+		}
+		var ids []string
+		var text strings.Builder
+		for range 50 {
+			q := &call{class: []string{safeClass, unsafeClass}[c.r.IntN(2)], left: trialLongest, plan: "after=100"}
+			if q.class == unsafeClass && c.r.IntN(4) == 0 {
+				q.body = c.bodyOf(100 << 10)
+			}
+			ids = append(ids, c.newID())
+			text.WriteString(c.head(ids[len(ids)-1], q))
+			text.Write(q.body)
+		}
+		l.SetWriteDeadline(time.Now().Add(time.Second))
+		io.WriteString(l, text.String())
+		c.sleep(time.Duration(c.r.IntN(200)) * time.Millisecond)
+		if c.r.IntN(2) == 0 {
+			l.Conn.(*net.TCPConn).SetLinger(0)
+		}
+		l.Close()
+		for _, id := range ids {
+			c.record.leaves(id, time.Now())
+		}
+	}
+}
+
+// again sends an unsafe request, leaves, and sends it again.
+func again(c *client) {
+	for c.sleep(20 * time.Millisecond) {
+		text := c.head(c.newID(), &call{class: unsafeClass, left: trialLongest, plan: fmt.Sprintf("after=%d", c.r.IntN(300)), body: c.bodyOf(c.r.IntN(2) * (80 << 10))}) + ""
+		body := c.bodyOf(0)
+		if at := strings.Index(text, "Content-Length: 81920"); at >= 0 {
+			body = c.bodyOf(80 << 10)
+		}
+		for range 3 {
+			l := c.dial()
+			if l == nil {
+				return
+			}
+			l.Write(append([]byte(text), body...))
+			c.sleep(time.Duration(c.r.IntN(100)) * time.Millisecond)
+			l.Close()
+		}
+	}
+}
+
+// idle connects and says nothing, until it is closed.
+func idle(c *client) {
+	for c.sleep(time.Duration(c.r.IntN(100)) * time.Millisecond) {
+		l := c.dial()
+		if l == nil {
+			return
+		}
+		c.linger(l)
+	}
+}
--- /dev/null
+++ b/internal/faultinject/trial_test.go
@@ -0,0 +1,111 @@
+package faultinject
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+const (
+	trialFrom  = 500 * time.Millisecond // when hostile clients begin
+	trialLasts = 3 * time.Second
+	quietCount = 20
+	// servedLeast is the part of what a late-seeing policy serves that the standing test wants of each class.
+	servedLeast = 0.5
+)
+
+// trialTurns are the trials that are played at once: each keeps a core and a half busy.
+var trialTurns = make(chan struct{}, 2)
+
+// play plays a trial of the program beside quiet clients. No rule may be broken, and quiet clients are served.
+func (p Trial) play(t *testing.T) TrialResult {
+	t.Helper()
+	t.Parallel()
+	trialTurns <- struct{}{}
+	defer func() { <-trialTurns }()
+	p.Program, p.Dir, p.KillLate = program, filepath.Join(t.TempDir(), "run"), 700*time.Millisecond
+	p.Groups = append([]Group{{Kind: "quiet", N: quietCount}}, p.Groups...)
+	if p.Lasts == 0 {
+		p.Lasts = trialLasts
+	}
+	r, err := p.Play()
+	if err != nil {
+		t.Fatalf("%v: %s", err, r.Log)
+	}
+	for _, wrong := range r.Wrong {
+		t.Error(wrong)
+	}
+	all := 0
+	for _, n := range r.Quiet {
+		all += n
+	}
+	if served := r.Quiet["served"]; all == 0 || float64(served) < servedLeast*float64(all) {
+		t.Errorf("of %d requests of quiet clients %d are served", all, served)
+	}
+	t.Logf("peak %.0f of %d MB, quiet %v, others %v", r.PeakMB, p.MemoryMB, r.Quiet, r.Others)
+	return r
+}
+
+// beside plays one group of clients beside quiet ones, in a process with the least memory that is named.
+func beside(t *testing.T, kind string, n int) TrialResult {
+	t.Helper()
+	return Trial{MemoryMB: 96, Descriptors: 1024, Groups: []Group{{Kind: kind, N: n, From: trialFrom}}}.play(t)
+}
+
+// Heads of very many short fields, whole ones whose hosts take their time, keep to the limit on memory and delay nobody.
+func TestHeadsOfManyFieldsDelayNobody(t *testing.T) { beside(t, "heads", 500) }
+
+// The same where clients stop within such heads, and come again.
+func TestHalfHeadsDelayNobody(t *testing.T) { beside(t, "halfheads", 900) }
+
+// Answers of hosts with heads of very many short fields keep to the limit on memory.
+func TestAnswersOfManyFieldsKeepTheLimit(t *testing.T) { beside(t, "answerheads", 500) }
+
+// Clients that stop within large requests leave requests without a body their room.
+func TestStoppedBodiesLeaveRoomForOthers(t *testing.T) { beside(t, "stopped", 500) }
+
+// The same for clients that send slowly to hosts that read slowly.
+func TestSlowBodiesLeaveRoomForOthers(t *testing.T) { beside(t, "slowbody", 500) }
+
+// Where hosts read large requests slowly, in part or not at all, answers come by the time of their clients.
+func TestSlowHostsMakeNoAnswerLate(t *testing.T) {
+	r := beside(t, "uploads", 30)
+	if r.Others["served"] == 0 {
+		t.Errorf("of the uploads none is served: %v", r.Others)
+	}
+}
+
+// Long answers that hosts write slowly, with rests within their framing, come whole.
+func TestSlowAnswersAreNotCutOff(t *testing.T) {
+	r := beside(t, "slowanswers", 40)
+	if r.Others["served"] == 0 || len(r.Others) > 1 {
+		t.Errorf("not all are served: %v", r.Others)
+	}
+}
+
+// Clients that read long answers slowly get them to the end.
+func TestSlowReadersAreNotCutOff(t *testing.T) { beside(t, "readers", 100) }
+
+// Requests in unusual forms go on as they came, or get 400.
+func TestOddRequestsGoOnAsTheyCame(t *testing.T) { beside(t, "odd", 2) }
+
+// A client that sends small and unsound requests on one connection at full speed, under ever new names, delays nobody.
+func TestFloodOnOneConnectionDelaysNobody(t *testing.T) { beside(t, "flood", 2) }
+
+// Requests of clients that close with much unread are not sent on afterwards.
+func TestRequestsOfLeaversAreNotSentOn(t *testing.T) { beside(t, "leavers", 40) }
+
+// An unsafe id that comes again after its client has left does not run again.
+func TestIDRunsOnceAfterItsClientLeft(t *testing.T) { beside(t, "again", 40) }
+
+// The same over upgrades, at the other process.
+func TestIDRunsOnceOverUpgrades(t *testing.T) {
+	Trial{MemoryMB: 192, Descriptors: 1024, Upgradable: true, Lasts: 6 * time.Second, Groups: []Group{{Kind: "again", N: 40}},
+		Signals: []Signal{{At: time.Second, Do: "upgrade"}}}.play(t)
+}
+
+// Both processes of an upgrade keep together to the limit on memory.
+func TestUpgradeAmongHeadsKeepsTheLimit(t *testing.T) {
+	Trial{MemoryMB: 192, Descriptors: 1024, Upgradable: true, Lasts: 6 * time.Second, Groups: []Group{{Kind: "heads", N: 300}},
+		Signals: []Signal{{At: 2 * time.Second, Do: "upgrade"}}}.play(t)
+}
