Requests go on as they came, or get 400

Cause: of two fields that decide (id, key, class, time, account) the first alone was read and sent on; an id or key that was folded over two lines went on joined by a blank; an empty query lost its question mark, and the absolute form was written anew by net/url; a body of no told length passed the check that a safe request has none.

Change: front.checkDecisive refuses a request in which a decisive field stands twice, or has an empty key; on the platform ids and keys have no blanks, as what net/http joins can't be told from them. Head.QueryMark keeps the question mark; http1.originForm cuts the target as it came. The check stands in Admission.Take, for HTTP/1.1 and HTTP/2 alike.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -23,6 +23,7 @@
 type Head struct {
 	Method, Authority string
 	Path, Query       string // as they came
+	QueryMark         bool   // a question mark stands behind the path, though the query may be empty
 	Header            http.Header
 	Body              int64 // bytes that are announced
 	Address           netip.Addr
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -384,13 +384,13 @@
 
 // take reads a client's request, as whole as its route wants it, or says what is wrong with it.
 func (s *Server) take(w http.ResponseWriter, r *http.Request, conn *front.Conn) (*front.Ticket, error) {
-	target := r.RequestURI
-	if !strings.HasPrefix(target, "/") { // absolute form
-		target = r.URL.RequestURI()
+	path, query, marked := strings.Cut(originForm(r.RequestURI), "?")
+	length := max(r.ContentLength, 0)
+	if r.TransferEncoding != nil {
+		length = 1 // there is a body, of no told length
 	}
-	path, query, _ := strings.Cut(target, "?")
-	t, err := s.cfg.Admission.Take(&front.Head{Method: r.Method, Authority: r.Host, Path: path, Query: query,
-		Header: r.Header, Body: max(r.ContentLength, 0), Address: addressOf(r.RemoteAddr), Proto: "1.1", Listener: s.cfg.Name,
+	t, err := s.cfg.Admission.Take(&front.Head{Method: r.Method, Authority: r.Host, Path: path, Query: query, QueryMark: marked,
+		Header: r.Header, Body: length, Address: addressOf(r.RemoteAddr), Proto: "1.1", Listener: s.cfg.Name,
 		Encrypted: conn.Encrypted})
 	if err != nil {
 		return nil, err
@@ -421,6 +421,26 @@
 	return t, nil
 }
 
+// originForm is the path and query of a target as they came, without what the absolute form has ahead of them
+// (RFC 9112 section 3.2.2).
+func originForm(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, absolute := strings.Cut(target, "://")
+	if !absolute {
+		return target
+	}
+	at := strings.IndexAny(rest, "/?")
+	switch {
+	case at < 0:
+		return "/"
+	case rest[at] == '?':
+		return "/" + rest[at:]
+	}
+	return rest[at:]
+}
+
 // lengthOnly says whether a request of HTTP/1.0 is known to have no Transfer-Encoding, which
 // that version does not have and whose presence would hide where its body ends (RFC 9112
 // section 6.1).
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -114,8 +114,8 @@
 
 // frontHead is the head of the request as admission reads it.
 func (s *stream) frontHead(r *h2.Request, ended bool) *front.Head {
-	path, query, _ := strings.Cut(r.Path, "?")
-	head := &front.Head{Method: r.Method, Authority: r.Authority, Path: path, Query: query, Header: r.Header, Body: max(r.Length, 0), Proto: "2",
+	path, query, marked := strings.Cut(r.Path, "?")
+	head := &front.Head{Method: r.Method, Authority: r.Authority, Path: path, Query: query, QueryMark: marked, Header: r.Header, Body: max(r.Length, 0), Proto: "2",
 		Listener: s.c.s.cfg.Name, Encrypted: s.c.all != nil && s.c.all.Encrypted}
 	if r.Length < 0 && !ended {
 		head.Body = 1 // there is one, of no told length
--- a/internal/front/take.go
+++ b/internal/front/take.go
@@ -48,6 +48,9 @@
 // take takes a request in steps: who asks, which route and class it is, how long there is, what limits and
 // contracts allow, which pool gets it, and what goes on to a host.
 func (in *Admission) take(s *Snapshot, h *Head, pass **limit.Pass) (*Ticket, error) {
+	if err := checkDecisive(h.Header); err != nil {
+		return nil, err
+	}
 	q := &admissionRequest{in: in, snapshot: s, head: h, client: s.model.Forward.Client(h.Header, h.Address)}
 	if err := q.identify(); err != nil {
 		return nil, err
@@ -241,14 +244,14 @@
 
 // target is the path and query that go on.
 func (q *admissionRequest) target() string {
-	path, query := q.head.Path, q.head.Query
+	path, query, marked := q.head.Path, q.head.Query, q.head.QueryMark
 	if q.match.Path != "" {
 		path = q.match.Path
 	}
 	if q.match.Requery {
-		query = q.match.Query
+		query, marked = q.match.Query, false
 	}
-	if query != "" {
+	if query != "" || marked {
 		path += "?" + query
 	}
 	return path
@@ -379,6 +382,9 @@
 	if class.Effect == frostshift.Safe {
 		method = http.MethodGet
 	}
+	if err := checkIdentifying(h.Header); err != nil {
+		return err
+	}
 	switch name := h.Header.Get("X-Service-Class"); {
 	case name == "":
 		return bad("X-Service-Class is missing")
