A host that does not read a request makes its answer not late

Cause: the time of a request whose body flows began when the last byte had been handed to the host's connection, and up to then ten minutes bound it. The client's last byte may have been written long before: it stands in receive buffers, here and on its own side, while the host takes nothing in.

Evidence: with bodies longer than what systems take in for a host, 22 of 59 uploads had no answer 3 s behind their time; quiet clients beside them were served at once, so the processor was not short.

Change: body.Owed tells, from looks at what has come and waits unread, the last time at which the client is known to have owed a part of its request. Where that can't be known (the window may be closed, and its system may hold the rest) the time runs on. It stands in the exchange, so it holds for HTTP/1.1, HTTP/2 and TLS, and for both kinds of hosts.

--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -115,6 +115,10 @@
 	p.lastID++
 	c.id = p.lastID
 	p.calls[c.id] = c
+	p.watchBody(now, c)
+	if c.closed {
+		return
+	}
 	if c.Wait > 0 {
 		p.delay(now, c)
 		return
--- a/internal/exchange/clock.go
+++ b/internal/exchange/clock.go
@@ -34,5 +34,10 @@
 	return c.start.Add(t - frostshift.Time(c.start.UnixNano()))
 }
 
+// Of converts a time of the system to this clock.
+func (c Clock) Of(t time.Time) frostshift.Time {
+	return frostshift.Time(c.start.UnixNano()) + t.Sub(c.start)
+}
+
 // UnixMilli converts Unix milliseconds to this clock; 0 stays 0.
 func UnixMilli(ms int64) frostshift.Time { return frostshift.Time(ms) * time.Millisecond }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -153,7 +153,8 @@
 	Item *contract.Item
 	// Body is set if the message is not whole: its body is read as attempts ask for it. Deadline is
 	// then the time by which a host must be found, Rest is the time that the head of the answer may
-	// take after the last byte of the body, and Ends is when the whole exchange must be over.
+	// take after the client has sent the last byte of the body, wherever that is by then, and Ends is
+	// when the whole exchange must be over.
 	Body Body
 	Rest time.Duration
 	Ends frostshift.Time
@@ -172,6 +173,8 @@
 type Body interface {
 	State() body.State
 	Broken() bool // the client stopped sending before the end of the body
+	// OwedAt returns the last time at which the client is known to have owed a part of the body.
+	OwedAt() time.Time
 }
 
 // Client is the client that waits for a request's answer. Here reports whether the client has not
--- a/internal/exchange/fair.go
+++ b/internal/exchange/fair.go
@@ -18,6 +18,8 @@
 	tokenDispatch = 0xff << 56
 	// tokenDelayed marks the timer of a delayed request; the lower bits hold its id.
 	tokenDelayed = 0xfe << 56
+	// tokenBody marks the timer of a request whose body arrives; the lower bits hold its id.
+	tokenBody = 0xfd << 56
 	// capacityInterval is the maximum age of the capacity that the scheduler uses.
 	capacityInterval = 5 * time.Millisecond
 	dispatchInterval = 10 * time.Millisecond // while requests wait: hosts become available with time alone
--- a/internal/exchange/flow_test.go
+++ b/internal/exchange/flow_test.go
@@ -18,6 +18,16 @@
 	mu     sync.Mutex
 	state  body.State
 	broken bool
+	sent   time.Time // when its client had sent all of it; zero: it still sends
+}
+
+func (u *upload) OwedAt() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.sent.IsZero() {
+		return time.Now()
+	}
+	return u.sent
 }
 
 func (u *upload) State() body.State { u.mu.Lock(); defer u.mu.Unlock(); return u.state }
@@ -225,3 +235,36 @@
 	a.End(result)
 	return n + 1
 }
+
+// A host that does not read a request which its client has sent whole long ago makes its answer not late: the request
+// fails by the client's time, and its attempt is called off. One that waits for a host is refused.
+func TestHostThatDoesNotReadMakesNoAnswerLate(t *testing.T) {
+	for hosts, want := range []Verdict{Refused, Failed} {
+		synctest.Test(t, func(t *testing.T) {
+			x, u, room := New(NewClock()), newManualUpstream(), &countingRoom{}
+			p := newPool(t, x, "p", u, hosts, room)
+			b := &upload{state: body.Partial}
+			call := x.submitBody(1, "a", b, &endings{}, p, nil)
+			if hosts > 0 {
+				a := <-u.started
+				time.Sleep(3 * time.Second) // the client still sends
+				b.mu.Lock()
+				b.state, b.sent = body.Dropped, time.Now()
+				b.mu.Unlock()
+				defer func() {
+					<-u.cancels
+					a.End(frostshift.Canceled)
+					p.Drain()
+					<-p.Done()
+				}()
+			} else {
+				defer p.Drain()
+			}
+			began := time.Now()
+			r := <-call.Reply
+			if took := time.Since(began); r.Verdict != want || took > time.Second {
+				t.Errorf("with %d hosts: %v after %v, want %v", hosts, r.Verdict, took, want)
+			}
+		})
+	}
+}
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -74,6 +74,11 @@
 				p.place(p.clock.Now(), c)
 				p.runActions()
 			}
+		case t.token&tokenDispatch == tokenBody:
+			if c := p.calls[frostshift.RequestID(t.token&^tokenBody)]; c != nil {
+				p.watchBody(p.clock.Now(), c)
+				p.runActions()
+			}
 		default:
 			p.b.Timer(p.clock.Now(), t.token)
 			p.runActions()
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -103,6 +103,9 @@
 	// Broke counts answers whose bodies broke off on the way to the client. They count as Failed
 	// too.
 	Broke atomic.Int64
+	// Overdue counts requests whose time ended before their bodies had been sent on. They count as
+	// Refused or Failed too.
+	Overdue atomic.Int64
 	// Results counts attempts without a good answer, by frostshift.Result.
 	Results [frostshift.Busy + 1]atomic.Int64
 	// Faults counts errors of the service; Blamed counts those attributed to the host.
--- a/internal/front/hangup.go
+++ b/internal/front/hangup.go
@@ -96,6 +96,15 @@
 	return gone
 }
 
+// Unread is how many bytes of the client's wait on the socket; 0 where that can't be told.
+func (c *Conn) Unread() (n int64) {
+	if c.raw == nil {
+		return 0
+	}
+	c.raw.Control(func(fd uintptr) { n = int64(socket.Unread(fd)) })
+	return n
+}
+
 // Here says whether the client has not left, by a look at the socket.
 func (c *Conn) Here() bool { return !c.hungUp() }
 
--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -48,6 +48,9 @@
 // SetReadDeadline ends a Read that waits.
 func (s *source) SetReadDeadline(t time.Time) error { return s.rc.SetReadDeadline(t) }
 
+// Unread is how many bytes wait on the connection.
+func (s *source) Unread() (n int64, whole bool) { return s.conn.Unread(), false }
+
 // Trailer is what followed the body.
 func (s *source) Trailer() http.Header { return message.Trailers(s.r.Trailer) }
 
@@ -323,6 +326,10 @@
 	return nil
 }
 
+// Unread is nothing: a switched connection has no last byte.
+func (s *switched) Unread() (n int64, whole bool) { return 0, false }
+
+// Trailer is nothing.
 func (s *switched) Trailer() http.Header { return nil }
 
 // begin gives the bytes behind the switch.
--- a/internal/h2/queue.go
+++ b/internal/h2/queue.go
@@ -264,3 +264,13 @@
 	defer s.link.mu.Unlock()
 	return s.window
 }
+
+// Unread is how many bytes wait to be read, and whether the last one is among them.
+func (q *Queue) Unread() (n int64, whole bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for i := range q.parts {
+		n += int64(len(q.parts[i].b) - q.parts[i].read)
+	}
+	return n, q.err != nil
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -56,3 +56,12 @@
 		}
 	}
 }
+
+// Unread is how many bytes have come on a socket and not been read; 0 where the system does not say.
+func Unread(fd uintptr) int {
+	n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/internal/stream/reader.go
+++ b/internal/stream/reader.go
@@ -99,6 +99,9 @@
 	return 0, errors.Join(ErrGone, err)
 }
 
+// readTime is how long a read of bytes that have come may take: one that takes longer has waited for them.
+const readTime = time.Millisecond
+
 // fetch reads from the source and keeps what it reads as it should be. The lock is held.
 func (r *Reader) fetch(p []byte) (int, error) {
 	u := r.u
@@ -115,6 +118,9 @@
 	n, err := u.cfg.Source.Read(p)
 	u.mu.Lock()
 	took := time.Since(u.since)
+	if took > readTime {
+		u.owed.Waited(u.since.Add(took))
+	}
 	u.waited += took
 	r.waited += took
 	switch {
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -31,6 +31,9 @@
 	Read(p []byte) (int, error)
 	// SetReadDeadline ends a Read that has waited until then with os.ErrDeadlineExceeded.
 	SetReadDeadline(t time.Time) error
+	// Unread is how many bytes have come that Read has not given yet, and whether the last one is known to be among
+	// them. It may be called at any time and must not block.
+	Unread() (n int64, whole bool)
 	// Trailer is what followed the body, once it has ended; nil: nothing.
 	Trailer() http.Header
 }
@@ -73,6 +76,7 @@
 	mu       sync.Mutex
 	changed  *sync.Cond
 	replay   *body.Replay
+	owed     *body.Owed
 	kept     []byte
 	pooled   *[]byte // where kept is from; nil: it is its own
 	file     File
@@ -88,7 +92,8 @@
 // NewUpload returns the body that comes from a source. first are its bytes that have been
 // read already; they are the upload's from then on, and count in room already.
 func NewUpload(cfg Config, first []byte) *Upload {
-	u := &Upload{cfg: cfg, failed: make(chan struct{}), replay: body.NewReplay(cfg.Bounds), kept: first}
+	u := &Upload{cfg: cfg, failed: make(chan struct{}), replay: body.NewReplay(cfg.Bounds), kept: first,
+		owed: body.NewOwed(time.Now(), cfg.Bounds.Length)}
 	u.changed = sync.NewCond(&u.mu)
 	if n := int64(len(first)); n > 0 {
 		u.replay.Took(n, true) // they are nowhere else
@@ -142,6 +147,18 @@
 	return u.err == io.EOF
 }
 
+// OwedAt is the last time at which the client is known to have owed a part of the body.
+func (u *Upload) OwedAt() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.err == nil && !u.closed && !u.cfg.Raw {
+		l := body.Look{At: time.Now(), Came: u.replay.Came(), Waiting: u.fetching}
+		l.Unread, l.Whole = u.cfg.Source.Unread()
+		u.owed.Look(l)
+	}
+	return u.owed.At()
+}
+
 // Touched says whether an attempt has had anything of the body.
 func (u *Upload) Touched() bool {
 	u.mu.Lock()
--- a/internal/stream/upload_test.go
+++ b/internal/stream/upload_test.go
@@ -65,6 +65,8 @@
 	return n, nil
 }
 
+func (s *script) Unread() (int64, bool) { return 0, false }
+
 func (s *script) Trailer() http.Header { return http.Header{"X-T": {"t"}} }
 
 // disk is a file that may fail.
--- a/internal/upstream/http1/feed.go
+++ b/internal/upstream/http1/feed.go
@@ -84,7 +84,7 @@
 			}
 			f.whole = true
 			f.t.Fed()
-			f.headWithin(time.Until(f.t.headBy())) // it is due from here on
+			f.headWithin(time.Until(f.t.HeadBy())) // it is due from here on
 			return
 		}
 	}
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -105,7 +105,7 @@
 		return nil
 	case req.Upgrade != "": // nothing follows before the host has switched
 		t.Fed()
-		c.SetReadDeadline(t.headBy())
+		c.SetReadDeadline(t.HeadBy())
 		return nil
 	}
 	c.SetReadDeadline(t.Until)
@@ -194,15 +194,6 @@
 	t.Answered(m, upstream.After(a), a)
 }
 
-// headBy is when the head of an answer is due whose request has just gone out.
-func (t *attempt) headBy() time.Time {
-	by := time.Now().Add(t.Left)
-	if by.After(t.Until) {
-		return t.Until
-	}
-	return by
-}
-
 // lost ends an attempt that has no answer, or none that may be.
 func (t *attempt) lost(c *conn, f *feeder, r *stream.Reader, err error) {
 	broken := false
--- a/internal/upstream/http2/flow.go
+++ b/internal/upstream/http2/flow.go
@@ -118,7 +118,7 @@
 	if t.ended || t.fl != nil {
 		return
 	}
-	if by := time.Now().Add(t.Left); by.Before(t.by) {
+	if by := t.HeadBy(); by.Before(t.by) {
 		t.by = by
 		if t.timer != nil {
 			t.timer.Reset(time.Until(by))
