Bodies that are still to come hold half of a gateway's places at most

Cause: a request whose body has begun holds one of the open requests and one of the connections to hosts for as long as the body may idle. Clients that stop take all of them.

Change: requests whose bodies did not come whole at once take a place among uploads too, half of the smaller of both bounds, shared among pools and halved in an upgrade as the others are. Further ones are refused, which says that nothing has run.

--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -90,16 +90,19 @@
 	if names := message.Announce(slices.Collect(maps.Keys(r.Trailer))); names != nil {
 		t.Message.Header["Trailer"] = names
 	}
-	if t.Flow.Requests != config.BodiesAuto || length > t.Flow.Replay { // it won't be whole anyway
-		return nil
+	if t.Flow.Requests == config.BodiesAuto && length <= t.Flow.Replay { // it may come whole
+		whole, err := up.Fill(t.Flow.Replay)
+		switch {
+		case err != nil:
+			up.Close()
+			return front.BodyError(err, false)
+		case whole && len(r.Trailer) == 0:
+			t.Whole()
+		}
 	}
-	whole, err := up.Fill(t.Flow.Replay)
-	switch {
-	case err != nil:
+	if err := t.HoldUpload(); err != nil {
 		up.Close()
-		return front.BodyError(err, false)
-	case whole && len(r.Trailer) == 0:
-		t.Whole()
+		return err
 	}
 	return nil
 }
--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -100,6 +100,11 @@
 				up, failed = nil, nil
 			}
 		}
+		if err := s.ticket.HoldUpload(); err != nil {
+			s.ticket.Release()
+			s.refuse(front.AsError(err))
+			return
+		}
 	}
 	s.ticket.Hints(func(status int, h http.Header) {
 		s.c.link.Interim(s.h2, &h2.Out{Fields: h2.AppendFields([]hpack.HeaderField{{Name: ":status", Value: strconv.Itoa(status)}}, h)})
--- a/internal/front/snapshot.go
+++ b/internal/front/snapshot.go
@@ -16,8 +16,9 @@
 
 // Target is a pool as fronts see it.
 type Target struct {
-	Pool   *exchange.Pool
-	Bodies exchange.Room // for bodies of requests
+	Pool    *exchange.Pool
+	Bodies  exchange.Room // for bodies of requests
+	Uploads exchange.Room // for requests whose bodies are still to come; nil: they are not bounded
 	// Answers is what answers of its hosts mean where the route does not say.
 	Answers *verdict.Set
 	// Authority is what its hosts get as Host; "": what the client sent, config.HostsOwn: the
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -21,36 +21,38 @@
 // Ticket is a request whose head has been taken. The front reads the body into Message
 // and submits it, or gives the ticket up with Release.
 type Ticket struct {
-	Message  *message.Request
-	Bodies   exchange.Room
-	Platform bool  // the client speaks the platform's protocol
-	Client   *Conn // that the request came on; nil: nobody can look at it
-	request  exchange.Request
-	to       *exchange.Pool
-	fallback *exchange.Pool
-	left     time.Duration
-	aim      time.Duration // of its class; 0: none
-	snapshot *Snapshot
-	x        *exchange.Exchange
-	held     int64          // bytes of Bodies
-	policy   *config.Policy // of the route; nil: none
-	vars     headers.Vars
-	name     string
-	via      string
-	item     contract.Item
-	limiter  *contract.Limiter // that the request has entered; nil: there is no contract
-	move     *moves.Move       // that has placed the request; nil: none
-	unit     shift.Unit
-	pass     *limit.Pass    // what it holds of limits by key; nil: nothing
-	limits   [2]string      // RateLimit-Policy and RateLimit of its answer; "": nothing is told
-	work     time.Duration  // that it has been for hosts, once it has ended
-	body     int64          // bytes that it announced there
-	Flow     *config.Bodies // how its bodies go on; nil: whole
-	Upgrade  string         // protocol that it may switch to; "": none
-	asked    bool           // the client said how long it waits
-	spool    *spool.Dir     // nil: nothing is kept on disk
-	hint     func(int, http.Header)
-	again    func() // gives the memory of the body to another; nil: it is not used again
+	Message   *message.Request
+	Bodies    exchange.Room
+	Platform  bool  // the client speaks the platform's protocol
+	Client    *Conn // that the request came on; nil: nobody can look at it
+	request   exchange.Request
+	to        *exchange.Pool
+	fallback  *exchange.Pool
+	left      time.Duration
+	aim       time.Duration // of its class; 0: none
+	snapshot  *Snapshot
+	x         *exchange.Exchange
+	held      int64          // bytes of Bodies
+	uploads   exchange.Room  // for requests whose bodies are still to come; nil: they are not bounded
+	uploading bool           // it holds a place among them
+	policy    *config.Policy // of the route; nil: none
+	vars      headers.Vars
+	name      string
+	via       string
+	item      contract.Item
+	limiter   *contract.Limiter // that the request has entered; nil: there is no contract
+	move      *moves.Move       // that has placed the request; nil: none
+	unit      shift.Unit
+	pass      *limit.Pass    // what it holds of limits by key; nil: nothing
+	limits    [2]string      // RateLimit-Policy and RateLimit of its answer; "": nothing is told
+	work      time.Duration  // that it has been for hosts, once it has ended
+	body      int64          // bytes that it announced there
+	Flow      *config.Bodies // how its bodies go on; nil: whole
+	Upgrade   string         // protocol that it may switch to; "": none
+	asked     bool           // the client said how long it waits
+	spool     *spool.Dir     // nil: nothing is kept on disk
+	hint      func(int, http.Header)
+	again     func() // gives the memory of the body to another; nil: it is not used again
 }
 
 // Hold notes that the body holds n more bytes of room and says whether there are any.
@@ -62,6 +64,22 @@
 	return true
 }
 
+// errManyUploads is the answer to a request whose body may not be waited for.
+var errManyUploads = &Error{Status: http.StatusServiceUnavailable, Text: "too many bodies are under way"}
+
+// HoldUpload has the request be one of those that may go on while their bodies are still to come. Without that bound
+// clients that send slowly, or stop, would hold every place and every connection to a host.
+func (t *Ticket) HoldUpload() error {
+	if t.uploads == nil || t.uploading || t.Message.Upload == nil || t.Upgrade != "" {
+		return nil
+	}
+	if !t.uploads.Take(1) {
+		return errManyUploads
+	}
+	t.uploading = true
+	return nil
+}
+
 // NewUpload makes a body that need not be whole the request's. length is what the client has
 // announced; -1: nothing.
 func (t *Ticket) NewUpload(src stream.Source, length int64) *stream.Upload {
@@ -138,6 +156,10 @@
 		t.Bodies.Give(t.held)
 		t.held = 0
 	}
+	if t.uploading {
+		t.uploads.Give(1)
+		t.uploading = false
+	}
 	if t.limiter != nil {
 		t.limiter.Leave(t.item.Account, t.body)
 		t.limiter = nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,7 @@
 	askedShare   = 1.0 / 4 // ... and connections that have asked something, while any are idle
 	bodyPart     = 8       // one part in so many of the memory limit may hold bodies of clients
 	answerPart   = 4       // ... and answers of hosts that are long
+	uploadPart   = 2       // one part in so many of the open requests may have bodies that are still to come
 )
 
 // Options are for tests; the zero value is what a gateway runs with.
@@ -66,7 +67,7 @@
 
 // budgets are what the pools share out among them.
 type budgets struct {
-	requests, conns, bodies, answers *share.Budget
+	requests, uploads, conns, bodies, answers *share.Budget
 }
 
 // Gateway is one running gateway.
@@ -194,8 +195,9 @@
 		g.conns = front.NewConns(clients, asked, front.SpareAfter)
 	}
 	g.conns.LogTo(g.log)
-	g.budgets = budgets{share.New(requests), share.New(conns), share.New(bodies), share.New(answers)}
-	g.whole = wholes{conns, bodies, answers, clients, asked}
+	uploads := min(requests, conns) / uploadPart
+	g.budgets = budgets{requests: share.New(requests), uploads: share.New(uploads), conns: share.New(conns), bodies: share.New(bodies), answers: share.New(answers)}
+	g.whole = wholes{uploads: uploads, conns: conns, bodies: bodies, answers: answers, clients: clients, asked: asked}
 	g.streams = limits.Streams
 }
 
@@ -231,8 +233,8 @@
 
 // wholes are the bounds of a gateway that is one process.
 type wholes struct {
-	conns, bodies, answers int64
-	clients, asked         int
+	uploads, conns, bodies, answers int64
+	clients, asked                  int
 }
 
 // bound keeps this process to one part in n of what the gateway may hold.
@@ -241,6 +243,7 @@
 	defer g.mu.Unlock()
 	g.processes.Store(int64(n))
 	w := g.whole
+	g.budgets.uploads.Resize(w.uploads / int64(n))
 	g.budgets.conns.Resize(w.conns / int64(n))
 	g.budgets.bodies.Resize(w.bodies / int64(n))
 	g.budgets.answers.Resize(w.answers / int64(n))
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -63,13 +63,13 @@
 	known      hostList
 	typed      int // gateways that the configuration names
 
-	requests, conns, bodies, answers *share.Holder
+	requests, uploads, conns, bodies, answers *share.Holder
 }
 
 // newPool makes a pool; start runs it. One that is never started needs no end.
 func (g *Gateway) newPool(def *config.Pool, m *config.Model) (*pool, error) {
 	p := &pool{def: def, log: g.log.With("pool", def.Name), names: def.Names(), typed: max(m.Instances, 1), ready: make(chan struct{}),
-		requests: g.budgets.requests.Holder(), conns: g.budgets.conns.Holder(),
+		requests: g.budgets.requests.Holder(), uploads: g.budgets.uploads.Holder(), conns: g.budgets.conns.Holder(),
 		bodies: g.budgets.bodies.Holder(), answers: g.budgets.answers.Holder()}
 	bounds := upstream.Config{DialTimeout: def.DialTimeout, ConnIdle: def.ConnIdle, Conns: p.conns, Bytes: p.answers}
 	switch def.Protocol {
@@ -142,7 +142,7 @@
 		if p.hostHealth != nil {
 			p.hostHealth.end(p)
 		}
-		for _, h := range []*share.Holder{p.requests, p.conns, p.bodies, p.answers} {
+		for _, h := range []*share.Holder{p.requests, p.uploads, p.conns, p.bodies, p.answers} {
 			h.Leave()
 		}
 		g.poolEnded(p)
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -158,7 +158,7 @@
 	var held []*pool
 	for name, p := range next {
 		def := m.PoolNamed(name)
-		targets[name] = &front.Target{Pool: p.ex, Bodies: p.bodies, Answers: def.Answers, Authority: def.Authority}
+		targets[name] = &front.Target{Pool: p.ex, Bodies: p.bodies, Uploads: p.uploads, Answers: def.Answers, Authority: def.Authority}
 		p.refs.Add(1)
 		held = append(held, p)
 	}
@@ -195,6 +195,7 @@
 		holder func(*pool) *share.Holder
 	}{
 		{g.budgets.requests, func(p *pool) *share.Holder { return p.requests }},
+		{g.budgets.uploads, func(p *pool) *share.Holder { return p.uploads }},
 		{g.budgets.conns, func(p *pool) *share.Holder { return p.conns }},
 		{g.budgets.bodies, func(p *pool) *share.Holder { return p.bodies }},
 		{g.budgets.answers, func(p *pool) *share.Holder { return p.answers }},
