Long answers whose hosts rest within the framing go on

Cause: the beginning of an answer of untold length is held back for 150 ms. Where a part of a chunk's size had come by then the read of the rest went on up to the request's own time, and its end failed the answer.

Change: the beginning (upstream/http1.beginning) is handed on while a read of it is under way: the flow gives what has come and waits for that read, by the flow's own times. HTTP/2 hosts hold no beginning back.

--- a/internal/upstream/http1/answerflow.go
+++ b/internal/upstream/http1/answerflow.go
@@ -25,8 +25,8 @@
 	req  *message.Request
 	resp *http.Response
 
-	ahead *beginningOf // that has been read and not given; nil: nothing
-	first *beginningOf // that was, for Close
+	ahead *beginning // that has not been given to its end; nil: nothing
+	first *beginning // that was, for Close
 	idle  time.Duration
 	until time.Time
 	gave  time.Time // when the last Read returned
@@ -41,12 +41,14 @@
 }
 
 // flowing hands an answer's head on, with its body to follow.
-func (t *attempt) flowing(c *conn, f *feeder, req *message.Request, resp *http.Response, a *message.Answer, m verdict.Meaning, ahead *beginningOf) {
+func (t *attempt) flowing(c *conn, f *feeder, req *message.Request, resp *http.Response, a *message.Answer, m verdict.Meaning, ahead *beginning) {
 	t.up.flows.Add(1)
 	s := &answerFlow{ahead: ahead, first: ahead, t: t, c: c, f: f, req: req, resp: resp, idle: req.Flow.Idle, until: req.Flow.Ends, gave: time.Now()}
-	c.limit.N = 1<<63 - 1
-	if names := message.Announce(slices.Collect(maps.Keys(resp.Trailer))); names != nil {
-		a.Header["Trailer"] = names
+	if ahead == nil { // else it is being read, and has no trailers that it announces
+		c.limit.N = 1<<63 - 1
+		if names := message.Announce(slices.Collect(maps.Keys(resp.Trailer))); names != nil {
+			a.Header["Trailer"] = names
+		}
 	}
 	a.Stream, a.Free = s, s.Close
 	if f != nil && a.Status >= 400 && !f.sent() { // it wants no more of the body (RFC 9112 section 9.3)
@@ -57,7 +59,15 @@
 
 // Wait waits for something to read.
 func (s *answerFlow) Wait() {
-	if !s.eof && s.ahead == nil && s.c.in.Buffered() == 0 {
+	switch {
+	case s.eof:
+	case s.ahead != nil:
+		if s.ahead.isEmpty() {
+			s.due()
+			<-s.ahead.filled // a read that is under way ends by the deadline
+			s.gave = time.Now()
+		}
+	case s.c.in.Buffered() == 0:
 		s.due()
 		s.c.await()
 		s.gave = time.Now()
@@ -83,19 +93,42 @@
 	if s.eof {
 		return 0, io.EOF
 	}
-	if b := s.ahead; b != nil {
-		n := copy(p, b.rest)
-		if b.rest = b.rest[n:]; len(b.rest) == 0 {
-			s.ahead = nil
-			b.free()
-			b.again()
+	if s.ahead != nil {
+		if n, err := s.readAhead(p); n > 0 || err != nil {
+			return s.took(n, err)
 		}
-		s.total += int64(n)
-		return n, nil
 	}
 	s.due()
 	n, err := s.resp.Body.Read(p)
 	s.gave = time.Now()
+	return s.took(n, err)
+}
+
+// readAhead reads from the beginning. Without a byte or an error that has come to its end.
+func (s *answerFlow) readAhead(p []byte) (int, error) {
+	b := s.ahead
+	n := b.read(p)
+	if n == 0 {
+		s.due()
+		<-b.filled
+		n = b.read(p)
+	}
+	select {
+	case <-b.filled:
+	default:
+		return n, nil
+	}
+	if !b.isEmpty() {
+		return n, nil
+	}
+	s.ahead = nil
+	b.free()
+	b.again()
+	return n, b.err
+}
+
+// took takes in what a read has brought.
+func (s *answerFlow) took(n int, err error) (int, error) {
 	s.total += int64(n)
 	switch {
 	case err == io.EOF && (s.resp.ContentLength < 0 || s.total == s.resp.ContentLength):
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync"
 	"time"
 
 	"frostshift"
@@ -130,16 +129,17 @@
 			a.Length = resp.ContentLength
 		}
 	case m.Disposition == verdict.Final && req.Flow.Answers && (resp.ContentLength < 0 || resp.ContentLength > req.Flow.Hold):
-		var ahead *beginningOf
-		var whole bool
-		if ahead, whole, err = t.ahead(c, req, resp); err == nil && !whole {
-			a.Length = resp.ContentLength
-			t.flowing(c, f, req, resp, a, m, ahead)
+		a.Length = resp.ContentLength
+		b := t.newBeginning(req, resp)
+		if b == nil {
+			t.flowing(c, f, req, resp, a, m, nil)
 			return
 		}
-		if ahead != nil {
-			a.Body, a.Free, a.Again = ahead.rest, ahead.free, ahead.again
+		var whole bool
+		if whole, err = b.fill(c, resp, func() { t.flowing(c, f, req, resp, a, m, b) }); err == nil && !whole {
+			return
 		}
+		a.Length, a.Body, a.Free, a.Again = -1, b.rest, b.free, b.again
 	default:
 		err = t.readAnswer(c, resp, a)
 	}
@@ -244,60 +244,6 @@
 // answer with one read is worth its memory, though it may be held for long.
 const fewFlows = 64
 
-// beginningOf is the beginning of an answer of untold length that has been read ahead.
-type beginningOf struct {
-	rest  []byte
-	free  func()
-	again func()
-}
-
-// ahead holds the beginning of an answer of untold length back for a moment: one that proves
-// to be short is whole then, and can be asked for again where it breaks.
-func (t *attempt) ahead(c *conn, req *message.Request, resp *http.Response) (b *beginningOf, whole bool, err error) {
-	room := t.up.cfg.Bytes
-	if req.Flow.Ahead <= 0 || resp.ContentLength >= 0 || len(resp.Trailer) > 0 || !room.Take(wholePart) {
-		return nil, false, nil
-	}
-	buffer, _ := buffers[1].Get().(*[]byte)
-	if buffer == nil {
-		made := make([]byte, wholePart)
-		buffer = &made
-	}
-	b = &beginningOf{free: sync.OnceFunc(func() { room.Give(wholePart) }), again: func() { buffers[1].Put(buffer) }}
-	give := func() { b.free(); b.again() }
-	c.limit.N = 1<<63 - 1
-	late := time.Now().Add(req.Flow.Ahead)
-	got := 0
-	for got < wholePart {
-		if c.in.Buffered() == 0 {
-			c.SetReadDeadline(late)
-			if c.await(); !time.Now().Before(late) {
-				break
-			}
-		}
-		c.SetReadDeadline(t.Until) // for what has begun to come, were it the size of a chunk
-		n, err := resp.Body.Read((*buffer)[got:wholePart])
-		got += n
-		if err == io.EOF {
-			whole = true
-			break
-		}
-		if err != nil {
-			give()
-			if err = odd(c, err); errors.Is(err, os.ErrDeadlineExceeded) {
-				err = errOdd
-			}
-			return nil, false, err
-		}
-	}
-	b.rest = (*buffer)[:got]
-	if got == 0 {
-		give()
-		return nil, whole, nil
-	}
-	return b, whole, nil
-}
-
 // bodilessAnswer says whether an answer ends with its head, whatever that tells of a length
 // (RFC 9112 section 6.3).
 func bodilessAnswer(method string, status int) bool {
