Heads of requests are held against a bound on memory

Cause: heads were in no account. A parsed head costs some 250 bytes for each field, its bytes apart, and one of 18 KB may have 2,600; net/http parses it as it comes, so clients that stop within one held as much.

Change: front.HeadRoom holds an eighth of the memory for heads, halved in an upgrade. A connection takes room as a head comes (headMeter, in plain text and over TLS) and an admitted request for its parsed head up to its end, over HTTP/1.1 and HTTP/2 alike; a quarter of the room is for cheap heads, so costly ones shut nobody out. Where there is none, heads that have stalled are refused first, then the one that comes (503). Heads are as large as over HTTP/2, counted as RFC 9113 does, with net/http's own slack: beyond that 431, before they are parsed. A connection on which something has come that is unread, for want of processor time, is not closed for room any more. Closes for these two reasons are logged and counted.

--- a/internal/faultinject/trial_clients.go
+++ b/internal/faultinject/trial_clients.go
@@ -18,6 +18,8 @@
 	"quiet":       quiet,
 	"heads":       wholeHeads,
 	"halfheads":   halfHeads,
+	"largeheads":  largeHeads,
+	"halflarge":   halfLargeHeads,
 	"stopped":     stoppedBodies,
 	"slowbody":    slowBodies,
 	"uploads":     uploads,
@@ -67,16 +69,17 @@
 type link struct {
 	net.Conn
 	in     *bufio.Reader
-	opened time.Time
-	used   bool // it has had an answer
+	opened time.Time // before the other side can have taken it
+	used   bool      // it has had an answer
 }
 
 // dial connects; nil: it can't, or the trial is over.
 func (c *client) dial() *link {
 	for {
+		opened := time.Now()
 		nc, err := net.DialTimeout("tcp", c.addr(), time.Second)
 		if err == nil {
-			return &link{Conn: nc, in: bufio.NewReader(nc), opened: time.Now()}
+			return &link{Conn: nc, in: bufio.NewReader(nc), opened: opened}
 		}
 		if !c.sleep(20 * time.Millisecond) {
 			return nil
@@ -296,14 +299,26 @@
 	}, func() time.Duration { return 10 * time.Millisecond })
 }
 
-// halfHeads stop within a head, and come again when they are closed.
-func halfHeads(c *client) {
+// largeBytes are heads that are as large as they may be, or nearly so.
+const largeBytes = 3 << 10
+
+func largeHeads(c *client) {
+	c.each(func() *call {
+		return &call{class: safeClass, left: trialLongest, plan: "after=50", fields: shortFields(largeBytes)}
+	}, func() time.Duration { return 10 * time.Millisecond })
+}
+
+func halfHeads(c *client)      { c.stopWithin(shortFields(headBytes)) }
+func halfLargeHeads(c *client) { c.stopWithin(shortFields(largeBytes)) }
+
+// stopWithin stops within a head, and comes again when it is closed.
+func (c *client) stopWithin(fields string) {
 	for c.sleep(10 * time.Millisecond) {
 		l := c.dial()
 		if l == nil {
 			return
 		}
-		text := c.head(c.newID(), &call{class: safeClass, left: trialLongest, fields: shortFields(headBytes)})
+		text := c.head(c.newID(), &call{class: safeClass, left: trialLongest, fields: fields})
 		io.WriteString(l, text[:len(text)-2])
 		c.linger(l)
 	}
--- a/internal/faultinject/trial_test.go
+++ b/internal/faultinject/trial_test.go
@@ -1,6 +1,7 @@
 package faultinject
 
 import (
+	"os"
 	"path/filepath"
 	"testing"
 	"time"
@@ -42,6 +43,9 @@
 	if served := r.Quiet["served"]; all == 0 || float64(served) < servedLeast*float64(all) {
 		t.Errorf("of %d requests of quiet clients %d are served", all, served)
 	}
+	if os.Getenv("TRIAL_LOG") != "" {
+		t.Log(r.Log)
+	}
 	t.Logf("peak %.0f of %d MB, quiet %v, others %v", r.PeakMB, p.MemoryMB, r.Quiet, r.Others)
 	return r
 }
@@ -58,6 +62,12 @@
 // The same where clients stop within such heads, and come again.
 func TestHalfHeadsDelayNobody(t *testing.T) { beside(t, "halfheads", 900) }
 
+// The same with heads that are as large as they may be.
+func TestLargeHeadsDelayNobody(t *testing.T) { beside(t, "largeheads", 500) }
+
+// The same where clients stop within them.
+func TestHalfLargeHeadsDelayNobody(t *testing.T) { beside(t, "halflarge", 900) }
+
 // Answers of hosts with heads of very many short fields keep to the limit on memory.
 func TestAnswersOfManyFieldsKeepTheLimit(t *testing.T) { beside(t, "answerheads", 500) }
 
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -60,6 +60,7 @@
 	ids      atomic.Uint64
 	idBase   [8]byte
 	spool    *spool.Dir
+	heads    *HeadRoom // nil: there is no bound
 }
 
 // NewAdmission returns an admission without a configuration; Use gives it one.
@@ -74,6 +75,9 @@
 // Spool has bodies kept on disk in a folder. It is called before the first Use.
 func (in *Admission) Spool(d *spool.Dir) { in.spool = d }
 
+// BoundHeads has heads of requests take their memory from a room. It is called before the first Use.
+func (in *Admission) BoundHeads(room *HeadRoom) { in.heads = room }
+
 // Use puts a snapshot in place of the present one. Requests that have begun keep theirs.
 // With nil none is taken from then on.
 func (in *Admission) Use(s *Snapshot) {
--- a/internal/front/closes.go
+++ b/internal/front/closes.go
@@ -29,11 +29,15 @@
 	ClosedByStop
 	// RefusedByStop says: the time of a stop had ended, and what had come of a request was refused.
 	RefusedByStop
+	// RefusedHead says: the head of a request was too large.
+	RefusedHead
+	// RefusedForMemory says: heads of requests held all the memory they may.
+	RefusedForMemory
 
 	closeReasons = iota // how many there are
 )
 
-var closeReasonNames = [closeReasons]string{"client", "answered", "unused", "in head", "in request", "room", "drain", "stop", "stop, refused"}
+var closeReasonNames = [closeReasons]string{"client", "answered", "unused", "in head", "in request", "room", "drain", "stop", "stop, refused", "head too large", "memory"}
 
 // String names the reason, for logs and metrics.
 func (r CloseReason) String() string { return closeReasonNames[r] }
@@ -41,7 +45,7 @@
 // isNotable says whether the reason gets a line in the log: it may have cost a request its answer.
 func (r CloseReason) isNotable() bool {
 	switch r {
-	case ClosedInHead, ClosedInRequest, ClosedForRoom, ClosedByStop, RefusedByStop:
+	case ClosedInHead, ClosedInRequest, ClosedForRoom, ClosedByStop, RefusedByStop, RefusedHead, RefusedForMemory:
 		return true
 	}
 	return false
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -71,6 +71,8 @@
 	deadlines int  // that it set since
 	ahead     bool // it has read a byte of the next request
 
+	meter headMeter // of heads over HTTP/1.1
+
 	// Of whoever reads, see Recorded:
 	record   []byte
 	recordMu sync.Mutex
@@ -176,11 +178,14 @@
 	if c.phase.Load() != busy || c.answered {
 		if err := c.beforeRead(); err != nil {
 			if errors.Is(err, errExpelled) {
-				c.refuse()
+				c.refuse(refusal)
 			}
 			c.lastRead()
 			return 0, ErrCondemned
 		}
+		if c.phase.Load() == halfway && !c.headGoesOn(c.meter.resumes()) {
+			return 0, ErrCondemned
+		}
 	}
 	c.reading.Store(true)
 	n, err := c.Conn.Read(b)
@@ -196,6 +201,9 @@
 	if !c.Encrypted {
 		c.note(b[:n])
 	}
+	if n > 0 && !c.from.Secure && !c.headComes(b[:n]) {
+		return 0, ErrCondemned
+	}
 	return n, err
 }
 
@@ -253,6 +261,7 @@
 			c.condemn(ClosedForDrain) // its server closes it on the error
 		default:
 			c.rest(idle)
+			c.meter.rests()
 		}
 	}
 	switch {
@@ -341,6 +350,7 @@
 	c.all.mu.Unlock()
 	c.logClose()
 	c.all.hangups.remove(c)
+	c.meter.rests()
 	if linger {
 		return c.linger()
 	}
@@ -368,6 +378,7 @@
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
 	c.giveUp = giveUp
+	c.meter.leave()
 	if p := c.phase.Load(); p == busy || p == halfway { // its first bytes came with a handshake
 		c.rest(silent)
 	}
@@ -439,6 +450,9 @@
 		s.Under.lookedAhead()
 	}
 	s.Under.note(b[:n])
+	if n > 0 && !s.Under.headComes(b[:n]) {
+		return 0, ErrCondemned
+	}
 	return n, err
 }
 
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -54,6 +54,7 @@
 	spare time.Duration // see SpareAfter
 
 	keepHeads atomic.Bool
+	heads     *HeadRoom // nil: there is no bound
 
 	begun  time.Time
 	events atomic.Pointer[eventlog.Log]
@@ -76,6 +77,9 @@
 	return &Conns{most: most, room: room, spare: spare, begun: time.Now()}
 }
 
+// BoundHeads has heads of requests take their memory from a room. It is called before the first Listen.
+func (l *Conns) BoundHeads(room *HeadRoom) { l.heads = room }
+
 // Bound changes how many connections are allowed, and how many of those that have asked. Spare
 // ones beyond it go at once, others as new ones come.
 func (l *Conns) Bound(most, room int) {
@@ -198,10 +202,21 @@
 	return c != nil
 }
 
-// oldest is the connection that has been in a phase the longest, if for so long.
+// mostLooks is how many connections are looked at for one on which nothing has come.
+const mostLooks = 32
+
+// oldest is the connection that has been in a phase the longest, if for so long. What has come on it and has not been
+// read yet, for want of processor time, is no silence: a close would lose the request.
 func (l *Conns) oldest(phase int, now time.Time, age time.Duration) *Conn {
-	if e := l.quiet[phase].Front(); e != nil && now.Sub(e.Value.(*Conn).since) >= age {
-		return e.Value.(*Conn)
+	e := l.quiet[phase].Front()
+	for range mostLooks {
+		if e == nil || now.Sub(e.Value.(*Conn).since) < age {
+			return nil
+		}
+		if c := e.Value.(*Conn); phase == ending || c.Unread() == 0 {
+			return c
+		}
+		e = e.Next()
 	}
 	return nil
 }
@@ -221,5 +236,6 @@
 		c.given.Store(false)
 	case http.StateIdle:
 		c.answered, c.deadlines = true, 0
+		c.meter.bodied()
 	}
 }
--- a/internal/front/expel.go
+++ b/internal/front/expel.go
@@ -10,6 +10,9 @@
 // been sent on.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
+// tooLarge is the answer to a request whose head is too large.
+const tooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 // errExpelled says that a request is to be refused of which a part has come.
 var errExpelled = errors.New("the rest of the request is not waited for")
 
@@ -40,7 +43,7 @@
 	}
 	ln.all.mu.Unlock()
 	for _, c := range halves {
-		c.refuse()
+		c.refuse(refusal)
 		c.endSoftly()
 	}
 	for _, c := range idles {
@@ -61,13 +64,13 @@
 
 // refuse answers a request of which a part of the head has come. Its server has written nothing since the
 // last answer, and writes nothing from here on.
-func (c *Conn) refuse() {
+func (c *Conn) refuse(text string) {
 	over := c.secure
 	if over == nil {
 		over = c.Conn
 	}
 	over.SetWriteDeadline(time.Now().Add(refusalWithin))
-	over.Write([]byte(refusal))
+	over.Write([]byte(text))
 	c.wrote.Store(true)
 }
 
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -241,6 +241,7 @@
 	if !conn.Taken() {
 		panic(http.ErrAbortHandler) // its client has seen the end, and may send again
 	}
+	conn.HeadWhole(r.ContentLength != 0)
 	s.handle(w, r, conn)
 	conn.Given()
 }
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -245,7 +245,7 @@
 		}
 		for l.full() && l.shedSpare() {
 		}
-		cc := &Conn{Conn: c, all: l, from: ln, accepted: time.Now(), leave: leave, left: make(chan struct{})}
+		cc := &Conn{Conn: c, all: l, from: ln, accepted: time.Now(), leave: leave, left: make(chan struct{}), meter: headMeter{room: l.heads}}
 		if s, ok := c.(syscall.Conn); ok {
 			cc.raw, _ = s.SyscallConn()
 		}
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -55,8 +55,13 @@
 	c.record = c.record[:copy(c.record, c.record[n:])]
 }
 
+// HeadWhole notes that a head has been read whole, which from here on is held by its request. bodied says that a body
+// follows.
+func (c *Conn) HeadWhole(bodied bool) { c.meter.whole(bodied) }
+
 // Record begins to keep what comes: the head of the next request.
 func (c *Conn) Record() {
+	c.meter.bodied()
 	if !c.all.keepHeads.Load() {
 		return
 	}
--- a/internal/front/take.go
+++ b/internal/front/take.go
@@ -29,13 +29,24 @@
 	if s == nil {
 		return nil, &Error{Status: http.StatusServiceUnavailable, Text: "stopping"}
 	}
+	cost := HeadCost(h.Header)
+	if headSize(h.Header) > MostHead {
+		s.Release()
+		return nil, &Error{Status: http.StatusRequestHeaderFieldsTooLarge, Text: "the head is too large"}
+	}
+	if !in.heads.take(cost, 0) {
+		s.Release()
+		return nil, &Error{Status: http.StatusServiceUnavailable, Text: "heads hold all the memory they may"}
+	}
 	var pass *limit.Pass
 	t, err := in.take(s, h, &pass)
 	if err != nil {
 		pass.Cancel(in.exchange.Clock().Now())
+		in.heads.give(cost)
 		s.Release()
 		return nil, err
 	}
+	t.heads, t.headCost = in.heads, cost
 	if t.pass = pass; pass != nil {
 		t.limits[0], t.limits[1] = pass.Fields()
 		if t.request.Wait = pass.Wait; pass.Costs() {
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -52,6 +52,8 @@
 	asked     bool           // the client said how long it waits
 	spool     *spool.Dir     // nil: nothing is kept on disk
 	hint      func(int, http.Header)
+	heads     *HeadRoom // that its head holds memory of
+	headCost  int64
 	again     func() // gives the memory of the body to another; nil: it is not used again
 }
 
@@ -156,6 +158,8 @@
 		t.Bodies.Give(t.held)
 		t.held = 0
 	}
+	t.heads.give(t.headCost)
+	t.headCost = 0
 	if t.uploading {
 		t.uploads.Give(1)
 		t.uploading = false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,7 @@
 	askedShare   = 1.0 / 4 // ... and connections that have asked something, while any are idle
 	bodyPart     = 8       // one part in so many of the memory limit may hold bodies of clients
 	answerPart   = 4       // ... and answers of hosts that are long
+	headPart     = 8       // ... and heads of requests
 	uploadPart   = 2       // one part in so many of the open requests may have bodies that are still to come
 )
 
@@ -77,6 +78,7 @@
 	exchange  *exchange.Exchange
 	admission *front.Admission
 	conns     *front.Conns
+	heads     *front.HeadRoom
 	budgets   budgets
 	whole     wholes
 	bounded   bool // conns keep to the limit on descriptors
@@ -185,19 +187,22 @@
 		clients = int(float64(n-ownSockets) * clientShare)
 		asked = int(float64(n) * askedShare)
 	}
-	bodies, answers := int64(unbounded)<<20, int64(unbounded)<<20
+	heads, bodies, answers := int64(unbounded)<<20, int64(unbounded)<<20, int64(unbounded)<<20
 	if n := int64(limits.MemoryMB) << 20; n > 0 {
-		bodies, answers = n/bodyPart, n/answerPart
+		heads, bodies, answers = n/headPart, n/bodyPart, n/answerPart
 	}
 	g.limiter = contract.NewLimiter(requests, bodies)
 	g.admission = front.NewAdmission(g.exchange, g.limiter)
 	if g.conns == nil {
 		g.conns = front.NewConns(clients, asked, front.SpareAfter)
 	}
+	g.heads = front.NewHeadRoom(heads)
+	g.conns.BoundHeads(g.heads)
+	g.admission.BoundHeads(g.heads)
 	g.conns.LogTo(g.log)
 	uploads := min(requests, conns) / uploadPart
 	g.budgets = budgets{requests: share.New(requests), uploads: share.New(uploads), conns: share.New(conns), bodies: share.New(bodies), answers: share.New(answers)}
-	g.whole = wholes{uploads: uploads, conns: conns, bodies: bodies, answers: answers, clients: clients, asked: asked}
+	g.whole = wholes{heads: heads, uploads: uploads, conns: conns, bodies: bodies, answers: answers, clients: clients, asked: asked}
 	g.streams = limits.Streams
 }
 
@@ -233,8 +238,8 @@
 
 // wholes are the bounds of a gateway that is one process.
 type wholes struct {
-	uploads, conns, bodies, answers int64
-	clients, asked                  int
+	heads, uploads, conns, bodies, answers int64
+	clients, asked                         int
 }
 
 // bound keeps this process to one part in n of what the gateway may hold.
@@ -243,6 +248,7 @@
 	defer g.mu.Unlock()
 	g.processes.Store(int64(n))
 	w := g.whole
+	g.heads.Resize(w.heads / int64(n))
 	g.budgets.uploads.Resize(w.uploads / int64(n))
 	g.budgets.conns.Resize(w.conns / int64(n))
 	g.budgets.bodies.Resize(w.bodies / int64(n))
