An unsafe id that comes again does not run again, whoever has read its answer

Cause: an id is remembered where its client is seen to leave before the answer, or the answer can't be written. A client that leaves just as the answer goes out shows neither: the system takes the answer for a connection that is about to be reset.

Evidence: clients that send an unsafe request, leave within 100 ms and send it again had it run two and three times.

Change: on the platform, where ids are new with every request, those of unsafe and keyed requests that have run are remembered for half a minute with the answer (Request.UniqueID, idShard.done), apart from those whose client was lost, so that neither crowds the other out. Both processes of an upgrade tell each other, and the register passes on. Elsewhere clients may use one id for several requests, and nothing changes.

--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -435,9 +435,17 @@
 	c.account(r)
 }
 
+// rememberRun records the id of a request that has run and must not run again, where it is used only once.
+func (p *Pool) rememberRun(c *Call) {
+	if c.UniqueID && p.mustNotRerun(c) {
+		c.x.rememberDone(c.ID)
+	}
+}
+
 // close ends a request: nothing is sent for it after that.
 func (p *Pool) close(c *Call) {
 	p.markClosed(c)
+	p.rememberRun(c)
 	c.freed = true
 	c.x.releaseID(c.ID)
 	p.room.Give(1)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -42,6 +42,9 @@
 	// lost holds the hashes of requests that may have run and whose clients received no answer: see
 	// outcome.Store.
 	lost *outcome.Store
+	// done holds the hashes of requests with UniqueID that have run and were answered. The client may
+	// have left before it read the answer, which nothing shows.
+	done *outcome.Store
 	// remote holds the hashes of requests that are open at the sibling process of this gateway.
 	remote  map[uint64]struct{}
 	sibling Sibling // nil if there is no sibling process
@@ -61,6 +64,7 @@
 	for i := range x.ids {
 		x.ids[i].open = map[string]struct{}{}
 		x.ids[i].lost = outcome.New(lostTTL, maxLost)
+		x.ids[i].done = outcome.New(lostTTL, maxLost)
 	}
 	return x
 }
@@ -102,7 +106,7 @@
 	if _, taken := s.remote[h]; taken {
 		return Duplicate, false
 	}
-	if effect != frostshift.Safe && s.lost.Has(x.clock.Now(), h) {
+	if now := x.clock.Now(); effect != frostshift.Safe && (s.lost.Has(now, h) || s.done.Has(now, h)) {
 		return Failed, false
 	}
 	s.open[id] = struct{}{}
@@ -118,6 +122,15 @@
 	s.mu.Unlock()
 }
 
+// rememberDone records that a request with UniqueID has run and is being answered. Its id is still open.
+func (x *Exchange) rememberDone(id string) {
+	s, h := x.shard(id)
+	s.mu.Lock()
+	s.done.Note(x.clock.Now(), h)
+	s.notify(noteDone, h)
+	s.mu.Unlock()
+}
+
 // rememberLost records that a request may have run and that its client was not notified how it
 // ended. Either its id is still open, or its answer could not be delivered.
 func (x *Exchange) rememberLost(id string) {
@@ -141,6 +154,7 @@
 // Request is what a front submits.
 type Request struct {
 	ID       string // unique among open requests: hosts take two with one id for the same request
+	UniqueID bool   // clients give no two requests the same ID, not even a client retry
 	Class    int    // index in the pool's Settings.Classes
 	Tenant   int    // index in the pool's Settings.Tenants; -1 means no tenant
 	Repeat   bool   // the client marks it as a client retry
--- a/internal/exchange/flow.go
+++ b/internal/exchange/flow.go
@@ -119,6 +119,7 @@
 			p.sched.Charge(now, c.Item, held)
 		}
 		c.notifyEnd(end)
+		p.rememberRun(c)
 		c.x.releaseID(c.ID)
 		p.room.Give(1)
 		c.releaseHold()
--- a/internal/exchange/twin.go
+++ b/internal/exchange/twin.go
@@ -21,6 +21,7 @@
 	noteOpen = 'o' // a request of this id is open
 	noteEnd  = 'e' // the request has ended
 	noteLost = 'l' // the request may have run, and its client was not notified
+	noteDone = 'd' // the request has run and was answered, and its id is used only once
 	noteLen  = 9
 )
 
@@ -36,6 +37,7 @@
 type Register struct {
 	Seed       uint64
 	Open, Lost []uint64
+	Done       []uint64 `json:",omitempty"`
 }
 
 // Adopt takes over the register of the running process. It must be called before the first request.
@@ -51,6 +53,12 @@
 		s.lost.Note(now, h)
 		s.mu.Unlock()
 	}
+	for _, h := range r.Done {
+		s := x.shardOf(h)
+		s.mu.Lock()
+		s.done.Note(now, h)
+		s.mu.Unlock()
+	}
 }
 
 // Link starts notifying t of all changes to ids, and returns the register up to this point. With
@@ -68,6 +76,7 @@
 			r.Open = append(r.Open, x.hashOf(id))
 		}
 		r.Lost = append(r.Lost, s.lost.All(now)...)
+		r.Done = append(r.Done, s.done.All(now)...)
 	}
 	for i := range x.ids {
 		x.ids[i].mu.Unlock()
@@ -98,9 +107,13 @@
 		switch s := x.shardOf(h); text[0] {
 		case noteOpen, noteEnd:
 			s.setRemote(h, text[0] == noteOpen)
-		case noteLost:
+		case noteLost, noteDone:
 			s.mu.Lock()
-			s.lost.Note(now, h)
+			if text[0] == noteLost {
+				s.lost.Note(now, h)
+			} else {
+				s.done.Note(now, h)
+			}
 			s.mu.Unlock()
 		}
 	}
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -207,7 +207,7 @@
 func (t *Ticket) Submit() (call *exchange.Call, deadline time.Time) {
 	clock := t.x.Clock()
 	t.request.Deadline = clock.Now() + t.left
-	t.request.Message = t.Message
+	t.request.Message, t.request.UniqueID = t.Message, t.Platform
 	t.request.Hold = t
 	if t.Client != nil {
 		t.request.Client = t.Client
