Heads of hosts' answers count in the memory of answers

Cause: as with clients' heads, a parsed head of an answer costs a multiple of its bytes, and was in no account.

--- a/internal/front/heads.go
+++ b/internal/front/heads.go
@@ -1,22 +1,14 @@
 package front
 
 import (
-	"bytes"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"frostshift/internal/headcost"
 )
 
 const (
-	// fieldCost is the memory that a header field takes beyond its bytes: its places in the parsed head and in the copy
-	// that goes on, and what they grow by.
-	fieldCost = 256
-	// fieldSize is what a field counts beyond its bytes against the size of a head, as in HTTP/2 (RFC 9113 section
-	// 6.5.2).
-	fieldSize = 32
-	// MostHead is the largest head of a request, by that measure.
-	MostHead = 20 << 10
 	// costlyHead is the cost of a head from which on it may not use the last part of the room.
 	costlyHead = 16 << 10
 	// cheapPart is one part in so many of the room that is for heads that cost less.
@@ -24,24 +16,9 @@
 	// readAhead is how much an http.Server reads ahead of what it serves.
 	readAhead = 4 << 10
 	// unseenCost is the most that a part of a head costs which came with the end of a body.
-	unseenCost = readAhead + MostHead/(fieldSize+4)*fieldCost
+	unseenCost = readAhead + headcost.MostFields*headcost.Field
 )
 
-// HeadCost is the memory that a parsed head takes, in bytes.
-func HeadCost(h http.Header) (n int64) { return headSum(h, fieldCost) }
-
-// headSize is the size of a parsed head, by the measure of MostHead.
-func headSize(h http.Header) int64 { return headSum(h, fieldSize) }
-
-func headSum(h http.Header, field int) (n int64) {
-	for name, values := range h {
-		for _, v := range values {
-			n += int64(len(name) + len(v) + field)
-		}
-	}
-	return n
-}
-
 // HeadRoom bounds the memory of heads of requests, of all connections and listeners: those that are read, and those
 // whose requests are open. It is safe for concurrent use; a nil one has no bound.
 type HeadRoom struct {
@@ -106,8 +83,7 @@
 
 	mu     sync.Mutex
 	held   int64
-	size   int64 // by the measure of MostHead
-	line   int   // bytes of the line that has begun
+	head   headcost.Scanner
 	tail   int64 // cost of what has come behind the last end of a head
 	next   int64 // cost of what may have come of the head that is next, and is not held
 	inBody bool
@@ -131,22 +107,20 @@
 	if m.inBody || m.off {
 		return headFits
 	}
-	part, lines, ended := m.scan(b)
-	m.size += int64(len(part) + fieldSize*lines)
+	part, cost, ended := m.head.Scan(b)
 	if ended {
-		behind := b[len(part):]
-		m.tail = int64(len(behind) + fieldCost*bytes.Count(behind, newline))
+		m.tail = headcost.Text(b[len(part):])
 	}
-	return m.charge(int64(len(part)+fieldCost*lines), ended)
+	return m.charge(cost, ended)
 }
 
 // charge charges a part of a head. The lock is held.
 func (m *headMeter) charge(n int64, ended bool) headVerdict {
-	if m.size > MostHead {
+	if m.head.Size() > headcost.Most {
 		return headTooLarge
 	}
 	if ended {
-		m.size = 0
+		m.head.Next()
 	}
 	if !m.room.take(n, m.held) {
 		return headNoRoom
@@ -155,26 +129,6 @@
 	return headFits
 }
 
-var newline = []byte("\n")
-
-// scan looks for the end of a head, its blank line. part is what belongs to the head, with so many lines.
-func (m *headMeter) scan(b []byte) (part []byte, lines int, ended bool) {
-	for at := 0; ; {
-		n := bytes.IndexByte(b[at:], '\n')
-		if n < 0 {
-			m.line += len(b) - at
-			return b, lines, false
-		}
-		length := m.line + n
-		blank := length == 0 || length == 1 && (n == 0 || b[at] == '\r')
-		m.line = 0
-		lines++
-		if at += n + 1; blank {
-			return b[:at], lines, true
-		}
-	}
-}
-
 // resumes notes that the rest of a head is waited for whose beginning may have come behind another request.
 func (m *headMeter) resumes() headVerdict {
 	m.mu.Lock()
@@ -188,9 +142,10 @@
 func (m *headMeter) whole(bodied bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.inBody, m.next, m.size = bodied, m.tail, 0
+	m.inBody, m.next = bodied, m.tail
 	if bodied {
-		m.next, m.line = 0, 0
+		m.next = 0
+		m.head.Next()
 	}
 	m.room.give(m.held)
 	m.held = 0
@@ -201,7 +156,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.inBody {
-		m.inBody, m.next = false, unseenCost
+		m.inBody, m.next = false, int64(unseenCost)
 	}
 }
 
@@ -210,7 +165,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.room.give(m.held)
-	m.held, m.next, m.tail, m.line, m.size = 0, 0, 0, 0, 0
+	m.held, m.next, m.tail = 0, 0, 0
+	m.head.Next()
 }
 
 // leave notes that the connection speaks another protocol.
@@ -248,7 +204,7 @@
 func (m *headMeter) again(b []byte) headVerdict {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.charge(int64(len(b)+fieldCost*bytes.Count(b, newline)), false)
+	return m.charge(headcost.Text(b), false)
 }
 
 // headGoesOn refuses a head that may not go on.
--- a/internal/front/take.go
+++ b/internal/front/take.go
@@ -15,6 +15,7 @@
 	"frostshift/internal/config"
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
+	"frostshift/internal/headcost"
 	"frostshift/internal/headers"
 	"frostshift/internal/limit"
 	"frostshift/internal/message"
@@ -29,8 +30,8 @@
 	if s == nil {
 		return nil, &Error{Status: http.StatusServiceUnavailable, Text: "stopping"}
 	}
-	cost := HeadCost(h.Header)
-	if headSize(h.Header) > MostHead {
+	cost := headcost.Of(h.Header)
+	if headcost.Size(h.Header) > headcost.Most {
 		s.Release()
 		return nil, &Error{Status: http.StatusRequestHeaderFieldsTooLarge, Text: "the head is too large"}
 	}
--- a/internal/upstream/http1/answer.go
+++ b/internal/upstream/http1/answer.go
@@ -74,16 +74,21 @@
 		if resp.StatusCode >= 200 {
 			break
 		}
+		c.answerHead.begin()
 		if resp.StatusCode == http.StatusSwitchingProtocols { // its body would last as long as the connection
 			return nil, nil, errOdd
 		}
 	}
+	if err := c.answerHead.parsed(resp.Header, c.up.cfg.Bytes); err != nil {
+		return nil, nil, err
+	}
 	answer := &message.Answer{Status: resp.StatusCode, Length: -1}
 	if bodilessAnswer(method, resp.StatusCode) {
 		if resp.StatusCode != http.StatusNoContent {
 			answer.Length = resp.ContentLength
 		}
 		answer.Header = message.EndToEnd(resp.Header)
+		c.hold(answer, 0)
 		return resp, answer, nil
 	}
 	if resp.ContentLength > maxAnswer {
@@ -99,13 +104,24 @@
 		return nil, nil, err
 	}
 	answer.Header, answer.Body, answer.Again = message.EndToEnd(resp.Header), body, again
-	if held > 0 {
-		room := c.up.cfg.Bytes
-		answer.Free = func() { room.Give(held) }
-	}
+	c.hold(answer, held)
 	return resp, answer, nil
 }
 
+// hold has a whole answer hold the room of its head, and so much besides, up to its release.
+func (c *conn) hold(a *message.Answer, held int64) {
+	if held += c.answerHead.take(); held == 0 {
+		return
+	}
+	room, free := c.up.cfg.Bytes, a.Free
+	a.Free = func() {
+		room.Give(held)
+		if free != nil {
+			free()
+		}
+	}
+}
+
 // buffers are for bodies of the two sizes that most answers fit into. They come back from
 // fronts that know when the last byte of an answer has been written: making and clearing
 // them anew was a seventh of a request's work.
--- a/internal/upstream/http1/answerflow.go
+++ b/internal/upstream/http1/answerflow.go
@@ -27,6 +27,7 @@
 
 	ahead *beginning // that has not been given to its end; nil: nothing
 	first *beginning // that was, for Close
+	head  int64      // of the room, for the answer's head
 	idle  time.Duration
 	until time.Time
 	gave  time.Time // when the last Read returned
@@ -43,7 +44,7 @@
 // flowing hands an answer's head on, with its body to follow.
 func (t *attempt) flowing(c *conn, f *feeder, req *message.Request, resp *http.Response, a *message.Answer, m verdict.Meaning, ahead *beginning) {
 	t.up.flows.Add(1)
-	s := &answerFlow{ahead: ahead, first: ahead, t: t, c: c, f: f, req: req, resp: resp, idle: req.Flow.Idle, until: req.Flow.Ends, gave: time.Now()}
+	s := &answerFlow{ahead: ahead, first: ahead, t: t, c: c, f: f, req: req, resp: resp, idle: req.Flow.Idle, until: req.Flow.Ends, gave: time.Now(), head: c.answerHead.take()}
 	if ahead == nil { // else it is being read, and has no trailers that it announces
 		c.limit.N = 1<<63 - 1
 		if names := message.Announce(slices.Collect(maps.Keys(resp.Trailer))); names != nil {
@@ -158,6 +159,7 @@
 func (s *answerFlow) Close() {
 	s.once.Do(func() {
 		s.t.up.flows.Add(-1)
+		s.t.up.cfg.Bytes.Give(s.head)
 		if s.first != nil {
 			s.first.free()
 		}
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -17,13 +17,14 @@
 // conn is a connection to a host. It belongs to one attempt or is idle.
 type conn struct {
 	net.Conn
-	up     *Upstream
-	host   *host
-	raw    syscall.RawConn
-	in     *bufio.Reader    // while an answer is read; nil: nothing has been read that is not used
-	limit  io.LimitedReader // what may yet be read of an answer
-	freed  time.Time        // when its last answer was whole
-	closed bool             // under the upstream's lock
+	up         *Upstream
+	host       *host
+	raw        syscall.RawConn
+	in         *bufio.Reader    // while an answer is read; nil: nothing has been read that is not used
+	limit      io.LimitedReader // what may yet be read of an answer
+	freed      time.Time        // when its last answer was whole
+	closed     bool             // under the upstream's lock
+	answerHead answerHead
 	// failed is the error of the socket that a wait or a write has met: the kernel reports one a
 	// single time, and a read after it sees the same end as after a close.
 	failed atomic.Pointer[net.OpError]
@@ -45,6 +46,7 @@
 // begin gives the connection a reader for an answer; done takes it back, unless something
 // has been read that belongs to no answer.
 func (c *conn) begin() {
+	c.answerHead.begin()
 	if c.in == nil {
 		c.in = readers.Get().(*bufio.Reader)
 		c.in.Reset(&c.limit)
@@ -71,6 +73,7 @@
 
 // beginFlow is begin for such an answer.
 func (c *conn) beginFlow() {
+	c.answerHead.begin()
 	if c.in == nil {
 		c.in = flowReaders.Get().(*bufio.Reader)
 		c.in.Reset(&c.limit)
@@ -103,6 +106,11 @@
 	if failed := c.failed.Load(); err == io.EOF && failed != nil {
 		return n, failed
 	}
+	if n > 0 {
+		if err := c.answerHead.came(b[:n], c.up.cfg.Bytes); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
@@ -167,6 +175,7 @@
 		return nil
 	}
 	c.closed = true
+	c.answerHead.end(c.up.cfg.Bytes)
 	c.up.lose(c.host)
 	return c.Conn.Close()
 }
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -171,15 +171,14 @@
 		}
 		return err
 	}
-	if held > 0 {
-		a.Free = func() { room.Give(held) }
-	}
+	c.hold(a, held)
 	return nil
 }
 
 // answeredWhole ends an attempt whose answer has come whole. The connection is kept where nothing is
 // owed on it.
 func (t *attempt) answeredWhole(c *conn, f *feeder, r *stream.Reader, resp *http.Response, a *message.Answer, m verdict.Meaning) {
+	c.hold(a, 0)
 	c.done()
 	fed := f == nil || f.sent() || f.stop()
 	if t.letGo() && fed && !resp.Close && c.in == nil {
@@ -228,6 +227,9 @@
 		case err != nil:
 			return nil, odd(c, err)
 		case resp.StatusCode >= 200:
+			if err := c.answerHead.parsed(resp.Header, c.up.cfg.Bytes); err != nil {
+				return nil, odd(c, err)
+			}
 			return resp, nil
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			if req.Upgrade == "" || !strings.EqualFold(resp.Header.Get("Upgrade"), req.Upgrade) {
@@ -237,6 +239,7 @@
 		case req.Flow.Hint != nil && resp.StatusCode == http.StatusEarlyHints:
 			req.Flow.Hint(resp.StatusCode, message.EndToEnd(resp.Header))
 		}
+		c.answerHead.begin()
 	}
 }
 
