What waits for a client or a host holds no large buffer beyond its bound

Cause: each request that waits for a host's answer held a reader of 32 KiB, and each body on its way a buffer of 64 KiB for as long as its client sends nothing: up to 11 and 22 MB at 1,024 descriptors, in no account.

Change: an attempt waits for the first byte of its answer without a reader. Buffers for bodies count in the memory of answers (upstream.Chunk, for both kinds of hosts) and are of 8 KiB where that is used up. HTTP/2 answers' heads count there too.

--- a/internal/upstream/http1/attempt.go
+++ b/internal/upstream/http1/attempt.go
@@ -182,6 +182,7 @@
 		t.unused(c)
 		return t.unsent(), nil, errBroken
 	}
+	c.await()
 	c.begin()
 	resp, answer, err := c.read(req.Method, t.Until)
 	c.done()
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -140,7 +140,9 @@
 // await waits until there is something to read, within the deadline. It takes up no buffer.
 func (c *conn) await() {
 	if c.raw == nil {
-		c.in.Peek(1)
+		if c.in != nil {
+			c.in.Peek(1)
+		}
 		return
 	}
 	c.raw.Read(func(fd uintptr) bool {
--- a/internal/upstream/http1/feed.go
+++ b/internal/upstream/http1/feed.go
@@ -8,11 +8,9 @@
 	"time"
 
 	"frostshift/internal/stream"
+	"frostshift/internal/upstream"
 )
 
-// chunks are buffers for bodies on their way.
-var chunks = sync.Pool{New: func() any { b := make([]byte, 64<<10); return &b }}
-
 // feeder sends the body of one attempt, in a goroutine of its own: the answer may come first.
 type feeder struct {
 	t    *attempt
@@ -41,10 +39,10 @@
 func (f *feeder) run() {
 	defer close(f.done)
 	defer f.r.Close()
-	buffer := chunks.Get().(*[]byte)
-	defer chunks.Put(buffer)
+	chunk := upstream.TakeChunk(f.c.up.cfg.Bytes)
+	defer chunk.Free()
 	const room = 16 // for the size of a chunk ahead and its end behind
-	space := *buffer
+	space := chunk.Bytes
 	var digits [room]byte
 	var set time.Time
 	chunked := f.up.Length() < 0 && !f.up.Raw()
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -64,6 +64,7 @@
 	}
 	req.Written.Store(true)
 	f := t.sendBody(c, req, r)
+	c.await()
 	if req.Upload != nil || t.up.flows.Load() > fewFlows {
 		c.beginFlow()
 	} else {
--- a/internal/upstream/http2/attempt.go
+++ b/internal/upstream/http2/attempt.go
@@ -14,6 +14,7 @@
 	"frostshift"
 	"frostshift/internal/exchange"
 	"frostshift/internal/h2"
+	"frostshift/internal/headcost"
 	"frostshift/internal/message"
 	"frostshift/internal/upstream"
 )
@@ -32,6 +33,8 @@
 	ended  bool
 	body   []byte // of the answer
 	held   int64  // bytes of room for it
+	// headHeld are those for its head.
+	headHeld int64
 
 	malformed atomic.Bool // what came back is no answer
 
@@ -235,8 +238,8 @@
 	if t.timer != nil {
 		t.timer.Stop()
 	}
-	c, held := t.conn, t.held
-	t.held, t.body = 0, nil
+	c, held := t.conn, t.held+t.headHeld
+	t.held, t.headHeld, t.body = 0, 0, nil
 	t.mu.Unlock()
 	if c != nil {
 		c.give()
@@ -296,6 +299,10 @@
 		}
 		return
 	}
+	if !t.holdHead(header) {
+		t.odd()
+		return
+	}
 	t.status, t.header, t.length = status, header, length
 	if !f.StreamEnded() && t.begin(req) {
 		return
@@ -309,6 +316,24 @@
 	}
 }
 
+// freeHead is how much the head of an answer may cost that takes no room: what most cost.
+const freeHead = 4 << 10
+
+// holdHead takes room of answers for a head that costs much, and says whether there was any.
+func (t *attempt) holdHead(h http.Header) bool {
+	cost := headcost.Of(h) - freeHead
+	if cost <= 0 {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended || !t.u.cfg.Bytes.Take(cost) {
+		return t.ended // nobody gets it
+	}
+	t.headHeld = cost
+	return true
+}
+
 // data takes a part of the answer's body.
 func (t *attempt) data(f *http2.DataFrame) {
 	part := f.Data()
@@ -395,8 +420,8 @@
 	if bodiless(t.Message.(*message.Request).Method, t.status) && t.status != http.StatusNoContent {
 		answer.Length = t.length
 	}
-	held := t.held
-	t.held = 0
+	held := t.held + t.headHeld
+	t.held, t.headHeld = 0, 0
 	t.mu.Unlock()
 	if held > 0 {
 		room := t.u.cfg.Bytes
--- a/internal/upstream/http2/flow.go
+++ b/internal/upstream/http2/flow.go
@@ -46,9 +46,6 @@
 
 func (f *feeder) done() { close(f.sent) }
 
-// chunks are buffers for bodies on their way. One that may still be written is not given back.
-var chunks = sync.Pool{New: func() any { b := make([]byte, 64<<10); return &b }}
-
 // run copies until the body has ended, on either side. A body that breaks off ends with a
 // reset, and so can't pass for a shorter one.
 func (f *feeder) run() {
@@ -83,16 +80,17 @@
 		return
 	}
 	for {
-		buffer := chunks.Get().(*[]byte)
-		n, err := f.r.Read(*buffer)
+		chunk := upstream.TakeChunk(t.u.cfg.Bytes)
+		n, err := f.r.Read(chunk.Bytes)
 		t.Waited(f.r.Waited())
 		if n > 0 {
-			link.Append(s, (*buffer)[:n], false, nil)
+			link.Append(s, chunk.Bytes[:n], false, nil)
 			if !wait(f.taken) {
+				chunk.Drop() // it may still be written
 				return
 			}
 		}
-		chunks.Put(buffer)
+		chunk.Free()
 		switch {
 		case err == io.EOF:
 			link.Append(s, nil, true, h2.AppendFields(nil, f.up.Trailer()))
@@ -301,7 +299,10 @@
 			t.mu.Lock()
 			t.ended = true
 			t.stop()
+			held := t.headHeld
+			t.headHeld = 0
 			t.mu.Unlock()
+			t.u.cfg.Bytes.Give(held)
 			t.conn.give()
 			t.Flowed(result)
 		}()
