Figures of memory and places by holder, and no more descriptors than there is memory for

/stats has memory and places that are held, with their bounds, by holder (heads, bodies, answers, the runtime; requests, uploads, connections of clients and to hosts), heads that found no room and requests whose time ended before a host had read their bodies. The log names such a request with its host, and tells what was left of the client's own time.

Connections and open requests cost memory too, 16 KiB (48 over TLS) and 32 KiB each: more descriptors than a quarter of the memory pays for are not used. The second address takes heads of 2 KiB, as its callers hold up to 16 connections.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -37,7 +37,7 @@
 	// within is how long a command may take: an answer is owed in a second.
 	within   = 800 * time.Millisecond
 	headWait = 5 * time.Second // for a caller that is slow to say what it wants
-	mostHead = 8 << 10
+	mostHead = 2 << 10
 	mostBody = 4 << 10
 )
 
--- a/internal/exchange/bodytime.go
+++ b/internal/exchange/bodytime.go
@@ -23,6 +23,14 @@
 	return c.x.clock.Of(c.Body.OwedAt()) + max(0, c.Rest-answerAllowance)
 }
 
+// due returns when the answer to a request is due.
+func (c *Call) due() frostshift.Time {
+	if c.Body == nil {
+		return c.Deadline
+	}
+	return c.dueByBody()
+}
+
 // watchBody sets the next check of a request's time while its body arrives and its answer is awaited.
 func (p *Pool) watchBody(now frostshift.Time, c *Call) {
 	if c.Body == nil || c.closed {
@@ -40,6 +48,7 @@
 // sent on whole: the host does not read it.
 func (p *Pool) overdue(now frostshift.Time, c *Call) {
 	p.counts.Overdue.Add(1)
+	p.logOverdue(now, c)
 	reached := body.Untouched
 	if c.running > 0 {
 		reached = body.Cut
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -28,7 +28,18 @@
 	}
 	p.failureLog.Note(now, "request "+verdictNames[min(int(r.Verdict), len(verdictNames)-1)], slog.String("request", c.ID), slog.Int("attempts", r.Tries),
 		slog.Bool("may have run", r.Ran), slog.String("last", whyNames[min(int(r.Why), len(whyNames)-1)]),
-		slog.Duration("left", max(0, c.Deadline-now)), slog.Bool("stopping", c.x.endBy.Load() != 0))
+		slog.Duration("left", max(0, c.due()-now)), slog.Bool("stopping", c.x.endBy.Load() != 0))
+}
+
+// logOverdue logs a request whose time has ended before its body had been sent on, with the host that it
+// was being sent to.
+func (p *Pool) logOverdue(now frostshift.Time, c *Call) {
+	host, fed := "none", false
+	if n := len(c.attempts); n > 0 {
+		host, fed = strconv.FormatUint(uint64(c.attempts[n-1].Host), 16), c.attempts[n-1].fed
+	}
+	p.failureLog.Note(now, "the client's time is over while its body is on its way", slog.String("request", c.ID), slog.String("host", host),
+		slog.Bool("sent whole", fed), slog.String("body", c.Body.State().String()), slog.Duration("waits", c.Rest))
 }
 
 var (
--- a/internal/faultinject/trial_odd.go
+++ b/internal/faultinject/trial_odd.go
@@ -80,7 +80,7 @@
 	}
 	resp, err := http.ReadResponse(l.in, nil)
 	if err != nil {
-		c.unanswered(l, &call{plan: o.name}, f.id, true, begun, err)
+		c.unanswered(l, &call{plan: o.name}, f.id, true, begun, begun, err)
 		return true
 	}
 	resp.Body.Close()
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -90,6 +90,13 @@
 	}
 }
 
+// Most is how many connections are allowed.
+func (l *Conns) Most() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.most
+}
+
 // Counts are the connections that are open, and those of them that have asked something
 // and are not at their end.
 func (l *Conns) Counts() (open, asked int) {
--- a/internal/front/heads.go
+++ b/internal/front/heads.go
@@ -73,6 +73,13 @@
 	return r.used
 }
 
+// Total is the bound, in bytes.
+func (r *HeadRoom) Total() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.total
+}
+
 // Refused is how often a head has found no room.
 func (r *HeadRoom) Refused() int64 { return r.refused.Load() }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,9 +47,17 @@
 	bodyPart     = 8       // one part in so many of the memory limit may hold bodies of clients
 	answerPart   = 4       // ... and answers of hosts that are long
 	headPart     = 8       // ... and heads of requests
+	connPart     = 4       // ... and what connections and open requests cost, each
 	uploadPart   = 2       // one part in so many of the open requests may have bodies that are still to come
 )
 
+// What connections and requests cost in memory besides what is held for them: stacks, readers, writers.
+const (
+	connCost    = 16 << 10
+	secureCost  = 48 << 10 // of a connection that is encrypted
+	requestCost = 32 << 10
+)
+
 // Options are for tests; the zero value is what a gateway runs with.
 type Options struct {
 	SendWithin time.Duration
@@ -137,7 +146,7 @@
 	g := &Gateway{log: log, opt: opt, exchange: x, conns: opt.Conns, bounded: opt.Conns == nil,
 		banned: map[string]bool{}, learned: map[string]learning.Pool{}, pools: map[string]*pool{}, replaced: map[*pool]struct{}{}, servers: map[config.Listener]*server{}, retiring: map[*server]struct{}{},
 		failed: make(chan error, 1), halt: make(chan struct{}), ended: make(chan struct{})}
-	g.setBounds(m.Limits)
+	g.setBounds(m.Limits, slices.ContainsFunc(m.Listeners, func(l config.Listener) bool { return l.Certificate != "" }))
 	g.instances = m.Instances
 	g.gateways.Store(int64(m.Instances))
 	if err := g.openState(m); err != nil {
@@ -177,9 +186,9 @@
 // unbounded is a bound that is never met, where the configuration sets none.
 const unbounded = 1 << 20
 
-// setBounds divides what the process may hold: descriptors among clients and hosts, memory among
-// bodies and answers.
-func (g *Gateway) setBounds(limits config.Limits) {
+// setBounds divides what the process may hold: descriptors among clients and hosts, memory among heads, bodies and
+// answers. More descriptors than there is memory for are not used. secure says that connections may be encrypted.
+func (g *Gateway) setBounds(limits config.Limits, secure bool) {
 	requests, conns, clients, asked := int64(unbounded), int64(unbounded), unbounded, unbounded
 	if n := limits.Descriptors; n > 0 {
 		requests = int64(float64(n) * requestShare)
@@ -190,6 +199,13 @@
 	heads, bodies, answers := int64(unbounded)<<20, int64(unbounded)<<20, int64(unbounded)<<20
 	if n := int64(limits.MemoryMB) << 20; n > 0 {
 		heads, bodies, answers = n/headPart, n/bodyPart, n/answerPart
+		cost := int64(connCost)
+		if secure {
+			cost = secureCost
+		}
+		most := int(n / connPart / cost)
+		clients, asked = min(clients, most), min(asked, most)
+		requests = min(requests, n/connPart/requestCost)
 	}
 	g.limiter = contract.NewLimiter(requests, bodies)
 	g.admission = front.NewAdmission(g.exchange, g.limiter)
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -78,6 +78,9 @@
 
 // Describe names the figures.
 func (s stats) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range memoryDescs {
+		out <- d
+	}
 	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badAttemptsDesc, closesDesc, pendingDesc, membersDesc, awayDesc, partDesc, admittedDesc, lateDesc, evidenceDesc, fleetMembersDesc, fleetCountDesc, fleetLeastDesc, fleetMostDesc, fleetSideDesc, quotaLimitsDesc, quotaTimesDesc, quotaShortDesc, limitDesc, reloadsDesc, badReloadDesc} {
 		out <- d
 	}
@@ -101,6 +104,7 @@
 	for reason, n := range s.conns.Closes() {
 		m.count(closesDesc, int64(n), reason.String())
 	}
+	s.collectMemory(m, pools)
 	m.gauge(pendingDesc, float64(s.exchange.Open()))
 	if members, away, ok := look(pools); ok {
 		m.gauge(membersDesc, float64(members))
