Moves of traffic pass on in an upgrade, and both processes deal keys alike

Cause: the process before keeps the state folder up to its end, and told the next one nothing of moves; that began each move from nothing and dealt every key to the old pool.

Change: with the hand-over a move freezes the share by which it deals unknown keys (shift.Move.HandOver) and is told with the keys that it knows; the next process takes it up (TakeUp) and deals by the same share until a window after the other has gone (Alone). So both send a key to the pool of its first try, whichever gets it. The next process takes the folder once it is free.

--- a/internal/moves/control.go
+++ b/internal/moves/control.go
@@ -60,7 +60,7 @@
 
 // Control serves the operator's socket in the set's folder until the context ends.
 func (s *Set) Control(ctx context.Context) error {
-	path := filepath.Join(s.cfg.Dir.Path(), SocketName)
+	path := filepath.Join(s.dir().Path(), SocketName)
 	// One that is left over is nobody's: the folder is this process's alone.
 	if err := os.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return err
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -26,7 +26,11 @@
 type Config struct {
 	Clock exchange.Clock
 	Log   *slog.Logger
-	Dir   *save.Dir // nil: nothing is remembered
+	Dir   *save.Dir // nil: nothing is remembered, or not yet
+	// Handed are the moves of the process that this one takes over from; nil with Joined: it tells nothing of them.
+	Handed []shift.Saved
+	// Joined says that another process of this gateway serves.
+	Joined bool
 	// Pool finds a running pool; nil: there is none of that name.
 	Pool func(name string) *exchange.Pool
 }
@@ -39,6 +43,7 @@
 	moves   map[string]*Move
 	retired []*Move
 	kept    map[string]shift.Saved // of an earlier process, not yet taken up
+	handed  map[string]shift.Saved // of the process that still serves, not yet taken up
 	older   bool                   // ... and a newer file of it is lost
 	damaged bool                   // there was a file, and it can't be read
 	failing bool                   // the last write has failed
@@ -54,11 +59,57 @@
 
 // New returns a set without moves; what an earlier process kept in the folder is read.
 func New(cfg Config) *Set {
-	s := &Set{cfg: cfg, moves: map[string]*Move{}}
+	s := &Set{cfg: cfg, moves: map[string]*Move{}, handed: map[string]shift.Saved{}}
+	for _, k := range cfg.Handed {
+		if err := k.Check(); err != nil {
+			cfg.Log.Warn("a move that is handed over can't be used", "move", k.Plan.Name, "err", err)
+			s.damaged = true
+			continue
+		}
+		s.handed[k.Plan.Name] = k
+	}
+	if cfg.Joined && cfg.Handed == nil {
+		s.damaged = true // it may have dealt keys by any share
+	}
 	s.load()
 	return s
 }
 
+// UseDir has moves remembered in a folder from now on, which another process had before. What is in it is older than
+// what this process was told.
+func (s *Set) UseDir(d *save.Dir) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.Dir = d
+}
+
+// dir is the folder; nil: there is none, or not yet.
+func (s *Set) dir() *save.Dir {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cfg.Dir
+}
+
+// HandOver returns the moves for a process that takes over. Until Alone both deal keys in the same way.
+func (s *Set) HandOver() []shift.Saved {
+	list := []shift.Saved{}
+	for _, v := range s.all() {
+		v.mu.Lock()
+		list = append(list, v.m.HandOver(v.clock.Now(), time.Now()))
+		v.mu.Unlock()
+	}
+	return list
+}
+
+// Alone notes that no other process of this gateway serves any more.
+func (s *Set) Alone() {
+	for _, v := range s.all() {
+		v.mu.Lock()
+		v.m.Alone(v.clock.Now())
+		v.mu.Unlock()
+	}
+}
+
 // Use takes over the plans of a configuration and gives their moves by name. Those that are
 // not named any more only keep their keys.
 func (s *Set) Use(plans []shift.Plan) map[string]*Move {
--- a/internal/moves/remember.go
+++ b/internal/moves/remember.go
@@ -65,6 +65,12 @@
 
 // first is the move of a plan that this process has not had yet. The lock is held.
 func (s *Set) first(now shift.Time, wall time.Time, p shift.Plan) *shift.Move {
+	if k, ok := s.handed[p.Name]; ok {
+		delete(s.handed, p.Name)
+		m := shift.TakeUp(now, p, &k, wall)
+		s.cfg.Log.Info("move goes on where the process before has it", "move", p.Name, "state", m.State().String(), "step", m.Step()+1, "share", m.Share())
+		return m
+	}
 	if k, ok := s.kept[p.Name]; ok {
 		delete(s.kept, p.Name)
 		m := shift.Restore(now, p, &k, wall, !s.older)
@@ -80,7 +86,8 @@
 // remember writes the moves down and grants what they may do from then on. Requests do not wait
 // for it, and a disk that fails costs none: keys then stay with the shares that were granted.
 func (s *Set) remember() {
-	if s.cfg.Dir == nil {
+	dir := s.dir()
+	if dir == nil {
 		return
 	}
 	moves := s.all()
@@ -96,7 +103,7 @@
 	}
 	data, err := json.Marshal(list)
 	if err == nil {
-		err = s.cfg.Dir.Write([]save.Part{{Name: partName, Version: partVersion, Data: data}})
+		err = dir.Write([]save.Part{{Name: partName, Version: partVersion, Data: data}})
 	}
 	s.mu.Lock()
 	was := s.failing
--- a/internal/shift/keys.go
+++ b/internal/shift/keys.go
@@ -62,7 +62,9 @@
 }
 
 // pin deals unknown keys by this share for a window: they may have been dealt by it before.
-func (k *keys) pin(now Time, share float64) { k.pinned, k.pinUntil = share, now+k.window }
+func (k *keys) pin(now Time, share float64) {
+	k.pinned, k.pinUntil = share, max(k.pinUntil, now+k.window)
+}
 
 // by is the share that unknown keys are dealt by.
 func (k *keys) by(now Time, share float64) float64 {
