An address belongs to the host that has started last there

Cause: hosts are told apart by name, and two names could have one address: where the list names the new one and has not said yet that the old one is gone, both got a share of the traffic, the new process as if it were warm. And a connection that came up after its host had left, moved or started anew carried the attempt that had asked for it.

Change: membership.Addresses takes the older host out of what a pool is told; with the same start the later entry counts. A connection to a host that has gone meanwhile is closed unused, and the attempt goes elsewhere, as not sent.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,7 +165,7 @@
 			return nil, fmt.Errorf("management: %w", err)
 		}
 	}
-	g.moves = moves.New(moves.Config{Clock: x.Clock(), Log: log, Dir: g.state, Pool: g.pool})
+	g.moves = moves.New(moves.Config{Clock: x.Clock(), Log: log, Dir: g.state, Pool: g.pool, Handed: g.restart.moves, Joined: g.restart.joined()})
 	if err := g.apply(m, 0); err != nil {
 		g.restart.end()
 		g.closeState()
@@ -345,7 +345,7 @@
 		g.restart.share()
 	}
 	g.runParts(first)
-	endMoves := g.runMoves(!first.Platform) // nothing moves on the platform, whatever is reloaded
+	endMoves := g.runMoves(first) // nothing moves on the platform, whatever is reloaded
 	defer endMoves()
 	var err error
 	select {
@@ -406,14 +406,17 @@
 
 // runMoves starts the traffic shifts, if there are any, and operators' commands about them. They go on
 // up to the last request's end: end ends them, and closes what is remembered.
-func (g *Gateway) runMoves(move bool) (end func()) {
+func (g *Gateway) runMoves(m *config.Model) (end func()) {
 	turns, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	if move {
+	if !m.Platform {
 		running.Go(func() { g.moves.Run(turns) })
 	}
-	if g.state != nil {
+	if m.State != "" {
 		running.Go(func() {
+			if !g.awaitState(turns, m.State) {
+				return
+			}
 			if err := g.moves.Control(turns); err != nil {
 				g.log.Warn("nobody can speak to the moves", "err", err)
 			}
@@ -426,6 +429,32 @@
 	}
 }
 
+// stateEvery is the time between two tries to take a folder that another process has.
+const stateEvery = 200 * time.Millisecond
+
+// awaitState waits for the folder of what is remembered, which the process before may have up to its end; false: there
+// is none before the context ends.
+func (g *Gateway) awaitState(ctx context.Context, path string) bool {
+	for g.state == nil {
+		if !g.restart.joined() {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(stateEvery):
+		}
+		d, err := save.Open(path)
+		if err != nil {
+			continue
+		}
+		g.state = d
+		g.moves.UseDir(d)
+		g.log.Info("moves are remembered from here on")
+	}
+	return true
+}
+
 // readyWait is how long clients wait for the lists of all pools. A gateway that was told its
 // pools' last lists starts on them at once: they are as good as what other gateways go by
 // while discovery is busy, and a gateway that waits is one less for the clients of all.
--- a/internal/gateway/hotrestart.go
+++ b/internal/gateway/hotrestart.go
@@ -13,6 +13,7 @@
 	"frostshift/internal/config"
 	"frostshift/internal/hotrestart"
 	"frostshift/internal/learning"
+	"frostshift/internal/shift"
 )
 
 // hotRestart is how one process of this gateway takes the place of another, which runs on the
@@ -29,9 +30,10 @@
 	links    map[*link]struct{}
 	told     atomic.Pointer[[]*hotrestart.Peer]
 	listener *hotrestart.Listener
-	open     bool // this process takes clients
-	handed   bool // another process does
-	after    bool // another process ran when this one came
+	open     bool          // this process takes clients
+	handed   bool          // another process does
+	after    bool          // another process ran when this one came
+	moves    []shift.Saved // that it has handed over; nil: it tells nothing of them
 	// successor is what the process says that has taken over; it stays beyond that one's end if it has
 	// handed the clients on.
 	successor successor
@@ -91,6 +93,7 @@
 	}
 	next := g.take(m, k.Pools)
 	k.ban(g)
+	s.moves = k.Moves
 	g.exchange.Adopt(&k.Ids)
 	l := &link{s: s, peer: peer, older: true}
 	s.links[l] = struct{}{}
@@ -196,6 +199,7 @@
 	k := knowledge{Version: stateVersion, Drained: g.clients.isAsked()}
 	k.Pools, _ = s.gather()
 	k.Ids = g.exchange.Link(s)
+	k.Moves = g.moves.HandOver()
 	k.bans(g)
 	text, err := json.Marshal(&k)
 	if err != nil {
--- a/internal/gateway/hotrestart_link.go
+++ b/internal/gateway/hotrestart_link.go
@@ -10,6 +10,7 @@
 	"frostshift/internal/hotrestart"
 	"frostshift/internal/learning"
 	"frostshift/internal/override"
+	"frostshift/internal/shift"
 )
 
 // link is another process of this gateway.
@@ -28,6 +29,7 @@
 	Overrides []override.Entry `json:"Words,omitempty"` // that brought bans and their ends; earlier versions know them as Words
 	Drained   bool
 	Pools     map[string]learning.Pool
+	Moves     []shift.Saved // nil: of a process that tells nothing of them
 }
 
 // bans notes the hosts that are out by hand.
@@ -170,6 +172,7 @@
 	s.mu.Unlock()
 	if alone {
 		g.exchange.Link(nil)
+		g.moves.Alone()
 	}
 	g.exchange.Orphan()
 	if !ending {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -61,7 +61,8 @@
 	hostHealth *hostHealth  // nil: nothing of hosts is told among gateways
 	refs       atomic.Int64 // configurations that name it and are still held
 	known      hostList
-	typed      int // gateways that the configuration names
+	holders    membership.Addresses // of whoever takes lists
+	typed      int                  // gateways that the configuration names
 
 	requests, uploads, conns, bodies, answers *share.Holder
 }
@@ -123,6 +124,12 @@
 func (p *pool) start(g *Gateway) {
 	ctx, end := context.WithCancel(context.Background())
 	def := p.def // a reload may change it from here on
+	known := def.Known
+	if known != nil && p.keeper == nil {
+		whole := *known
+		whole.Snapshot = true
+		known = p.holders.Take(&whole)
+	}
 	var parts sync.WaitGroup
 	parts.Go(func() { p.up.Run(ctx) })
 	parts.Go(func() { p.list.Run(ctx) })
@@ -132,7 +139,7 @@
 		})
 	}
 	g.running.Go(func() {
-		if known := def.Known; known != nil {
+		if known != nil {
 			p.ex.Run(p.names.Hosts(known.Endpoints), func() { p.addresses(known) })
 		} else {
 			p.ex.Run(nil, nil)
@@ -182,6 +189,9 @@
 
 // List gives the loop a checked list.
 func (s sink) List(l *membership.List) {
+	if s.keeper == nil { // which settles by itself what several sources say of an address
+		l = s.holders.Take(l)
+	}
 	kind := frostshift.ListChanges
 	if l.Snapshot {
 		kind = frostshift.ListFull
--- a/internal/upstream/http1/attempt.go
+++ b/internal/upstream/http1/attempt.go
@@ -166,7 +166,7 @@
 // was wrong.
 func (t *attempt) try(h *host) (frostshift.Result, *message.Answer, error) {
 	c, err := t.up.get(t, h)
-	if errors.Is(err, errNoSockets) {
+	if errors.Is(err, errNoSockets) || errors.Is(err, errHostGone) {
 		return frostshift.NotSent, nil, err
 	}
 	if err != nil {
--- a/internal/upstream/http1/dial_test.go
+++ b/internal/upstream/http1/dial_test.go
@@ -6,8 +6,10 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"frostshift"
+	"frostshift/internal/upstream"
 )
 
 // A dial that fails has sent nothing. For want of something on this machine the host has no part in it; of
@@ -31,3 +33,36 @@
 		}
 	}
 }
+
+// A connection that comes up to a host which has left, moved or started anew meanwhile carries nothing: another process
+// may have its address.
+func TestDialAcrossTheEndOfItsHost(t *testing.T) {
+	const id = frostshift.HostID(7)
+	for name, next := range map[string]upstream.Endpoint{
+		"left": {ID: id, Gone: true}, "moved": {ID: id, Address: "127.0.0.1:2"}, "started anew": {ID: id, Address: "127.0.0.1:1", Started: 5},
+	} {
+		a := newAttempt(t, "book", "x")
+		a.up.Update(true, []upstream.Endpoint{{ID: id, Address: "127.0.0.1:1"}})
+		h := a.up.hosts[id]
+		here, there := net.Pipe()
+		defer there.Close()
+		a.up.dial = func(context.Context, string, string) (net.Conn, error) {
+			a.up.Update(false, []upstream.Endpoint{next})
+			return here, nil
+		}
+		sent := make(chan int, 1)
+		go func() {
+			n, _ := there.Read(make([]byte, 1))
+			sent <- n
+		}()
+		if result, _ := try(a, h, time.Second); result != frostshift.NotSent {
+			t.Errorf("%s: ended as %v", name, result)
+		}
+		if n := <-sent; n != 0 {
+			t.Errorf("%s: something was sent", name)
+		}
+		if n := a.up.Open(); n != 0 {
+			t.Errorf("%s: %d connections are counted", name, n)
+		}
+	}
+}
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -23,7 +23,7 @@
 func (t *attempt) tryFlow(h *host) {
 	req := t.Message.(*message.Request)
 	c, err := t.up.get(t, h)
-	if errors.Is(err, errNoSockets) {
+	if errors.Is(err, errNoSockets) || errors.Is(err, errHostGone) {
 		t.End(frostshift.NotSent)
 		return
 	}
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -134,6 +134,10 @@
 // errNoSockets says that this gateway has nothing left to make a connection with.
 var errNoSockets = errors.New("no sockets left")
 
+// errHostGone says that the host has left, moved or started anew while a connection to it came up: another process may
+// have its address.
+var errHostGone = errors.New("the host has gone")
+
 // get returns a connection to the attempt's host, a kept-alive one if one is fit for use.
 func (u *Upstream) get(t *attempt, h *host) (*conn, error) {
 	for {
@@ -180,6 +184,13 @@
 		u.mu.Unlock()
 		return nil, err
 	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if h.gone {
+		u.lose(h)
+		nc.Close()
+		return nil, errHostGone
+	}
 	return newConn(nc, u, h), nil
 }
 
