Connections without a descriptor wait, and refused ones keep their place

Cause: a connection of an inherited socket is accepted as a file and made a connection by a second descriptor; without one it was closed unseen. And a connection that is refused for its head was counted as gone while it still waited for its client to read the refusal, so that many of them used the reserve up.

Change: an accepted file that lacks a second descriptor is kept for the next call. Connections whose refusal is being read keep their place among those of clients up to their close.

--- a/internal/faultinject/trial.go
+++ b/internal/faultinject/trial.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -67,7 +68,7 @@
 	Others map[string]int
 	// Wrong are broken rules.
 	Wrong []string
-	Log   string
+	Log   string // the last of what each process said
 }
 
 // trial is a trial that is played.
@@ -83,14 +84,18 @@
 	mu      sync.Mutex
 	gateway *clustertest.Process // that takes clients
 	running []*clustertest.Process
-	starts  int
+	started []*clustertest.Process // all that ever ran
 	peak    float64
-	// down are the times from which a process may break connections up to when the next serves.
-	down []outage
+	ends    []*processEnd
 }
 
-// outage is a time in which connections may break: the process has been killed and does not serve yet.
-type outage struct{ from, to time.Time }
+// processEnd is the end of a process. Another one serves from its beginning on, or once it has started.
+type processEnd struct {
+	ordered time.Time // SIGTERM, or SIGKILL where there is none
+	killed  time.Time
+	ready   time.Time // when the next one served
+	upgrade bool      // it has taken over before
+}
 
 // Play plays the trial.
 func (t Trial) Play() (TrialResult, error) {
@@ -130,8 +135,8 @@
 	defer p.mu.Unlock()
 	p.record.judgeHosts()
 	r := TrialResult{PeakMB: p.peak, Quiet: p.record.quiet, Others: p.record.others, Wrong: p.record.wrong}
-	if p.gateway != nil {
-		r.Log = p.gateway.Log()
+	for _, g := range p.started {
+		r.Log += g.Name + ":\n" + g.Log() + "\n"
 	}
 	return r
 }
@@ -186,13 +191,15 @@
 // process makes a process. One that takes over has the folder of the one before.
 func (p *trial) process(dir string) (*clustertest.Process, error) {
 	p.mu.Lock()
-	p.starts++
-	n := p.starts
+	n := len(p.started)
 	p.mu.Unlock()
 	g, err := p.fleet.Add(fmt.Sprintf("gateway-%d", n))
 	if err != nil {
 		return nil, err
 	}
+	p.mu.Lock()
+	p.started = append(p.started, g)
+	p.mu.Unlock()
 	if g.Platform = true; dir != "" {
 		g.Dir = dir
 	}
@@ -261,8 +268,15 @@
 
 func (p *trial) look() {
 	p.mu.Lock()
-	list := append([]*clustertest.Process(nil), p.running...)
+	list := slices.Clone(p.running)
 	p.mu.Unlock()
+	for _, g := range list {
+		select {
+		case <-g.Ended():
+			p.endedItself(g)
+		default:
+		}
+	}
 	sum := 0.0
 	for _, g := range list {
 		if len(list) > 1 { // of two processes only what both have at once counts together
@@ -282,6 +296,15 @@
 	}
 }
 
+// endedItself judges a process that has ended: it must have been told to.
+func (p *trial) endedItself(g *clustertest.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if slices.Contains(p.running, g) && (len(p.ends) == 0 || !p.ends[len(p.ends)-1].killed.IsZero()) {
+		p.record.failOnce(g.Name, "the process ended by itself: %s", g.Log())
+	}
+}
+
 // signal does what is to be done to the process, in turn.
 func (p *trial) signal() error {
 	for _, s := range p.Signals {
@@ -289,7 +312,7 @@
 		var err error
 		switch s.Do {
 		case "kill":
-			err = p.restart(func(g *clustertest.Process) { g.Kill() })
+			err = p.restart(p.kill)
 		case "stop":
 			err = p.restart(p.stop)
 		case "reload":
@@ -306,8 +329,29 @@
 	return nil
 }
 
+// begins notes the end of a process.
+func (p *trial) begins(upgrade bool) *processEnd {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := &processEnd{ordered: time.Now(), upgrade: upgrade}
+	if upgrade {
+		e.ready = e.ordered
+	}
+	p.ends = append(p.ends, e)
+	return e
+}
+
+// kill ends a process at once.
+func (p *trial) kill(g *clustertest.Process, e *processEnd) {
+	p.mu.Lock()
+	e.killed = time.Now()
+	p.running = slices.DeleteFunc(p.running, func(r *clustertest.Process) bool { return r == g })
+	p.mu.Unlock()
+	g.Kill()
+}
+
 // stop ends a process as the platform does it.
-func (p *trial) stop(g *clustertest.Process) {
+func (p *trial) stop(g *clustertest.Process, e *processEnd) {
 	g.Signal(syscall.SIGTERM)
 	late := time.NewTimer(trialLongest + killBehind + p.KillLate)
 	defer late.Stop()
@@ -315,27 +359,19 @@
 	case <-g.Ended():
 	case <-late.C:
 	}
-	g.Kill()
+	p.kill(g, e)
 }
 
 // restart ends the process and starts it again at its address.
-func (p *trial) restart(end func(*clustertest.Process)) error {
+func (p *trial) restart(end func(*clustertest.Process, *processEnd)) error {
 	g := p.gateway
-	p.mu.Lock()
-	p.down = append(p.down, outage{from: time.Now()})
-	p.running = nil
-	p.mu.Unlock()
-	select {
-	case <-g.Ended():
-		p.record.fail("the process ended by itself: %s", g.Log())
-	default:
-	}
-	end(g)
+	e := p.begins(false)
+	end(g, e)
 	if err := p.run(g); err != nil {
 		return err
 	}
 	p.mu.Lock()
-	p.down[len(p.down)-1].to = time.Now()
+	e.ready = time.Now()
 	p.mu.Unlock()
 	return nil
 }
@@ -350,24 +386,63 @@
 	if err != nil {
 		return err
 	}
+	e := p.begins(true) // from its yes on the old process may end by itself
 	if err := p.run(next); err != nil {
 		return err
 	}
-	p.stop(old)
 	p.mu.Lock()
-	p.gateway, p.running = next, []*clustertest.Process{next}
+	p.gateway = next
 	p.mu.Unlock()
+	p.stop(old, e)
 	return nil
 }
 
-// mayBreak says whether connections might break between two times: the process was killed, or told to stop.
+// mayBreak says whether connections might break between two times: a process was killed.
 func (p *trial) mayBreak(from, to time.Time) bool {
+	return p.overlaps(from, to, func(e *processEnd) time.Time { return e.killed })
+}
+
+// mayLose says whether a request that a host has seen might be without an answer that was open between two times: a
+// process was killed that had not been told to stop before.
+func (p *trial) mayLose(from, to time.Time) bool {
+	return p.overlaps(from, to, func(e *processEnd) time.Time {
+		if e.killed.Sub(e.ordered) > killBehind/2 {
+			return time.Time{}
+		}
+		return e.killed
+	})
+}
+
+// mayCut says whether long answers and requests that are still to come might be cut off between two times: a process
+// was told to stop, or killed.
+func (p *trial) mayCut(from, to time.Time) bool {
+	return p.overlaps(from, to, func(e *processEnd) time.Time { return e.ordered })
+}
+
+// overlaps says whether an end of a process, from a time of it on, overlaps with what went on between two others.
+func (p *trial) overlaps(from, to time.Time, begin func(*processEnd) time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, o := range p.down {
-		if o.from.Before(to) && (o.to.IsZero() || o.to.After(from)) {
+	for _, e := range p.ends {
+		at, over := begin(e), e.ready
+		if e.upgrade {
+			over = e.killed
+		}
+		if !at.IsZero() && at.Before(to) && (over.IsZero() || !over.Before(from)) {
 			return true
 		}
 	}
 	return false
 }
+
+// isDealt says whether the front deals new connections to the process: a little longer than it runs undisturbed.
+func (p *trial) isDealt() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.ends {
+		if !e.upgrade && e.ready.IsZero() && (!e.killed.IsZero() || time.Since(e.ordered) > frontDeals/2) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/faultinject/trial_clients.go
+++ b/internal/faultinject/trial_clients.go
@@ -76,6 +76,11 @@
 // dial connects; nil: it can't, or the trial is over.
 func (c *client) dial() *link {
 	for {
+		for !c.isDealt() {
+			if !c.sleep(5 * time.Millisecond) {
+				return nil
+			}
+		}
 		opened := time.Now()
 		nc, err := net.DialTimeout("tcp", c.addr(), time.Second)
 		if err == nil {
@@ -213,11 +218,11 @@
 	what := verdictOf(status)
 	due := wrote.Add(q.left)
 	switch {
-	case err != nil && !c.mayBreak(wrote, time.Now()):
+	case err != nil && !c.mayCut(wrote, time.Now()):
 		what = "cut off"
 		c.record.fail("%s: its answer of %d was cut off behind %d bytes: %v", id, status, len(body), err)
 	case err != nil:
-		what = "cut off by a kill"
+		what = "cut off by an end"
 	case whole && at.After(due.Add(overdueAfter)):
 		what = "overdue"
 		c.record.fail("%s (%s): answered with %d %v behind its time, of %v", id, q.plan, status, at.Sub(due).Round(time.Millisecond), q.left)
@@ -234,13 +239,14 @@
 func (c *client) unanswered(l *link, q *call, id string, whole bool, begun, wrote time.Time, err error) {
 	seen := c.record.seen(id)
 	switch {
-	case c.mayBreak(begun, time.Now()):
+	case c.mayBreak(begun, time.Now()) && (seen == 0 || !whole || c.mayLose(begun, time.Now())):
 		c.record.count(q.quiet, "killed")
 		return
 	case errors.Is(err, os.ErrDeadlineExceeded) && whole:
 		c.record.fail("%s (%s): no answer %v behind its last byte, of %v, %d attempts", id, q.plan, 3*time.Second+q.left, q.left, seen)
 	case whole && (seen > 0 || !l.used && wrote.Sub(l.opened) <= firstWord):
-		c.record.fail("%s (%s): %v, %d attempts, new connection: %t", id, q.plan, err, seen, !l.used)
+		c.record.fail("%s (%s): %v at %.2f s, sent %v before, %d attempts, new connection: %t", id, q.plan, err,
+			time.Since(c.began).Seconds(), time.Since(wrote).Round(time.Millisecond), seen, !l.used)
 	default:
 		c.record.count(q.quiet, "crossed")
 		return
@@ -421,7 +427,7 @@
 				break
 			}
 			if err != nil {
-				if !c.mayBreak(begun, time.Now()) {
+				if !c.mayCut(begun, time.Now()) {
 					c.record.fail("%s: an answer that its client reads slowly was cut off behind %d bytes: %v", id, got, err)
 				}
 				break
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -57,6 +57,7 @@
 	reason  CloseReason // once it is closed
 	reset   bool        // it ends with a reset
 	body    bool        // a body is read that must come whole
+	slow    bool        // it keeps its place up to Close, though it is condemned
 	expels  bool        // no further request is taken, and none is waited for
 	asking  bool        // a request is open
 	many    bool        // it has rested before
@@ -342,8 +343,9 @@
 func (c *Conn) Close() error {
 	c.all.mu.Lock()
 	c.closing = true
-	linger := c.lingers()
-	if linger {
+	linger, slow := c.lingers(), c.slow
+	c.slow = false
+	if linger && !slow {
 		c.all.lingering++
 	}
 	c.condemn(c.reasonOfClose())
@@ -354,7 +356,11 @@
 	if linger {
 		return c.linger()
 	}
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	if slow {
+		c.all.lingered()
+	}
+	return err
 }
 
 // CloseWrite ends the answer; the server then waits for the client to have read it.
--- a/internal/front/heads.go
+++ b/internal/front/heads.go
@@ -227,6 +227,7 @@
 	mine := !c.closed
 	if mine {
 		c.condemn(why)
+		c.endsSlowly()
 	}
 	c.all.mu.Unlock()
 	if mine {
@@ -247,6 +248,7 @@
 		return false
 	}
 	c.condemn(RefusedForMemory)
+	c.endsSlowly()
 	l.mu.Unlock()
 	c.refuse(refusal)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/front/linger.go
+++ b/internal/front/linger.go
@@ -53,6 +53,13 @@
 	return nil
 }
 
+// endsSlowly notes that a connection which has been condemned keeps its place among the descriptors up to Close. The lock
+// is held.
+func (c *Conn) endsSlowly() {
+	c.slow = true
+	c.all.lingering++
+}
+
 func (l *Conns) lingered() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gateway/inherited.go
+++ b/internal/gateway/inherited.go
@@ -7,6 +7,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"frostshift/internal/socket"
 )
 
 // inherited is a listening socket that the process was given and that others hold as well. It
@@ -17,6 +19,8 @@
 	file *os.File // a descriptor of its own, waited for by the runtime
 	raw  syscall.RawConn
 	addr net.Addr
+	// accepted is a connection for which there was no further descriptor; nil: there is none. It is of whoever accepts.
+	accepted *os.File
 }
 
 // inherit makes a listener of a descriptor, which itself stays as it is.
@@ -59,8 +63,30 @@
 	return &inherited{file: f, raw: raw, addr: ln.Addr()}, nil
 }
 
-// Accept takes the next connection that no other process takes.
+// Accept takes the next connection that no other process takes. One that the process has no descriptor for is kept for
+// the next call: its client has been connected.
 func (l *inherited) Accept() (net.Conn, error) {
+	if l.accepted == nil {
+		var err error
+		if l.accepted, err = l.accept(); err != nil {
+			return nil, err
+		}
+	}
+	c, err := net.FileConn(l.accepted)
+	if socket.IsShortage(err) {
+		return nil, err
+	}
+	l.accepted.Close()
+	l.accepted = nil
+	if err != nil {
+		return nil, err
+	}
+	c.(*net.TCPConn).SetNoDelay(true)
+	return c, nil
+}
+
+// accept takes the next connection as a file.
+func (l *inherited) accept() (*os.File, error) {
 	var n int
 	var err error
 	if e := l.raw.Read(func(fd uintptr) bool {
@@ -80,14 +106,7 @@
 	if err != nil {
 		return nil, os.NewSyscallError("accept4", err)
 	}
-	f := os.NewFile(uintptr(n), "connection")
-	defer f.Close()
-	c, err := net.FileConn(f)
-	if err != nil {
-		return nil, err
-	}
-	c.(*net.TCPConn).SetNoDelay(true)
-	return c, nil
+	return os.NewFile(uintptr(n), "connection"), nil
 }
 
 // SetDeadline ends an Accept that waits.
