Nothing is sent for a client whose end can't be seen

Cause: the end of a client's sending stands behind what it has sent. Where that is more than the connection's window, requests sent without waiting for answers, its system holds the end back, and no look at the socket shows it.

Change: an attempt does not begin while more than 32 KiB are unread behind its request (Client.Blind); the request is refused where none may begin. The rest of a request's own body is no sign, and HTTP/2 is read on.

--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -57,6 +57,9 @@
 	return !c.departed.Load()
 }
 
+// clientBlind reports whether the client could have left without being seen to.
+func (c *Call) clientBlind() bool { return c.Client != nil && c.Client.Blind() }
+
 // latest returns when the request must be over.
 func (c *Call) latest() frostshift.Time {
 	if c.Body != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -193,8 +193,12 @@
 
 // Client is the client that waits for a request's answer. Here reports whether the client has not
 // been seen to leave, by a check of its connection: the goroutine that reads the connection may
-// have had no processor time since. Here must not block.
-type Client interface{ Here() bool }
+// have had no processor time since. Blind reports whether so much of what the client has sent is
+// unread that its departure could not be seen. Neither may block.
+type Client interface {
+	Here() bool
+	Blind() bool
+}
 
 // Watcher is notified how requests end. It is called in a pool's loop, or by Submit.
 type Watcher interface{ Ended(e Ending) }
--- a/internal/exchange/send_test.go
+++ b/internal/exchange/send_test.go
@@ -60,6 +60,8 @@
 
 func (a *leavingClient) Here() bool { return !a.gone }
 
+func (a *leavingClient) Blind() bool { return false }
+
 // The client's connection is checked right before the first byte, because the goroutine that reads it
 // may have had no processor time since the client left.
 func TestClientIsLookedForBeforeTheFirstByte(t *testing.T) {
--- a/internal/exchange/upstream.go
+++ b/internal/exchange/upstream.go
@@ -65,7 +65,7 @@
 		return true
 	}
 	now := a.pool.clock.Now()
-	return (a.sendBy == 0 || now <= a.sendBy) && now < a.call.latest() && a.call.clientWaits()
+	return (a.sendBy == 0 || now <= a.sendBy) && now < a.call.latest() && a.call.clientWaits() && !a.call.clientBlind()
 }
 
 // returnAllowance is the time reserved for an answer's way from the host through the gateway to the
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -60,6 +60,7 @@
 	slow    bool        // it keeps its place up to Close, though it is condemned
 	expels  bool        // no further request is taken, and none is waited for
 	asking  bool        // a request is open
+	unread  bool        // ... a part of whose body may be unread
 	many    bool        // it has rested before
 	trial   bool        // it rests for the first time and is let be
 	leave   func()      // of a guard; nil: it has been called, or there is none
--- a/internal/front/hangup.go
+++ b/internal/front/hangup.go
@@ -108,6 +108,19 @@
 // Here says whether the client has not left, by a look at the socket.
 func (c *Conn) Here() bool { return !c.hungUp() }
 
+// blindFrom is how much may be unread on a connection with an open request: less than any receive window, behind which
+// the client's system would hold back the end of its sending.
+const blindFrom = 32 << 10
+
+// Blind says whether so much is unread behind the open request that its client's end would not show: requests that were
+// sent without waiting for answers. The rest of its own body is no sign of that.
+func (c *Conn) Blind() bool {
+	c.all.mu.Lock()
+	looks := c.giveUp == nil && !c.body && !c.unread
+	c.all.mu.Unlock()
+	return looks && c.Unread() >= blindFrom
+}
+
 // Left is closed when the client has been seen to leave behind unread bytes. A client that leaves
 // with nothing unread is seen by whoever reads.
 func (c *Conn) Left() <-chan struct{} { return c.left }
@@ -116,7 +129,7 @@
 // unread for as long as it is.
 func (c *Conn) Open(unread bool) {
 	c.all.mu.Lock()
-	c.asking = true
+	c.asking, c.unread = true, unread
 	watch := unread || c.ahead
 	c.all.mu.Unlock()
 	if watch {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -68,6 +69,47 @@
 	}
 }
 
+// A client that leaves behind more than its connection holds unread can't be seen to: nothing is sent for it, and its
+// request is refused where it stays.
+func TestNothingIsSentBehindMoreThanAWindow(t *testing.T) {
+	pipelined := strings.Repeat("GET /lookup?obj=2 HTTP/1.1\r\nHost: app.svc\r\n\r\n", 200_000)
+	for _, leaves := range []bool{true, false} {
+		t.Run(fmt.Sprintf("leaves %t", leaves), func(t *testing.T) {
+			t.Parallel()
+			addr, got := serving(t, "a")
+			d := discover(t)
+			g := launch(t, patient(t, d.Addr()))
+			w := await(t, d.Watches, "a watch")
+			conn, err := net.Dial("tcp", g.Addr("clients").String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			conn.SetWriteDeadline(time.Now().Add(300 * time.Millisecond)) // it is not taken in whole
+			io.WriteString(conn, plain("Content-Length: 1\r\n", "x")+pipelined)
+			until(t, "the request is open", func() bool { return g.exchange.Open() == 1 })
+			if leaves {
+				conn.Close()
+			}
+			say(t, w, listOf(1, true, entry("a", addr, "active")))
+			if !leaves {
+				conn.SetReadDeadline(time.Now().Add(patience))
+				if answer, err := bufio.NewReader(conn).ReadString('\n'); err != nil || !strings.HasPrefix(answer, "HTTP/1.1 503 ") {
+					t.Errorf("answered %q, %v", answer, err)
+				}
+				return
+			}
+			r := request(t, g.url, "lookup", "")
+			if status, _, _ := do(t, r); status != 200 {
+				t.Fatalf("the next client is answered %d", status)
+			}
+			if s := await(t, got, "the next client's request"); s.id != r.Header.Get("X-Correlation-Id") {
+				t.Errorf("request %s of the client that left reached a host", s.id)
+			}
+		})
+	}
+}
+
 // An end of sending ends the attempts, but the client that still reads gets its one final answer.
 func TestEndOfSendingIsAnswered(t *testing.T) {
 	d := discover(t)
