--- a/internal/faultinject/trial.go
+++ b/internal/faultinject/trial.go
@@ -80,6 +80,8 @@
 	record *record
 	over   chan struct{} // closed: clients begin nothing new
 	began  time.Time
+	// starved is what others on the machine have cost the trial.
+	starved starvation
 
 	mu      sync.Mutex
 	gateway *clustertest.Process // that takes clients
@@ -131,7 +133,7 @@
 }
 
 func (p *trial) result() TrialResult {
-	p.record.judgeHosts(p.mayForget)
+	p.record.judgeHosts(p.mayForget, p.starved.between)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := TrialResult{PeakMB: p.peak, Quiet: p.record.quiet, Others: p.record.others, Wrong: p.record.wrong}
@@ -252,11 +254,14 @@
 		defer close(ended)
 		for {
 			p.look()
+			slept := time.Now()
 			select {
 			case <-done:
 				return
 			case <-time.After(watchEvery):
 			}
+			now := time.Now()
+			p.starved.sample(now, p.pids(), now.Sub(slept)-watchEvery)
 		}
 	}()
 	return func() {
@@ -266,6 +271,16 @@
 	}
 }
 
+// pids are the processes that run.
+func (p *trial) pids() (list []int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, g := range p.running {
+		list = append(list, g.PID())
+	}
+	return list
+}
+
 func (p *trial) look() {
 	p.mu.Lock()
 	list := slices.Clone(p.running)
