--- a/internal/faultinject/trial_record.go
+++ b/internal/faultinject/trial_record.go
@@ -151,7 +151,8 @@
 		}
 		last[a.id] = a.begun
 		if !s.left.IsZero() && a.begun.After(s.left.Add(leftAfter)) && a.begun.Sub(s.left) > leftAfter+starved(s.left, a.begun) {
-			r.failLocked("%s: begun at a host %v behind its client's close", a.id, a.begun.Sub(s.left).Round(time.Millisecond))
+			r.failLocked("%s (%s): begun at a host %v behind its client's close, whole %v behind that", a.id, a.method, a.begun.Sub(s.left).Round(time.Millisecond),
+				a.ran.Sub(a.begun).Round(time.Millisecond))
 		}
 	}
 }
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// The same where what is unread is the request's own body.
+func TestNoAttemptBeginsBehindALongBodyOfALeaver(t *testing.T) {
+	h := scripted(t, fake.Always(fake.Serve("ok")))
+	d := discover(t)
+	g := launch(t, patient(t, d.Addr()))
+	w := await(t, d.Watches, "a watch")
+	conn, err := net.Dial("tcp", g.Addr("clients").String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	const long = 20 << 20
+	conn.SetWriteDeadline(time.Now().Add(300 * time.Millisecond)) // it is not taken in whole
+	io.WriteString(conn, plain(fmt.Sprintf("Content-Length: %d\r\n", long), strings.Repeat("x", long)))
+	until(t, "the request is open", func() bool { return g.exchange.Open() == 1 })
+	conn.Close()
+	time.Sleep(100 * time.Millisecond) // within which an attempt may begin
+	say(t, w, listOf(1, true, entry("a", h.Addr(), "active")))
+	until(t, "the request has ended", func() bool { return g.exchange.Open() == 0 })
+	if len(h.All()) > 0 {
+		t.Errorf("an attempt has begun for a client that had left")
+	}
+}
+
 // An end of sending ends the attempts, but the client that still reads gets its one final answer.
 func TestEndOfSendingIsAnswered(t *testing.T) {
 	d := discover(t)
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"slices"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -14,6 +15,7 @@
 var (
 	recvfrom = unix.Recvfrom
 	poll     = unix.Poll
+	inqueue  = unix.IoctlGetInt
 )
 
 // shortages are errors of calls for which the system had no descriptor or no memory.
@@ -57,9 +59,18 @@
 	}
 }
 
-// Unread is how many bytes have come on a socket and not been read; 0 where the system does not say.
+// looks are buffers for looks at what is unread.
+var looks = sync.Pool{New: func() any { b := make([]byte, 64<<10); return &b }}
+
+// Unread is how many bytes have come on a socket and not been read: all of them or, where the system does not say,
+// up to 64 KiB.
 func Unread(fd uintptr) int {
-	n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+	if n, err := inqueue(int(fd), unix.TIOCINQ); err == nil {
+		return n
+	}
+	look := looks.Get().(*[]byte)
+	defer looks.Put(look)
+	n, _, err := recvfrom(int(fd), *look, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	if err != nil {
 		return 0
 	}
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -78,3 +78,16 @@
 		t.Errorf("poll says %x, %v", events, err)
 	}
 }
+
+// What is unread is counted also where the system does not say how much it is.
+func TestUnreadIsCounted(t *testing.T) {
+	here, there := pair(t)
+	unix.Write(there, make([]byte, 1000))
+	for range 2 {
+		if n := Unread(uintptr(here)); n != 1000 {
+			t.Errorf("%d bytes are unread, of 1000", n)
+		}
+		inqueue = func(int, uint) (int, error) { return 0, syscall.ENOTTY }
+	}
+	t.Cleanup(func() { inqueue = unix.IoctlGetInt })
+}
--- a/internal/upstream/http1/answerflow.go
+++ b/internal/upstream/http1/answerflow.go
@@ -52,6 +52,9 @@
 		}
 	}
 	a.Stream, a.Free = s, s.Close
+	if ahead != nil {
+		s.due() // a read may be under way by the time of the attempt, which was for the head
+	}
 	if f != nil && a.Status >= 400 && !f.sent() { // it wants no more of the body (RFC 9112 section 9.3)
 		f.stop()
 	}
