Heads that go on need no room, and time runs only for clients that say how long they wait

Found by reading the change: a head that costs much and comes in pieces was refused at its next piece where more than three quarters of the room were used, though the piece needed none yet. And outside the platform a chunked body whose host takes less than 4 MB in the class's deadline would have failed while its client sends on, although that had set no time.

Change: nothing is refused for want of no room; stream.Config.Timed says that the client has told its time, and the platform's have.

--- a/internal/front/heads.go
+++ b/internal/front/heads.go
@@ -40,7 +40,7 @@
 
 // take takes room for a head that has cost so much already, and says whether there was any.
 func (r *HeadRoom) take(n, already int64) bool {
-	if r == nil {
+	if r == nil || n == 0 {
 		return true
 	}
 	r.mu.Lock()
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -86,7 +86,7 @@
 // announced; -1: nothing.
 func (t *Ticket) NewUpload(src stream.Source, length int64) *stream.Upload {
 	f := t.Flow
-	cfg := stream.Config{Source: src, Room: t.Bodies, Strict: f.Strict, Idle: f.Idle, Rate: f.Rate,
+	cfg := stream.Config{Source: src, Room: t.Bodies, Strict: f.Strict, Idle: f.Idle, Rate: f.Rate, Timed: t.asked || t.Platform,
 		Bounds: body.Bounds{Memory: f.Replay, Disk: f.Spool, Most: f.Most, Length: length}}
 	if terms := t.item.Terms; terms != nil && terms.LargestBody > 0 && (f.Most == 0 || terms.LargestBody < f.Most) {
 		cfg.Bounds.Most = terms.LargestBody // none was announced that the contract could be held against
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -61,6 +61,7 @@
 	Idle   time.Duration        // that the client may let pass without a byte; 0: any
 	Rate   int64                // bytes a second that it must send in the long run, beyond Idle; 0: any
 	Raw    bool                 // bytes go on unframed, behind a switch of protocols
+	Timed  bool                 // the client has said how long it waits, see OwedAt
 }
 
 // Upload is the body of one request on its way. It is safe for concurrent use; of its
@@ -147,11 +148,16 @@
 	return u.err == io.EOF
 }
 
-// OwedAt is the last time at which the client is known to have owed a part of the body.
+// OwedAt is the last time at which the client is known to have owed a part of the body. One that has not said how long it
+// waits is held to owe a part until the end has been read.
 func (u *Upload) OwedAt() time.Time {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.err == nil && !u.closed && !u.cfg.Raw {
+	switch {
+	case u.err != nil || u.closed || u.cfg.Raw:
+	case !u.cfg.Timed:
+		u.owed.Waited(time.Now())
+	default:
 		l := body.Look{At: time.Now(), Came: u.replay.Came(), Waiting: u.fetching}
 		l.Unread, l.Whole = u.cfg.Source.Unread()
 		u.owed.Look(l)
