--- a/internal/faultinject/gateway.go
+++ b/internal/faultinject/gateway.go
@@ -3,7 +3,9 @@
 // follows from a seed. It is for tests and benchmarks and knows the program from outside only.
 //
 // gateway.go is the process and its hosts, stop.go stops, upgrade.go a second process, answer.go answers that break off, system.go system
-// calls that fail, calls.go load beside them.
+// calls that fail, calls.go load beside them. trial.go is a process within its limits among groups of clients, with
+// trial_clients.go, trial_odd.go (unusual requests), trial_host.go and trial_record.go (the rules); soak.go draws trials,
+// starve.go is what the machine costs them.
 package faultinject
 
 import (
--- a/internal/faultinject/trial.go
+++ b/internal/faultinject/trial.go
@@ -18,7 +18,7 @@
 
 const (
 	trialHosts = 10
-	// killedAfter is how long a process may take to be ready behind its start.
+	// startWithin is how long a process may take to be ready behind its start.
 	startWithin = 10 * time.Second
 	// watchEvery is how often the process's memory is looked at.
 	watchEvery = 20 * time.Millisecond
@@ -26,7 +26,8 @@
 	overdueAfter = 500 * time.Millisecond
 	// leftAfter is how long behind a client's close an attempt may still begin.
 	leftAfter = 100 * time.Millisecond
-	mostWrong = 20 // that are kept of a trial
+	// mostWrong is how many broken rules of a trial are told.
+	mostWrong = 20
 )
 
 // Trial is a real process within its limits on memory and descriptors, between hosts and groups of clients that
--- a/internal/faultinject/trial_clients.go
+++ b/internal/faultinject/trial_clients.go
@@ -527,20 +527,23 @@
 	}
 }
 
-// again sends an unsafe request, leaves, and sends it again.
+// againTries is how often a client sends a request that it leaves each time.
+const againTries = 3
+
+// again sends an unsafe request, leaves, and sends it again with its id.
 func again(c *client) {
 	for c.sleep(20 * time.Millisecond) {
-		text := c.head(c.newID(), &call{class: unsafeClass, left: trialLongest, plan: fmt.Sprintf("after=%d", c.r.IntN(300)), body: c.bodyOf(c.r.IntN(2) * (80 << 10))}) + ""
-		body := c.bodyOf(0)
-		if at := strings.Index(text, "Content-Length: 81920"); at >= 0 {
-			body = c.bodyOf(80 << 10)
+		q := &call{class: unsafeClass, left: trialLongest, plan: fmt.Sprintf("after=%d", c.r.IntN(300))}
+		if c.r.IntN(2) == 0 {
+			q.body = c.bodyOf(80 << 10)
 		}
-		for range 3 {
+		text := append([]byte(c.head(c.newID(), q)), q.body...)
+		for range againTries {
 			l := c.dial()
 			if l == nil {
 				return
 			}
-			l.Write(append([]byte(text), body...))
+			l.Write(text)
 			c.sleep(time.Duration(c.r.IntN(100)) * time.Millisecond)
 			l.Close()
 		}
