A window that is closed with little unread is no sign of more to come

Cause: with little unread the client was held to owe a part, as its system would send; but a window that was closed opens only with enough room or with the next probe, which may be seconds off. And a refusal of a head had 50 ms from setting its time to its write, which a process that others keep from running can miss.

Change: the client owes a part where a read waits, nothing is unread, or a few bytes trickle in while nothing is read. Refusals of heads have 500 ms; those at a stop keep their 50 ms, as its end is near.

--- a/internal/body/owed.go
+++ b/internal/body/owed.go
@@ -6,9 +6,9 @@
 	// mostUnsent is how much of a body its client's system may have taken and not sent yet: what Linux lets a socket
 	// hold for sending at most by default (tcp_wmem).
 	mostUnsent = 4 << 20
-	// openWindow is how much may be unread on a connection whose client's system surely sends what it has: less than
-	// any receive window.
-	openWindow = 32 << 10
+	// trickle is how much may come between two looks of what a client has only just written. More at once may be what
+	// its system has held back: with little unread too, as a window that was closed opens with the next probe only.
+	trickle = 16 << 10
 	// ahead is how much of a body may have been read from a connection and not handed on: a reader's buffer, a record
 	// of TLS.
 	ahead = 32 << 10
@@ -53,10 +53,10 @@
 	if l.Whole || o.length >= 0 && rest <= 0 {
 		return
 	}
-	switch fresh := l.arrived() > o.last.arrived(); {
-	case l.Waiting && l.Unread == 0, rest > mostUnsent, rest > ahead && l.Unread < openWindow:
+	switch fresh := l.arrived() - o.last.arrived(); {
+	case l.Waiting && l.Unread == 0, rest > mostUnsent, rest > ahead && l.Unread == 0:
 		o.at = l.At
-	case fresh && (l.Came == o.last.Came || o.last.Unread < openWindow): // nothing kept back what has come since
+	case fresh > 0 && fresh <= trickle && l.Came == o.last.Came:
 		o.at = o.last.At
 	}
 	if l.arrived()-o.mark.arrived() > mostUnsent {
--- a/internal/body/owed_test.go
+++ b/internal/body/owed_test.go
@@ -69,3 +69,23 @@
 		})
 	}
 }
+
+// A client whose system holds its last bytes behind a window that is closed, with little unread, is not held to owe a part
+// for as long as that lasts, nor as the window opens again for a moment.
+func TestClosedWindowWithLittleUnreadOwesNothing(t *testing.T) {
+	start := time.Unix(1, 0)
+	for _, length := range []int64{600_000, -1} {
+		o := NewOwed(start, length)
+		look := Look{Came: 64 << 10, Unread: 20 << 10}
+		for at := range 100 {
+			look.At = start.Add(time.Duration(at+1) * 50 * time.Millisecond)
+			if at == 40 { // a probe
+				look.Unread += 100 << 10
+			}
+			o.Look(look)
+		}
+		if late := o.At().Sub(start); late > 50*time.Millisecond {
+			t.Errorf("of %d bytes a part is held to be owed %v behind the last byte", length, late)
+		}
+	}
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -190,7 +190,7 @@
 	if c.phase.Load() != busy || c.answered {
 		if err := c.beforeRead(); err != nil {
 			if errors.Is(err, errExpelled) {
-				c.refuse(refusal)
+				c.refuse(refusal, refusalWithin)
 			}
 			c.readToItsEnd()
 			return 0, ErrCondemned
--- a/internal/front/expel.go
+++ b/internal/front/expel.go
@@ -19,6 +19,10 @@
 // refusalWithin is how long the client's system may take to have room for it.
 const refusalWithin = 50 * time.Millisecond
 
+// headRefusalWithin is the same for a head that has no room or is too large, where no end of the process is near: a
+// busy one may be held up between setting the time and writing.
+const headRefusalWithin = 500 * time.Millisecond
+
 // Expel ends the reading of requests over HTTP/1.1: those of which a part has come are refused, and
 // connections without one are given up. Requests that have come whole keep their connection up to
 // their answer. A handshake that is under way goes on, and what comes behind it is refused.
@@ -43,7 +47,7 @@
 	}
 	ln.all.mu.Unlock()
 	for _, c := range halves {
-		c.refuse(refusal)
+		c.refuse(refusal, refusalWithin)
 		c.endSoftly()
 	}
 	for _, c := range idles {
@@ -64,12 +68,12 @@
 
 // refuse answers a request of which a part of the head has come. Its server has written nothing since the
 // last answer, and writes nothing from here on.
-func (c *Conn) refuse(text string) {
+func (c *Conn) refuse(text string, within time.Duration) {
 	over := c.secure
 	if over == nil {
 		over = c.Conn
 	}
-	over.SetWriteDeadline(time.Now().Add(refusalWithin))
+	over.SetWriteDeadline(time.Now().Add(within))
 	over.Write([]byte(text))
 	c.wrote.Store(true)
 }
--- a/internal/front/heads.go
+++ b/internal/front/heads.go
@@ -235,7 +235,7 @@
 	}
 	c.all.mu.Unlock()
 	if mine {
-		c.refuse(text)
+		c.refuse(text, headRefusalWithin)
 	}
 	c.lastRead()
 	return false
@@ -254,7 +254,7 @@
 	c.condemn(RefusedForMemory)
 	c.endsSlowly()
 	l.mu.Unlock()
-	c.refuse(refusal)
+	c.refuse(refusal, headRefusalWithin)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
 	}
