A request past its due time with no byte of its answer says so and is counted

Change: a request is watched from its submission up to the first byte of its answer on the client's connection, over all fronts. 0.5 s behind its due time it is logged (id, stage, what is waited for, host) and counted in edge_gw_overdue_answers by stage. A look that comes late, as the process stood still, is taken again.

--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -37,6 +37,8 @@
 	headWork      time.Duration // work up to the head of an answer whose body is still to come
 	freed         bool          // the call is closed and has released its id, its room and its Hold
 	fault         bool          // the last answer was an error of the service
+	stage         atomic.Uint32 // see Progress
+	host          atomic.Uint64 // of the latest attempt
 }
 
 // Gone reports that the client has left: no attempt begins after it. A reply that has arrived by
@@ -86,7 +88,7 @@
 		c.Item.Account.Failed.Add(1)
 	}
 	c.releaseHold()
-	c.Reply <- r
+	c.reply(r)
 }
 
 // notifyEnd notifies the watcher, if any, how the request ended.
@@ -250,6 +252,8 @@
 		pool: p, call: c, n: len(c.attempts), started: now, sendBy: p.retryBy(c), sent: now}
 	c.attempts = append(c.attempts, a)
 	c.running++
+	c.stage.Store(uint32(StageAttempt))
+	c.host.Store(uint64(act.Host))
 	p.counts.Attempts.Add(1)
 	p.setInFlight(a, 1)
 	a.handle = p.upstream.Start(a)
@@ -286,7 +290,9 @@
 // outcome handles the end of an attempt.
 func (p *Pool) outcome(now frostshift.Time, e *event) {
 	c, a := e.call, e.attempt
-	c.running--
+	if c.running--; c.running == 0 {
+		c.stage.CompareAndSwap(uint32(StageAttempt), uint32(StageQueued))
+	}
 	a.ended = true
 	p.setInFlight(a, -1)
 	elapsed := a.took(e.at)
@@ -419,7 +425,7 @@
 	p.requestEnded(now, c, &r)
 	c.notifyEnd(Ending{At: now, Verdict: r.Verdict, Fault: c.fault, Bound: r.Violation != nil, Work: c.workUntil(now)})
 	p.close(c)
-	c.Reply <- r
+	c.reply(r)
 }
 
 // count counts how a request ended.
--- a/internal/exchange/flow.go
+++ b/internal/exchange/flow.go
@@ -84,7 +84,7 @@
 	c.headWork = c.workUntil(now)
 	p.markClosed(c)
 	p.settle(c)
-	c.Reply <- r
+	c.reply(r)
 }
 
 // flowed ends a request whose answer's body has ended.
--- a/internal/faultinject/trial.go
+++ b/internal/faultinject/trial.go
@@ -140,11 +140,22 @@
 	defer p.mu.Unlock()
 	r := TrialResult{PeakMB: p.peak, Quiet: p.record.quiet, Others: p.record.others, Wrong: p.record.wrong}
 	for _, g := range p.started {
+		r.Wrong = append(r.Wrong, overdueLines(g.Log())...)
 		r.Log += g.Name + ":\n" + g.Log() + "\n"
 	}
 	return r
 }
 
+// overdueLines are the lines in which a process says that a request is past its due time without a byte of its answer.
+func overdueLines(log string) (list []string) {
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, "no byte of an answer by its due time") {
+			list = append(list, strings.TrimSpace(line))
+		}
+	}
+	return list
+}
+
 func (p *trial) close() {
 	if p.fleet != nil {
 		p.fleet.Close()
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -61,17 +61,21 @@
 	idBase   [8]byte
 	spool    *spool.Dir
 	heads    *HeadRoom // nil: there is no bound
+	overdue  *OverdueAnswers
 }
 
 // NewAdmission returns an admission without a configuration; Use gives it one.
 func NewAdmission(x *exchange.Exchange, limiter *contract.Limiter) *Admission {
-	in := &Admission{exchange: x, limiter: limiter}
+	in := &Admission{exchange: x, limiter: limiter, overdue: newOverdueAnswers()}
 	for i, v := 0, rand.Uint64(); i < len(in.idBase); i++ {
 		in.idBase[i] = byte(v >> (8 * i))
 	}
 	return in
 }
 
+// Overdue returns the account of answers that are past their due time.
+func (in *Admission) Overdue() *OverdueAnswers { return in.overdue }
+
 // Spool has bodies kept on disk in a folder. It is called before the first Use.
 func (in *Admission) Spool(d *spool.Dir) { in.spool = d }
 
--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -147,6 +147,7 @@
 	conn.Open(up != nil && !up.Ended() && t.Upgrade == "")
 	defer conn.Answered()
 	call, deadline := t.Submit()
+	defer t.Begun()
 	left := r.Context().Done()
 	for {
 		select {
@@ -213,6 +214,7 @@
 		if e := conn.Uncork(); err == nil {
 			err = e
 		}
+		t.Begun()
 		if a.Again != nil {
 			a.Again()
 		}
@@ -258,12 +260,16 @@
 	if a.Length < 0 && rc.Flush() != nil { // what follows may take its time
 		return false
 	}
+	if a.Length < 0 {
+		t.Begun()
+	}
 	for {
 		a.Stream.Wait()
 		due()
 		conn.AwaitWrite()
 		buffer := buffers.Get().(*[]byte)
 		err := s.burst(w, rc, *buffer, a.Stream, due)
+		t.Begun()
 		buffers.Put(buffer)
 		switch {
 		case err == io.EOF:
@@ -379,6 +385,7 @@
 		call.Undelivered(reply)
 		return
 	}
+	t.Begun()
 	up := t.Message.Upload
 	over := make(chan struct{})
 	defer close(over)
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -279,6 +279,7 @@
 	ticket.Client = conn
 	defer conn.Answered()
 	call, deadline := ticket.Submit()
+	defer ticket.Begun()
 	select {
 	case a := <-call.Reply:
 		conn.Cork()
--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -111,6 +111,7 @@
 	})
 	s.ticket.Client = s.c.all
 	call, deadline := s.ticket.Submit()
+	defer s.ticket.Begun()
 	select {
 	case r := <-call.Reply:
 		s.replyFlow(call, r, deadline, over)
@@ -189,6 +190,7 @@
 	if !s.wait(taken, late, idle) { // the head
 		return false
 	}
+	s.ticket.Begun()
 	for {
 		a.Stream.Wait()
 		buffer := buffers.Get().(*[]byte)
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -247,6 +247,7 @@
 	}
 	s.ticket.Client = s.c.all
 	call, deadline := s.ticket.Submit()
+	defer s.ticket.Begun()
 	select {
 	case r := <-call.Reply:
 		s.reply(r, deadline)
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -55,6 +55,8 @@
 	heads     *HeadRoom // that its head holds memory of
 	headCost  int64
 	again     func() // gives the memory of the body to another; nil: it is not used again
+	overdue   *OverdueAnswers
+	watch     *answerWatch // from Submit on
 }
 
 // Hold notes that the body holds n more bytes of room and says whether there are any.
@@ -230,5 +232,10 @@
 		}
 		t.request.Item = &t.item
 	}
-	return t.x.Submit(t.request, t.to, t.fallback), clock.At(t.request.Deadline)
+	call = t.x.Submit(t.request, t.to, t.fallback)
+	t.watch = t.overdue.watchAnswer(call, t.left)
+	return call, clock.At(t.request.Deadline)
 }
+
+// Begun notes that a byte of the answer is on the client's connection, or that nobody waits for one any more.
+func (t *Ticket) Begun() { t.watch.end() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,6 +216,7 @@
 	g.conns.BoundHeads(g.heads)
 	g.admission.BoundHeads(g.heads)
 	g.conns.LogTo(g.log)
+	g.admission.Overdue().LogTo(g.log)
 	uploads := min(requests, conns) / uploadPart
 	g.budgets = budgets{requests: share.New(requests), uploads: share.New(uploads), conns: share.New(conns), bodies: share.New(bodies), answers: share.New(answers)}
 	g.whole = wholes{heads: heads, uploads: uploads, conns: conns, bodies: bodies, answers: answers, clients: clients, asked: asked}
--- a/internal/gateway/stats_memory.go
+++ b/internal/gateway/stats_memory.go
@@ -11,15 +11,16 @@
 // Figures of what the process holds for whom, and what it is held against. Their labels are fixed, so that neither
 // clients nor hosts can make them grow.
 var (
-	heldDesc        = prometheus.NewDesc("edge_gw_memory_held_bytes", "memory that is held, by for what: heads and bodies of requests, answers of hosts, all of the runtime", []string{"holder"}, nil)
-	boundDesc       = prometheus.NewDesc("edge_gw_memory_bound_bytes", "the most that this process may hold, by for what", []string{"holder"}, nil)
-	placesDesc      = prometheus.NewDesc("edge_gw_places_held", "places that are held: open requests, those whose bodies are still to come, connections of clients and to hosts", []string{"holder"}, nil)
-	placesBoundDesc = prometheus.NewDesc("edge_gw_places_bound", "the most that this process may hold, by for what", []string{"holder"}, nil)
-	headsRefused    = prometheus.NewDesc("edge_gw_heads_without_room", "times that the head of a request found no memory", nil, nil)
-	overdueDesc     = prometheus.NewDesc("edge_gw_overdue_bodies", "requests whose time ended before a host had read their bodies", nil, nil)
+	heldDesc           = prometheus.NewDesc("edge_gw_memory_held_bytes", "memory that is held, by for what: heads and bodies of requests, answers of hosts, all of the runtime", []string{"holder"}, nil)
+	boundDesc          = prometheus.NewDesc("edge_gw_memory_bound_bytes", "the most that this process may hold, by for what", []string{"holder"}, nil)
+	placesDesc         = prometheus.NewDesc("edge_gw_places_held", "places that are held: open requests, those whose bodies are still to come, connections of clients and to hosts", []string{"holder"}, nil)
+	placesBoundDesc    = prometheus.NewDesc("edge_gw_places_bound", "the most that this process may hold, by for what", []string{"holder"}, nil)
+	headsRefused       = prometheus.NewDesc("edge_gw_heads_without_room", "times that the head of a request found no memory", nil, nil)
+	overdueAnswersDesc = prometheus.NewDesc("edge_gw_overdue_answers", "requests past their due time with no byte of their answer on the client's connection, by how far they had come", []string{"stage"}, nil)
+	overdueDesc        = prometheus.NewDesc("edge_gw_overdue_bodies", "requests whose time ended before a host had read their bodies", nil, nil)
 )
 
-var memoryDescs = []*prometheus.Desc{heldDesc, boundDesc, placesDesc, placesBoundDesc, headsRefused, overdueDesc}
+var memoryDescs = []*prometheus.Desc{heldDesc, boundDesc, placesDesc, placesBoundDesc, headsRefused, overdueDesc, overdueAnswersDesc}
 
 // runtimeMemory is all memory of the process that the runtime knows of, by the name that it gives it.
 const runtimeMemory = "/memory/classes/total:bytes"
@@ -53,4 +54,7 @@
 		overdue += p.Counts().Overdue.Load()
 	}
 	m.count(overdueDesc, overdue)
+	for stage := range exchange.Stages {
+		m.count(overdueAnswersDesc, s.admission.Overdue().Count(stage), stage.String())
+	}
 }
