The head of a long answer goes out before its body, and not when that comes

Behind large requests that hosts read slowly, the answer began seconds late. Where the host ended its connection behind the head, the client's was closed with no answer at all.

Cause: the front left the head of an answer of told length in its buffer until the first bytes of the body came (front/http1, pass); the exchange took the request for answered from the host's head on, so that nobody's clock ran.

Change: the head is written and flushed at once, in any framing, and so is each part behind it.

--- a/internal/exchange/bodytime.go
+++ b/internal/exchange/bodytime.go
@@ -61,7 +61,8 @@
 	p.withdraw(now, c)
 }
 
-// HeadBy returns when the head of the answer is due to an attempt whose request has just been sent.
+// HeadBy returns when the head of the answer is due: to the host from the moment in which its request has been sent, and
+// to the client in any case.
 func (a *Attempt) HeadBy() time.Time {
 	by := time.Now().Add(a.Left)
 	if a.call != nil && a.call.Body != nil {
--- a/internal/faultinject/paced.go
+++ b/internal/faultinject/paced.go
@@ -314,6 +314,10 @@
 	default:
 		head += fmt.Sprintf("Content-Length: %d\r\n\r\n", p.size)
 	}
+	if plan.Has("breaks") {
+		io.WriteString(c, head)
+		return false
+	}
 	if p.write(c, head, h.record.transferOf(a.id, "down"), over) && p.framing != "close" {
 		<-over // a further request would be read by the look for the end
 	}
@@ -327,6 +331,7 @@
 	interim  bool
 	// hostReads and reads are the bytes a second at which the host and the client read; 0: as they come.
 	hostReads, reads int
+	breaks           bool // the host ends the connection behind the answer's head
 }
 
 func (q *pacedCall) String() string {
@@ -388,6 +393,9 @@
 	q.body = bytes.Repeat([]byte{pacedByte}, q.up.size)
 	q.chunked = q.up.framing == "chunked"
 	q.plan = fmt.Sprintf("paced=1&body=%d&read=%d&%v", q.up.size, q.hostReads, &q.down)
+	if q.breaks {
+		q.plan += "&breaks=1"
+	}
 	if q.interim {
 		q.plan += "&interim=1"
 	}
@@ -617,6 +625,18 @@
 	})
 }
 
+// headBreaks have hosts end their connections behind the head of a long answer.
+func headBreaks(c *client) {
+	c.eachPaced(func() *pacedCall {
+		q := c.longCall([]string{"length", "chunked"}[c.r.IntN(2)])
+		q.class, q.breaks = []string{safeClass, unsafeClass}[c.r.IntN(2)], true
+		if q.up.framing = "none"; q.class == unsafeClass {
+			q.up = pace{size: 100, framing: "length", piece: 100}
+		}
+		return q
+	})
+}
+
 // uploadRests send large requests that hosts read slowly, and answer then with a head and nothing behind it for a while.
 func uploadRests(c *client) {
 	c.eachPaced(func() *pacedCall {
--- a/internal/faultinject/paced_test.go
+++ b/internal/faultinject/paced_test.go
@@ -19,7 +19,12 @@
 	pacedBeside(t, "headrests", 20, 5*time.Second)
 }
 
-// The same behind a large request that its host reads slowly.
+// A host that ends its connection behind the head of a long answer costs its client no answer.
+func TestHostThatBreaksBehindItsHeadCostsNoAnswer(t *testing.T) {
+	Trial{MemoryMB: 96, Descriptors: 1024, Groups: []Group{{Kind: "headbreaks", N: 5, From: trialFrom}}}.hold(t, pacedTurns)
+}
+
+// A long answer whose host rests behind its head begins in time behind a large request that it reads slowly, too.
 func TestSlowlyReadRequestsHaveTheirAnswersBegun(t *testing.T) {
 	pacedBeside(t, "uploadrests", 20, 6*time.Second)
 }
--- a/internal/faultinject/trial_clients.go
+++ b/internal/faultinject/trial_clients.go
@@ -32,6 +32,7 @@
 	"odd":         odd,
 	"idle":        idle,
 	"each":        eachOnItsOwn,
+	"headbreaks":  headBreaks,
 	"paced":       paced,
 	"headrests":   headRests, "uploadrests": uploadRests, "chunkrests": chunkRests, "longrests": longRests,
 	"steadyreaders": steadyReaders, "steadyhosts": steadyHosts, "chunkwriters": chunkWriters, "stoppers": stoppers,
--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -264,19 +264,16 @@
 	}
 	due()
 	w.WriteHeader(a.Status)
-	if a.Length < 0 && rc.Flush() != nil { // what follows may take its time
+	if rc.Flush() != nil { // what follows may take its time
 		return false
 	}
-	if a.Length < 0 {
-		t.Begun()
-	}
+	t.Begun()
 	for {
 		a.Stream.Wait()
 		due()
 		conn.AwaitWrite()
 		buffer := buffers.Get().(*[]byte)
 		err := s.burst(w, rc, *buffer, a.Stream, due)
-		t.Begun()
 		buffers.Put(buffer)
 		switch {
 		case err == io.EOF:
@@ -300,10 +297,8 @@
 			return e
 		}
 	}
-	if err != nil || n < len(buffer) { // there is no more for now
-		if e := rc.Flush(); e != nil && err == nil {
-			err = e
-		}
+	if e := rc.Flush(); e != nil && err == nil { // the host may rest behind it
+		err = e
 	}
 	return err
 }
--- a/internal/upstream/http1/beginning.go
+++ b/internal/upstream/http1/beginning.go
@@ -7,8 +7,6 @@
 	"os"
 	"sync"
 	"time"
-
-	"frostshift/internal/message"
 )
 
 // beginning is the first part of an answer of untold length. It is held back for a moment: an answer that proves to be
@@ -42,9 +40,9 @@
 )
 
 // newBeginning returns a beginning with room; nil: the answer goes on at once.
-func (t *attempt) newBeginning(req *message.Request, resp *http.Response) *beginning {
+func (t *attempt) newBeginning(ahead time.Duration, resp *http.Response) *beginning {
 	room := t.up.cfg.Bytes
-	if req.Flow.Ahead <= 0 || resp.ContentLength >= 0 || len(resp.Trailer) > 0 || !room.Take(wholePart) {
+	if ahead <= 0 || resp.ContentLength >= 0 || len(resp.Trailer) > 0 || !room.Take(wholePart) {
 		return nil
 	}
 	buffer, _ := buffers[1].Get().(*[]byte)
@@ -52,7 +50,7 @@
 		made := make([]byte, wholePart)
 		buffer = &made
 	}
-	return &beginning{ahead: req.Flow.Ahead, until: t.Until, buffer: (*buffer)[:wholePart], filled: make(chan struct{}),
+	return &beginning{ahead: ahead, until: t.Until, buffer: (*buffer)[:wholePart], filled: make(chan struct{}),
 		free: sync.OnceFunc(func() { room.Give(wholePart) }), again: func() { buffers[1].Put(buffer) }}
 }
 
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -132,10 +132,14 @@
 	case m.Disposition == verdict.Final && req.Flow.Answers && (resp.ContentLength < 0 || resp.ContentLength > req.Flow.Hold):
 		a.Length = resp.ContentLength
 		c.followChunks(resp)
-		b := t.newBeginning(req, resp)
+		ahead := t.holdFor(req.Flow)
+		b := t.newBeginning(ahead, resp)
 		if b == nil {
-			t.flowing(c, f, req, resp, a, m, nil)
-			return
+			if err = c.awaitBody(ahead); err == nil {
+				t.flowing(c, f, req, resp, a, m, nil)
+				return
+			}
+			break
 		}
 		var whole bool
 		if whole, err = b.fill(c, resp, func() { t.flowing(c, f, req, resp, a, m, b) }); err == nil && !whole {
@@ -152,6 +156,26 @@
 	t.answeredWhole(c, f, r, resp, a, m)
 }
 
+// holdFor is how long the beginning of a long answer is held back, in which it can still be asked for again: no longer
+// than half of the time in which its client must have a byte of it.
+func (t *attempt) holdFor(flow *message.Flow) time.Duration {
+	return min(flow.Ahead, max(0, time.Until(t.HeadBy())/2))
+}
+
+// awaitBody waits a while for the first byte of an answer's body, and ends with an error where the connection broke.
+func (c *conn) awaitBody(within time.Duration) error {
+	if within <= 0 {
+		return nil
+	}
+	c.limit.N = 1<<63 - 1
+	c.SetReadDeadline(time.Now().Add(within))
+	_, err := c.in.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return odd(c, err)
+}
+
 // readAnswer reads the body of an answer that is kept whole.
 func (t *attempt) readAnswer(c *conn, resp *http.Response, a *message.Answer) error {
 	c.SetReadDeadline(time.Now().Add(max(restLeast, t.Left/restPart)))
