A client that stops within its request has its error within 3 s

What callers saw: a client that stopped within its request, and stayed, had 400 or 408 after 10 s, and with a chunked body of which only the head had come, an end of the connection with no answer.

Cause: a client could let as long pass within its request as either side within an answer; and what is wrong with a body was said by the server's own time for writes (its time for a request and the longest deadline), which is over by then.

Change: a single rest of a client within its request is 2.9 s at most, so that its error is out within the 3 s of the standing test; rests together, and the 8 kB a second in the long run, are held to as before. An error in taking a request has its own time to be written.

--- a/internal/config/bodies.go
+++ b/internal/config/bodies.go
@@ -34,6 +34,7 @@
 	Ahead         time.Duration // that the beginning of one of untold length is held back for
 	Most          int64         // bytes of a request; 0: any
 	Idle          time.Duration // that either side may let pass without a byte
+	Silence       time.Duration // ... and the client within its request; 0: Idle
 	Longest       time.Duration // of a request with all of its answer
 	Rate          int64         // bytes a second that a client must send in the long run; 0: any
 	Hints         bool          // 103 is passed on
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -20,9 +20,10 @@
 const platformPool = "hosts"
 
 const (
-	platformIdle     = 10 * time.Second // peers take seconds to read or write
-	platformLongest  = 10 * time.Minute // 32 MB at 64 kB a second
-	firstDescriptor  = 3                // below are the standard ones
+	platformIdle     = 10 * time.Second        // peers take seconds to read or write
+	platformSilence  = 2900 * time.Millisecond // a client that stops within its request has its error within 3 s
+	platformLongest  = 10 * time.Minute        // 32 MB at 64 kB a second
+	firstDescriptor  = 3                       // below are the standard ones
 	hotRestartSocket = "stilespool.sock"
 	platformAhead    = 150 * time.Millisecond
 	platformRate     = 8 << 10 // bytes a second: an eighth of what slow clients send
@@ -195,7 +196,7 @@
 // platformBodies is how bodies go on there: what is no longer than the protocol's usual 64 KiB
 // is whole, so that another attempt may be made, and what is longer flows.
 func platformBodies() *Bodies {
-	return &Bodies{Requests: BodiesAuto, Answers: true, Replay: MostWhole, Hold: MostWhole, Ahead: platformAhead, Idle: platformIdle, Longest: platformLongest,
+	return &Bodies{Requests: BodiesAuto, Answers: true, Replay: MostWhole, Hold: MostWhole, Ahead: platformAhead, Idle: platformIdle, Silence: platformSilence, Longest: platformLongest,
 		Rate: platformRate, HeadTimed: true}
 }
 
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -262,6 +262,7 @@
 		if ends {
 			w.Header().Set("Connection", "close")
 		}
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.cfg.SendWithin)) // the body may have taken longer than that
 		write(w, r.Method, e.Answer())
 		if ends {
 			throwAway(w, r)
--- a/internal/front/ticket.go
+++ b/internal/front/ticket.go
@@ -88,7 +88,7 @@
 // announced; -1: nothing.
 func (t *Ticket) NewUpload(src stream.Source, length int64) *stream.Upload {
 	f := t.Flow
-	cfg := stream.Config{Source: src, Room: t.Bodies, Strict: f.Strict, Idle: f.Idle, Rate: f.Rate, Timed: t.asked || t.Platform,
+	cfg := stream.Config{Source: src, Room: t.Bodies, Strict: f.Strict, Idle: f.Idle, Silence: f.Silence, Rate: f.Rate, Timed: t.asked || t.Platform,
 		Bounds: body.Bounds{Memory: f.Replay, Disk: f.Spool, Most: f.Most, Length: length}}
 	if terms := t.item.Terms; terms != nil && terms.LargestBody > 0 && (f.Most == 0 || terms.LargestBody < f.Most) {
 		cfg.Bounds.Most = terms.LargestBody // none was announced that the contract could be held against
@@ -103,7 +103,7 @@
 		cfg.Bounds.Disk = 0
 	}
 	if t.Upgrade != "" {
-		cfg.Raw, cfg.Idle, cfg.Rate, cfg.Bounds = true, 0, 0, body.Bounds{Length: -1}
+		cfg.Raw, cfg.Idle, cfg.Silence, cfg.Rate, cfg.Bounds = true, 0, 0, 0, body.Bounds{Length: -1}
 	}
 	t.Message.Upload = stream.NewUpload(cfg, nil)
 	return t.Message.Upload
--- a/internal/stream/reader.go
+++ b/internal/stream/reader.go
@@ -102,12 +102,15 @@
 // readTime is how long a read of bytes that have come may take: one that takes longer has waited for them.
 const readTime = time.Millisecond
 
+// resetPart is the part of a rest by which its deadline may be too early.
+const resetPart = 64
+
 // fetch reads from the source and keeps what it reads as it should be. The lock is held.
 func (r *Reader) fetch(p []byte) (int, error) {
 	u := r.u
 	u.fetching, u.since = true, time.Now()
 	late := u.deadline(u.since)
-	set := late.Sub(u.set) > u.cfg.Idle/8 || late.Before(u.set) // a call for each read is many
+	set := late.Sub(u.set) > u.silence()/resetPart || late.Before(u.set) // a call for each read is many
 	if set {
 		u.set = late
 	}
--- a/internal/stream/upload.go
+++ b/internal/stream/upload.go
@@ -59,9 +59,11 @@
 	Spool  func() (File, error) // for what is kept on disk; nil: nothing is
 	Strict bool                 // a body that can't be kept on disk breaks, and is not sent on without
 	Idle   time.Duration        // that the client may let pass without a byte; 0: any
-	Rate   int64                // bytes a second that it must send in the long run, beyond Idle; 0: any
-	Raw    bool                 // bytes go on unframed, behind a switch of protocols
-	Timed  bool                 // the client has said how long it waits, see OwedAt
+	// Silence is the same for a single rest, where that may be shorter; 0: Idle.
+	Silence time.Duration
+	Rate    int64 // bytes a second that it must send in the long run, beyond Idle; 0: any
+	Raw     bool  // bytes go on unframed, behind a switch of protocols
+	Timed   bool  // the client has said how long it waits, see OwedAt
 }
 
 // Upload is the body of one request on its way. It is safe for concurrent use; of its
@@ -300,11 +302,19 @@
 	return body, again
 }
 
-// deadline is when a read that begins now has waited for too long: for Idle, or for as long
+// silence is how long a single rest of the client may be; 0: any.
+func (u *Upload) silence() time.Duration {
+	if u.cfg.Silence > 0 {
+		return u.cfg.Silence
+	}
+	return u.cfg.Idle
+}
+
+// deadline is when a read that begins now has waited for too long: for a single rest, or for as long
 // as a client may take in all for what it has sent. The lock is held.
 func (u *Upload) deadline(now time.Time) (t time.Time) {
-	if u.cfg.Idle > 0 {
-		t = now.Add(u.cfg.Idle)
+	if silence := u.silence(); silence > 0 {
+		t = now.Add(silence)
 	}
 	if u.cfg.Rate > 0 {
 		may := u.cfg.Idle + time.Duration(float64(u.replay.Came())/float64(u.cfg.Rate)*float64(time.Second))
