A peer that takes something in, or gives something, is not given up

What callers saw: a request of 32 MB that its host read at 64 kB a second, without a rest, failed 10.05 s behind its start.

Cause: a write had 10 s as a whole, over HTTP/1.1 and HTTP/2, whatever of it went out meanwhile; and a socket whose buffer is full says that it has room again once a third of it is free, which takes such a peer 13 s and more. Bytes in that buffer passed for sent. And a wait for a host had from 8.75 s (a deadline that is not set anew each time) to 20 s (two waits behind each other).

Change: one rule for all peers behind the first byte: who takes nothing in, or gives nothing, for the time that it may is given up, and nobody else. Writes look at what the peer has acknowledged (internal/stall; SIOCOUTQ), streams of HTTP/2 at what has gone out; the time for a host's next byte is never shorter than told, an eighth longer at most, and waited for once.

--- a/internal/faultinject/paced.go
+++ b/internal/faultinject/paced.go
@@ -506,7 +506,7 @@
 			}
 		}
 		p.record.leaves(p.id, time.Now())
-		p.link.SetReadDeadline(time.Unix(1, 0))
+		p.link.SetDeadline(time.Unix(1, 0))
 		<-p.ended
 		return
 	}
@@ -518,6 +518,9 @@
 	case <-p.answered:
 		last, ended := p.down.lastGiven()
 		return p.q.down.stops() && !last.IsZero() && !ended && time.Since(last) > heldWithin+time.Second
+	default:
+	}
+	select {
 	case <-written:
 		return time.Since(p.wrote) > p.q.left+answerWithin
 	default:
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -14,6 +14,7 @@
 
 	"frostshift/internal/chunked"
 	"frostshift/internal/socket"
+	"frostshift/internal/stall"
 )
 
 // ErrCondemned is what a read of a connection ends with that has been given up: nothing
@@ -93,7 +94,8 @@
 
 	// Of whoever writes:
 	corked bool
-	held   []byte // written while corked, and not gone out
+	held   []byte        // written while corked, and not gone out
+	writer *stall.Writer // nil: writes end by their deadline
 }
 
 // rest puts the connection into a quiet phase; wake takes it out of one. The lock is held.
@@ -249,14 +251,36 @@
 
 // AwaitWrite waits until the client's side has room for a part of an answer, within the deadline
 // of writes. Until then whoever writes need hold no buffer; its errors are Write's to tell.
-func (c *Conn) AwaitWrite() {
-	if c.raw == nil {
-		return
-	}
-	c.raw.Write(func(fd uintptr) bool {
+//
+// False: the client has taken nothing for as long as it may, see WriteIdle.
+func (c *Conn) AwaitWrite() bool {
+	ready := func(fd uintptr) bool {
 		events, err := socket.Poll(fd, unix.POLLOUT)
 		return events != 0 || err != nil
-	})
+	}
+	switch {
+	case c.writer != nil:
+		return c.writer.Await(ready)
+	case c.raw != nil:
+		c.raw.Write(ready)
+	}
+	return true
+}
+
+// WriteIdle has writes go on from here on for as long as the client takes something in, and end where it has taken nothing
+// for idle, whatever their deadline; 0: they end by their deadline.
+func (c *Conn) WriteIdle(idle time.Duration) {
+	if c.writer = nil; idle > 0 {
+		c.writer = stall.NewWriter(c.Conn, c.raw, idle)
+	}
+}
+
+// writeOut writes to the client's connection.
+func (c *Conn) writeOut(b []byte) (int, error) {
+	if c.writer != nil {
+		return c.writer.Write(b, nil)
+	}
+	return c.Conn.Write(b)
 }
 
 // beforeRead makes a connection idle that has had its answer and holds nothing more, or
@@ -319,7 +343,7 @@
 	if len(c.held) == 0 {
 		return nil
 	}
-	_, err := c.Conn.Write(c.held)
+	_, err := c.writeOut(c.held)
 	c.held = c.held[:0]
 	return err
 }
@@ -332,7 +356,7 @@
 		return len(b), nil
 	}
 	if len(c.held) == 0 {
-		return c.Conn.Write(b)
+		return c.writeOut(b)
 	}
 	parts := net.Buffers{c.held, b}
 	n, err := parts.WriteTo(c.Conn)
--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -255,14 +255,7 @@
 	if h["Content-Type"] == nil {
 		h["Content-Type"] = nil // none is guessed for a host
 	}
-	var set time.Time
-	due := func() {
-		if now := time.Now(); now.Sub(set) > t.Idle()/8 { // a call for each write is many
-			set = now
-			rc.SetWriteDeadline(now.Add(t.Idle()))
-		}
-	}
-	due()
+	conn.WriteIdle(t.Idle())
 	w.WriteHeader(a.Status)
 	if rc.Flush() != nil { // what follows may take its time
 		return false
@@ -270,10 +263,11 @@
 	t.Begun()
 	for {
 		a.Stream.Wait()
-		due()
-		conn.AwaitWrite()
+		if !conn.AwaitWrite() {
+			return false
+		}
 		buffer := buffers.Get().(*[]byte)
-		err := s.burst(w, rc, *buffer, a.Stream, due)
+		err := s.burst(w, rc, *buffer, a.Stream)
 		buffers.Put(buffer)
 		switch {
 		case err == io.EOF:
@@ -289,10 +283,9 @@
 
 // burst passes on a part of what there is now, and ends with io.EOF behind the last byte. While
 // nothing comes, or the client takes nothing in, no buffer is held.
-func (s *Server) burst(w http.ResponseWriter, rc *http.ResponseController, buffer []byte, from message.Stream, due func()) error {
+func (s *Server) burst(w http.ResponseWriter, rc *http.ResponseController, buffer []byte, from message.Stream) error {
 	n, err := from.Read(buffer)
 	if n > 0 {
-		due()
 		if _, e := w.Write(buffer[:n]); e != nil {
 			return e
 		}
@@ -382,7 +375,7 @@
 	var fields bytes.Buffer
 	a.Header.Write(&fields)
 	head = append(append(head, fields.Bytes()...), "\r\n"...)
-	nc.SetWriteDeadline(time.Now().Add(t.Idle()))
+	front.Of(nc).WriteIdle(t.Idle())
 	if _, err := nc.Write(head); err != nil {
 		call.Undelivered(reply)
 		return
@@ -404,7 +397,6 @@
 		buffer := buffers.Get().(*[]byte)
 		n, err := a.Stream.Read(*buffer)
 		if n > 0 {
-			nc.SetWriteDeadline(time.Now().Add(t.Idle()))
 			if _, e := nc.Write((*buffer)[:n]); e != nil {
 				err = e
 			}
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -249,6 +249,7 @@
 // handle answers a request that has been taken. It panics where its answer is to break off.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request, conn *front.Conn) {
 	w = &leavingWriter{ResponseWriter: w, conn: conn}
+	conn.WriteIdle(0) // as it was for the answer before
 	if r.URL.Path == "/ready" {
 		s.serveReady(w, r)
 		return
--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -217,7 +217,7 @@
 	}
 }
 
-// wait waits until the client has taken in what was sent. It is false where that took idle, which
+// wait waits until the client has taken in what was sent. It is false where nothing of that went out for idle, which
 // resets the stream, and where stream or connection have ended.
 func (s *stream) wait(taken <-chan struct{}, late *time.Timer, idle time.Duration) bool {
 	select {
@@ -225,17 +225,23 @@
 		return true
 	default:
 	}
-	late.Reset(idle)
-	select {
-	case <-taken:
-		return true
-	case <-late.C:
-		s.c.link.Reset(s.h2, http2.ErrCodeCancel)
-	case <-s.gone:
-	case <-s.c.gone:
-	case <-s.c.link.Ended():
+	for sent := s.h2.Sent(); ; {
+		late.Reset(idle)
+		select {
+		case <-taken:
+			return true
+		case <-late.C:
+			if now := s.h2.Sent(); now > sent {
+				sent = now
+				continue
+			}
+			s.c.link.Reset(s.h2, http2.ErrCodeCancel)
+		case <-s.gone:
+		case <-s.c.gone:
+		case <-s.c.link.Ended():
+		}
+		return false
 	}
-	return false
 }
 
 // passed ends a stream whose answer has gone out whole.
--- a/internal/h2/writer.go
+++ b/internal/h2/writer.go
@@ -129,6 +129,16 @@
 	l.Control(func(f *http2.Framer) error { return f.WriteGoAway(last, code, nil) })
 }
 
+// Sent is how many bytes have gone out of the part that a stream sends now.
+func (s *Stream) Sent() int {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	if s.out == nil {
+		return 0
+	}
+	return s.out.sent
+}
+
 // Whole says whether the last byte of what a stream sends may have gone out.
 func (s *Stream) Whole() bool {
 	s.link.mu.Lock()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -76,3 +76,13 @@
 	}
 	return n
 }
+
+// Unacknowledged is how many bytes have been written to a socket and not been acknowledged by the other side; 0 where the
+// system does not say.
+func Unacknowledged(fd uintptr) int {
+	n, err := inqueue(int(fd), unix.TIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/internal/upstream/http1/answerflow.go
+++ b/internal/upstream/http1/answerflow.go
@@ -25,15 +25,16 @@
 	req  *message.Request
 	resp *http.Response
 
-	ahead *beginning // that has not been given to its end; nil: nothing
-	first *beginning // that was, for Close
-	head  int64      // of the room, for the answer's head
-	idle  time.Duration
-	until time.Time
-	gave  time.Time // when the last Read returned
-	set   time.Time // what the deadline of reads is
-	total int64
-	eof   bool
+	ahead  *beginning // that has not been given to its end; nil: nothing
+	first  *beginning // that was, for Close
+	head   int64      // of the room, for the answer's head
+	idle   time.Duration
+	until  time.Time
+	gave   time.Time // when the last Read returned
+	silent bool      // the last Wait has ended with nothing to read
+	set    time.Time // what the deadline of reads is
+	total  int64
+	eof    bool
 
 	once   sync.Once
 	mu     sync.Mutex
@@ -73,7 +74,7 @@
 		}
 	case s.c.in.Buffered() == 0:
 		s.due()
-		s.c.await()
+		s.silent = !s.c.await()
 		s.gave = time.Now()
 	}
 }
@@ -86,9 +87,12 @@
 	if s.idle > 0 && now.Add(s.idle).Before(by) {
 		by = now.Add(s.idle)
 	}
-	if by.Sub(s.set) > s.idle/8 || by == s.until && s.set != by { // a call for each read is many
-		s.set = by
-		s.c.SetReadDeadline(by)
+	if s.set.Before(by) || by == s.until && s.set != by {
+		s.set = by.Add(s.idle / 8) // a call for each read is many
+		if s.set.After(s.until) {
+			s.set = s.until
+		}
+		s.c.SetReadDeadline(s.set)
 	}
 }
 
@@ -102,7 +106,9 @@
 			return s.took(n, err)
 		}
 	}
-	s.due()
+	if !s.silent { // else its time is over, which the read says
+		s.due()
+	}
 	n, err := s.resp.Body.Read(p)
 	s.gave = time.Now()
 	return s.took(n, err)
--- a/internal/upstream/http1/attempt.go
+++ b/internal/upstream/http1/attempt.go
@@ -14,6 +14,7 @@
 	"frostshift"
 	"frostshift/internal/exchange"
 	"frostshift/internal/message"
+	"frostshift/internal/stall"
 	"frostshift/internal/upstream"
 )
 
@@ -128,6 +129,15 @@
 	return n == len(text)
 }
 
+// writePart writes a part of the body, for as long as the host takes something in, and says whether all has been written.
+func (t *attempt) writePart(w *stall.Writer, part []byte) bool {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	n, _ := w.Write(part, t.mayWrite)
+	t.wrote = t.wrote || n > 0
+	return n == len(part)
+}
+
 // send writes the request, as far as it is whole, and says whether all of that has been written.
 func (t *attempt) send(c *conn, req *message.Request, address string) bool {
 	text := texts.Get().(*[]byte)
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -159,15 +159,15 @@
 	}
 }
 
-// await waits until there is something to read, within the deadline. It takes up no buffer.
-func (c *conn) await() {
+// await waits until there is something to read, within the deadline. It takes up no buffer. False: the deadline has passed.
+func (c *conn) await() bool {
 	if c.raw == nil {
 		if c.in != nil {
 			c.in.Peek(1)
 		}
-		return
+		return true
 	}
-	c.raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		_, err := socket.Peek(fd)
 		switch {
 		case errors.Is(err, syscall.EAGAIN):
@@ -178,6 +178,7 @@
 		}
 		return true
 	})
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // closeWrite says that nothing more is sent.
--- a/internal/upstream/http1/feed.go
+++ b/internal/upstream/http1/feed.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"frostshift/internal/stall"
 	"frostshift/internal/stream"
 	"frostshift/internal/upstream"
 )
@@ -44,7 +45,7 @@
 	const room = 16 // for the size of a chunk ahead and its end behind
 	space := chunk.Bytes
 	var digits [room]byte
-	var set time.Time
+	w := stall.NewWriter(f.c, f.c.raw, f.idle)
 	chunked := f.up.Length() < 0 && !f.up.Raw()
 	for {
 		n, err := f.r.Read(space[room : len(space)-2])
@@ -67,11 +68,7 @@
 			return
 		}
 		if len(out) > 0 {
-			if now := time.Now(); f.idle > 0 && now.Sub(set) > f.idle/8 { // a call for each write is many
-				set = now
-				f.c.SetWriteDeadline(now.Add(f.idle))
-			}
-			if !f.t.write(f.c, out) {
+			if !f.t.writePart(w, out) {
 				f.headWithin(restLeast) // an answer that has come already still counts
 				return
 			}
--- a/internal/upstream/http2/flow.go
+++ b/internal/upstream/http2/flow.go
@@ -61,20 +61,26 @@
 			return true
 		default:
 		}
-		late.Reset(idle)
-		select {
-		case <-c:
-			return true
-		case <-t.off:
-		case <-link.Ended():
-		case <-late.C: // the host takes nothing in
-			if link.Reset(s, http2.ErrCodeCancel) || t.begun(s) {
-				t.end(frostshift.TimedOut, nil)
-			} else {
-				t.end(frostshift.ConnectFailed, nil)
+		for sent := s.Sent(); ; {
+			late.Reset(idle)
+			select {
+			case <-c:
+				return true
+			case <-t.off:
+			case <-link.Ended():
+			case <-late.C:
+				if now := s.Sent(); now > sent {
+					sent = now
+					continue
+				}
+				if link.Reset(s, http2.ErrCodeCancel) || t.begun(s) { // the host takes nothing in
+					t.end(frostshift.TimedOut, nil)
+				} else {
+					t.end(frostshift.ConnectFailed, nil)
+				}
 			}
+			return false
 		}
-		return false
 	}
 	if !wait(f.taken) { // the head
 		return
@@ -236,9 +242,12 @@
 	if fl.idle > 0 && now.Add(fl.idle).Before(by) {
 		by = now.Add(fl.idle)
 	}
-	if by.Sub(fl.set) > fl.idle/8 {
-		fl.set = by
-		fl.SetReadDeadline(by)
+	if fl.set.Before(by) {
+		fl.set = by.Add(fl.idle / 8) // a call for each read is many
+		if fl.set.After(fl.until) {
+			fl.set = fl.until
+		}
+		fl.SetReadDeadline(fl.set)
 	}
 }
 
@@ -251,7 +260,6 @@
 
 // Read reads what has come.
 func (fl *answerFlow) Read(p []byte) (int, error) {
-	fl.due()
 	n, err := fl.Queue.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		fl.mu.Lock()
