Tests: heads ahead of their bodies and hosts that read in small parts, over each protocol

The soak draws the paced clients too, and keeps each process's lines of overdue answers whatever else it logs. The wait of a feeder over HTTP/2 is a function of its own.

--- a/internal/clustertest/process.go
+++ b/internal/clustertest/process.go
@@ -18,6 +18,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -226,6 +227,16 @@
 // Log is the last that it said.
 func (p *Process) Log() string { return p.log.String() }
 
+// Mark has lines with a text kept from the start on. It is called before Start.
+func (p *Process) Mark(text string) { p.log.mark = text }
+
+// Marked are the first lines with that text, as far as they came in one write each.
+func (p *Process) Marked() []string {
+	p.log.mu.Lock()
+	defer p.log.mu.Unlock()
+	return slices.Clone(p.log.marked)
+}
+
 // Close ends all processes and waits for them.
 func (f *Fleet) Close() {
 	f.mu.Lock()
@@ -263,15 +274,27 @@
 
 // tail keeps the last that was written.
 type tail struct {
-	mu   sync.Mutex
-	text []byte
+	mu     sync.Mutex
+	text   []byte
+	mark   string
+	marked []string // lines with the mark
 }
 
+// mostMarked is how many lines with a mark are kept.
+const mostMarked = 20
+
 const tailBytes = 4 << 10
 
 func (t *tail) Write(b []byte) (int, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.mark != "" {
+		for line := range strings.Lines(string(b)) {
+			if strings.Contains(line, t.mark) && len(t.marked) < mostMarked {
+				t.marked = append(t.marked, strings.TrimSpace(line))
+			}
+		}
+	}
 	t.text = append(t.text, b...)
 	if n := len(t.text) - tailBytes; n > 0 {
 		t.text = append(t.text[:0], t.text[n:]...)
--- a/internal/faultinject/paced.go
+++ b/internal/faultinject/paced.go
@@ -402,10 +402,11 @@
 	p := &pacedExchange{client: c, q: q, id: id, link: l, begun: time.Now(), answered: make(chan struct{}), ended: make(chan struct{}),
 		up: c.record.transferOf(id, "up"), down: c.record.transferOf(id, "down")}
 	go p.read()
+	head := c.head(id, &q.call)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		p.write(c.head(id, &q.call))
+		p.write(head)
 	}()
 	p.await(written)
 	<-written
--- a/internal/faultinject/soak.go
+++ b/internal/faultinject/soak.go
@@ -18,6 +18,8 @@
 	{Kind: "stopped", N: 250}, {Kind: "slowbody", N: 150}, {Kind: "uploads", N: 30}, {Kind: "readers", N: 100},
 	{Kind: "slowanswers", N: 40}, {Kind: "answerheads", N: 100}, {Kind: "flood", N: 3}, {Kind: "leavers", N: 30},
 	{Kind: "again", N: 30}, {Kind: "odd", N: 3}, {Kind: "each", N: 60},
+	{Kind: "paced", N: 60}, {Kind: "headrests", N: 30}, {Kind: "headbreaks", N: 10}, {Kind: "uploadrests", N: 20}, {Kind: "chunkrests", N: 20},
+	{Kind: "steadyreaders", N: 20}, {Kind: "steadyhosts", N: 10}, {Kind: "chunkwriters", N: 20}, {Kind: "stoppers", N: 40},
 }
 
 // DrawSoak draws a trial from a seed: limits, groups of clients, in some runs a crowd, and signals in series.
--- a/internal/faultinject/trial.go
+++ b/internal/faultinject/trial.go
@@ -140,21 +140,14 @@
 	defer p.mu.Unlock()
 	r := TrialResult{PeakMB: p.peak, Quiet: p.record.quiet, Others: p.record.others, Wrong: p.record.wrong}
 	for _, g := range p.started {
-		r.Wrong = append(r.Wrong, overdueLines(g.Log())...)
+		r.Wrong = append(r.Wrong, g.Marked()...)
 		r.Log += g.Name + ":\n" + g.Log() + "\n"
 	}
 	return r
 }
 
-// overdueLines are the lines in which a process says that a request is past its due time without a byte of its answer.
-func overdueLines(log string) (list []string) {
-	for line := range strings.Lines(log) {
-		if strings.Contains(line, "no byte of an answer by its due time") {
-			list = append(list, strings.TrimSpace(line))
-		}
-	}
-	return list
-}
+// overdueMark is what a process says of a request that is past its due time without a byte of its answer.
+const overdueMark = "no byte of an answer by its due time"
 
 func (p *trial) close() {
 	if p.fleet != nil {
@@ -215,6 +208,7 @@
 	p.mu.Lock()
 	p.started = append(p.started, g)
 	p.mu.Unlock()
+	g.Mark(overdueMark)
 	if g.Platform = true; dir != "" {
 		g.Dir = dir
 	}
--- /dev/null
+++ b/internal/gateway/paces_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"frostshift/internal/fake"
+)
+
+const pacedBytes = 300_000
+
+// The head of a long answer of told length is with the client while its host rests behind it, over each protocol.
+func TestHeadComesAheadOfItsBody(t *testing.T) {
+	inEach(t, func(t *testing.T, client, host string) {
+		next := make(chan struct{})
+		g := launch(t, flowing(t, client, host, "safe", streamed, restingHost(t, host, next)))
+		awaitHeads(t, talker(t, client), g.url, next)
+		idle(t, g)
+	})
+}
+
+// The same over TLS.
+func TestHeadComesAheadOfItsBodyOverTLS(t *testing.T) {
+	certificate, key := fake.Certificate(t.TempDir(), "localhost")
+	inEach(t, func(t *testing.T, client, host string) {
+		next := make(chan struct{})
+		text := flowingText(client, host, "safe", streamed, restingHost(t, host, next))
+		secure := fmt.Sprintf("address = \"127.0.0.1:0\"\ntls = { certificate = %q, key = %q }", certificate, key)
+		text = strings.Replace(text, fmt.Sprintf("protocol = %q\n", client), "", 1) // of the listener: its clients choose
+		g := launch(t, parsed(t, strings.Replace(text, `address = "127.0.0.1:0"`, secure, 1)))
+		transport := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}, ForceAttemptHTTP2: client == "http2"}
+		t.Cleanup(transport.CloseIdleConnections)
+		awaitHeads(t, &http.Client{Transport: transport}, "https://"+g.Addr("clients").String(), next)
+		idle(t, g)
+	})
+}
+
+const streamed = "answers = \"stream\"\nrequests = \"stream\""
+
+// restingHost rests behind the head of each answer until next.
+func restingHost(t *testing.T, protocol string, next <-chan struct{}) string {
+	return netHost(t, protocol, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", fmt.Sprint(pacedBytes))
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		select {
+		case <-next:
+		case <-r.Context().Done():
+			return
+		}
+		w.Write(noise(pacedBytes))
+	})
+}
+
+// awaitHeads has requests without a body and with a long one, and lets the host go on once their heads have come.
+func awaitHeads(t *testing.T, c *http.Client, url string, next chan<- struct{}) {
+	t.Helper()
+	for _, body := range []io.Reader{nil, bytes.NewReader(noise(pacedBytes))} {
+		ctx, end := context.WithTimeout(t.Context(), patience)
+		defer end()
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/long", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := c.Do(r)
+		if err != nil {
+			t.Fatalf("the head has not come: %v", err)
+		}
+		next <- struct{}{}
+		if got, err := io.ReadAll(resp.Body); err != nil || !bytes.Equal(got, noise(pacedBytes)) {
+			t.Errorf("%d bytes came, %v", len(got), err)
+		}
+		resp.Body.Close()
+	}
+}
+
+// A host that reads a request in small parts, for longer than it may read nothing, gets all of it, over each protocol.
+func TestHostThatReadsSmallPartsIsNotGivenUp(t *testing.T) {
+	const size = 2 << 20
+	inEach(t, func(t *testing.T, client, host string) {
+		t.Parallel()
+		addr := netHost(t, host, func(w http.ResponseWriter, r *http.Request) {
+			got := 0
+			for range 24 {
+				n, _ := io.CopyN(io.Discard, r.Body, 8<<10)
+				got += int(n)
+				time.Sleep(100 * time.Millisecond)
+			}
+			n, _ := io.Copy(io.Discard, r.Body)
+			fmt.Fprint(w, got+int(n))
+		})
+		g := launch(t, flowing(t, client, host, "unsafe", "requests = \"stream\"\nidle = \"400ms\"", addr))
+		resp, err := talker(t, client).Post(g.url+"/long", "text/plain", bytes.NewReader(noise(size)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if text, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK || string(text) != fmt.Sprint(size) {
+			t.Errorf("answered %d, %.80q, %v", resp.StatusCode, text, err)
+		}
+	})
+}
--- a/internal/upstream/http2/flow.go
+++ b/internal/upstream/http2/flow.go
@@ -31,6 +31,8 @@
 	r     *stream.Reader
 	taken chan struct{} // holds one: what was given to the link has been sent
 	sent  chan struct{} // closed: the last byte has
+	idle  time.Duration
+	late  *time.Timer
 }
 
 func newFeeder(t *attempt, up *stream.Upload, r *stream.Reader) *feeder {
@@ -52,37 +54,10 @@
 	defer f.r.Close()
 	t := f.t
 	link, s := t.conn.link, t.stream
-	idle := t.Message.(*message.Request).Flow.Idle
-	late := time.NewTimer(idle)
-	defer late.Stop()
-	wait := func(c <-chan struct{}) bool {
-		select {
-		case <-c: // it was written at once, mostly
-			return true
-		default:
-		}
-		for sent := s.Sent(); ; {
-			late.Reset(idle)
-			select {
-			case <-c:
-				return true
-			case <-t.off:
-			case <-link.Ended():
-			case <-late.C:
-				if now := s.Sent(); now > sent {
-					sent = now
-					continue
-				}
-				if link.Reset(s, http2.ErrCodeCancel) || t.begun(s) { // the host takes nothing in
-					t.end(frostshift.TimedOut, nil)
-				} else {
-					t.end(frostshift.ConnectFailed, nil)
-				}
-			}
-			return false
-		}
-	}
-	if !wait(f.taken) { // the head
+	f.idle = t.Message.(*message.Request).Flow.Idle
+	f.late = time.NewTimer(f.idle)
+	defer f.late.Stop()
+	if !f.wait(f.taken) { // the head
 		return
 	}
 	for {
@@ -91,7 +66,7 @@
 		t.Waited(f.r.Waited())
 		if n > 0 {
 			link.Append(s, chunk.Bytes[:n], false, nil)
-			if !wait(f.taken) {
+			if !f.wait(f.taken) {
 				chunk.Drop() // it may still be written
 				return
 			}
@@ -100,7 +75,7 @@
 		switch {
 		case err == io.EOF:
 			link.Append(s, nil, true, h2.AppendFields(nil, f.up.Trailer()))
-			if wait(f.sent) {
+			if f.wait(f.sent) {
 				t.fed()
 			}
 			return
@@ -114,6 +89,38 @@
 	}
 }
 
+// wait waits until what was sent has gone out. False: the host takes nothing in, which ends the attempt, or that has
+// ended.
+func (f *feeder) wait(c <-chan struct{}) bool {
+	t := f.t
+	link, s := t.conn.link, t.stream
+	select {
+	case <-c: // it was written at once, mostly
+		return true
+	default:
+	}
+	for sent := s.Sent(); ; {
+		f.late.Reset(f.idle)
+		select {
+		case <-c:
+			return true
+		case <-t.off:
+		case <-link.Ended():
+		case <-f.late.C:
+			if now := s.Sent(); now > sent {
+				sent = now
+				continue
+			}
+			if link.Reset(s, http2.ErrCodeCancel) || t.begun(s) {
+				t.end(frostshift.TimedOut, nil)
+			} else {
+				t.end(frostshift.ConnectFailed, nil)
+			}
+		}
+		return false
+	}
+}
+
 // fed notes that the last byte has gone out: the answer's head is due from here on.
 func (t *attempt) fed() {
 	t.Fed()
