An empty answer that ends with its connection is whole where its body is awaited

Found in reading: where no room was left for the beginning of an answer, the wait for its first byte took the end of an empty answer of no told length for a break. TestEndAheadOfABodyIsAnEndWhereNoLengthIsTold failed before.

--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -135,7 +135,7 @@
 		ahead := t.holdFor(req.Flow)
 		b := t.newBeginning(ahead, resp)
 		if b == nil {
-			if err = c.awaitBody(ahead); err == nil {
+			if err = c.awaitBody(ahead, resp); err == nil {
 				t.flowing(c, f, req, resp, a, m, nil)
 				return
 			}
@@ -163,14 +163,15 @@
 }
 
 // awaitBody waits a while for the first byte of an answer's body, and ends with an error where the connection broke.
-func (c *conn) awaitBody(within time.Duration) error {
+func (c *conn) awaitBody(within time.Duration, resp *http.Response) error {
 	if within <= 0 {
 		return nil
 	}
 	c.limit.N = 1<<63 - 1
 	c.SetReadDeadline(time.Now().Add(within))
 	_, err := c.in.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if errors.Is(err, os.ErrDeadlineExceeded) || endsWithConnection && errors.Is(err, io.EOF) {
 		return nil
 	}
 	return odd(c, err)
--- a/internal/upstream/http1/reset_test.go
+++ b/internal/upstream/http1/reset_test.go
@@ -141,3 +141,15 @@
 		t.Errorf("told %s of a second, which has the way back in it", left)
 	}
 }
+
+// An empty answer whose end is that of its connection is whole, however long its body is awaited; one of told length is broken.
+func TestEndAheadOfABodyIsAnEndWhereNoLengthIsTold(t *testing.T) {
+	for length, broken := range map[int64]bool{-1: false, 100_000: true} {
+		near, far := pair(t)
+		far.Close()
+		near.begin()
+		if err := near.awaitBody(time.Second, &http.Response{ContentLength: length}); (err != nil) != broken {
+			t.Errorf("of length %d: %v", length, err)
+		}
+	}
+}
