A connection over HTTP/2 has its rule for writes before its writer starts

The rule is set as the connection is made. The paced trial draws no two rests behind the same byte: together they could pass what a client may rest.

--- a/internal/faultinject/paced.go
+++ b/internal/faultinject/paced.go
@@ -362,17 +362,27 @@
 		p.piece = max(p.piece, int(p.every.Milliseconds())*64) // 64 kB a second at least
 	}
 	for range r.IntN(3) {
-		p.rests = append(p.rests, rest{behind: r.IntN(p.size+2) - 1, lasts: time.Duration(r.Int64N(int64(longest)))})
+		p.restOnce(rest{behind: r.IntN(p.size+2) - 1, lasts: time.Duration(r.Int64N(int64(longest)))})
 	}
 	switch r.IntN(6) {
 	case 0:
-		p.rests = append(p.rests, rest{behind: 0, lasts: longest})
+		p.restOnce(rest{behind: 0, lasts: longest})
 	case 1:
-		p.rests = append(p.rests, rest{behind: r.IntN(p.size+2) - 1, lasts: endless})
+		p.restOnce(rest{behind: r.IntN(p.size+2) - 1, lasts: endless})
 	}
 	return p
 }
 
+// restOnce adds a rest, unless there is one behind the same byte: together they would be longer than either.
+func (p *pace) restOnce(r rest) {
+	for _, other := range p.rests {
+		if other.behind == r.behind {
+			return
+		}
+	}
+	p.rests = append(p.rests, r)
+}
+
 // drawSize draws the length of a body: 0 to 32 MB.
 func drawSize(r *rand.Rand) int {
 	switch r.IntN(8) {
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -55,7 +55,9 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{s: s, nc: nc, remote: nc.RemoteAddr(), resets: resets, empties: empties, updates: updates,
 		refuse: allStreams, gone: make(chan struct{})}
-	c.all = front.Of(nc)
+	if c.all = front.Of(nc); c.all != nil {
+		c.all.WriteIdle(h2.WriteWithin)
+	}
 	c.link = h2.New(nc, h2.Config{StreamWindow: maxBody + 1, ConnWindow: connWindow, MaxStreams: s.streams,
 		Connect: s.cfg.Connect != nil && s.cfg.Connect()})
 	return c
--- a/internal/front/http2/server.go
+++ b/internal/front/http2/server.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"frostshift/internal/front"
-	"frostshift/internal/h2"
 )
 
 const (
@@ -119,7 +118,6 @@
 	c.link.Start()
 	if c.all != nil {
 		c.all.Frames(c.giveUp)
-		c.all.WriteIdle(h2.WriteWithin)
 	}
 	if leaving {
 		c.leave()
