Peers that send without a pause take turns at the processor

Cause: the code that serves a connection never waits while input is there. The runtime takes the processor from such a goroutine after 10 ms, and looks for sockets that are ready only when no goroutine can run. With one processor every step of another request waited for each flooding connection.

Evidence: an execution trace beside six connections: 16.4 s of scheduling delay in one second; 337 goroutines that had been woken waited more than 5 ms, 113 more than 50 ms, up to 268 ms; no wait for a lock or for memory is as long.

Change: package fairqueue. Each client connection accounts for the time that it causes, where it reads and between its messages. Below 0.25 ms, which 10 ms of use a second do not exceed, it works at once; above it takes turns of 0.25 ms, one for each processor at a time, those that have used little first. A turn begins behind the sockets that are ready (through the runtime's poller), and ends where its holder waits.

Why it works: at most one flooding connection for each processor can run, so what is owed to others waits for one turn a step, however many there are. Where nobody else is ready the turns follow at once.

--- /dev/null
+++ b/internal/fairqueue/fairqueue.go
@@ -0,0 +1,349 @@
+// Package fairqueue shares the processor among the peers of a process, so that what some of them cause at full speed
+// delays what is owed to others by a bounded time, however many they are.
+//
+// Each reader of a peer tells its Peer when it works and when it waits. A peer that has used less than a burst of
+// processor time works at once. All others take turns, as many at a time as there are processors: those that have
+// used little go first, and a turn begins behind everything that is ready to run, sockets included. Where nobody else
+// has work the turns follow upon one another, so that a single fast peer keeps its speed.
+package fairqueue
+
+import (
+	"container/heap"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// burst is the processor time that a peer may use without waiting for a turn.
+	burst = 250 * time.Microsecond
+	// turn is how long a turn lasts.
+	turn = 250 * time.Microsecond
+	// expiry is how long a turn may last whose holder does not say that it waits: it may be held up by its peer.
+	expiry = 2 * time.Millisecond
+	// longestStep is the most that one step counts: its goroutine may have been kept from running meanwhile.
+	longestStep = turn
+	// heavy is the use from which on a peer goes behind all that have used less.
+	heavy = 500 * time.Microsecond
+	// recovery is how much of the time for which a peer leaves the process alone is taken off what it has used.
+	recovery = 1.0 / 100
+)
+
+// The most that is kept of what peers have used.
+const (
+	// ClientDebt is for clients' connections.
+	ClientDebt = 20 * time.Millisecond
+	// HostDebt is for hosts' connections. They never go behind clients: what they bring is owed.
+	HostDebt = heavy / 2
+)
+
+// Queue gives turns. It is safe for concurrent use.
+type Queue struct {
+	parallel func() int // turns at a time
+
+	mu      sync.Mutex
+	running int
+	waiting waiters
+	arrived uint64
+	holders map[*Peer]time.Time // since when
+	passed  time.Time           // when a turn last began behind all that was ready
+	expires *time.Timer
+	armed   bool // expires is set
+	pollers []*poller // that no turn uses
+
+	waits, waited atomic.Int64 // turns that were waited for, and the nanoseconds
+	longest       atomic.Int64 // nanoseconds, since Stats was called
+}
+
+// processor is the queue of the process.
+var processor = New(func() int { return runtime.GOMAXPROCS(0) })
+
+// Processor returns the queue of the process, for its own processors.
+func Processor() *Queue { return processor }
+
+// New returns a queue with so many turns at a time.
+func New(parallel func() int) *Queue {
+	return &Queue{parallel: parallel, holders: map[*Peer]time.Time{}}
+}
+
+// Peer is one peer's use of the processor. A nil *Peer is never held up. It is safe for concurrent use.
+type Peer struct {
+	q    *Queue
+	debt time.Duration // the most that is kept of used
+
+	// The rest belongs to the queue's lock.
+	used    time.Duration
+	since   time.Time // when it began to work or, if it does not work, to wait
+	works   bool
+	granted time.Time // when its turn began; zero: it has none
+	gone    bool
+	ever    time.Duration // used in all
+}
+
+// NewPeer returns a peer that is waiting. debt bounds what is kept of its use.
+func (q *Queue) NewPeer(debt time.Duration) *Peer {
+	return &Peer{q: q, debt: debt, used: burst / 2, since: time.Now()}
+}
+
+// Work says that the peer causes work from here on, or goes on to its next message. It waits for a turn where the
+// peer has used its burst. It must not be called with a lock held that others need.
+func (p *Peer) Work() {
+	if p == nil {
+		return
+	}
+	now := time.Now()
+	p.q.mu.Lock()
+	p.account(now)
+	p.works = true
+	if p.gone || p.used <= burst || !p.granted.IsZero() && now.Sub(p.granted) < turn {
+		p.q.mu.Unlock()
+		return
+	}
+	p.q.release(p)
+	if len(p.q.waiting) == 0 && p.q.running < max(1, p.q.parallel()) && now.Sub(p.q.passed) < turn {
+		p.q.begin(p, now)
+		p.granted = now
+		p.q.mu.Unlock()
+		return
+	}
+	w := &waiter{peer: p, heavy: p.used > heavy, order: p.q.arrived, granted: make(chan *poller, 1)}
+	p.q.arrived++
+	heap.Push(&p.q.waiting, w)
+	p.works = false // waiting for a turn is neither use nor recovery
+	p.q.grant(now)
+	p.q.mu.Unlock()
+	p.await(w, now)
+}
+
+// await waits for a turn and begins it.
+func (p *Peer) await(w *waiter, from time.Time) {
+	poller := <-w.granted
+	if poller != nil {
+		poller.pass()
+		runtime.Gosched()
+	}
+	now := time.Now()
+	p.q.note(now.Sub(from))
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	if poller != nil {
+		p.q.pollers = append(p.q.pollers, poller)
+		p.q.passed = now
+	}
+	p.works, p.since = true, now
+	if _, holds := p.q.holders[p]; holds {
+		p.granted = now
+		p.q.holders[p] = now
+	}
+}
+
+// Resume says that the peer causes work from here on that is owed to it: it is counted, and waits for no turn.
+func (p *Peer) Resume() {
+	if p == nil {
+		return
+	}
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	p.account(time.Now())
+	p.works = true
+}
+
+// Wait says that nothing is done for the peer from here on, until Work or Resume.
+func (p *Peer) Wait() {
+	if p == nil {
+		return
+	}
+	now := time.Now()
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	p.account(now)
+	p.works = false
+	if !p.granted.IsZero() {
+		p.q.release(p)
+		p.q.grant(now)
+	}
+}
+
+// Reset forgets what the peer has used, for one that begins anew.
+func (p *Peer) Reset() {
+	if p == nil {
+		return
+	}
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	p.used, p.since = 0, time.Now()
+}
+
+// Leave ends the peer: it waits for no turn any more.
+func (p *Peer) Leave() {
+	if p == nil {
+		return
+	}
+	now := time.Now()
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	p.gone = true
+	p.q.release(p)
+	kept := p.q.waiting[:0]
+	for _, w := range p.q.waiting {
+		if w.peer == p {
+			w.granted <- nil
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	if len(kept) < len(p.q.waiting) {
+		clear(p.q.waiting[len(kept):])
+		p.q.waiting = kept
+		heap.Init(&p.q.waiting)
+	}
+	p.q.grant(now)
+}
+
+// Used returns the processor time that the peer has caused in all, as far as its readers have told.
+func (p *Peer) Used() time.Duration {
+	if p == nil {
+		return 0
+	}
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	return p.ever
+}
+
+// account counts the time since the last change. The queue's lock is held.
+func (p *Peer) account(now time.Time) {
+	passed := max(0, now.Sub(p.since))
+	if p.works {
+		step := min(passed, longestStep)
+		p.ever += step
+		p.used = min(p.used+step, p.debt)
+	} else {
+		p.used = max(0, p.used-time.Duration(float64(passed)*recovery))
+	}
+	p.since = now
+}
+
+// release ends a turn, if the peer has one. The lock is held.
+func (q *Queue) release(p *Peer) {
+	p.granted = time.Time{}
+	if _, holds := q.holders[p]; holds {
+		delete(q.holders, p)
+		q.running--
+	}
+}
+
+// begin begins a turn. Another goroutine of the same peer may have one, and shares it. The lock is held.
+func (q *Queue) begin(p *Peer, now time.Time) {
+	if _, holds := q.holders[p]; !holds {
+		q.running++
+	}
+	q.holders[p] = now
+}
+
+// grant begins as many turns as may be. The lock is held.
+func (q *Queue) grant(now time.Time) {
+	for q.running < max(1, q.parallel()) && len(q.waiting) > 0 {
+		w := heap.Pop(&q.waiting).(*waiter)
+		q.begin(w.peer, now)
+		if now.Sub(q.passed) < turn {
+			w.granted <- nil
+		} else {
+			w.granted <- q.takePoller()
+		}
+	}
+	if len(q.waiting) == 0 || q.armed {
+		return
+	}
+	if q.armed = true; q.expires == nil {
+		q.expires = time.AfterFunc(expiry, q.expire)
+	} else {
+		q.expires.Reset(expiry)
+	}
+}
+
+// expire ends turns whose holders seem to wait.
+func (q *Queue) expire() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.armed = false
+	now := time.Now()
+	for p, since := range q.holders {
+		if now.Sub(since) >= expiry {
+			q.release(p)
+		}
+	}
+	q.grant(now)
+}
+
+// takePoller returns a poller that is not in use; nil: there can be none. The lock is held.
+func (q *Queue) takePoller() *poller {
+	if n := len(q.pollers); n > 0 {
+		last := q.pollers[n-1]
+		q.pollers = q.pollers[:n-1]
+		return last
+	}
+	return newPoller()
+}
+
+// note counts a wait for a turn.
+func (q *Queue) note(wait time.Duration) {
+	q.waits.Add(1)
+	q.waited.Add(int64(wait))
+	for {
+		longest := q.longest.Load()
+		if int64(wait) <= longest || q.longest.CompareAndSwap(longest, int64(wait)) {
+			return
+		}
+	}
+}
+
+// Stats are figures of a queue.
+type Stats struct {
+	Waiting int           // goroutines that wait for a turn
+	Waits   int64         // turns that were waited for
+	Waited  time.Duration // for all of them
+	Longest time.Duration // the longest wait since the last call
+}
+
+// Stats returns the figures so far.
+func (q *Queue) Stats() Stats {
+	q.mu.Lock()
+	waiting := len(q.waiting)
+	q.mu.Unlock()
+	return Stats{Waiting: waiting, Waits: q.waits.Load(), Waited: time.Duration(q.waited.Load()), Longest: time.Duration(q.longest.Swap(0))}
+}
+
+// waiter is a goroutine that waits for a turn of its peer.
+type waiter struct {
+	peer    *Peer
+	heavy   bool // when it began to wait
+	order   uint64
+	granted chan *poller // nil: the turn begins at once
+}
+
+// waiters is a heap: those whose peers have used little first, and of the others those that have waited longest.
+type waiters []*waiter
+
+func (w waiters) Len() int { return len(w) }
+
+func (w waiters) Less(i, j int) bool {
+	if w[i].heavy != w[j].heavy {
+		return w[j].heavy
+	}
+	return w[i].order < w[j].order
+}
+
+func (w waiters) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
+
+// Push implements heap.Interface.
+func (w *waiters) Push(x any) { *w = append(*w, x.(*waiter)) }
+
+// Pop implements heap.Interface.
+func (w *waiters) Pop() any {
+	last := len(*w) - 1
+	x := (*w)[last]
+	(*w)[last] = nil
+	*w = (*w)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/fairqueue/fairqueue_test.go
@@ -0,0 +1,194 @@
+package fairqueue
+
+import (
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+)
+
+// tiredPeer is a peer that has used all that is kept.
+func tiredPeer(q *Queue) *Peer {
+	p := q.NewPeer(ClientDebt)
+	p.used = ClientDebt
+	return p
+}
+
+func oneTurn() int { return 1 }
+
+// spin keeps the processor busy.
+func spin(d time.Duration) {
+	for from := time.Now(); time.Since(from) < d; {
+	}
+}
+
+// A round trip over a socket takes no longer beside a hundred peers that work without end than beside few.
+func TestReadySocketsGoAheadOfTurns(t *testing.T) {
+	const most = 100 * time.Millisecond // a third of a short deadline; each of them used to take 10 ms a step
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	near, far := socketPair(t)
+	go func() {
+		b := make([]byte, 1)
+		for {
+			if _, err := far.Read(b); err != nil {
+				return
+			}
+			far.Write(b)
+		}
+	}()
+	q := New(oneTurn)
+	over := make(chan struct{})
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer close(over)
+	for range 100 {
+		all.Go(func() {
+			p := q.NewPeer(ClientDebt)
+			defer p.Leave()
+			for {
+				select {
+				case <-over:
+					return
+				default:
+					p.Work()
+					spin(20 * time.Microsecond)
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond) // each has used its burst
+	worst := time.Duration(0)
+	for range 50 {
+		from := time.Now()
+		b := []byte{1}
+		near.Write(b)
+		near.Read(b)
+		worst = max(worst, time.Since(from))
+	}
+	if worst > most {
+		t.Errorf("a round trip took %v, more than %v", worst, most)
+	}
+	if s := q.Stats(); s.Waits == 0 || s.Longest == 0 {
+		t.Errorf("no turn was waited for: %+v", s)
+	}
+}
+
+// socketPair is the two ends of a connection over loopback.
+func socketPair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if near, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if far, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return near, far
+}
+
+// done says whether f returns within a second.
+func done(f func()) bool {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f()
+	}()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(time.Second):
+		return false
+	}
+}
+
+// A holder that is held up by its peer, and does not say so, keeps its turn from others for a moment only.
+func TestTurnOfABlockedHolderExpires(t *testing.T) {
+	q := New(oneTurn)
+	tiredPeer(q).Work()
+	if !done(tiredPeer(q).Work) {
+		t.Error("the next turn does not begin")
+	}
+}
+
+// A peer that waits gives its turn on at once, and one that has left waits for none.
+func TestTurnsPassOnAndLeaversGoOn(t *testing.T) {
+	q := New(oneTurn)
+	first, second := tiredPeer(q), tiredPeer(q)
+	first.Work()
+	first.Wait()
+	if len(q.holders) != 0 {
+		t.Error("a peer that waits has a turn")
+	}
+	q.running = 1 // none begins
+	go func() {
+		time.Sleep(10 * time.Millisecond)
+		second.Leave()
+	}()
+	if !done(second.Work) || !done(second.Work) {
+		t.Error("a peer that has left waits for a turn")
+	}
+	if len(q.waiting) != 0 {
+		t.Errorf("%d wait", len(q.waiting))
+	}
+}
+
+// Peers that have used little go ahead of those that have used much, and both in the order in which they came.
+func TestHeavyPeersGoBehindOthers(t *testing.T) {
+	q := New(oneTurn)
+	light := func() *Peer {
+		p := q.NewPeer(ClientDebt)
+		p.used = 2 * burst
+		return p
+	}
+	var order []int
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	q.running, q.armed = 1, true // nothing begins
+	for i, p := range []*Peer{tiredPeer(q), light(), tiredPeer(q), light()} {
+		all.Go(func() {
+			p.Work()
+			mu.Lock()
+			order = append(order, i)
+			mu.Unlock()
+			p.Wait()
+		})
+		for waiting := 0; waiting <= i; time.Sleep(time.Millisecond) {
+			waiting = q.Stats().Waiting
+		}
+	}
+	q.mu.Lock()
+	q.running, q.armed = 0, false
+	q.grant(time.Now())
+	q.mu.Unlock()
+	all.Wait()
+	if len(order) != 4 || order[0] != 1 || order[1] != 3 || order[2] != 0 || order[3] != 2 {
+		t.Errorf("the turns were %v", order)
+	}
+}
+
+// What a peer has used is forgotten as it leaves the process alone, and a peer without a queue is never held up.
+func TestUseIsForgotten(t *testing.T) {
+	q := New(oneTurn)
+	p := tiredPeer(q)
+	now := p.since
+	p.account(now.Add(time.Second))
+	if want := ClientDebt - 10*time.Millisecond; p.used < want-time.Microsecond || p.used > want+time.Microsecond {
+		t.Errorf("%v are kept behind a second, not %v", p.used, want)
+	}
+	p.Reset()
+	if p.used != 0 || p.Used() != 0 {
+		t.Errorf("%v are kept behind a reset", p.used)
+	}
+	var none *Peer
+	none.Work()
+	none.Resume()
+	none.Wait()
+	none.Reset()
+	none.Leave()
+}
--- a/internal/faultinject/trial.go
+++ b/internal/faultinject/trial.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -79,6 +80,8 @@
 	// Slowest is the longest that a quiet client waited for an answer, Latest the most that one came behind its due
 	// time; both without the time that the machine kept the gateway from running.
 	Slowest, Latest time.Duration
+	// Pipelined are the bytes of answers that flooding clients have read.
+	Pipelined int64
 }
 
 // trial is a trial that is played.
@@ -94,6 +97,7 @@
 	starved starvation
 	// gatewayStarved is the part of it that the processes under trial, and the trial's clock, have lost.
 	gatewayStarved starvation
+	pipelined      atomic.Int64 // bytes of answers that flooding clients have read
 
 	mu      sync.Mutex
 	gateway *clustertest.Process // that takes clients
@@ -153,7 +157,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := TrialResult{PeakMB: p.peak, Holders: maps.Clone(p.holders), Quiet: p.record.quiet, Others: p.record.others, Wrong: p.record.wrong,
-		Slowest: p.record.slowest, Latest: p.record.latest}
+		Slowest: p.record.slowest, Latest: p.record.latest, Pipelined: p.pipelined.Load()}
 	for _, g := range p.started {
 		r.Wrong = append(r.Wrong, g.Marked()...)
 		r.Log += g.Name + ":\n" + g.Log() + "\n"
--- a/internal/faultinject/trial_floods.go
+++ b/internal/faultinject/trial_floods.go
@@ -33,7 +33,7 @@
 		return c.flooded(&call{class: safeClass, left: 900 * time.Millisecond, plan: "long=200000&form=bytes"})
 	},
 	"longanswers": func(c *client) string {
-		return c.flooded(&call{class: safeClass, left: 900 * time.Millisecond, plan: "long=67108864"})
+		return c.flooded(&call{class: safeClass, left: 900 * time.Millisecond, plan: "long=67108864&form=fast"})
 	},
 }
 
@@ -71,7 +71,7 @@
 		go func() {
 			defer close(gone)
 			if reads {
-				io.Copy(io.Discard, l.in)
+				c.countAnswers(l)
 				l.Close()
 			}
 		}()
@@ -88,6 +88,18 @@
 	}
 }
 
+// countAnswers reads answers to the connection's end.
+func (c *client) countAnswers(l *link) {
+	part := make([]byte, 64<<10)
+	for {
+		n, err := l.Read(part)
+		c.pipelined.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
 const (
 	briefestQuiet = 300 * time.Millisecond
 	longestQuiet  = 1200 * time.Millisecond
--- a/internal/faultinject/trial_host.go
+++ b/internal/faultinject/trial_host.go
@@ -28,7 +28,8 @@
 //	long=8388608     bytes of the answer
 //	write=60000      bytes of it that are written a second
 //	pause=700        milliseconds that a slow host rests within the size of the second chunk
-//	form=chunked     how it is framed: length, chunked (in pieces that split the framing), bytes (chunks of one byte) or close
+//	form=chunked     how it is framed: length, chunked (in pieces that split the framing), bytes (chunks of one byte), fast (equal
+//	                 bytes in writes of 16 KB) or close
 //	fields=3000      short fields in the answer's head
 const planField = "X-Plan"
 
@@ -210,6 +211,8 @@
 	}
 	head := fmt.Sprintf("Content-Length: %d\r\n", size)
 	switch plan.Get("form") {
+	case "fast":
+		return answerFast(c, fields, size)
 	case "bytes":
 		return answerInBytes(c, fields, size)
 	case "chunked":
@@ -245,6 +248,18 @@
 	return plan.Get("form") != "close"
 }
 
+// fastPart is what a host writes at once that answers at full speed.
+var fastPart = make([]byte, 16<<10)
+
+// answerFast answers at full speed with bytes that cost the host nothing.
+func answerFast(c net.Conn, fields string, size int) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", fields, size)
+	for ; size > 0 && err == nil; size -= len(fastPart) {
+		_, err = c.Write(fastPart[:min(size, len(fastPart))])
+	}
+	return err == nil
+}
+
 // answerInBytes answers at full speed in chunks of one byte.
 func answerInBytes(c net.Conn, fields string, size int) bool {
 	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+fields+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"frostshift/internal/chunked"
+	"frostshift/internal/fairqueue"
 	"frostshift/internal/socket"
 	"frostshift/internal/stall"
 )
@@ -78,6 +79,8 @@
 	ahead     bool // it has read a byte of the next request
 
 	meter headMeter // of heads over HTTP/1.1
+	// processor is what the client's requests use of it; nil: it is not shared out.
+	processor *fairqueue.Peer
 
 	// Of whoever reads, see Recorded:
 	record   []byte
@@ -142,6 +145,7 @@
 	c.wake(condemned)
 	if !c.closed {
 		c.closed, c.reason = true, why
+		c.processor.Leave()
 		c.all.open--
 		delete(c.from.conns, c)
 		if c.leave != nil {
@@ -205,9 +209,7 @@
 			return 0, ErrCondemned
 		}
 	}
-	c.reading.Store(true)
-	n, err := c.Conn.Read(b)
-	c.reading.Store(false)
+	n, err := c.read(b)
 	c.saw(err)
 	if n > 0 {
 		c.readAfter.Store(int64(time.Since(c.accepted)))
@@ -228,6 +230,25 @@
 	return n, err
 }
 
+// read reads from the connection. What has come is worked at in the client's turn; the single byte that an http.Server
+// reads ahead while it answers is not.
+func (c *Conn) read(b []byte) (int, error) {
+	c.reading.Store(true)
+	defer c.reading.Store(false)
+	if len(b) == 1 {
+		return c.Conn.Read(b)
+	}
+	c.processor.Wait()
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.processor.Work()
+	}
+	return n, err
+}
+
+// Processor is what the client uses of it.
+func (c *Conn) Processor() *fairqueue.Peer { return c.processor }
+
 // Await waits until the client has sent something, or has gone, and says whether there is
 // anything to serve. Until then the connection costs no buffer and no server.
 func (c *Conn) Await(within time.Duration) bool {
--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -145,6 +145,8 @@
 	call, deadline := t.Submit()
 	defer t.Begun()
 	left := r.Context().Done()
+	conn.Processor().Wait()
+	defer conn.Processor().Resume()
 	for {
 		select {
 		case h := <-hints:
@@ -251,10 +253,12 @@
 	}
 	t.Begun()
 	for {
+		conn.Processor().Wait()
 		a.Stream.Wait()
 		if !conn.AwaitWrite() {
 			return false
 		}
+		conn.Processor().Work()
 		buffer := buffers.Get().(*[]byte)
 		err := s.burst(w, rc, *buffer, a.Stream)
 		buffers.Put(buffer)
@@ -381,8 +385,11 @@
 		}
 	}()
 	up.Source().(*switched).begin(nc, rw.Reader)
+	processor := front.Of(nc).Processor()
 	for {
+		processor.Wait()
 		a.Stream.Wait()
+		processor.Work()
 		buffer := buffers.Get().(*[]byte)
 		n, err := a.Stream.Read(*buffer)
 		if n > 0 {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -240,6 +240,7 @@
 	if !conn.Taken() {
 		panic(http.ErrAbortHandler) // its client has seen the end, and may send again
 	}
+	conn.Processor().Work()
 	conn.HeadWhole(r.ContentLength != 0)
 	s.handle(w, r, conn)
 	conn.Given()
@@ -281,8 +282,11 @@
 	defer conn.Answered()
 	call, deadline := ticket.Submit()
 	defer ticket.Begun()
+	conn.Processor().Wait()
+	defer conn.Processor().Resume()
 	select {
 	case a := <-call.Reply:
+		conn.Processor().Resume()
 		conn.Cork()
 		s.answer(w, r.Method, ticket, a, deadline)
 		err := http.NewResponseController(w).Flush()
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"frostshift/internal/fairqueue"
 )
 
 // Listener takes clients' connections within the bounds of all.
@@ -249,7 +251,8 @@
 		}
 		for l.full() && l.shedSpare() {
 		}
-		cc := &Conn{Conn: c, all: l, from: ln, accepted: time.Now(), leave: leave, left: make(chan struct{}), meter: headMeter{room: l.heads}}
+		cc := &Conn{Conn: c, all: l, from: ln, accepted: time.Now(), leave: leave, left: make(chan struct{}), meter: headMeter{room: l.heads},
+			processor: fairqueue.Processor().NewPeer(fairqueue.ClientDebt)}
 		if s, ok := c.(syscall.Conn); ok {
 			cc.raw, _ = s.SyscallConn()
 		}
