OPTIONS * passes the handler as every request does

Callers saw: beside clients that send OPTIONS * at full speed answers came late as before, and such a request on a connection of a gateway that is being drained did not end it.

Cause: net/http answers OPTIONS * itself, ahead of the handler, and so ahead of the check of what may be taken, of the turns at the processor and of 'Connection: close'.

Change: the handler gives the answer that net/http gave. The test fails on the commit before: the answer in a drain does not end the connection.

--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -49,7 +49,7 @@
 	holders map[*Peer]time.Time // since when
 	passed  time.Time           // when a turn last began behind all that was ready
 	expires *time.Timer
-	armed   bool // expires is set
+	armed   bool      // expires is set
 	pollers []*poller // that no turn uses
 
 	waits, waited atomic.Int64 // turns that were waited for, and the nanoseconds
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -27,7 +27,9 @@
 const (
 	maxHeader = 16 << 10
 	maxBody   = 64 << 10 // bytes of a request's body
-	mostLate  = 1 << 20  // bytes that are thrown away of a request that has had its answer
+	// maxIgnored is how many bytes are read of a body that nobody needs.
+	maxIgnored = 4 << 10
+	mostLate   = 1 << 20 // bytes that are thrown away of a request that has had its answer
 	// SendWithin is how long a client may take to send its request, head and body, from its
 	// first byte (or the connection's start) on: one that drips holds a connection no longer.
 	SendWithin  = 3 * time.Second
@@ -71,6 +73,8 @@
 	_, plain := ln.(*front.Listener)
 	s := &Server{cfg: cfg, ln: ln, plain: plain, changed: make(chan struct{}), taken: make(chan struct{}), served: make(chan struct{}), switched: map[net.Conn]struct{}{}}
 	s.http = &http.Server{
+		DisableGeneralOptionsHandler: true, // it would answer ahead of the handler
+
 		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: cfg.SendWithin,
 		ReadTimeout:       cfg.SendWithin,           // taken back once a request has come whole
@@ -249,7 +253,13 @@
 // handle answers a request that has been taken. It panics where its answer is to break off.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request, conn *front.Conn) {
 	w = &leavingWriter{ResponseWriter: w, conn: conn}
-	conn.WriteIdle(0) // as it was for the answer before
+	conn.WriteIdle(0)                                          // as it was for the answer before
+	if r.Method == http.MethodOptions && r.RequestURI == "*" { // a question to the server itself (RFC 9110 section 9.3.7)
+		w.Header().Set("Content-Length", "0")
+		throwAwayShort(r)
+		w.WriteHeader(http.StatusOK)
+		return
+	}
 	if r.URL.Path == "/ready" {
 		s.serveReady(w, r)
 		return
@@ -318,6 +328,13 @@
 	io.CopyN(io.Discard, r.Body, mostLate)
 }
 
+// throwAwayShort reads a small body of a request that needs none.
+func throwAwayShort(r *http.Request) {
+	if r.ContentLength != 0 {
+		io.Copy(io.Discard, io.LimitReader(r.Body, maxIgnored))
+	}
+}
+
 // leavingWriter tells the client with its answer if the connection ends with it.
 type leavingWriter struct {
 	http.ResponseWriter
--- a/internal/gateway/platform_test.go
+++ b/internal/gateway/platform_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"crypto/sha256"
 	"fmt"
 	"io"
@@ -172,3 +173,31 @@
 	})
 	return <-learned
 }
+
+// A question to the server itself passes the handler as every request does, and is answered as net/http does it.
+func TestOptionsOfTheServerPassTheHandler(t *testing.T) {
+	addr, _ := serving(t, "a")
+	g := gatewayFor(t, "a", addr)
+	nc, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	in := bufio.NewReader(nc)
+	for _, leaves := range []bool{false, true} {
+		for _, server := range g.servers {
+			for leaves && server.ln.Idle() == 0 { // else the drain ends the connection ahead of the request
+				time.Sleep(time.Millisecond)
+			}
+			server.ln.End(leaves)
+		}
+		io.WriteString(nc, "OPTIONS * HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok")
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("with leaving %t: %v", leaves, err)
+		}
+		if resp.StatusCode != http.StatusOK || resp.ContentLength != 0 || resp.Close != leaves {
+			t.Errorf("answered with %d, %d bytes, last: %t, not %t", resp.StatusCode, resp.ContentLength, resp.Close, leaves)
+		}
+	}
+}
