A process that is late with its own work says so in its log and figures

Nothing that the process wrote or counted said that it was late with its own work; a pool's loop that was late told the balancer alone.

Change: package lateness looks ten times a second at the runtime's scheduling latencies and at its own timer; 50 ms or more get a line a second at most. /stats has these, pools' stalls, and waits for turns. A line of a request past its due time says how late the process was in the last two seconds; one of a closed connection what processor time it has used and how long it has waited for turns.

Accepts are not measured by themselves: the kernel does not say when a connection came; what delays them is the scheduler's lateness.

--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"log/slog"
 	"runtime"
 	"time"
 
@@ -127,10 +128,24 @@
 		return false
 	}
 	p.stalledUntil = now
+	p.noteStall(now, now-from)
 	p.b.Stalled(now, now-from)
 	return true
 }
 
+// loggedStall is how long a stall of the loop is that gets a line in the log.
+const loggedStall = 50 * time.Millisecond
+
+// noteStall counts a stall, and logs a long one.
+func (p *Pool) noteStall(now, late frostshift.Time) {
+	p.counts.Stalls.Add(1)
+	p.counts.Stalled.Add(int64(late))
+	if late >= loggedStall {
+		p.failureLog.Note(now, "the pool's loop is late", slog.String("pool", p.name), slog.Duration("late", late),
+			slog.Int("events waiting", len(p.events)), slog.Int("open", len(p.calls)))
+	}
+}
+
 // catchUp handles the events that arrived during a stall before the timers, which would otherwise
 // judge hosts by the clock alone although they have answered meanwhile. It yields to the goroutines
 // that read the answers.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -112,6 +112,8 @@
 	Overdue atomic.Int64
 	// Results counts attempts without a good answer, by frostshift.Result.
 	Results [frostshift.Busy + 1]atomic.Int64
+	// Stalls counts how often the loop was late for a timer, Stalled the nanoseconds in all.
+	Stalls, Stalled atomic.Int64
 	// Faults counts errors of the service; Blamed counts those attributed to the host.
 	Faults, Blamed atomic.Int64
 }
--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -34,8 +34,8 @@
 const (
 	// ClientDebt is for clients' connections.
 	ClientDebt = 20 * time.Millisecond
-	// HostDebt is for hosts' connections. They never go behind clients: what they bring is owed.
-	HostDebt = heavy / 2
+	// HostDebt is for hosts' connections. They never count as heavy: what they bring is owed.
+	HostDebt = heavy
 )
 
 // Queue gives turns. It is safe for concurrent use.
@@ -53,7 +53,7 @@
 	pollers []*poller // that no turn uses
 
 	waits, waited atomic.Int64 // turns that were waited for, and the nanoseconds
-	longest       atomic.Int64 // nanoseconds, since Stats was called
+	longest       atomic.Int64 // nanoseconds, since TakeLongest was called
 }
 
 // processor is the queue of the process.
@@ -79,6 +79,7 @@
 	granted time.Time // when its turn began; zero: it has none
 	gone    bool
 	ever    time.Duration // used in all
+	rested  time.Duration // waited for turns in all
 }
 
 // NewPeer returns a peer that is waiting. debt bounds what is kept of its use.
@@ -132,6 +133,7 @@
 		p.q.passed = now
 	}
 	p.works, p.since = true, now
+	p.rested += now.Sub(from)
 	if _, holds := p.q.holders[p]; holds {
 		p.granted = now
 		p.q.holders[p] = now
@@ -201,14 +203,15 @@
 	p.q.grant(now)
 }
 
-// Used returns the processor time that the peer has caused in all, as far as its readers have told.
-func (p *Peer) Used() time.Duration {
+// Total returns the processor time that the peer has caused in all, as far as its readers have told, and how long it
+// has waited for turns.
+func (p *Peer) Total() (used, rested time.Duration) {
 	if p == nil {
-		return 0
+		return 0, 0
 	}
 	p.q.mu.Lock()
 	defer p.q.mu.Unlock()
-	return p.ever
+	return p.ever, p.rested
 }
 
 // account counts the time since the last change. The queue's lock is held.
@@ -303,7 +306,6 @@
 	Waiting int           // goroutines that wait for a turn
 	Waits   int64         // turns that were waited for
 	Waited  time.Duration // for all of them
-	Longest time.Duration // the longest wait since the last call
 }
 
 // Stats returns the figures so far.
@@ -311,9 +313,12 @@
 	q.mu.Lock()
 	waiting := len(q.waiting)
 	q.mu.Unlock()
-	return Stats{Waiting: waiting, Waits: q.waits.Load(), Waited: time.Duration(q.waited.Load()), Longest: time.Duration(q.longest.Swap(0))}
+	return Stats{Waiting: waiting, Waits: q.waits.Load(), Waited: time.Duration(q.waited.Load())}
 }
 
+// TakeLongest returns the longest wait for a turn since the last call.
+func (q *Queue) TakeLongest() time.Duration { return time.Duration(q.longest.Swap(0)) }
+
 // waiter is a goroutine that waits for a turn of its peer.
 type waiter struct {
 	peer    *Peer
--- a/internal/fairqueue/fairqueue_test.go
+++ b/internal/fairqueue/fairqueue_test.go
@@ -69,7 +69,7 @@
 	if worst > most {
 		t.Errorf("a round trip took %v, more than %v", worst, most)
 	}
-	if s := q.Stats(); s.Waits == 0 || s.Longest == 0 {
+	if s := q.Stats(); s.Waits == 0 || q.TakeLongest() == 0 {
 		t.Errorf("no turn was waited for: %+v", s)
 	}
 }
@@ -182,7 +182,7 @@
 		t.Errorf("%v are kept behind a second, not %v", p.used, want)
 	}
 	p.Reset()
-	if p.used != 0 || p.Used() != 0 {
+	if ever, _ := p.Total(); p.used != 0 || ever != 0 {
 		t.Errorf("%v are kept behind a reset", p.used)
 	}
 	var none *Peer
--- a/internal/front/answerwatch.go
+++ b/internal/front/answerwatch.go
@@ -8,6 +8,7 @@
 
 	"frostshift/internal/eventlog"
 	"frostshift/internal/exchange"
+	"frostshift/internal/lateness"
 )
 
 const (
@@ -22,6 +23,7 @@
 // connection. It is safe for concurrent use.
 type OverdueAnswers struct {
 	events atomic.Pointer[eventlog.Log]
+	late   atomic.Pointer[lateness.Watch]
 	began  time.Time
 	counts [exchange.Stages]atomic.Int64
 }
@@ -31,6 +33,17 @@
 // LogTo has such requests logged from now on.
 func (o *OverdueAnswers) LogTo(log *slog.Logger) { o.events.Store(eventlog.New(log)) }
 
+// LateBy has them logged with what a watch has seen of the process.
+func (o *OverdueAnswers) LateBy(w *lateness.Watch) { o.late.Store(w) }
+
+// processLate is how late the process was with its own work of late.
+func (o *OverdueAnswers) processLate() (s lateness.Sample) {
+	if w := o.late.Load(); w != nil {
+		s = w.Recent()
+	}
+	return s
+}
+
 // Count returns how many there were at a stage.
 func (o *OverdueAnswers) Count(at exchange.Stage) int64 { return o.counts[at].Load() }
 
@@ -42,8 +55,10 @@
 	stage, host := call.Progress()
 	o.counts[stage].Add(1)
 	if events := o.events.Load(); events != nil {
+		process := o.processLate()
 		events.Note(time.Since(o.began), "no byte of an answer by its due time", slog.String("request", call.ID), slog.String("stage", stage.String()),
-			slog.String("waits for", waitsFor[stage]), slog.String("host", host.Hex()), slog.Duration("past", past))
+			slog.String("waits for", waitsFor[stage]), slog.String("host", host.Hex()), slog.Duration("past", past),
+			slog.Duration("scheduler late", process.Scheduler), slog.Duration("timer late", process.Timer), slog.Duration("longest turn wait", process.Turn))
 	}
 }
 
--- a/internal/front/closes.go
+++ b/internal/front/closes.go
@@ -110,5 +110,7 @@
 	if events == nil || !c.reason.isNotable() {
 		return
 	}
-	events.Note(time.Since(c.all.begun), "client connection closed: "+c.reason.String(), slog.String("client", c.RemoteAddr().String()), slog.Duration("open for", time.Since(c.accepted)))
+	used, rested := c.processor.Total()
+	events.Note(time.Since(c.all.begun), "client connection closed: "+c.reason.String(), slog.String("client", c.RemoteAddr().String()),
+		slog.Duration("open for", time.Since(c.accepted)), slog.Duration("used", used), slog.Duration("waited for turns", rested))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,8 +24,10 @@
 	"frostshift/internal/contract"
 	"frostshift/internal/drain"
 	"frostshift/internal/exchange"
+	"frostshift/internal/fairqueue"
 	"frostshift/internal/front"
 	"frostshift/internal/gossip"
+	"frostshift/internal/lateness"
 	"frostshift/internal/learning"
 	"frostshift/internal/moves"
 	"frostshift/internal/peers"
@@ -110,6 +112,7 @@
 	pools     map[string]*pool   // of the present configuration
 	replaced  map[*pool]struct{} // that a reload has taken away, up to their last request's end
 	servers   map[config.Listener]*server
+	lateness  *lateness.Watch
 	// retiring are servers of listeners that were taken away, up to their last request's end.
 	retiring map[*server]struct{}
 	// answersOwed is the latest deadline that a request of an earlier configuration may have.
@@ -248,6 +251,8 @@
 	g.conns.FollowBodies(g.admission.BodyReads())
 	g.conns.LogTo(g.log)
 	g.admission.Overdue().LogTo(g.log)
+	g.lateness = lateness.New(fairqueue.Processor())
+	g.admission.Overdue().LateBy(g.lateness)
 	uploads, downloads := min(requests, conns)/uploadPart, min(requests, conns)/downloadPart
 	g.budgets = budgets{requests: share.New(requests), uploads: share.New(uploads), downloads: share.New(downloads), conns: share.New(conns), bodies: share.New(bodies), answers: share.New(answers)}
 	g.whole = wholes{heads: heads, uploads: uploads, downloads: downloads, conns: conns, bodies: bodies, answers: answers, clients: clients, asked: asked}
@@ -388,6 +393,13 @@
 		}
 		g.restart.serve()
 	})
+	watching, endWatch := context.WithCancel(context.Background())
+	var watch sync.WaitGroup
+	watch.Go(func() { g.lateness.Run(watching, g.log) })
+	defer func() {
+		endWatch()
+		watch.Wait()
+	}()
 	g.runParts(first)
 	endMoves := g.runMoves(first) // nothing moves on the platform, whatever is reloaded
 	defer endMoves()
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +79,7 @@
 
 // Describe names the figures.
 func (s stats) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range memoryDescs {
+	for _, d := range slices.Concat(memoryDescs, latenessDescs) {
 		out <- d
 	}
 	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badAttemptsDesc, closesDesc, pendingDesc, membersDesc, awayDesc, partDesc, admittedDesc, lateDesc, evidenceDesc, fleetMembersDesc, fleetCountDesc, fleetLeastDesc, fleetMostDesc, fleetSideDesc, quotaLimitsDesc, quotaTimesDesc, quotaShortDesc, limitDesc, reloadsDesc, badReloadDesc} {
@@ -105,6 +106,7 @@
 		m.count(closesDesc, int64(n), reason.String())
 	}
 	s.collectMemory(m, pools)
+	s.collectLateness(m, pools)
 	m.gauge(pendingDesc, float64(s.exchange.Open()))
 	if members, away, ok := look(pools); ok {
 		m.gauge(membersDesc, float64(members))
