--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -246,8 +246,13 @@
 	return n, err
 }
 
-// Processor is what the client uses of it.
-func (c *Conn) Processor() *fairqueue.Peer { return c.processor }
+// Processor is what the client uses of it; nil: nobody counts.
+func (c *Conn) Processor() *fairqueue.Peer {
+	if c == nil {
+		return nil
+	}
+	return c.processor
+}
 
 // Await waits until the client has sent something, or has gone, and says whether there is
 // anything to serve. Until then the connection costs no buffer and no server.
--- a/internal/upstream/http2/conn.go
+++ b/internal/upstream/http2/conn.go
@@ -9,6 +9,7 @@
 	"golang.org/x/net/http2"
 
 	"frostshift"
+	"frostshift/internal/fairqueue"
 	"frostshift/internal/h2"
 )
 
@@ -30,13 +31,15 @@
 	heard   time.Time // when something last came
 	pinged  time.Time // when the host was asked since; zero: not
 	empties h2.Bucket
+
+	processor *fairqueue.Peer // of the reader
 }
 
 const allStreams = 1<<31 - 1
 
 func newConn(u *Upstream, h *host, nc net.Conn) *conn {
 	now := time.Now()
-	return &conn{u: u, host: h, next: 1, goAway: allStreams, heard: now, freed: now, empties: h2.Bucket{Rate: 1000, Burst: 2000},
+	return &conn{u: u, host: h, processor: fairqueue.Processor().NewPeer(fairqueue.HostDebt), next: 1, goAway: allStreams, heard: now, freed: now, empties: h2.Bucket{Rate: 1000, Burst: 2000},
 		link: h2.New(nc, h2.Config{StreamWindow: streamWindow, ConnWindow: connWindow, Client: true})}
 }
 
@@ -97,9 +100,12 @@
 // run reads frames until the connection ends, and then ends the streams that are open.
 func (c *conn) run() {
 	var err error
+	defer c.processor.Leave()
 	for err == nil {
 		var f http2.Frame
+		c.processor.Wait()
 		if f, err = c.link.ReadFrame(); err == nil {
+			c.processor.Work()
 			c.mu.Lock()
 			c.heard, c.pinged = time.Now(), time.Time{}
 			c.mu.Unlock()
