--- a/internal/faultinject/soak.go
+++ b/internal/faultinject/soak.go
@@ -21,13 +21,15 @@
 	{Kind: "paced", N: 60}, {Kind: "headrests", N: 30}, {Kind: "headbreaks", N: 10}, {Kind: "uploadrests", N: 20}, {Kind: "chunkrests", N: 20},
 	{Kind: "halfbodies", N: 500}, {Kind: "thinbodies", N: 500}, {Kind: "restingreaders", N: 500},
 	{Kind: "steadyreaders", N: 20}, {Kind: "steadyhosts", N: 10}, {Kind: "chunkwriters", N: 20}, {Kind: "stoppers", N: 40},
+	{Kind: "flood-ready", N: 60}, {Kind: "unread-ready", N: 60}, {Kind: "flood-options", N: 30}, {Kind: "flood-over", N: 30}, {Kind: "flood-brief", N: 30},
+	{Kind: "flood-sound", N: 20}, {Kind: "flood-names", N: 10}, {Kind: "flood-unsound", N: 30}, {Kind: "flood-bytechunks", N: 30}, {Kind: "flood-longanswers", N: 30},
 }
 
 // DrawSoak draws a trial from a seed: limits, groups of clients, in some runs a crowd, and signals in series.
 func DrawSoak(seed uint64, lasts time.Duration) Trial {
 	r := rand.New(rand.NewPCG(seed, 3))
 	t := Trial{Seed: seed, MemoryMB: []int{96, 192}[r.IntN(2)], Descriptors: []int{512, 1024}[r.IntN(2)], Lasts: lasts, Upgradable: r.IntN(3) == 0}
-	t.Groups = []Group{{Kind: "quiet", N: 20}, {Kind: "each", N: 5}, {Kind: "smallbodies", N: 20}}
+	t.Groups = []Group{{Kind: "quiet", N: 20}, {Kind: "everyclass", N: 20}, {Kind: "each", N: 5}, {Kind: "smallbodies", N: 20}}
 	kinds := slices.Clone(soakKinds)
 	r.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
 	for _, g := range kinds[:2+r.IntN(4)] {
