A wait for a turn is taken off the time that a request has left

Found on rereading, behind the turns of: the time of a request counts from when its head is taken, and a connection that is heavy waits for its turn before. With some 600 such connections that is more than the 0.15 s by which the deadline passed to a host may be above what the client has left.

Change: connections count how long they have waited for turns, and a request has that much less time left.

--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -88,10 +88,10 @@
 }
 
 // Work says that the peer causes work from here on, or goes on to its next message. It waits for a turn where the
-// peer has used its burst. It must not be called with a lock held that others need.
-func (p *Peer) Work() {
+// peer has used its burst, and returns how long. It must not be called with a lock held that others need.
+func (p *Peer) Work() (waited time.Duration) {
 	if p == nil {
-		return
+		return 0
 	}
 	now := time.Now()
 	p.q.mu.Lock()
@@ -99,14 +99,14 @@
 	p.works = true
 	if p.gone || p.used <= burst || !p.granted.IsZero() && now.Sub(p.granted) < turn {
 		p.q.mu.Unlock()
-		return
+		return 0
 	}
 	p.q.release(p)
 	if len(p.q.waiting) == 0 && p.q.running < max(1, p.q.parallel()) && now.Sub(p.q.passed) < turn {
 		p.q.begin(p, now)
 		p.granted = now
 		p.q.mu.Unlock()
-		return
+		return 0
 	}
 	w := &waiter{peer: p, heavy: p.used > heavy, order: p.q.arrived, granted: make(chan *poller, 1)}
 	p.q.arrived++
@@ -114,18 +114,19 @@
 	p.works = false // waiting for a turn is neither use nor recovery
 	p.q.grant(now)
 	p.q.mu.Unlock()
-	p.await(w, now)
+	return p.await(w, now)
 }
 
 // await waits for a turn and begins it.
-func (p *Peer) await(w *waiter, from time.Time) {
+func (p *Peer) await(w *waiter, from time.Time) (waited time.Duration) {
 	poller := <-w.granted
 	if poller != nil {
 		poller.pass()
 		runtime.Gosched()
 	}
 	now := time.Now()
-	p.q.note(now.Sub(from))
+	waited = now.Sub(from)
+	p.q.note(waited)
 	p.q.mu.Lock()
 	defer p.q.mu.Unlock()
 	if poller != nil {
@@ -133,11 +134,12 @@
 		p.q.passed = now
 	}
 	p.works, p.since = true, now
-	p.rested += now.Sub(from)
+	p.rested += waited
 	if _, holds := p.q.holders[p]; holds {
 		p.granted = now
 		p.q.holders[p] = now
 	}
+	return waited
 }
 
 // Resume says that the peer causes work from here on that is owed to it: it is counted, and waits for no turn.
--- a/internal/fairqueue/fairqueue_test.go
+++ b/internal/fairqueue/fairqueue_test.go
@@ -111,7 +111,7 @@
 func TestTurnOfABlockedHolderExpires(t *testing.T) {
 	q := New(oneTurn)
 	tiredPeer(q).Work()
-	if !done(tiredPeer(q).Work) {
+	if !done(func() { tiredPeer(q).Work() }) {
 		t.Error("the next turn does not begin")
 	}
 }
@@ -131,7 +131,7 @@
 		second.Leave()
 	}()
 	for range 2 { // while it leaves, and behind that
-		if !done(second.Work) {
+		if !done(func() { second.Work() }) {
 			t.Error("a peer that has left waits for a turn")
 		}
 	}
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
@@ -31,6 +32,8 @@
 	Proto             string // version of HTTP: 1.1 or 2
 	Encrypted         bool   // it came over TLS
 	Listener          string // name of where it came in
+	// Waited is how long the request has waited for its connection's turn: its client has that much less time left.
+	Waited time.Duration
 }
 
 // Error is what is wrong with a request; nothing of it has been sent on.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -81,6 +81,7 @@
 	meter headMeter // of heads over HTTP/1.1
 	// processor is what the client's requests use of it; nil: it is not shared out.
 	processor *fairqueue.Peer
+	turnWait  atomic.Int64 // nanoseconds, see TakeTurnWait
 
 	// Of whoever reads, see Recorded:
 	record   []byte
@@ -211,7 +212,7 @@
 	}
 	n, err := c.read(b)
 	if n > 0 && len(b) > 1 { // the single byte that an http.Server reads ahead while it answers is not worked at
-		defer c.processor.Work() // the bytes are noted as taken before
+		defer c.Work() // the bytes are noted as taken before
 	}
 	c.saw(err)
 	if n > 0 {
@@ -251,6 +252,23 @@
 	return c.processor
 }
 
+// Work says that the client's next message is worked at from here on. It waits for a turn where the client has used
+// more than its part.
+func (c *Conn) Work() {
+	if c != nil {
+		c.turnWait.Add(int64(c.processor.Work()))
+	}
+}
+
+// TakeTurnWait returns how long the client's connection has waited for turns since the last call: the request that is
+// taken has that much less time left.
+func (c *Conn) TakeTurnWait() time.Duration {
+	if c == nil {
+		return 0
+	}
+	return time.Duration(c.turnWait.Swap(0))
+}
+
 // Await waits until the client has sent something, or has gone, and says whether there is
 // anything to serve. Until then the connection costs no buffer and no server.
 func (c *Conn) Await(within time.Duration) bool {
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -244,10 +244,11 @@
 	if !conn.Taken() {
 		panic(http.ErrAbortHandler) // its client has seen the end, and may send again
 	}
-	conn.Processor().Work()
+	conn.Work()
 	conn.HeadWhole(r.ContentLength != 0)
 	s.handle(w, r, conn)
 	conn.Given()
+	conn.TakeTurnWait() // that of a body is not the next request's
 }
 
 // handle answers a request that has been taken. It panics where its answer is to break off.
@@ -415,7 +416,7 @@
 	}
 	t, err := s.cfg.Admission.Take(&front.Head{Method: r.Method, Authority: r.Host, Path: path, Query: query, QueryMark: marked,
 		Header: r.Header, Body: length, Address: addressOf(r.RemoteAddr), Proto: "1.1", Listener: s.cfg.Name,
-		Encrypted: conn.Encrypted})
+		Encrypted: conn.Encrypted, Waited: conn.TakeTurnWait()})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -78,7 +78,7 @@
 		var f http2.Frame
 		f, err = c.link.ReadFrame()
 		if err == nil {
-			c.all.Processor().Work()
+			c.all.Work()
 			err = c.take(f)
 		}
 		var stream http2.StreamError
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -118,7 +118,7 @@
 func (s *stream) frontHead(r *h2.Request, ended bool) *front.Head {
 	path, query, marked := strings.Cut(r.Path, "?")
 	head := &front.Head{Method: r.Method, Authority: r.Authority, Path: path, Query: query, QueryMark: marked, Header: r.Header, Body: max(r.Length, 0), Proto: "2",
-		Listener: s.c.s.cfg.Name, Encrypted: s.c.all != nil && s.c.all.Encrypted}
+		Listener: s.c.s.cfg.Name, Encrypted: s.c.all != nil && s.c.all.Encrypted, Waited: s.c.all.TakeTurnWait()}
 	if r.Length < 0 && !ended {
 		head.Body = 1 // there is one, of no told length
 	}
--- a/internal/front/take.go
+++ b/internal/front/take.go
@@ -191,6 +191,7 @@
 
 // readTime reads how long the client waits, and whether it asks again.
 func (q *admissionRequest) readTime() error {
+	defer func() { q.left = max(0, q.left-q.head.Waited) }()
 	q.left = q.class.Deadline
 	q.repeat = q.head.Header.Get("X-Repeat") == "1"
 	text := q.head.Header.Values("X-Time-Left")
