Readers of hosts over HTTP/1.1 take no turns of their own

Cause: the front reads an answer on its way in its client's turn; the host's connection asked for a turn of its own there, which its own client held, and went on only when that expired, 2 ms for each read.

--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"frostshift/internal/chunked"
-	"frostshift/internal/fairqueue"
 	"frostshift/internal/socket"
 )
 
@@ -33,8 +32,6 @@
 	// failed is the error of the socket that a wait or a write has met: the kernel reports one a
 	// single time, and a read after it sees the same end as after a close.
 	failed atomic.Pointer[net.OpError]
-	// processor is what the answer that is read uses of it; nil: it counts as its client's, whose front reads it.
-	processor *fairqueue.Peer
 }
 
 func newConn(nc net.Conn, u *Upstream, h *host) *conn {
@@ -53,7 +50,6 @@
 // begin gives the connection a reader for an answer; done takes it back, unless something
 // has been read that belongs to no answer.
 func (c *conn) begin() {
-	c.processor = fairqueue.Processor().NewPeer(fairqueue.HostDebt)
 	c.answerHead.begin()
 	if c.in == nil {
 		c.in = readers.Get().(*bufio.Reader)
@@ -63,7 +59,6 @@
 
 func (c *conn) done() {
 	c.chunks = nil
-	c.processor.Leave()
 	if c.in != nil && c.in.Buffered() == 0 {
 		c.in.Reset(nil)
 		if c.in.Size() == flowReader {
@@ -83,7 +78,6 @@
 
 // beginFlow is begin for such an answer.
 func (c *conn) beginFlow() {
-	c.processor = nil
 	c.answerHead.begin()
 	if c.in == nil {
 		c.in = flowReaders.Get().(*bufio.Reader)
@@ -113,11 +107,7 @@
 
 // Read reads from the host. Where the connection has failed it never says io.EOF.
 func (c *conn) Read(b []byte) (int, error) {
-	c.processor.Wait()
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.processor.Work()
-	}
 	if failed := c.failed.Load(); err == io.EOF && failed != nil {
 		return n, failed
 	}
