A signal repeats no write that the tests' launcher has carried out

Callers saw: nothing, a fault of a test's tools.

Cause: a call that waits for the launcher's decision is interrupted by a signal (the runtime sends SIGURG to threads that run for 10 ms) and made again behind it; a short write that had been carried out was carried out twice. A host that gets bytes twice ends the connection with unread bytes.

Evidence: the new test sends SIGURG to the thread while its write is decided about. It failed 3 of 3 without the change, the first seven bytes written twice, and passed 5 of 5 with it.

Change: the filter is installed so that signals wait for a call that has been heard of (SECCOMP_FILTER_FLAG_WAIT_KILLABLE_RECV, Linux 5.19); where the system lacks it, as before.

--- a/internal/sysfault/launch.go
+++ b/internal/sysfault/launch.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"syscall"
 	"unsafe"
 
 	"golang.org/x/sys/unix"
@@ -59,20 +60,30 @@
 	return os.NewSyscallError("execve", unix.Exec(os.Args[1], os.Args[2:], os.Environ()))
 }
 
-// install sets the filter on this thread and gives the descriptor that hears of calls.
+// install sets the filter on this thread and gives the descriptor that hears of calls. Where the system can, signals
+// wait for a call that has been heard of: one that a signal interrupts is repeated, behind what was decided about it.
 func install(calls []uint32) (listener int, err error) {
 	if err := unix.Prctl(unix.PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0); err != nil {
 		return -1, os.NewSyscallError("prctl", err)
 	}
 	lines := filter(calls)
 	program := unix.SockFprog{Len: uint16(len(lines)), Filter: &lines[0]}
-	fd, _, failed := unix.Syscall(unix.SYS_SECCOMP, unix.SECCOMP_SET_MODE_FILTER, unix.SECCOMP_FILTER_FLAG_NEW_LISTENER, uintptr(unsafe.Pointer(&program)))
+	const listens = unix.SECCOMP_FILTER_FLAG_NEW_LISTENER
+	fd, _, failed := setFilter(listens|unix.SECCOMP_FILTER_FLAG_WAIT_KILLABLE_RECV, &program)
+	if failed == unix.EINVAL { // before Linux 5.19
+		fd, _, failed = setFilter(listens, &program)
+	}
 	if failed != 0 {
 		return -1, os.NewSyscallError("seccomp", failed)
 	}
 	return int(fd), nil
 }
 
+// setFilter is seccomp(2).
+func setFilter(flags uintptr, program *unix.SockFprog) (fd, _ uintptr, failed syscall.Errno) {
+	return unix.Syscall(unix.SYS_SECCOMP, unix.SECCOMP_SET_MODE_FILTER, flags, uintptr(unsafe.Pointer(program)))
+}
+
 // Offsets in struct seccomp_data.
 const (
 	numberAt = 0
--- a/internal/sysfault/sysfault_test.go
+++ b/internal/sysfault/sysfault_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -142,6 +143,50 @@
 	}
 }
 
+// A signal that comes while a write is decided about makes it no second one.
+func TestSignalsRepeatNoWrite(t *testing.T) {
+	from, to := filepath.Join(t.TempDir(), "from"), filepath.Join(t.TempDir(), "to")
+	text := strings.Repeat("0123456789", 50)
+	if err := os.WriteFile(from, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	writes := 0
+	decide := func(c *Call) Outcome {
+		if c.Args[2] <= 7 || c.Args[0] <= 2 {
+			return Outcome{}
+		}
+		if writes++; writes%2 == 0 {
+			return Outcome{}
+		}
+		if err := unix.Tgkill(processOf(t, c.thread), c.thread, unix.SIGURG); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Millisecond) // the signal has arrived
+		return Outcome{Bytes: 7}
+	}
+	if met := play(t, decide, []int{unix.SYS_WRITE}, from+" to "+to); len(met) != 1 || met[0] != "0" {
+		t.Errorf("met %v", met)
+	}
+	if b, err := os.ReadFile(to); err != nil || string(b) != text {
+		t.Errorf("copied %q, %v", b, err)
+	}
+	if writes == 0 {
+		t.Error("nothing was decided")
+	}
+}
+
+// processOf is the process of a thread.
+func processOf(t *testing.T, thread int) (process int) {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", thread))
+	if err != nil {
+		t.Error(err)
+	}
+	_, rest, _ := strings.Cut(string(status), "\nTgid:")
+	fmt.Sscan(rest, &process)
+	return process
+}
+
 // A program that can't be run is told of, and leaves nothing behind.
 func TestNoProgram(t *testing.T) {
 	cmd := exec.Command(filepath.Join(t.TempDir(), "none"))
