A turn goes on behind a wait within it, and taken requests go first

Cause: a turn ended with each wait for the peer, and its holder went to the back of all heavy peers. An upload is read 4 KB at a time; each read waited for the turns of all floods. Behind the answer its connection also counted as working while it rested.

Evidence: beside 30 connections four uploads of two plays of 4 s came 1.8 to 3.1 s late.

Change: a turn is 0.25 ms of use, not of time; what is left of it is kept in a wait and goes ahead of new turns. A reader that finds bytes keeps its turn. A connection whose request has been taken is owed its answer, and goes ahead of heavy peers until that is given: one request a connection, each admitted.

--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -3,8 +3,9 @@
 //
 // Each reader of a peer tells its Peer when it works and when it waits. A peer that has used less than a burst of
 // processor time works at once. All others take turns, as many at a time as there are processors: those that have
-// used little go first, and a turn begins behind everything that is ready to run, sockets included. Where nobody else
-// has work the turns follow upon one another, so that a single fast peer keeps its speed.
+// used little go first, with those that are owed an answer and those that waited within a turn, and a turn begins behind
+// everything that is ready to run, sockets included. Where nobody else has work the turns follow upon one another, so
+// that a single fast peer keeps its speed.
 package fairqueue
 
 import (
@@ -24,7 +25,7 @@
 	expiry = 2 * time.Millisecond
 	// longestStep is the most that one step counts: its goroutine may have been kept from running meanwhile.
 	longestStep = turn
-	// heavy is the use from which on a peer goes behind all that have used less.
+	// heavy is the use from which on a peer that is owed nothing goes behind all that have used less.
 	heavy = 500 * time.Microsecond
 	// recovery is how much of the time for which a peer leaves the process alone is taken off what it has used.
 	recovery = 1.0 / 100
@@ -73,13 +74,14 @@
 	debt time.Duration // the most that is kept of used
 
 	// The rest belongs to the queue's lock.
-	used    time.Duration
-	since   time.Time // when it began to work or, if it does not work, to wait
-	works   bool
-	granted time.Time // when its turn began; zero: it has none
-	gone    bool
-	ever    time.Duration // used in all
-	rested  time.Duration // waited for turns in all
+	used   time.Duration
+	since  time.Time // when it began to work or, if it does not work, to wait
+	works  bool
+	left   time.Duration // of its turn
+	owed   bool
+	gone   bool
+	ever   time.Duration // used in all
+	rested time.Duration // waited for turns in all
 }
 
 // NewPeer returns a peer that is waiting. debt bounds what is kept of its use.
@@ -97,18 +99,17 @@
 	p.q.mu.Lock()
 	p.account(now)
 	p.works = true
-	if p.gone || p.used <= burst || !p.granted.IsZero() && now.Sub(p.granted) < turn {
+	if p.gone || p.used <= burst || p.left > 0 && p.q.holds(p) {
 		p.q.mu.Unlock()
 		return 0
 	}
 	p.q.release(p)
 	if len(p.q.waiting) == 0 && p.q.running < max(1, p.q.parallel()) && now.Sub(p.q.passed) < turn {
 		p.q.begin(p, now)
-		p.granted = now
 		p.q.mu.Unlock()
 		return 0
 	}
-	w := &waiter{peer: p, heavy: p.used > heavy, order: p.q.arrived, granted: make(chan *poller, 1)}
+	w := &waiter{peer: p, last: p.used > heavy && p.left <= 0 && !p.owed, order: p.q.arrived, granted: make(chan *poller, 1)}
 	p.q.arrived++
 	heap.Push(&p.q.waiting, w)
 	p.works = false // waiting for a turn is neither use nor recovery
@@ -135,8 +136,7 @@
 	}
 	p.works, p.since = true, now
 	p.rested += waited
-	if _, holds := p.q.holders[p]; holds {
-		p.granted = now
+	if p.q.holds(p) {
 		p.q.holders[p] = now
 	}
 	return waited
@@ -163,20 +163,30 @@
 	defer p.q.mu.Unlock()
 	p.account(now)
 	p.works = false
-	if !p.granted.IsZero() {
-		p.q.release(p)
+	if p.q.release(p) {
 		p.q.grant(now)
 	}
 }
 
-// Reset forgets what the peer has used, for one that begins anew.
-func (p *Peer) Reset() {
+// Holds says whether the peer has a turn.
+func (p *Peer) Holds() bool {
+	if p == nil {
+		return false
+	}
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	return p.q.holds(p)
+}
+
+// Owe says whether the process owes the peer an answer: while it does, the peer's turns come ahead of those of peers
+// that have used much.
+func (p *Peer) Owe(owed bool) {
 	if p == nil {
 		return
 	}
 	p.q.mu.Lock()
 	defer p.q.mu.Unlock()
-	p.used, p.since = 0, time.Now()
+	p.owed = owed
 }
 
 // Leave ends the peer: it waits for no turn any more.
@@ -223,26 +233,38 @@
 		step := min(passed, longestStep)
 		p.ever += step
 		p.used = min(p.used+step, p.debt)
+		p.left = max(0, p.left-step)
 	} else {
 		p.used = max(0, p.used-time.Duration(float64(passed)*recovery))
 	}
 	p.since = now
 }
 
-// release ends a turn, if the peer has one. The lock is held.
-func (q *Queue) release(p *Peer) {
-	p.granted = time.Time{}
-	if _, holds := q.holders[p]; holds {
-		delete(q.holders, p)
-		q.running--
+// holds says whether the peer has a turn. The lock is held.
+func (q *Queue) holds(p *Peer) bool {
+	_, holds := q.holders[p]
+	return holds
+}
+
+// release ends a turn, and says whether the peer had one. The lock is held.
+func (q *Queue) release(p *Peer) bool {
+	if !q.holds(p) {
+		return false
 	}
+	delete(q.holders, p)
+	q.running--
+	return true
 }
 
-// begin begins a turn. Another goroutine of the same peer may have one, and shares it. The lock is held.
+// begin begins a turn, or goes on with what is left of the last. Another goroutine of the same peer may have it, and
+// shares it. The lock is held.
 func (q *Queue) begin(p *Peer, now time.Time) {
-	if _, holds := q.holders[p]; !holds {
+	if !q.holds(p) {
 		q.running++
 	}
+	if p.left <= 0 {
+		p.left = turn
+	}
 	q.holders[p] = now
 }
 
@@ -324,19 +346,19 @@
 // waiter is a goroutine that waits for a turn of its peer.
 type waiter struct {
 	peer    *Peer
-	heavy   bool // when it began to wait
+	last    bool // it has used much, begins a new turn and is owed nothing
 	order   uint64
 	granted chan *poller // nil: the turn begins at once
 }
 
-// waiters is a heap: those whose peers have used little first, and of the others those that have waited longest.
+// waiters is a heap: those that are last go behind the others, and of each kind those first that have waited longest.
 type waiters []*waiter
 
 func (w waiters) Len() int { return len(w) }
 
 func (w waiters) Less(i, j int) bool {
-	if w[i].heavy != w[j].heavy {
-		return w[j].heavy
+	if w[i].last != w[j].last {
+		return w[j].last
 	}
 	return w[i].order < w[j].order
 }
--- a/internal/fairqueue/fairqueue_test.go
+++ b/internal/fairqueue/fairqueue_test.go
@@ -140,6 +140,45 @@
 	}
 }
 
+// A peer that waits within its turn goes on with the rest of it ahead of peers that have used as much, and so does one that is owed an answer.
+func TestTurnGoesOnBehindAWait(t *testing.T) {
+	for _, owed := range []bool{false, true} {
+		q := New(oneTurn)
+		other, p := tiredPeer(q), tiredPeer(q)
+		q.running, q.armed = 1, true // nothing begins
+		if p.left = turn / 2; owed {
+			p.left = 0
+			p.Owe(true)
+		}
+		var all sync.WaitGroup
+		var order []*Peer
+		for i, next := range []*Peer{other, p} {
+			all.Go(func() {
+				next.Work()
+				order = append(order, next)
+				next.Wait()
+			})
+			for waiting := 0; waiting <= i; time.Sleep(time.Millisecond) {
+				waiting = q.Stats().Waiting
+			}
+		}
+		q.mu.Lock()
+		q.running, q.armed = 0, false
+		q.grant(time.Now())
+		q.mu.Unlock()
+		all.Wait()
+		if len(order) != 2 || order[0] != p {
+			t.Errorf("owed %v: it goes behind the other", owed)
+		}
+	}
+	q := New(oneTurn)
+	p := tiredPeer(q)
+	p.Work()
+	if !p.Holds() {
+		t.Error("no turn is held")
+	}
+}
+
 // Peers that have used little go ahead of those that have used much, and both in the order in which they came.
 func TestHeavyPeersGoBehindOthers(t *testing.T) {
 	q := New(oneTurn)
@@ -183,14 +222,13 @@
 	if want := ClientDebt - 10*time.Millisecond; p.used < want-time.Microsecond || p.used > want+time.Microsecond {
 		t.Errorf("%v are kept behind a second, not %v", p.used, want)
 	}
-	p.Reset()
-	if ever, _ := p.Total(); p.used != 0 || ever != 0 {
-		t.Errorf("%v are kept behind a reset", p.used)
-	}
 	var none *Peer
 	none.Work()
 	none.Resume()
 	none.Wait()
-	none.Reset()
+	none.Owe(true)
+	if none.Holds() {
+		t.Error("a turn of no queue")
+	}
 	none.Leave()
 }
--- a/internal/faultinject/floods_test.go
+++ b/internal/faultinject/floods_test.go
@@ -21,12 +21,12 @@
 var floodTurns = make(chan struct{}, 1)
 
 // playBesideFlood plays clients of some kinds beside quiet clients of every class. None of these may have its answer late.
-func playBesideFlood(t *testing.T, cores float64, groups ...Group) TrialResult {
+func playBesideFlood(t *testing.T, cores float64, lasts time.Duration, groups ...Group) TrialResult {
 	t.Helper()
 	t.Parallel()
 	floodTurns <- struct{}{}
 	defer func() { <-floodTurns }()
-	trial := Trial{MemoryMB: floodMB, Descriptors: 1024, Cores: cores, Lasts: floodLasts, Program: program, Dir: filepath.Join(t.TempDir(), "run"),
+	trial := Trial{MemoryMB: floodMB, Descriptors: 1024, Cores: cores, Lasts: lasts, Program: program, Dir: filepath.Join(t.TempDir(), "run"),
 		KillLate: 700 * time.Millisecond, Groups: append([]Group{{Kind: "everyclass", N: floodQuiet}}, groups...)}
 	r, err := trial.PlayIn(t.Context(), player)
 	if err != nil {
@@ -55,7 +55,7 @@
 		for _, connections := range []int{1, 6, 30, 100} {
 			for _, kind := range []string{"flood-ready", "unread-ready"} {
 				t.Run(fmt.Sprintf("%s/%d/%v", kind, connections, cores), func(t *testing.T) {
-					playBesideFlood(t, cores, Group{Kind: kind, N: connections, From: floodFrom})
+					playBesideFlood(t, cores, floodLasts, Group{Kind: kind, N: connections, From: floodFrom})
 				})
 			}
 		}
@@ -72,7 +72,34 @@
 			for _, name := range several {
 				groups = append(groups, Group{Kind: "flood-" + name, N: connections, From: floodFrom})
 			}
-			playBesideFlood(t, 1, groups...)
+			playBesideFlood(t, 1, floodLasts, groups...)
+		})
+	}
+}
+
+// Uploads beside clients that work without a pause are answered in time, though each asks for the processor many times.
+func TestUploadsBesideFloodsAreAnsweredInTime(t *testing.T) {
+	const (
+		uploads     = 10
+		connections = 30
+		lasts       = 4 * time.Second
+	)
+	for _, kind := range []string{"flood-ready", "flood-longanswers"} {
+		t.Run(kind, func(t *testing.T) {
+			playBesideFlood(t, 1, lasts, Group{Kind: "uploads", N: uploads}, Group{Kind: kind, N: connections, From: floodFrom})
+		})
+	}
+}
+
+// Long answers keep their speed where nobody else wants the processor.
+func TestLongAnswersKeepTheirSpeed(t *testing.T) {
+	const leastSpeed = 125e6 // bytes a second: a line of 1 Gbit/s
+	for _, clients := range []int{1, 8} {
+		t.Run(fmt.Sprint(clients), func(t *testing.T) {
+			r := playBesideFlood(t, 1, floodLasts, Group{Kind: "flood-longanswers", N: clients, From: floodFrom})
+			if least := leastSpeed * (floodLasts - 2*floodFrom).Seconds(); float64(r.Pipelined) < least {
+				t.Errorf("%d bytes of answers have come, and %.0f are the least", r.Pipelined, least)
+			}
 		})
 	}
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -234,11 +234,11 @@
 	return n, err
 }
 
-// read reads from the connection.
+// read reads from the connection. A turn goes on where there is something to read.
 func (c *Conn) read(b []byte) (int, error) {
 	c.reading.Store(true)
 	defer c.reading.Store(false)
-	if len(b) > 1 {
+	if len(b) > 1 && !(c.processor.Holds() && c.Unread() > 0) {
 		c.processor.Wait()
 	}
 	return c.Conn.Read(b)
--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -146,7 +146,6 @@
 	defer t.Begun()
 	left := r.Context().Done()
 	conn.Processor().Wait()
-	defer conn.Processor().Resume()
 	for {
 		select {
 		case h := <-hints:
@@ -158,6 +157,7 @@
 			}
 			continue
 		case a := <-call.Reply:
+			conn.Processor().Resume()
 			s.replyFlow(w, r, t, call, a, deadline)
 			t.Over(a)
 		case <-failed:
--- a/internal/front/http1/server.go
+++ b/internal/front/http1/server.go
@@ -247,18 +247,24 @@
 	conn.Work()
 	conn.HeadWhole(r.ContentLength != 0)
 	s.handle(w, r, conn)
+	conn.Processor().Owe(false)
 	conn.Given()
 	conn.TakeTurnWait() // that of a body is not the next request's
 }
 
+// serveOptions answers a question to the server itself (RFC 9110 section 9.3.7).
+func serveOptions(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Length", "0")
+	io.CopyN(io.Discard, r.Body, maxIgnored)
+	w.WriteHeader(http.StatusOK)
+}
+
 // handle answers a request that has been taken. It panics where its answer is to break off.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request, conn *front.Conn) {
 	w = &leavingWriter{ResponseWriter: w, conn: conn}
-	conn.WriteIdle(0)                                          // as it was for the answer before
-	if r.Method == http.MethodOptions && r.RequestURI == "*" { // a question to the server itself (RFC 9110 section 9.3.7)
-		w.Header().Set("Content-Length", "0")
-		throwAwayShort(r)
-		w.WriteHeader(http.StatusOK)
+	conn.WriteIdle(0) // as it was for the answer before
+	if r.Method == http.MethodOptions && r.RequestURI == "*" {
+		serveOptions(w, r)
 		return
 	}
 	if r.URL.Path == "/ready" {
@@ -294,7 +300,6 @@
 	call, deadline := ticket.Submit()
 	defer ticket.Begun()
 	conn.Processor().Wait()
-	defer conn.Processor().Resume()
 	select {
 	case a := <-call.Reply:
 		conn.Processor().Resume()
@@ -329,13 +334,6 @@
 	io.CopyN(io.Discard, r.Body, mostLate)
 }
 
-// throwAwayShort reads a small body of a request that needs none.
-func throwAwayShort(r *http.Request) {
-	if r.ContentLength != 0 {
-		io.Copy(io.Discard, io.LimitReader(r.Body, maxIgnored))
-	}
-}
-
 // leavingWriter tells the client with its answer if the connection ends with it.
 type leavingWriter struct {
 	http.ResponseWriter
@@ -420,6 +418,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn.Processor().Owe(true)
 	flows := t.Flow != nil && (t.Upgrade != "" || t.Flow.Requests != config.BodiesWhole)
 	old := !r.ProtoAtLeast(1, 1) // its Transfer-Encoding would go unread
 	fits := !old || flows && t.Upgrade == "" && lengthOnly(conn, r)
