Tests: flooding clients fill small buffers, and leave their quiet ones cores

Callers saw: nothing, a fault of a trial.

Cause: 100 flooding clients filled their systems' send buffers, about 250 MB in the first second, which kept two cores and more of the player busy; its own quiet clients waited for the processor meanwhile (trials, traced).

Change: a flooding client's send buffer is 64 KB; it still waits for nothing but the gateway.

--- a/internal/faultinject/trial_floods.go
+++ b/internal/faultinject/trial_floods.go
@@ -3,12 +3,18 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"time"
 )
 
-// floodBatch is how many bytes of requests a flooding client writes at once at least.
-const floodBatch = 16 << 10
+const (
+	// floodBatch is how many bytes of requests a flooding client writes at once at least.
+	floodBatch = 16 << 10
+	// floodBuffer is how many bytes a flooding client's system takes from it ahead: filling larger ones would keep quiet
+	// clients from the processor.
+	floodBuffer = 64 << 10
+)
 
 // floods are the requests that flooding clients send, by the name of the flood. A client's kind is "flood-" and the
 // name, or "unread-" and the name where it reads no answer.
@@ -67,6 +73,7 @@
 		if l == nil {
 			return
 		}
+		l.Conn.(*net.TCPConn).SetWriteBuffer(floodBuffer)
 		gone := make(chan struct{})
 		go func() {
 			defer close(gone)
