A discovery that sends without a pause takes turns at the processor too

Callers saw: beside a discovery that repeated its list at full speed each answer took up to 105 ms, where 10 ms are usual; none came late (one core).

Change: a watch tells the process's queue when it reads and when it works; as hosts' readers it never counts as heavy, so that notices go ahead of floods. The constant is named for both.

--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -35,8 +35,8 @@
 const (
 	// ClientDebt is for clients' connections.
 	ClientDebt = 20 * time.Millisecond
-	// HostDebt is for hosts' connections. They never count as heavy: what they bring is owed.
-	HostDebt = heavy
+	// OwedDebt is for hosts' connections and discovery. They never count as heavy: what they bring is owed.
+	OwedDebt = heavy
 )
 
 // Queue gives turns. It is safe for concurrent use.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -10,6 +10,7 @@
 	"frostshift/internal/config"
 	"frostshift/internal/contract"
 	"frostshift/internal/exchange"
+	"frostshift/internal/fairqueue"
 	"frostshift/internal/membership"
 	"frostshift/internal/membership/keeper"
 	"frostshift/internal/membership/source"
@@ -92,8 +93,10 @@
 	if g.loads != nil {
 		pc.InFlightChanged = g.loads.out
 	}
+	processor := fairqueue.Processor().NewPeer(fairqueue.OwedDebt)
 	if def.Belief != nil {
-		kc := keeper.Config{Specs: def.Sources, Belief: *def.Belief, Part: def.Part, Log: p.log, List: sink{p}.List, Silence: g.opt.Silence, Every: g.opt.LookEvery}
+		kc := keeper.Config{Specs: def.Sources, Belief: *def.Belief, Part: def.Part, Log: p.log, List: sink{p}.List, Silence: g.opt.Silence, Every: g.opt.LookEvery,
+			Processor: processor}
 		if m.Views != "" {
 			p.views = newViews(m.Views, def.Name, p.standing)
 			kc.Show = p.views.show
@@ -101,7 +104,7 @@
 		k := keeper.New(kc)
 		p.list, p.keeper, pc.HostSeen = k, k, k.Saw
 	} else {
-		cfg := source.Config{Sink: sink{p}, Log: p.log, Asked: def.Settings.Ask, Silence: g.opt.Silence, Every: g.opt.LookEvery}
+		cfg := source.Config{Sink: sink{p}, Log: p.log, Asked: def.Settings.Ask, Silence: g.opt.Silence, Every: g.opt.LookEvery, Processor: processor}
 		if def.Known != nil {
 			cfg.Index = *def.Known.Index
 		}
--- a/internal/membership/keeper/keeper.go
+++ b/internal/membership/keeper/keeper.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"frostshift"
+	"frostshift/internal/fairqueue"
 	"frostshift/internal/membership"
 	"frostshift/internal/membership/belief"
 	"frostshift/internal/membership/source"
@@ -40,6 +41,8 @@
 	Show func(State)
 	// Silence and Every are as in source.Config.
 	Silence, Every time.Duration
+	// Processor is what all sources together use of it; nil: it is not shared out.
+	Processor *fairqueue.Peer
 }
 
 // Keeper keeps a pool's list. Its methods are safe for concurrent use.
@@ -102,7 +105,7 @@
 		k.part = newPart(*cfg.Part)
 	}
 	for i := range cfg.Specs {
-		k.followers = append(k.followers, source.NewFollower(source.Config{Sink: sink{k: k, i: i}, Log: cfg.Log, Silence: cfg.Silence, Every: cfg.Every}))
+		k.followers = append(k.followers, source.NewFollower(source.Config{Sink: sink{k: k, i: i}, Log: cfg.Log, Silence: cfg.Silence, Every: cfg.Every, Processor: cfg.Processor}))
 	}
 	return k
 }
--- a/internal/membership/source/follower.go
+++ b/internal/membership/source/follower.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"frostshift/internal/fairqueue"
 	"frostshift/internal/membership"
 )
 
@@ -65,6 +66,8 @@
 	Every   time.Duration // between looks at a file
 	// LeastTTL is how long an answer of DNS is used at least; 0: a second.
 	LeastTTL time.Duration
+	// Processor is what the source uses of it; nil: it is not shared out.
+	Processor *fairqueue.Peer
 	// dial connects to discovery; nil: over TCP.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
--- a/internal/membership/source/watch.go
+++ b/internal/membership/source/watch.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"frostshift/internal/fairqueue"
 	"frostshift/internal/membership"
 )
 
@@ -105,6 +106,8 @@
 	}
 	dog.Reset(t.cfg.Silence)
 	in := newMessages(resp.Body, func() { dog.Reset(t.cfg.Silence) })
+	in.processor = t.cfg.Processor
+	defer t.cfg.Processor.Wait()
 	for {
 		var list membership.List
 		if err := in.next(&list); err != nil {
@@ -125,9 +128,11 @@
 type messages struct {
 	from    io.Reader
 	decoder *json.Decoder
-	alive   func() // called with each heartbeat and each whole message, not with a part of one
-	begun   bool   // a part of a message has come
-	held    int    // bytes since the last whole message
+	// processor is discovery's use of it; nil: it is not shared out.
+	processor *fairqueue.Peer
+	alive     func() // called with each heartbeat and each whole message, not with a part of one
+	begun     bool   // a part of a message has come
+	held      int    // bytes since the last whole message
 }
 
 func newMessages(from io.Reader, alive func()) *messages {
@@ -144,7 +149,9 @@
 
 // Read is the decoder's.
 func (m *messages) Read(p []byte) (int, error) {
+	m.processor.Wait()
 	n, err := m.from.Read(p)
+	m.processor.Work()
 	if len(bytes.TrimSpace(p[:n])) > 0 {
 		m.begun = true
 	} else if n > 0 && !m.begun {
@@ -158,6 +165,7 @@
 
 // next decodes the next message.
 func (m *messages) next(into any) error {
+	m.processor.Work() // several may have come in one read
 	err := m.decoder.Decode(into)
 	switch {
 	case err == nil:
--- a/internal/upstream/http2/conn.go
+++ b/internal/upstream/http2/conn.go
@@ -39,7 +39,7 @@
 
 func newConn(u *Upstream, h *host, nc net.Conn) *conn {
 	now := time.Now()
-	return &conn{u: u, host: h, processor: fairqueue.Processor().NewPeer(fairqueue.HostDebt), next: 1, goAway: allStreams, heard: now, freed: now, empties: h2.Bucket{Rate: 1000, Burst: 2000},
+	return &conn{u: u, host: h, processor: fairqueue.Processor().NewPeer(fairqueue.OwedDebt), next: 1, goAway: allStreams, heard: now, freed: now, empties: h2.Bucket{Rate: 1000, Burst: 2000},
 		link: h2.New(nc, h2.Config{StreamWindow: streamWindow, ConnWindow: connWindow, Client: true})}
 }
 
