--- a/internal/faultinject/trial_discovery.go
+++ b/internal/faultinject/trial_discovery.go
@@ -25,6 +25,10 @@
 	"lists": func(version int, entries string) string {
 		return fmt.Sprintf(`{"index":%d,"snapshot":true,"endpoints":[%s]}`+"\n", version, entries)
 	},
+	"newhosts": func(version int, entries string) string {
+		host := fmt.Sprintf(`{"name":"x-%d","address":%q,"zone":"a","type":"std","group":1,"status":"leaving","weight":1,"since_ms":0}`, version, discoveryAway)
+		return fmt.Sprintf(`{"index":%d,"snapshot":true,"endpoints":[%s,%s]}`+"\n", version, entries, host)
+	},
 	"emptylines": func(int, string) string { return "\n" },
 }
 
