Of each four turns one is left to peers that have used much

Cause: turns of peers that are owed an answer always went ahead of those of heavy peers. Long answers are owed for as long as they last, so that the next request on a connection that had used much was not read until they ended.

A new test of the package: a heavy peer has its turn after three others, however many wait.

Change: two queues in the order of arrival, in place of one heap.

--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -4,13 +4,13 @@
 // Each reader of a peer tells its Peer when it works and when it waits. A peer that has used less than a burst of
 // processor time works at once. All others take turns, as many at a time as there are processors: those that have
 // used little go first, with those that are owed an answer and those that waited within a turn, and a turn begins behind
-// everything that is ready to run, sockets included. Where nobody else has work the turns follow upon one another, so
+// everything that is ready to run, sockets included. Of each few turns one is left to those that have used much. Where nobody else has work the turns follow upon one another, so
 // that a single fast peer keeps its speed.
 package fairqueue
 
 import (
-	"container/heap"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +27,8 @@
 	longestStep = turn
 	// heavy is the use from which on a peer that is owed nothing goes behind all that have used less.
 	heavy = 500 * time.Microsecond
+	// mostAhead is how many turns go ahead of those of heavy peers until one of these has its own.
+	mostAhead = 3
 	// recovery is how much of the time for which a peer leaves the process alone is taken off what it has used.
 	recovery = 1.0 / 100
 )
@@ -45,8 +47,9 @@
 
 	mu      sync.Mutex
 	running int
-	waiting waiters
-	arrived uint64
+	waiting []*waiter           // that go ahead, in the order in which they came
+	last    []*waiter           // the others, in the same order
+	ahead   int                 // turns that have begun ahead of the last since one of these has begun
 	holders map[*Peer]time.Time // since when
 	passed  time.Time           // when a turn last began behind all that was ready
 	expires *time.Timer
@@ -104,14 +107,17 @@
 		return 0
 	}
 	p.q.release(p)
-	if len(p.q.waiting) == 0 && p.q.running < max(1, p.q.parallel()) && now.Sub(p.q.passed) < turn {
+	if p.q.waiters() == 0 && p.q.running < max(1, p.q.parallel()) && now.Sub(p.q.passed) < turn {
 		p.q.begin(p, now)
 		p.q.mu.Unlock()
 		return 0
 	}
-	w := &waiter{peer: p, last: p.used > heavy && p.left <= 0 && !p.owed, order: p.q.arrived, granted: make(chan *poller, 1)}
-	p.q.arrived++
-	heap.Push(&p.q.waiting, w)
+	w := &waiter{peer: p, granted: make(chan *poller, 1)}
+	if p.used > heavy && p.left <= 0 && !p.owed {
+		p.q.last = append(p.q.last, w)
+	} else {
+		p.q.waiting = append(p.q.waiting, w)
+	}
 	p.works = false // waiting for a turn is neither use nor recovery
 	p.q.grant(now)
 	p.q.mu.Unlock()
@@ -199,19 +205,14 @@
 	defer p.q.mu.Unlock()
 	p.gone = true
 	p.q.release(p)
-	kept := p.q.waiting[:0]
-	for _, w := range p.q.waiting {
+	leaves := func(w *waiter) bool {
 		if w.peer == p {
 			w.granted <- nil
-		} else {
-			kept = append(kept, w)
 		}
+		return w.peer == p
 	}
-	if len(kept) < len(p.q.waiting) {
-		clear(p.q.waiting[len(kept):])
-		p.q.waiting = kept
-		heap.Init(&p.q.waiting)
-	}
+	p.q.waiting = slices.DeleteFunc(p.q.waiting, leaves)
+	p.q.last = slices.DeleteFunc(p.q.last, leaves)
 	p.q.grant(now)
 }
 
@@ -270,8 +271,8 @@
 
 // grant begins as many turns as may be. The lock is held.
 func (q *Queue) grant(now time.Time) {
-	for q.running < max(1, q.parallel()) && len(q.waiting) > 0 {
-		w := heap.Pop(&q.waiting).(*waiter)
+	for q.running < max(1, q.parallel()) && q.waiters() > 0 {
+		w := q.next()
 		q.begin(w.peer, now)
 		if now.Sub(q.passed) < turn {
 			w.granted <- nil
@@ -279,7 +280,7 @@
 			w.granted <- q.takePoller()
 		}
 	}
-	if len(q.waiting) == 0 || q.armed {
+	if q.waiters() == 0 || q.armed {
 		return
 	}
 	if q.armed = true; q.expires == nil {
@@ -289,6 +290,23 @@
 	}
 }
 
+// waiters is how many goroutines wait for a turn. The lock is held.
+func (q *Queue) waiters() int { return len(q.waiting) + len(q.last) }
+
+// next takes the waiter whose turn is next; there is one. The lock is held.
+func (q *Queue) next() *waiter {
+	from := &q.waiting
+	if len(q.waiting) == 0 || len(q.last) > 0 && q.ahead >= mostAhead {
+		from = &q.last
+		q.ahead = 0
+	} else if len(q.last) > 0 {
+		q.ahead++
+	}
+	w := (*from)[0]
+	*from = slices.Delete(*from, 0, 1)
+	return w
+}
+
 // expire ends turns whose holders seem to wait.
 func (q *Queue) expire() {
 	q.mu.Lock()
@@ -335,7 +353,7 @@
 // Stats returns the figures so far.
 func (q *Queue) Stats() Stats {
 	q.mu.Lock()
-	waiting := len(q.waiting)
+	waiting := q.waiters()
 	q.mu.Unlock()
 	return Stats{Waiting: waiting, Waits: q.waits.Load(), Waited: time.Duration(q.waited.Load())}
 }
@@ -346,33 +364,5 @@
 // waiter is a goroutine that waits for a turn of its peer.
 type waiter struct {
 	peer    *Peer
-	last    bool // it has used much, begins a new turn and is owed nothing
-	order   uint64
 	granted chan *poller // nil: the turn begins at once
 }
-
-// waiters is a heap: those that are last go behind the others, and of each kind those first that have waited longest.
-type waiters []*waiter
-
-func (w waiters) Len() int { return len(w) }
-
-func (w waiters) Less(i, j int) bool {
-	if w[i].last != w[j].last {
-		return w[j].last
-	}
-	return w[i].order < w[j].order
-}
-
-func (w waiters) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
-
-// Push implements heap.Interface.
-func (w *waiters) Push(x any) { *w = append(*w, x.(*waiter)) }
-
-// Pop implements heap.Interface.
-func (w *waiters) Pop() any {
-	last := len(*w) - 1
-	x := (*w)[last]
-	(*w)[last] = nil
-	*w = (*w)[:last]
-	return x
-}
--- a/internal/fairqueue/fairqueue_test.go
+++ b/internal/fairqueue/fairqueue_test.go
@@ -135,8 +135,8 @@
 			t.Error("a peer that has left waits for a turn")
 		}
 	}
-	if len(q.waiting) != 0 {
-		t.Errorf("%d wait", len(q.waiting))
+	if q.waiters() != 0 {
+		t.Errorf("%d wait", q.waiters())
 	}
 }
 
@@ -213,6 +213,21 @@
 	}
 }
 
+// A peer that has used much has a turn after a few of others, however many of these wait.
+func TestHeavyPeersAreNotStarved(t *testing.T) {
+	q := New(oneTurn)
+	heavyOne := &waiter{}
+	q.last = append(q.last, heavyOne)
+	for range 100 {
+		q.waiting = append(q.waiting, &waiter{})
+	}
+	for turns := 1; q.next() != heavyOne; turns++ {
+		if turns > mostAhead {
+			t.Fatalf("no turn within %d", turns)
+		}
+	}
+}
+
 // What a peer has used is forgotten as it leaves the process alone, and a peer without a queue is never held up.
 func TestUseIsForgotten(t *testing.T) {
 	q := New(oneTurn)
