Tests: the order of turns is played in one place

Two tests of the queue held the same set-up. Each of three wrong orders (the rest of a turn, an answer that is owed, or heavy use disregarded) still fails them.

--- a/internal/fairqueue/fairqueue_test.go
+++ b/internal/fairqueue/fairqueue_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -140,34 +141,43 @@
 	}
 }
 
+// turnsOf has peers ask for turns one after another while none begins, and returns them in the order of their turns.
+func turnsOf(q *Queue, peers ...*Peer) (order []*Peer) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	q.mu.Lock()
+	q.running, q.armed = 1, true
+	q.mu.Unlock()
+	for i, p := range peers {
+		all.Go(func() {
+			p.Work()
+			mu.Lock()
+			order = append(order, p)
+			mu.Unlock()
+			p.Wait()
+		})
+		for q.Stats().Waiting <= i {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	q.mu.Lock()
+	q.running, q.armed = 0, false
+	q.grant(time.Now())
+	q.mu.Unlock()
+	all.Wait()
+	return order
+}
+
 // A peer that waits within its turn goes on with the rest of it ahead of peers that have used as much, and so does one that is owed an answer.
 func TestTurnGoesOnBehindAWait(t *testing.T) {
 	for _, owed := range []bool{false, true} {
 		q := New(oneTurn)
 		other, p := tiredPeer(q), tiredPeer(q)
-		q.running, q.armed = 1, true // nothing begins
 		if p.left = turn / 2; owed {
 			p.left = 0
 			p.Owe(true)
 		}
-		var all sync.WaitGroup
-		var order []*Peer
-		for i, next := range []*Peer{other, p} {
-			all.Go(func() {
-				next.Work()
-				order = append(order, next)
-				next.Wait()
-			})
-			for waiting := 0; waiting <= i; time.Sleep(time.Millisecond) {
-				waiting = q.Stats().Waiting
-			}
-		}
-		q.mu.Lock()
-		q.running, q.armed = 0, false
-		q.grant(time.Now())
-		q.mu.Unlock()
-		all.Wait()
-		if len(order) != 2 || order[0] != p {
+		if order := turnsOf(q, other, p); !slices.Equal(order, []*Peer{p, other}) {
 			t.Errorf("owed %v: it goes behind the other", owed)
 		}
 	}
@@ -187,28 +197,8 @@
 		p.used = 2 * burst
 		return p
 	}
-	var order []int
-	var mu sync.Mutex
-	var all sync.WaitGroup
-	q.running, q.armed = 1, true // nothing begins
-	for i, p := range []*Peer{tiredPeer(q), light(), tiredPeer(q), light()} {
-		all.Go(func() {
-			p.Work()
-			mu.Lock()
-			order = append(order, i)
-			mu.Unlock()
-			p.Wait()
-		})
-		for waiting := 0; waiting <= i; time.Sleep(time.Millisecond) {
-			waiting = q.Stats().Waiting
-		}
-	}
-	q.mu.Lock()
-	q.running, q.armed = 0, false
-	q.grant(time.Now())
-	q.mu.Unlock()
-	all.Wait()
-	if len(order) != 4 || order[0] != 1 || order[1] != 3 || order[2] != 0 || order[3] != 2 {
+	peers := []*Peer{tiredPeer(q), light(), tiredPeer(q), light()}
+	if order := turnsOf(q, peers...); !slices.Equal(order, []*Peer{peers[1], peers[3], peers[0], peers[2]}) {
 		t.Errorf("the turns were %v", order)
 	}
 }
