--- a/review/second/crossed.go
+++ b/review/second/crossed.go
@@ -90,11 +90,13 @@
 	case n < 51:
 		method, class, body, key = http.MethodPost, "missed-bin", "bin", "Idempotency-Key: "+newID()
 	}
+	a.r.note("a client asks for %s %s", class, id)
 	status, answer, _, err := a.c.Ask(method, "/"+class+"?obj="+id, body, "X-Correlation-Id: "+id, "X-Service-Class: "+class, "X-Time-Left: 900m", key)
 	if err != nil || a.c.Closing {
 		a.c.Close()
 		a.c = nil
 	}
+	a.r.note("the client of %s has the answer %d %q, %v", id, status, answer, err)
 	switch {
 	case err != nil || status != http.StatusOK:
 		a.r.unserved.Add(1)
@@ -108,6 +110,7 @@
 // giveTwice answers, and with trouble some answers once more.
 func (r *run) giveTwice(host int, q *fake.Request) bool {
 	time.Sleep(time.Duration(50+rand.IntN(40)) * time.Millisecond)
+	r.note("host %d has run %s and answers it", host, q.ID)
 	answer := fake.Answer(200, "of "+q.ID)
 	if _, err := io.WriteString(q.Conn, answer); err != nil {
 		return false
--- a/review/second/moved.go
+++ b/review/second/moved.go
@@ -96,6 +96,7 @@
 
 // giveLong gives a long answer, a part at a time.
 func (r *run) giveLong(q *fake.Request) bool {
+	r.note("a host begins to answer %s", q.ID)
 	fmt.Fprintf(q.Conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", longParts*partLen)
 	for n := range longParts {
 		if _, err := q.Conn.Write(make([]byte, partLen)); err != nil {
@@ -122,6 +123,7 @@
 	defer nc.Close()
 	nc.SetDeadline(time.Now().Add(30 * time.Second))
 	began := time.Now()
+	r.note("a client asks for %s", id)
 	status, body, _, err := fake.Over(nc).Ask(http.MethodGet, "/photo", "", "X-Correlation-Id: "+id)
 	took := time.Since(began).Round(time.Millisecond)
 	if err != nil && err != io.EOF || len(body) != longParts*partLen {
--- a/review/second/takenout.go
+++ b/review/second/takenout.go
@@ -170,6 +170,7 @@
 	key := q.Header.Get("Idempotency-Key")
 	isFirst := p.first(key)
 	if key[:4] != "slow" {
+		r.note("%s runs %s", pool, key)
 		return fake.Serve("ok")
 	}
 	if !isFirst {
@@ -197,8 +198,6 @@
 		return 0, err
 	}
 	status, _, _, err = c.Receive()
-	if key[:4] == "slow" {
-		r.note("a client asks for %s and has the answer %d, %v", key, status, err)
-	}
+	r.note("a client asks for %s and has the answer %d, %v", key, status, err)
 	return status, err
 }
