An answer speaks for every attempt: no refusal for a request that may have run

A plain 429 or 503 to the one attempt of an unsafe request went out too, though it proves nothing. Cause: verdict and answer of a request were chosen apart from each other. Pool.finish put any kept answer in the place of the gateway's own; final and flowing answers, counts, accounts and the log had rules of their own, each with a part of the attempts. A refusal, whoever worded it, goes out only where a retry is harmless; else an earlier answer that says no such thing, or 502. Where nothing ran the host's own refusal still comes through. Counts, accounts and the log follow the reply. A long answer that its client does not get is reported for its host as every other. Why: what a client is told no longer depends on which attempt was the last to speak.

--- a/cmd/stilespool/check.go
+++ b/cmd/stilespool/check.go
@@ -10,6 +10,7 @@
 
 	"frostshift"
 	"frostshift/internal/config"
+	"frostshift/internal/message"
 	"frostshift/internal/route"
 	"frostshift/internal/verdict"
 	"github.com/spf13/cobra"
@@ -157,11 +158,15 @@
 	m := set.Judge(status, h)
 	fmt.Fprintf(out, "  a host's %d, by the answers %q:\n", status, set.Name())
 	again := m.Disposition != verdict.Final && (m.Ran == verdict.Never || effect != frostshift.Unsafe)
+	given := m.Disposition == verdict.Final || m.Disposition == verdict.Spare && set.FromHost()
+	unless, proven := refusalCondition(m, status, effect)
 	switch {
+	case given && !proven:
+		fmt.Fprintln(out, "    client   gets 502: the answer refuses, without a proof that the request has not run")
 	case m.Disposition == verdict.Final:
-		fmt.Fprintln(out, "    client   gets it at once")
+		fmt.Fprintf(out, "    client   gets it at once%s\n", unless)
 	case again && m.Disposition == verdict.Spare && set.FromHost():
-		fmt.Fprintln(out, "    client   gets it if no further attempt brings a better one")
+		fmt.Fprintf(out, "    client   gets it if no further attempt brings a better one%s\n", unless)
 	case m.Disposition == verdict.Spare && set.FromHost():
 		fmt.Fprintln(out, "    client   gets it: no further attempt may be made")
 	default:
@@ -171,6 +176,20 @@
 	fmt.Fprintf(out, "    host     %s\n", [...]string{"is well", "is at fault, if it fails more often than the others do", "has too much to do", "shows nothing"}[m.Health])
 }
 
+// refusalCondition says when an answer that refuses does not go to the client, for the line that says when it does. proven is
+// false for one that never goes: nothing shows that its own attempt has not run.
+func refusalCondition(m verdict.Meaning, status int, effect frostshift.Effect) (unless string, proven bool) {
+	switch {
+	case effect == frostshift.Safe || m.Ran != verdict.Never && !(&message.Answer{Status: status}).Refuses():
+		return "", true
+	case m.Ran == verdict.Never:
+		return ", unless another attempt may have run", true
+	case effect == frostshift.Keyed:
+		return ", while its group's hosts drop repeats", true
+	}
+	return "", false
+}
+
 var effectNames = [...]string{"safe", "keyed", "unsafe"}
 
 // splitOf tells how a route splits its requests, if it does.
--- a/cmd/stilespool/commands_test.go
+++ b/cmd/stilespool/commands_test.go
@@ -119,6 +119,7 @@
 		{"route -config " + example + " -X POST -status 503 -A X-Not-Booked:1 http://a.council.test/api/bookings/7", 0, []string{"by the answers \"bookings\"", "has not run", "further attempt"}, nil},
 		{"route -config " + example + " -X POST -status 500 http://a.council.test/api/bookings/7", 0, []string{"no further attempt may be made", "has run", "is at fault"}, nil},
 		{"route -config " + example + " -status 404 http://gw/rota/x?household=1", 0, []string{"gets it at once", "is well"}, nil},
+		{"route -config " + example + " -X POST -status 503 http://a.council.test/api/bookings/7", 0, []string{"gets 502", "may have run"}, nil},
 		{"route -config " + example + " /rota/../api", exitNoMatch, []string{"answered 400"}, nil},
 		{"route -config " + example + " -H nonsense /rota", exitUsage, nil, []string{"Name: value"}},
 		{"import", exitUsage, nil, []string{"import nginx"}},
--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -8,7 +8,6 @@
 	"frostshift"
 	"frostshift/internal/body"
 	"frostshift/internal/contract"
-	"frostshift/internal/shortage"
 	"frostshift/internal/verdict"
 )
 
@@ -32,7 +31,7 @@
 	admitted      bool          // the call was given to the balancer
 	work          time.Duration // time of the attempts that have ended, at this pool
 	interrupted   bool          // an attempt was interrupted before its end
-	provisional   Answer        // the latest answer that a better one may replace; nil if there is none
+	kept          *hostAnswer   // that a better one may replace; nil if there is none
 	why           Why           // how the last attempt ended
 	closed        bool          // the call has its answer, or nobody waits for one
 	headWork      time.Duration // work up to the head of an answer whose body is still to come
@@ -242,9 +241,8 @@
 	if !p.maySend(now, c) {
 		return
 	}
-	if c.provisional != nil && !c.provisional.Light() { // others need the shared room that it occupies
-		c.provisional.Release()
-		c.provisional = nil
+	if c.kept != nil && !c.kept.Light() { // others need the shared room that it occupies
+		c.dropKept()
 	}
 	left := until - now
 	if c.Body != nil {
@@ -273,10 +271,8 @@
 	if class.Effect != frostshift.Keyed {
 		return 0
 	}
-	for _, a := range c.attempts {
-		if !a.ended || a.mayRan {
-			return a.started + class.Window
-		}
+	if first := c.firstThatMayRun(nil); first != nil {
+		return first.started + class.Window
 	}
 	return 0
 }
@@ -322,9 +318,9 @@
 	case c.closed || e.meaning.Disposition == verdict.Hidden:
 		e.answer.Release() // nobody receives it
 	case e.meaning.Disposition == verdict.Final:
-		p.finish(c, Reply{Verdict: Served, Answer: e.answer})
+		p.give(now, c, newHostAnswer(e))
 	default:
-		p.keepProvisional(c, e.answer)
+		p.keep(now, c, newHostAnswer(e))
 	}
 	if !e.answered && !c.closed && c.Answers.Ends(eventOf(e, result)) && c.mayRan {
 		p.finish(c, Reply{Verdict: Failed, Why: c.why})
@@ -346,18 +342,6 @@
 	p.release(c)
 }
 
-// endShort ends a request for lack of the gateway's own resources. A refusal promises that a retry is harmless: only a safe
-// request that may have run can have one.
-func (p *Pool) endShort(c *Call, of *shortage.Error) {
-	if p.mustNotRerun(c) {
-		c.x.shortages.Note(of, shortage.Failed, c.ID)
-		p.finish(c, Reply{Verdict: Failed, Why: WhyNoRoom, Lacks: of})
-		return
-	}
-	c.x.shortages.Note(of, shortage.Refused, c.ID)
-	p.finish(c, Reply{Verdict: Refused, Why: WhyNoRoom, Lacks: of, After: p.advice})
-}
-
 // judge converts an answer to the result that is reported to the balancer. An answer that is not
 // the host's fault is a good result, even if the client may still get a better answer.
 func (p *Pool) judge(now frostshift.Time, c *Call, a *Attempt, m verdict.Meaning) frostshift.Result {
@@ -386,15 +370,6 @@
 	return frostshift.OK
 }
 
-// keepProvisional keeps an answer in case no better one arrives. The last one replaces those before
-// it.
-func (p *Pool) keepProvisional(c *Call, a Answer) {
-	if c.provisional != nil {
-		c.provisional.Release()
-	}
-	c.provisional = a
-}
-
 func whyOf(e *event, r frostshift.Result) Why {
 	switch {
 	case e.short != nil:
@@ -425,30 +400,6 @@
 	return verdict.Reset
 }
 
-// mustNotRerun reports whether the request must not run again: an attempt may have run, or one in
-// flight may still run, as it is canceled too late to be sure.
-func (p *Pool) mustNotRerun(c *Call) bool {
-	return (c.mayRan || c.running > 0) && p.set.Classes[c.Class].Effect != frostshift.Safe
-}
-
-// finish gives the final answer, once. Attempts still in flight for the request are canceled first:
-// nothing may be sent for it once the client has its answer.
-func (p *Pool) finish(c *Call, r Reply) {
-	if c.closed {
-		return
-	}
-	if r.Answer == nil && c.provisional != nil && c.Answers.FromHost() {
-		r.Answer, c.provisional = c.provisional, nil
-	}
-	r.Pool, r.Tries, r.Ran = p.name, c.priorAttempts+len(c.attempts), p.mustNotRerun(c)
-	p.count(c, &r)
-	now := p.clock.Now()
-	p.requestEnded(now, c, &r)
-	c.notifyEnd(Ending{At: now, Verdict: r.Verdict, Fault: c.fault, Bound: r.Violation != nil, Work: c.workUntil(now)})
-	p.close(c)
-	c.reply(r)
-}
-
 // count counts how a request ended.
 func (p *Pool) count(c *Call, r *Reply) {
 	if r.Verdict <= Failed {
@@ -487,13 +438,10 @@
 	c.releaseHold()
 }
 
-// markClosed marks the answer of a request as chosen and drops its provisional answer.
+// markClosed marks the answer of a request as chosen and drops the one that was kept.
 func (p *Pool) markClosed(c *Call) {
 	c.closed = true
-	if c.provisional != nil {
-		c.provisional.Release()
-		c.provisional = nil
-	}
+	c.dropKept()
 }
 
 // withdraw notifies the balancer that nobody waits for a request any more.
--- a/internal/exchange/events.go
+++ b/internal/exchange/events.go
@@ -30,7 +30,7 @@
 		return
 	}
 	p.failureLog.Note(now, "request "+verdictNames[min(int(r.Verdict), len(verdictNames)-1)], slog.String("request", c.ID), slog.Int("attempts", r.Tries),
-		slog.Bool("may have run", r.Ran), slog.String("last", whyNames[min(int(r.Why), len(whyNames)-1)]),
+		slog.Bool("may have run", r.Ran), slog.Bool("host's own answer", r.Answer != nil), slog.String("last", whyNames[min(int(r.Why), len(whyNames)-1)]),
 		slog.Duration("left", max(0, c.due()-now)), slog.Bool("stopping", c.x.endBy.Load() != 0))
 }
 
--- a/internal/exchange/fair.go
+++ b/internal/exchange/fair.go
@@ -93,25 +93,18 @@
 
 // maySend reports whether the balancer's next attempt may be sent: the process has not passed its
 // end, and the attempt is within the budgets of the pool and of the team. If not, the request ends
-// here, with an answer that is truthful about what may have run.
+// here.
 func (p *Pool) maySend(now frostshift.Time, c *Call) bool {
-	r := Reply{Verdict: Failed, Why: c.why}
-	harmless := !c.mayRan || p.set.Classes[c.Class].Effect == frostshift.Safe
+	r := p.unserved(c)
 	switch {
 	case c.x.pastEnd(now):
-		if harmless {
-			r = Reply{Verdict: Refused, After: p.advice}
-		}
 	case c.priorAttempts+len(c.attempts) == 0:
 		p.retryBudget.RecordRequest()
 		return true
 	case c.mayRan && !p.retryBudget.Take(now):
-		if harmless {
-			r = Reply{Verdict: Refused, After: p.advice}
-		}
 	case c.Item == nil || p.limiter == nil || p.limiter.AllowAttempt(c.Item.Account, c.Item.Terms, now):
 		return true
-	case harmless:
+	case r.Verdict == Refused:
 		r = Reply{Verdict: Refused, After: time.Second, Violation: &contract.Violation{Status: 429, Title: "retry budget used up",
 			Detail: "team " + c.Item.Terms.Team + " has no further attempt left", Team: c.Item.Terms.Team, After: time.Second, Cause: contract.RetryBound}}
 	}
--- a/internal/exchange/flow.go
+++ b/internal/exchange/flow.go
@@ -4,6 +4,7 @@
 	"frostshift"
 	"frostshift/internal/body"
 	"frostshift/internal/shortage"
+	"frostshift/internal/verdict"
 )
 
 // This file handles request bodies that are not held whole, and answers whose bodies are still to
@@ -72,26 +73,38 @@
 		e.answer.Release() // nobody receives it; Flowed follows
 		return
 	}
-	if !p.beginDownload(c) {
+	if e.meaning.Ran != verdict.Never {
 		c.mayRan, a.mayRan = true, true
+	}
+	p.reportHead(now, e)
+	if h := newHostAnswer(e); !p.speaksForAll(now, c, h) {
+		p.give(now, c, h)
+		return
+	}
+	if !p.beginDownload(c) {
 		e.answer.Release()
 		p.endShort(c, shortage.New(shortage.DownloadPlaces))
 		return
 	}
+	r := Reply{Verdict: Served, Answer: e.answer, Pool: p.name, Tries: c.priorAttempts + len(c.attempts), Ran: p.mustNotRerun(c)}
+	c.headWork = c.workUntil(now)
+	p.markClosed(c)
+	p.settle(c)
+	c.reply(r)
+}
+
+// reportHead reports the answer to the balancer and to those who follow hosts, whether or not the client gets it.
+func (p *Pool) reportHead(now frostshift.Time, e *event) {
+	c, a := e.call, e.attempt
 	took := a.took(e.at)
 	c.work += took
 	a.restart(e.at)
 	p.unpark(now, c)
 	result := p.balancerResult(c, p.judge(now, c, a, e.meaning))
-	c.mayRan, c.why = true, WhyAnswered
+	c.why = WhyAnswered
 	p.onHostSeen(a.Host, true)
 	p.onAttemptEnd(a.Host, c.Class, result, took)
 	p.b.ResponseStreaming(now, c.id, a.n, result, took)
-	r := Reply{Verdict: Served, Answer: e.answer, Pool: p.name, Tries: c.priorAttempts + len(c.attempts), Ran: p.mustNotRerun(c)}
-	c.headWork = c.workUntil(now)
-	p.markClosed(c)
-	p.settle(c)
-	c.reply(r)
 }
 
 // beginDownload takes a place among the answers that are on their way to clients. Without that bound clients that read
--- a/internal/exchange/flow_test.go
+++ b/internal/exchange/flow_test.go
@@ -202,6 +202,60 @@
 	})
 }
 
+// A long answer that the client does not get, as it refuses a request that may have run, is reported as every other: its
+// host has answered, in the time that it took.
+func TestAnswerThatIsNotGivenCountsForItsHost(t *testing.T) {
+	for _, c := range []struct{ status, places int }{{429, 1}, {200, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			x, u := New(NewClock()), newManualUpstream()
+			p := newIdlePool(t, x, "p", u, nil)
+			p.downloads = &places{left: c.places}
+			var took []time.Duration
+			seen := 0
+			p.onAttemptEnd = func(_ frostshift.HostID, _ int, r frostshift.Result, d frostshift.Time) { took = append(took, d) }
+			p.onHostSeen = func(_ frostshift.HostID, answered bool) {
+				if answered {
+					seen++
+				}
+			}
+			go p.Run(nil, nil)
+			p.UpdateHosts(frostshift.ListFull, hostsOf(1), nil)
+			call := x.submitBody(1, "a", nil, nil, p, nil)
+			a := <-u.started
+			time.Sleep(70 * time.Millisecond)
+			released := make(chan struct{})
+			a.Flowing(verdict.Plain().Judge(c.status, nil), 0, refusingAnswer{fakeAnswer{released}, c.status == 429})
+			if r := <-call.Reply; r.Verdict != Failed || r.Answer != nil {
+				t.Errorf("%d: reply %+v", c.status, r)
+			}
+			<-released
+			a.Flowed(frostshift.Canceled)
+			p.Drain()
+			<-p.Done()
+			if seen != 1 || len(took) != 1 || took[0] != 70*time.Millisecond {
+				t.Errorf("%d: the host was seen %d times, attempts took %v", c.status, seen, took)
+			}
+		})
+	}
+}
+
+// places has a number of places left.
+type places struct{ left int }
+
+func (p *places) Take(int64) bool { p.left--; return p.left >= 0 }
+
+func (p *places) Give(int64) {}
+
+// refusingAnswer is a host's answer that may read as a refusal.
+type refusingAnswer struct {
+	fakeAnswer
+	refuses bool
+}
+
+func (a refusingAnswer) Refuses() bool { return a.refuses }
+
+func (a refusingAnswer) RetryAfter() time.Duration { return 0 }
+
 // endAttempt checks that the attempt is allowed, sets the state of the body, ends the attempt, and
 // returns the number of attempts so far.
 func endAttempt(rt *rapid.T, a *Attempt, b *upload, result frostshift.Result, state body.State, broken, flows, fed bool, effect frostshift.Effect,
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -12,6 +12,7 @@
 
 	"frostshift/internal/body"
 	"frostshift/internal/stream"
+	"frostshift/internal/verdict"
 )
 
 // Request is a client's request. Nothing of it changes once a front has handed it on, so
@@ -95,6 +96,14 @@
 // Light says whether the answer holds no room that others share.
 func (a *Answer) Light() bool { return a.Free == nil }
 
+// Refuses reports whether the answer is a refusal to the client by its status, which says that trying again is harmless.
+func (a *Answer) Refuses() bool {
+	return a.Status == http.StatusTooManyRequests || a.Status == http.StatusServiceUnavailable
+}
+
+// RetryAfter returns when the host lets the client try again; 0: it does not say.
+func (a *Answer) RetryAfter() time.Duration { return verdict.RetryAfter(a.Header, time.Now()) }
+
 // hopByHop are the headers that are about one connection (RFC 9110 section 7.6.1) or
 // meant for gateways. Each side frames its own messages, so lengths are dropped too.
 var hopByHop = [...]string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
