HTTP/2: an answer that its client did not take in is told to the exchange

Cause: stream.answer sent an answer, waited for its end, and told nobody which end it was; over HTTP/1.1, and for answers that flow, it was told. Change: stream.deliver is the one way out for answers that are held whole. A reset is told by the connection's reader ahead of the frames behind it. A protocol switch that fails is told as well. Why: the id of a request that may have run is remembered as one whose answer was lost.

--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -361,6 +361,7 @@
 		s.mu.Unlock()
 	}()
 	if closing {
+		call.Undelivered(reply)
 		return
 	}
 	nc.SetDeadline(time.Time{})
--- a/internal/front/http2/flow.go
+++ b/internal/front/http2/flow.go
@@ -142,7 +142,7 @@
 		if by := time.Now().Add(sendWithin); up != nil && deadline.Before(by) {
 			deadline = by // the body may have taken longer than that
 		}
-		s.answer(s.out(a), deadline, up != nil && !up.Ended())
+		s.deliver(call, r, s.out(a), deadline, up != nil && !up.Ended())
 		return
 	}
 	go func() { // ends a wait for the host
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/http2"
@@ -43,6 +44,8 @@
 
 	complete chan struct{} // closed: the request has come whole
 	gone     chan struct{} // closed: the client has reset it
+
+	replied atomic.Pointer[repliedCall] // nil: no answer is on its way, or it has gone out whole
 }
 
 // begin takes the head of a request.
@@ -214,6 +217,7 @@
 		s.src.Fail(errReset)
 	}
 	s.c.wireEnd(s)
+	s.undelivered() // ahead of what the client sends next, which may be the same request
 	close(s.gone)
 }
 
@@ -252,7 +256,7 @@
 	defer s.ticket.Begun()
 	select {
 	case r := <-call.Reply:
-		s.reply(r, deadline)
+		s.reply(call, r, deadline)
 	case <-s.gone:
 		call.Gone()
 	case <-s.c.gone:
@@ -276,10 +280,32 @@
 }
 
 // reply gives the one final answer.
-func (s *stream) reply(r exchange.Reply, deadline time.Time) {
+func (s *stream) reply(call *exchange.Call, r exchange.Reply, deadline time.Time) {
 	a, _ := s.ticket.Answer(r)
 	defer a.Release()
-	s.answer(s.out(a), front.SendBy(deadline, time.Now()), false)
+	s.deliver(call, r, s.out(a), front.SendBy(deadline, time.Now()), false)
+}
+
+// repliedCall is a request whose answer is on its way to the client.
+type repliedCall struct {
+	call  *exchange.Call
+	reply exchange.Reply
+}
+
+// deliver sends the one final answer, as answer does, and sees to it that the exchange hears of one that does not go out whole.
+func (s *stream) deliver(call *exchange.Call, r exchange.Reply, o *h2.Out, deadline time.Time, early bool) {
+	s.replied.Store(&repliedCall{call, r})
+	if s.answer(o, deadline, early) {
+		s.replied.Store(nil)
+	}
+	s.undelivered()
+}
+
+// undelivered reports, once, that the answer on its way has not gone out whole.
+func (s *stream) undelivered() {
+	if replied := s.replied.Swap(nil); replied != nil {
+		replied.call.Undelivered(replied.reply)
+	}
 }
 
 // out is an answer as it goes to the client.
@@ -303,10 +329,10 @@
 	return o
 }
 
-// answer sends an answer and waits until it has gone out, the client has left, or its time
-// is up: a client that reads slowly gets nothing more then. early says that the request
-// has not come whole and need not: it is reset behind the answer (RFC 9113 section 8.1).
-func (s *stream) answer(o *h2.Out, deadline time.Time, early bool) {
+// answer sends an answer, waits until it has gone out, the client has left, or its time
+// is up, and says whether it has gone out whole: a client that reads slowly gets nothing more once its time is up. early
+// says that the request has not come whole and need not: it is reset behind the answer (RFC 9113 section 8.1).
+func (s *stream) answer(o *h2.Out, deadline time.Time, early bool) (whole bool) {
 	sent := make(chan struct{})
 	o.Done = func() { close(sent) }
 	o.Ending = func() { s.c.wireEnd(s) }
@@ -320,12 +346,19 @@
 		} else {
 			s.c.link.Forget(s.h2)
 		}
+		return true
 	case <-late.C:
 		s.c.link.Reset(s.h2, http2.ErrCodeCancel)
 	case <-s.gone:
 	case <-s.c.gone:
 	case <-s.c.link.Ended():
 	}
+	select {
+	case <-sent: // both at once
+		return true
+	default:
+		return false
+	}
 }
 
 // reject answers a request that is not taken.
