A pool that has ended takes back the replies that nobody received

Seen in a test of the package: a client that left between the reply and its receipt, as a pool that a reload had replaced ended, was not remembered as one whose answer was lost; the same id could run again, and the answer's memory was not given back. Cause: Pool.post dropped what came behind the end of the loop, or left it in a queue that nobody reads. Change: whoever posts behind the end, and the loop as it ends, see to what an event is owed.

--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -217,8 +217,13 @@
 		p.withdraw(now, c)
 		return
 	}
+	c.takeBack()
+}
+
+// takeBack takes the reply back that came too late for a client that has left, if the front has not taken it.
+func (c *Call) takeBack() {
 	select {
-	case r := <-c.Reply: // the reply came too late for this client
+	case r := <-c.Reply:
 		c.Undelivered(r)
 		if r.Answer != nil {
 			r.Answer.Release()
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -462,3 +463,37 @@
 		})
 	}
 }
+
+// A client that leaves as the pool of its answered request ends: the reply was lost, and the same request ran again.
+func TestReplyOfAnEndedPoolIsTakenBack(t *testing.T) {
+	for round := range 40 {
+		t.Run(strconv.Itoa(round), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := New(NewClock())
+				u := newUpstream(always(frostshift.OK, 10*time.Millisecond))
+				p, next := newPool(t, x, "old", u, 1, nil), newPool(t, x, "new", u, 1, nil)
+				c := x.ask(1, "id", p, nil)
+				time.Sleep(20 * time.Millisecond)
+				if round%2 == 0 { // it is told of the departure and of its end at once, and may see either first
+					wait := make(chan struct{})
+					p.Behind(func() { <-wait })
+					synctest.Wait()
+					c.Gone()
+					p.Drain()
+					close(wait)
+				} else {
+					p.Drain()
+					<-p.Done()
+					c.Gone()
+				}
+				<-p.Done()
+				synctest.Wait()
+				if r := <-x.ask(1, "id", next, nil).Reply; r.Verdict != Failed {
+					t.Errorf("the request came again and was answered %v after %d attempts", r.Verdict, u.tries["id"])
+				}
+				next.Drain()
+				<-next.Done()
+			})
+		})
+	}
+}
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -20,6 +20,7 @@
 // Run handles events until the pool has been drained and nothing is open. saved, if not nil, is the
 // host list of an earlier run; apply is called with it as in UpdateHosts.
 func (p *Pool) Run(saved []frostshift.Host, apply func()) {
+	defer p.dropEvents()
 	defer close(p.done)
 	p.begin(saved, apply)
 	timer := time.NewTimer(time.Hour)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -208,17 +208,43 @@
 // submitted after it.
 func (p *Pool) Drain() { close(p.quit) }
 
-// post sends an event to the loop. The event is dropped once the loop has ended.
+// post sends an event to the loop. Once the loop has ended the event is dropped.
 func (p *Pool) post(e event) {
 	select {
 	case p.events <- e:
 	case <-p.done:
-		if e.answer != nil {
-			e.answer.Release()
+		drop(&e)
+		return
+	}
+	select {
+	case <-p.done: // the loop may have ended ahead of it
+		p.dropEvents()
+	default:
+	}
+}
+
+// dropEvents drops the events that the loop has left behind.
+func (p *Pool) dropEvents() {
+	for {
+		select {
+		case e := <-p.events:
+			drop(&e)
+		default:
+			return
 		}
 	}
 }
 
+// drop sees to what is owed for an event of a pool in which nothing is open any more.
+func drop(e *event) {
+	if e.answer != nil {
+		e.answer.Release()
+	}
+	if e.kind == clientGone {
+		e.call.takeBack()
+	}
+}
+
 // UpdateHosts gives the loop a host list. apply runs first, in the loop, so that the upstream knows
 // the addresses of hosts before the balancer can name them. apply may be nil.
 func (p *Pool) UpdateHosts(kind frostshift.ListKind, hosts []frostshift.Host, apply func()) {
