Keys of a move that is not named any more keep their pool behind a restart

Cause: only moves that the present configuration names were taken up, written down and handed over. Change: a move that the first configuration does not name is taken up as a reload leaves it: retired, it knows its keys. Retired moves are written down and handed over; a process that takes over without the move deals unknown keys by the frozen share until a window behind the other. Why: what was dealt is owed for the window, whoever deals now.

--- a/internal/gateway/moves_test.go
+++ b/internal/gateway/moves_test.go
@@ -26,13 +26,19 @@
 
 // parseMoving is a gateway whose traffic moves between two stand-ins, with a state folder.
 func parseMoving(t *testing.T, dir string, old, new *fake.Host, steps string) *config.Model {
+	t.Helper()
+	return parseMovingTo(t, dir, old, "new", new, steps)
+}
+
+// parseMovingTo is parseMoving with another name of the new pool.
+func parseMovingTo(t *testing.T, dir string, old *fake.Host, to string, new *fake.Host, steps string) *config.Model {
 	t.Helper()
 	text := fmt.Sprintf("state = %q\n", dir) + head + moveClasses + fmt.Sprintf(`
 [[pool]]
 name = "old"
 hosts = [%q]
 [[pool]]
-name = "new"
+name = %q
 hosts = [%q]
 [[route]]
 name = "look"
@@ -48,11 +54,11 @@
 name = "m"
 routes = ["look", "report"]
 from = "old"
-to = "new"
+to = %q
 steps = %s
 least = "300ms"
 margin = 0.3
-`, old.Addr(), new.Addr(), steps)
+`, old.Addr(), to, new.Addr(), to, steps)
 	m, _, err := config.Parse(filepath.Join(t.TempDir(), "gw.toml"), []byte(text))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -44,6 +44,7 @@
 	retired []*Move
 	kept    map[string]shift.Saved // of an earlier process, not yet taken up
 	handed  map[string]shift.Saved // of the process that still serves, not yet taken up
+	left    []shift.Saved          // of either, moves that were retired there
 	older   bool                   // ... and a newer file of it is lost
 	damaged bool                   // there was a file, and it can't be read
 	failing bool                   // the last write has failed
@@ -66,6 +67,10 @@
 			s.damaged = true
 			continue
 		}
+		if k.Retired {
+			s.left = append(s.left, k)
+			continue
+		}
 		s.handed[k.Plan.Name] = k
 	}
 	if cfg.Joined && cfg.Handed == nil {
@@ -98,12 +103,22 @@
 		list = append(list, v.m.HandOver(v.clock.Now(), time.Now()))
 		v.mu.Unlock()
 	}
+	for _, v := range s.Retired() {
+		list = append(list, v.save())
+	}
 	return list
 }
 
+// save is the move as it is to be remembered.
+func (v *Move) save() shift.Saved {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.m.Save(v.clock.Now(), time.Now())
+}
+
 // Alone notes that no other process of this gateway serves any more.
 func (s *Set) Alone() {
-	for _, v := range s.all() {
+	for _, v := range append(s.all(), s.Retired()...) {
 		v.mu.Lock()
 		v.m.Alone(v.clock.Now())
 		v.mu.Unlock()
@@ -147,6 +162,7 @@
 		}
 	}
 	s.moves = next
+	s.retireLeft(now, wall)
 	s.forget(now)
 	return next
 }
--- a/internal/shift/handover.go
+++ b/internal/shift/handover.go
@@ -35,16 +35,28 @@
 	return m
 }
 
+// TakeUpRetired is TakeUp for a move that the process before still makes, and that no configuration names here.
+func TakeUpRetired(now Time, s *Saved, wall time.Time) *Move {
+	m := TakeUp(now, s.Plan, s, wall)
+	m.Retire(now)
+	return m
+}
+
 // Alone notes that no other process makes the move any more: the share is free once keys that it has dealt lately are
 // remembered here.
 func (m *Move) Alone(now Time) {
-	if m.keys.pinUntil == frozen {
-		m.keys.pinUntil = now + m.plan.Window
+	if m.keys.pinUntil != frozen {
+		return
+	}
+	end := now + m.plan.Window
+	m.keys.pinUntil, m.keys.sharedUntil = end, end
+	if m.retired != 0 {
+		m.Retire(now)
 	}
 }
 
 // freeze deals unknown keys by this share until Alone.
-func (k *keys) freeze(share float64) { k.pinned, k.pinUntil = share, frozen }
+func (k *keys) freeze(share float64) { k.pinned, k.pinUntil, k.sharedUntil = share, frozen, frozen }
 
 // fits says whether all keys fit into what is saved.
 func (k *keys) fits() bool { return k.now.n <= mostSavedKeys && k.old.n+k.doubt.n <= mostSavedKeys }
--- a/internal/shift/handover_test.go
+++ b/internal/shift/handover_test.go
@@ -69,3 +69,57 @@
 		})
 	}
 }
+
+// A process that takes over without the move, while the one before still deals keys by it: they ran in both pools.
+func TestKeysKeepTheirPoolInAProcessWithoutTheMove(t *testing.T) {
+	const window = 5 * time.Second
+	p := plan()
+	p.Window, p.Steps = window, []float64{0.5, 1}
+	now, wall := time.Hour, time.Unix(1000, 0)
+	before := New(now, p)
+	deal := func(n int) map[uint64]Side {
+		went := map[uint64]Side{}
+		for i := range uint64(n) {
+			key := (uint64(now) + i) * 0x9e3779b97f4a7c15
+			if u, err := before.Place(now, &Ask{Keyed: true, Key: key, Draw: Draw(key), Worth: 1, Aim: time.Second}); err == nil {
+				went[key] = u.Side
+			}
+		}
+		return went
+	}
+	for end := now + 4*window; now < end; now += 50 * time.Millisecond {
+		before.Tick(now, fine, fine)
+		s := before.Save(now, wall)
+		before.Grant(now, &s)
+	}
+	known := deal(200)
+	s := before.HandOver(now, wall)
+	after := TakeUpRetired(now, &s, wall)
+	check := func(when string, went map[uint64]Side) {
+		t.Helper()
+		sides := [2]int{}
+		for key, side := range went {
+			sides[side]++
+			pool, is, err := after.Pool(now, key, Draw(key))
+			if err == nil && (!is || pool != after.PoolOf(side)) {
+				t.Fatalf("%s: a key of %q belongs to %q (%t)", when, after.PoolOf(side), pool, is)
+			}
+		}
+		if sides[OldPool] == 0 || sides[NewPool] == 0 {
+			t.Fatalf("%s: keys went %v", when, sides)
+		}
+	}
+	check("dealt before", known)
+	for range 10 { // longer than a retired move lasts by itself
+		now += 3 * window / 2
+		check("dealt beside it", deal(200))
+	}
+	late := deal(200)
+	after.Alone(now)
+	now += window - 1
+	check("dealt last", late)
+	now += 2 * window
+	if after.Lasts(now) {
+		t.Error("it knows keys for good")
+	}
+}
--- a/internal/shift/keys.go
+++ b/internal/shift/keys.go
@@ -29,6 +29,8 @@
 
 	pinned   float64 // share by which unknown keys are dealt
 	pinUntil Time    // until then; 0: not at all
+	// sharedUntil is until when another process may have dealt unknown keys, by the pinned share; 0: none has.
+	sharedUntil Time
 	// What was dealt before a restart, by shares from low to high, may have gone to either pool.
 	low, high float64
 	unsure    Time // until then; 0: nothing was
@@ -89,7 +91,7 @@
 
 // forgot says whether keys that are not known may have been dealt within the window.
 func (k *keys) forgot(now Time) bool {
-	return now < k.unsure || now < k.doubtful || now < k.overflowed
+	return now < k.unsure || now < k.doubtful || now < k.overflowed || now < k.sharedUntil
 }
 
 // deal chooses the pool of a key that is not known, draw being its hash from 0 to 1. p is the
--- a/internal/shift/move.go
+++ b/internal/shift/move.go
@@ -399,7 +399,9 @@
 func (m *Move) Retire(now Time) { m.retired = now + 2*m.plan.Window }
 
 // Lasts says whether a retired move still knows keys.
-func (m *Move) Lasts(now Time) bool { return m.retired == 0 || now < m.retired }
+func (m *Move) Lasts(now Time) bool {
+	return m.retired == 0 || now < m.retired || m.keys.sharedUntil == frozen
+}
 
 // Pool is the pool that a key belongs to, for a move that has been retired; known is false for
 // any. draw is the key's, as in Ask. It fails with ErrUnsure as Place does.
--- a/internal/shift/saved.go
+++ b/internal/shift/saved.go
@@ -24,6 +24,8 @@
 	Life    SavedSpan   `json:"life"`            // the shares that any key was dealt by
 	KeysNow []byte      `json:"keys,omitempty"`
 	KeysOld []byte      `json:"keys_before,omitempty"`
+	// Retired says that no configuration named the move any more: it only knows keys.
+	Retired bool `json:"retired,omitempty"`
 }
 
 // SavedSpan is a span of shares and when it was left.
@@ -42,6 +44,9 @@
 	}
 	by := m.keyShare() // keys that are dealt before it is granted
 	s := Saved{Plan: m.plan, State: m.state, Step: m.step, Share: m.share, Held: now - m.since, At: wall, Low: min(w.low, by), High: max(w.high, by)}
+	if m.retired != 0 { // it deals none
+		s.Low, s.High, s.Retired = m.dealtBy, m.dealtBy, true
+	}
 	for _, h := range m.history {
 		if age := now - h.at; age <= m.plan.Window {
 			s.Dealt = append(s.Dealt, SavedSpan{wall.Add(-age), h.low, h.high})
@@ -135,6 +140,13 @@
 	return m
 }
 
+// RestoreRetired is Restore for a move that no configuration names any more.
+func RestoreRetired(now Time, s *Saved, wall time.Time, whole bool) *Move {
+	m := Restore(now, s.Plan, s, wall, whole)
+	m.Retire(now)
+	return m
+}
+
 // follow is a move whose plan has changed in the middle: a new one, from the present shares,
 // if it moves between the same pools.
 func follow(now Time, p Plan, s *Saved, wall time.Time, whole bool) *Move {
