Keys keep their pool to the last moment of their window

Nobody saw it outside a test. Cause: a key that is remembered is known up to its window's end and at it; what stands in for memory (the share that is held fast, what a restart does not know, keys of another process) ended one moment earlier. Change: windowEnd gives the first moment behind a window, and all of them take it. Why: one bound for one span. Tests: TestKeyIsKeptToTheLastMomentOfItsWindow, five ways, all failed before.

--- a/internal/shift/handover.go
+++ b/internal/shift/handover.go
@@ -48,7 +48,7 @@
 	if m.keys.pinUntil != frozen {
 		return
 	}
-	end := now + m.plan.Window
+	end := windowEnd(now, m.plan.Window)
 	m.keys.pinUntil, m.keys.sharedUntil = end, end
 	if m.retired != 0 {
 		m.Retire(now)
--- a/internal/shift/keys.go
+++ b/internal/shift/keys.go
@@ -63,9 +63,12 @@
 	k.turned = now
 }
 
+// windowEnd returns the first moment behind a window that begins now: the window's last moment belongs to it.
+func windowEnd(now, window Time) Time { return now + window + 1 }
+
 // pin deals unknown keys by this share for a window: they may have been dealt by it before.
 func (k *keys) pin(now Time, share float64) {
-	k.pinned, k.pinUntil = share, max(k.pinUntil, now+k.window)
+	k.pinned, k.pinUntil = share, max(k.pinUntil, windowEnd(now, k.window))
 }
 
 // by is the share that unknown keys are dealt by.
--- a/internal/shift/keys_test.go
+++ b/internal/shift/keys_test.go
@@ -124,7 +124,7 @@
 		// The move is taken out: a key still goes where it went, or nothing tells.
 		m.Retire(now)
 		for key, f := range went {
-			if now-f.at >= p.Window {
+			if now-f.at > p.Window {
 				continue
 			}
 			pool, known, err := m.Pool(now, key, Draw(key^key<<17))
@@ -178,6 +178,80 @@
 	}
 }
 
+// A key comes again in the last moment of its window, where memory was full or nothing tells since a restart.
+func TestKeyIsKeptToTheLastMomentOfItsWindow(t *testing.T) {
+	const window = 20 * time.Second
+	p := plan()
+	p.Window = window
+	wall := time.Unix(1_800_000_000, 0)
+	start := time.Hour
+	ask := Ask{Key: 12345, Named: true, Keyed: true, Worth: 1, Aim: time.Second, Sticky: 12345, Draw: 0.3}
+	half := func() *Move { // all of its keys have been dealt by the half
+		m := New(start, p)
+		m.state, m.share = Held, 0.5
+		m.granted = span{0, 0.5}
+		m.keys.pinUntil = 0
+		m.dealt(start)
+		return m
+	}
+	t.Run("no room", func(t *testing.T) {
+		m := half()
+		m.keys.now.most, m.keys.old.most = 0, 0
+		first, err := m.Place(start, &ask)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.share = 0
+		if again, err := m.Place(start+window, &ask); err != nil || again.Side != first.Side {
+			t.Errorf("it went to %v, and a window later to %v (%v)", first.Side, again.Side, err)
+		}
+	})
+	t.Run("not saved", func(t *testing.T) {
+		m := half()
+		saved := m.Save(start, wall)
+		saved.Low = 0 // the share was on its way
+		if _, err := m.Place(start, &ask); err != nil {
+			t.Fatal(err)
+		}
+		m = Restore(start, p, &saved, wall, true)
+		if again, err := m.Place(start+window, &ask); !errors.Is(err, ErrUnsure) {
+			t.Errorf("a window after a restart it went to %v (%v)", again.Side, err)
+		}
+	})
+	t.Run("saved, but older", func(t *testing.T) {
+		m := half()
+		if _, err := m.Place(start, &ask); err != nil {
+			t.Fatal(err)
+		}
+		m.keys.old, m.keys.now = m.keys.now, m.keys.old
+		saved := m.Save(start, wall)
+		saved.Low, saved.High, saved.Dealt = 0, 0, nil
+		m = Restore(start, p, &saved, wall, true)
+		if again, err := m.Place(start+window, &ask); !errors.Is(err, ErrUnsure) {
+			t.Errorf("a window after a restart it went to %v (%v)", again.Side, err)
+		}
+	})
+	t.Run("another process dealt it", func(t *testing.T) {
+		m := half()
+		saved := m.HandOver(start, wall)
+		next := TakeUp(start, p, &saved, wall)
+		first, err := m.Place(start, &ask)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next.Alone(start)
+		next.share = 0
+		if again, err := next.Place(start+window, &ask); err != nil || again.Side != first.Side {
+			t.Errorf("it went to %v, and a window later to %v (%v)", first.Side, again.Side, err)
+		}
+	})
+	t.Run("nothing is known", func(t *testing.T) {
+		if again, err := Unsure(start, p).Place(start+window, &ask); !errors.Is(err, ErrUnsure) {
+			t.Errorf("a window later it went to %v (%v)", again.Side, err)
+		}
+	})
+}
+
 // A set of keys does what a map does.
 func TestKeySet(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/shift/saved.go
+++ b/internal/shift/saved.go
@@ -186,7 +186,7 @@
 	} else {
 		m.keys.doubt.load(s.KeysNow)
 	}
-	m.keys.doubtful = now + m.plan.Window
+	m.keys.doubtful = windowEnd(now, m.plan.Window)
 	low, high := s.Low, s.High
 	for _, d := range s.Dealt {
 		low, high = min(low, d.Low), max(high, d.High)
@@ -200,7 +200,7 @@
 	m.keys.life = span{min(low, s.Life.Low), max(high, s.Life.High)}
 	if low < high {
 		// Nothing was dealt by the earlier process after this one began, whenever it was saved.
-		m.keys.low, m.keys.high, m.keys.unsure = low, high, now+m.plan.Window
+		m.keys.low, m.keys.high, m.keys.unsure = low, high, windowEnd(now, m.plan.Window)
 	}
 }
 
@@ -226,7 +226,7 @@
 func Unsure(now Time, p Plan) *Move {
 	m := New(now, p)
 	if p.Window > 0 {
-		m.keys.low, m.keys.high, m.keys.unsure = 0, 1, now+p.Window
+		m.keys.low, m.keys.high, m.keys.unsure = 0, 1, windowEnd(now, p.Window)
 	}
 	return m
 }
