A connection that has switched protocols is no longer bounded as a request's head

Callers saw: over HTTP/1.1 a connection that had switched protocols was closed behind some 16 KiB of its client's bytes. Cause: front.headMeter counted them as a request's head. Change: Conn.Switched, ahead of the answer that switches, as Frames does over HTTP/2. Why: the bound belongs to a protocol that has ended there.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -473,6 +473,9 @@
 	}
 }
 
+// Switched notes that the connection has switched protocols: what comes from here on is no head of a request.
+func (c *Conn) Switched() { c.meter.leave() }
+
 // Active notes that a request is open on the connection, and says whether it may be taken.
 func (c *Conn) Active() bool {
 	c.all.mu.Lock()
--- a/internal/front/http1/flow.go
+++ b/internal/front/http1/flow.go
@@ -339,6 +339,15 @@
 	}
 }
 
+// switchHead is the head of the answer that switches to a protocol.
+func switchHead(protocol string, header http.Header) []byte {
+	var text bytes.Buffer
+	text.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n")
+	header.Write(&text)
+	text.WriteString("\r\n")
+	return text.Bytes()
+}
+
 // switchOver hands the connection over to the protocol that the host has switched to, until
 // both sides have ended.
 func (s *Server) switchOver(w http.ResponseWriter, t *front.Ticket, call *exchange.Call, reply exchange.Reply, a *message.Answer) {
@@ -365,12 +374,9 @@
 		return
 	}
 	nc.SetDeadline(time.Time{})
-	head := []byte("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + t.Upgrade + "\r\n")
-	var fields bytes.Buffer
-	a.Header.Write(&fields)
-	head = append(append(head, fields.Bytes()...), "\r\n"...)
+	front.Of(nc).Switched()
 	front.Of(nc).WriteIdle(t.Idle())
-	if _, err := nc.Write(head); err != nil {
+	if _, err := nc.Write(switchHead(t.Upgrade, a.Header)); err != nil {
 		call.Undelivered(reply)
 		return
 	}
--- a/internal/gateway/bodies_upgrade_test.go
+++ b/internal/gateway/bodies_upgrade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/sha1"
 	"encoding/base64"
@@ -218,3 +219,43 @@
 	}
 	idle(t, g)
 }
+
+// switched is a client's connection that speaks a protocol in which its host sends back all that comes.
+func switched(t *testing.T, g *running) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(g.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(c, "GET /x HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: echo\r\n\r\n")
+	in := bufio.NewReader(c)
+	if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusSwitchingProtocols {
+		t.Fatalf("answered %v, %v", resp, err)
+	}
+	return c, in
+}
+
+// echoes is the address of a host for switched.
+func echoes(t *testing.T) string {
+	t.Helper()
+	addr, _ := rawHost(t, func(_ int, c net.Conn, r *fake.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: echo\r\n\r\n")
+		io.Copy(c, c)
+		return false
+	})
+	return addr
+}
+
+// What a client sends over a protocol that it has switched to counted as a head, and was cut off behind 16 KiB.
+func TestSwitchedClientsMaySendAnyLength(t *testing.T) {
+	g := launch(t, flowing(t, "http1", "http1", "unsafe", `upgrades = ["echo"]`, echoes(t)))
+	c, in := switched(t, g)
+	sent := noise(1 << 20)
+	go c.Write(sent)
+	got := make([]byte, len(sent))
+	if n, err := io.ReadFull(in, got); err != nil || !bytes.Equal(got, sent) {
+		t.Errorf("%d of %d bytes came back, %v", n, len(sent), err)
+	}
+}
