A listener that a reload takes away serves what flows on it to its end

Cause: Gateway.retire closed the server at a deadline, as if that bounded all of an answer; it bounds the first byte of one that flows. Change: the server ends with its last connection; a stop takes it over as before. Why: each request has bounds of its own, and no further one comes on such a connection.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,10 +115,8 @@
 	lateness  *lateness.Watch
 	// retiring are servers of listeners that were taken away, up to their last request's end.
 	retiring map[*server]struct{}
-	// answersOwed is the latest deadline that a request of an earlier configuration may have.
-	answersOwed time.Time
-	serving     bool // Run has begun
-	stopped     bool
+	serving  bool // Run has begun
+	stopped  bool
 
 	ended   chan struct{}  // closed once no client is left
 	halt    chan struct{}  // closed at the order to stop: a reload waits for nothing any more
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -11,7 +11,6 @@
 
 	"frostshift/internal/config"
 	"frostshift/internal/front"
-	"frostshift/internal/front/http1"
 	"frostshift/internal/share"
 )
 
@@ -169,9 +168,6 @@
 		return p != nil && p.Bodies != nil && len(p.Bodies.Upgrades) > 0
 	}))
 	old := g.pools
-	if g.model != nil {
-		g.answersOwed = later(g.answersOwed, time.Now().Add(longestDeadline(g.model)))
-	}
 	g.pools, g.model = next, m
 	led := g.moves.Use(m.Moves)
 	g.admission.Use(front.NewSnapshot(m, targets, led, g.moves.Retired(), g.rules, func() {
@@ -217,21 +213,13 @@
 	return nil
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return b
-	}
-	return a
-}
-
-// retire ends a server whose listener the configuration has no more. Its requests have until then for their
-// answers; a stop that comes meanwhile takes it over. The lock is held.
-func (g *Gateway) retire(s *server, by time.Time) {
+// retire ends a server whose listener the configuration has no more, once its last connection has ended: each request
+// has a time of its own, and no further one comes. A stop that comes meanwhile takes the server over. The lock is held.
+func (g *Gateway) retire(s *server) {
 	g.retiring[s] = struct{}{}
 	g.running.Go(func() {
 		s.Leave()
-		ctx, cancel := context.WithDeadline(context.Background(), by)
+		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go func() {
 			select {
@@ -240,14 +228,12 @@
 			case <-ctx.Done():
 			}
 		}()
-		err := s.Shutdown(ctx)
+		if s.Shutdown(ctx) != nil {
+			return // the stop has it
+		}
 		g.mu.Lock()
-		stopped := g.stopped
 		delete(g.retiring, s)
 		g.mu.Unlock()
-		if err != nil && !stopped {
-			s.Close()
-		}
 	})
 }
 
@@ -259,8 +245,7 @@
 			continue
 		}
 		delete(g.servers, l)
-		lastDeadline := later(g.answersOwed, time.Now().Add(longestDeadline(m)))
-		g.retire(s, lastDeadline.Add(http1.SendWithin))
+		g.retire(s)
 	}
 	for _, s := range opened {
 		g.servers[s.Listener] = s
