Pools that a reload has replaced hear of hosts that operators take out

Cause: what holds for the gateway was told to the pools of the present configuration alone. Change: heldPools, the pools that may hold requests; operators' calls, the number of processes, the fleet's view and load go through it. Why: whoever may still send is told.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -48,7 +48,7 @@
 	}
 	g.mu.Lock()
 	known := g.banned[name] || g.overrides.has(name)
-	for _, p := range g.pools {
+	for _, p := range g.heldPools() {
 		known = known || p.known.has(name)
 	}
 	g.mu.Unlock()
@@ -66,7 +66,8 @@
 	return g.restart.everywhere(ctx, call{Host: name, Out: out})
 }
 
-// outHere does it in this process, also for a name that none of its pools has heard of yet.
+// outHere does it in this process, also for a name that none of its pools has heard of yet. Pools that a reload has
+// replaced may still hold requests for the host.
 func (g *Gateway) outHere(ctx context.Context, name string, out bool) error {
 	g.mu.Lock()
 	switch {
@@ -78,16 +79,18 @@
 	default:
 		delete(g.banned, name)
 	}
-	holds := make(chan struct{}, len(g.pools))
-	n := len(g.pools)
-	for _, p := range g.pools {
+	pools := g.heldPools()
+	holds := make([]chan struct{}, len(pools))
+	for i, p := range pools {
 		id := membership.HostID(name)
-		go p.ex.Ban(id, out, func() { p.up.Renew(id) }, func() { holds <- struct{}{} })
+		holds[i] = make(chan struct{})
+		go p.ex.Ban(id, out, func() { p.up.Renew(id) }, func() { close(holds[i]) })
 	}
 	g.mu.Unlock()
-	for range n {
+	for i, p := range pools {
 		select {
-		case <-holds:
+		case <-holds[i]:
+		case <-p.ex.Done(): // it sends nothing any more
 		case <-ctx.Done():
 			return fmt.Errorf("it does not hold yet: %w", ctx.Err())
 		}
--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -246,3 +246,48 @@
 		t.Errorf("%d ran, %d answered, %d crossed a close", len(ran), answered.Load(), crossed.Load())
 	}
 }
+
+// A host that operators take out behind a reload: pools that the reload had replaced went on sending to it.
+func TestHostsAreTakenOutOfReplacedPools(t *testing.T) {
+	a, b := scripted(t, fake.Always(fake.Serve("a"))), scripted(t, fake.Always(fake.Serve("b")))
+	m := service(t, "http1", "http1", routes, a.Addr(), b.Addr())
+	g := launch(t, m)
+	var clients []net.Conn
+	for i := range 12 {
+		c, err := net.Dial("tcp", g.Addr("clients").String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience))
+		fmt.Fprintf(c, "POST /unsafe HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: held-%d\r\nContent-Length: 4\r\n\r\nbo", i)
+		clients = append(clients, c)
+	}
+	until(t, "the requests are read", func() bool { return g.budgets.bodies.Used() >= 12*2 })
+	if err := g.Reload(withNewPool(m)); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(g.replaced); n != 1 {
+		t.Fatalf("%d pools are replaced", n)
+	}
+	if err := g.outEverywhere(t.Context(), a.Addr(), true); err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range clients {
+		fmt.Fprint(c, "ok")
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("request %d: %v, %v", i, resp, err)
+		}
+	}
+	if n := a.Total(); n > 0 {
+		t.Errorf("the host that is out got %d requests", n)
+	}
+	until(t, "the replaced pool has ended", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.replaced) == 0
+	})
+	if err := g.outEverywhere(t.Context(), a.Addr(), false); err != nil {
+		t.Errorf("back: %v", err)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -316,7 +316,7 @@
 	if err := g.divide(g.model, g.pools); err != nil {
 		g.log.Error("the limits are not divided anew", "err", err)
 	}
-	for _, p := range g.pools {
+	for _, p := range g.heldPools() {
 		p.ex.SetProcesses(n)
 		p.up.Trim(int(w.conns) / n)
 	}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -156,7 +156,7 @@
 	defer g.mu.Unlock()
 	g.view, g.places = &v, places
 	g.gateways.Store(int64(v.Most))
-	for _, p := range g.pools {
+	for _, p := range g.heldPools() {
 		p.share(&v, places)
 	}
 }
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -123,8 +123,9 @@
 func (g *Gateway) exchanges() []*exchange.Pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	pools := make([]*exchange.Pool, 0, len(g.pools))
-	for _, p := range g.pools {
+	held := g.heldPools()
+	pools := make([]*exchange.Pool, 0, len(held))
+	for _, p := range held {
 		pools = append(pools, p.ex)
 	}
 	return pools
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -112,6 +112,11 @@
 func (g *Gateway) runningPools() []*pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.heldPools()
+}
+
+// heldPools is runningPools where the lock is held.
+func (g *Gateway) heldPools() []*pool {
 	return slices.AppendSeq(slices.Collect(maps.Values(g.pools)), maps.Keys(g.replaced))
 }
 
