A ban for the fleet ends only by a return that had heard of it

Cause: an override was selected by its version, a Lamport number, which says nothing of two that had not heard each other. Change: the state of a host is the last ban of each gateway, whether a return by one who had received it has covered it, and the last return; states are joined. Packets have a new version. Why: a host is out while one ban is not covered, in whatever order states meet.

--- a/internal/gateway/hotrestart_link.go
+++ b/internal/gateway/hotrestart_link.go
@@ -23,13 +23,16 @@
 
 // knowledge is what one process tells the next.
 type knowledge struct {
-	Version   int
-	Ids       exchange.Register
-	Banned    []string
-	Overrides []override.Entry `json:"Words,omitempty"` // that brought bans and their ends; earlier versions know them as Words
-	Drained   bool
-	Pools     map[string]learning.Pool
-	Moves     []shift.Saved // nil: of a process that tells nothing of them
+	Version int
+	Ids     exchange.Register
+	Banned  []string
+	// Overrides are the overrides in effect. Earlier versions read these alone, and know them as Words.
+	Overrides []override.Entry `json:"Words,omitempty"`
+	// OverrideStates are the overrides whole.
+	OverrideStates []override.State `json:",omitempty"`
+	Drained        bool
+	Pools          map[string]learning.Pool
+	Moves          []shift.Saved // nil: of a process that tells nothing of them
 }
 
 // bans notes the hosts that are out by hand.
@@ -40,6 +43,7 @@
 	}
 	g.mu.Unlock()
 	k.Overrides = g.overrides.entries()
+	k.OverrideStates = g.overrides.states()
 }
 
 // ban takes them out in a gateway that has not started.
@@ -47,7 +51,7 @@
 	for _, name := range k.Banned[:min(len(k.Banned), mostBanned)] {
 		g.banned[name] = true
 	}
-	g.overrides.adopt(k.Overrides)
+	g.overrides.adopt(k.OverrideStates, k.Overrides)
 }
 
 // call is what an operator has called for at the other process.
--- a/internal/gateway/overrides.go
+++ b/internal/gateway/overrides.go
@@ -131,7 +131,7 @@
 	return has
 }
 
-// overrides are all that count, for the process that takes over or starts next.
+// entries are the overrides in effect, for a process of an earlier version.
 func (d *overrides) entries() (list []override.Entry) {
 	if d == nil {
 		return nil
@@ -144,15 +144,31 @@
 	return list
 }
 
-// adopt takes over the overrides of the process before, and what they brought with them.
-func (d *overrides) adopt(list []override.Entry) {
+// states are all overrides, for the process that takes over or starts next.
+func (d *overrides) states() []override.State {
+	if d == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.store.States()
+}
+
+// adopt takes over the overrides of the process before. One of an earlier version has told no states.
+func (d *overrides) adopt(states []override.State, entries []override.Entry) {
 	if d == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, w := range list {
-		d.store.Adopt(d.now(), w)
+	for _, s := range states {
+		d.store.Adopt(d.now(), s)
+	}
+	if len(states) > 0 {
+		return
+	}
+	for _, w := range entries {
+		d.store.AdoptEntry(d.now(), w)
 	}
 }
 
--- a/internal/override/override.go
+++ b/internal/override/override.go
@@ -1,13 +1,13 @@
 // Package override replicates operators' overrides to all gateways of the fleet. An override takes a host
 // out of use (a ban) or puts it back into service.
 //
-// A gateway keeps one override per host. Of two overrides of one host, all gateways select the same one,
-// in whatever order and however often they receive them: the one with the higher version. A new override
-// gets a higher version than the one that its gateway has for the host. Overrides that are set on both
-// sides of a network partition may have the same version; then the one that takes the host out of use
-// prevails, so that nothing is sent to a host that one side has banned. An override that was delayed, by
-// a partition or in a gateway that was stopped, has a lower version than those set by gateways that had
-// already received it, and reverts nothing.
+// A gateway keeps one state per host: the bans of each gateway, and which of them have been covered by a
+// return into service. A return covers the bans that its gateway had received, and no others. States are
+// joined, so that all gateways have the same one in whatever order and however often they receive them. Of a
+// ban and a return that are set on both sides of a network partition the ban prevails, whatever else either
+// side has set, so that nothing is sent to a host that one side has banned. A ban that was delayed, by a
+// partition or in a gateway that was stopped, is covered by the returns of gateways that had already received
+// it, and reverts nothing.
 //
 // The gateway at which an override is set sends it to all gateways that are alive until each has confirmed
 // that it has applied the override, or a time limit has passed. The rest is left to anti-entropy: each
@@ -34,24 +34,12 @@
 // Time is an instant on one process's clock, which never goes backward.
 type Time = time.Duration
 
-// Entry is the override on one host.
+// Entry is the override on one host that is in effect.
 type Entry struct {
 	Host    string
 	Out     bool   // out of use
-	Version uint64 // per host, starting at 1
-	By      string // the gateway at which the override was set
-}
-
-// after reports whether w prevails over o, an override of the same host. The higher version prevails, then
-// out of use over back in service, then the greater By. This is a total order of the overrides of a host.
-func (w Entry) after(o Entry) bool {
-	if w.Version != o.Version {
-		return w.Version > o.Version
-	}
-	if w.Out != o.Out {
-		return w.Out
-	}
-	return w.By > o.By
+	Version uint64 // of the event that brought it
+	By      string // the gateway at which it was set
 }
 
 const (
@@ -70,7 +58,9 @@
 	// host back into service is dropped to make room.
 	MaxHosts = 4096
 	// maxWaiting is the maximum number of members that wait for the confirmation of one override.
-	maxWaiting  = 512
+	maxWaiting = 512
+	// maxBans is the maximum number of gateways whose bans of one host are kept.
+	maxBans     = 12
 	bucketCount = 64 // hosts are divided into buckets with a digest each
 	// minDiffEntries is the number of differing overrides from which no further bucket is sent in reply to
 	// one digest. The reply to the next digest continues with the remaining buckets.
@@ -82,9 +72,10 @@
 // ErrFull is returned by Set if MaxHosts overrides are kept and all of them take hosts out of use.
 var ErrFull = errors.New("as many hosts as may be are out by operators' overrides")
 
-// record is the override on one host with the state of its replication.
+// record is the override on one host with the progress of its replication.
 type record struct {
-	Entry
+	Entry   // of state
+	state   State
 	since   Time // when this gateway received it
 	applied bool // this gateway has applied it
 	// unconfirmed are the members that have not confirmed that they have applied the override. It is set
@@ -125,8 +116,8 @@
 // bucket returns the index of the bucket that a host's override belongs to.
 func bucket(host string) int { return int(xxhash.Sum64String(host) % bucketCount) }
 
-// hash returns the hash of an override. The digest of a bucket is the XOR of the hashes of its overrides.
-func (w Entry) hash() uint64 { return xxhash.Sum64(appendEntry(nil, w)) }
+// hash returns the hash of a state. The digest of a bucket is the XOR of the hashes of its states.
+func (s *State) hash() uint64 { return xxhash.Sum64(appendState(nil, s)) }
 
 // SetAlive sets the gateways that are considered alive. This gateway's own name and duplicates are
 // ignored. The Store sends its digest to up to maxNewPeers new ones on the next Tick.
@@ -153,53 +144,62 @@
 // Alive returns the number of gateways that are considered alive, including this one.
 func (b *Store) Alive() int { return len(b.peers) + 1 }
 
-// Set records an operator's override at this gateway. It prevails over the earlier override of the host.
+// Set records an operator's override at this gateway. It prevails over what this gateway has received of the host.
 // The caller is to apply it and then to call Done, as for the overrides that Take returns. Set returns
 // ErrFull if there is no room.
 func (b *Store) Set(now Time, host string, out bool) (Entry, error) {
 	b.now = max(b.now, now)
-	w := Entry{Host: host, Out: out, Version: 1, By: b.self}
+	state := State{Host: host}
 	if e := b.entries[host]; e != nil {
-		w.Version = e.Version + 1
+		state = e.state
 	}
-	e := b.insert(w)
+	e := b.insert(state.next(b.self, out))
 	if e == nil {
-		return w, ErrFull
+		return Entry{}, ErrFull
 	}
 	e.unconfirmed = map[string]bool{}
 	for _, n := range b.peers {
 		e.unconfirmed[n] = true
 	}
 	b.pending[host] = e
-	return w, nil
+	return e.Entry, nil
 }
 
-// Adopt takes over an override that the previous process has applied. An override that is invalid or
-// does not prevail over the present one is ignored, and so is one for which there is no room.
-func (b *Store) Adopt(now Time, w Entry) {
+// Adopt takes over the override that the previous process has applied. A state that is invalid is ignored, and so
+// is one for which there is no room.
+func (b *Store) Adopt(now Time, s State) {
 	b.now = max(b.now, now)
-	if e := b.entries[w.Host]; !w.valid() || e != nil && !w.after(e.Entry) {
+	if !s.valid() {
 		return
 	}
-	if e := b.insert(w); e != nil {
+	if e := b.entries[s.Host]; e != nil {
+		s = e.state.join(s)
+	}
+	if e := b.insert(s); e != nil {
 		e.applied = true
 	}
 }
 
-// insert stores an override that prevails over the present one of its host. It returns nil if there is no
-// room.
-func (b *Store) insert(w Entry) *record {
-	i, e := bucket(w.Host), b.entries[w.Host]
+// AdoptEntry takes over an override of a previous process of an earlier version.
+func (b *Store) AdoptEntry(now Time, w Entry) { b.Adopt(now, stateOf(w)) }
+
+// insert stores a state that includes the present one of its host. The record of the host is replaced if another
+// override is in effect then. It returns nil if there is no room.
+func (b *Store) insert(s State) *record {
+	i, e := bucket(s.Host), b.entries[s.Host]
 	if e != nil {
-		b.digests[i] ^= e.hash()
+		b.digests[i] ^= e.state.hash()
 	} else if len(b.entries) >= MaxHosts && !b.makeRoom() {
 		b.counts.Dropped++
 		return nil
 	}
-	e = &record{Entry: w, since: b.now}
-	b.entries[w.Host] = e
-	delete(b.pending, w.Host) // a member that asks again about the replaced override is sent this one
-	b.digests[i] ^= e.hash()
+	if w := s.entry(); e == nil || e.Entry != w {
+		e = &record{Entry: w, since: b.now}
+		b.entries[s.Host] = e
+		delete(b.pending, s.Host) // a member that asks again about the replaced override is sent this one
+	}
+	e.state = s
+	b.digests[i] ^= s.hash()
 	return e
 }
 
@@ -221,7 +221,7 @@
 
 // remove deletes an override and takes it out of the digest of its bucket.
 func (b *Store) remove(e *record) {
-	b.digests[bucket(e.Host)] ^= e.hash()
+	b.digests[bucket(e.Host)] ^= e.state.hash()
 	delete(b.entries, e.Host)
 	delete(b.pending, e.Host)
 }
@@ -239,8 +239,8 @@
 func (b *Store) Tick(now Time) []Packet {
 	b.now = max(b.now, now)
 	b.out = b.out[:0]
-	requests := map[string][]Entry{} // overrides to be confirmed, by member
-	replies := map[string][]Entry{}  // confirmations, by member
+	requests := map[string][]State{} // overrides to be confirmed, by member
+	replies := map[string][]State{}  // confirmations, by member
 	for _, host := range slices.Sorted(maps.Keys(b.pending)) {
 		e := b.pending[host]
 		switch {
@@ -250,13 +250,13 @@
 			e.lastSent = b.now
 			for _, n := range b.peers {
 				if e.unconfirmed[n] {
-					requests[n] = append(requests[n], e.Entry)
+					requests[n] = append(requests[n], e.state)
 				}
 			}
 		}
 		if e.applied {
 			for _, n := range e.waiting {
-				replies[n] = append(replies[n], e.Entry)
+				replies[n] = append(replies[n], e.state)
 			}
 			e.waiting = nil
 		}
@@ -294,11 +294,11 @@
 }
 
 // send queues overrides for a member in messages of one kind, in as many packets as are needed.
-func (b *Store) send(to string, k kind, entries []Entry) {
-	for len(entries) > 0 {
-		n := fitCount(entries)
-		b.enqueue(to, message{kind: k, entries: entries[:n]})
-		entries = entries[n:]
+func (b *Store) send(to string, k kind, states []State) {
+	for len(states) > 0 {
+		n := fitCount(states)
+		b.enqueue(to, message{kind: k, states: states[:n]})
+		states = states[n:]
 	}
 }
 
@@ -325,20 +325,18 @@
 		return nil, nil
 	}
 	b.counts.Taken++
-	var newer []Entry // overrides that the sender lacks
-	for _, w := range m.entries {
-		e := b.entries[w.Host]
-		switch {
-		case e == nil || w.after(e.Entry):
-			if e = b.insert(w); e == nil {
-				continue
-			}
-			entries = append(entries, w)
-		case e.after(w):
-			newer = append(newer, e.Entry)
+	var newer []State // what the sender lacks
+	for _, s := range m.states {
+		e, changed := b.receive(s)
+		if e == nil {
 			continue
 		}
-		switch { // the override prevails here, and the sender has it
+		if changed {
+			entries = append(entries, e.Entry)
+		}
+		switch {
+		case !e.state.equal(s):
+			newer = append(newer, e.state)
 		case m.kind == confirmation:
 			delete(e.unconfirmed, m.from)
 		case m.kind == confirmRequest && len(e.waiting) < maxWaiting && !slices.Contains(e.waiting, m.from):
@@ -354,27 +352,43 @@
 	return b.out, entries
 }
 
+// receive joins the state that a peer has sent with the present one. It returns the record, nil if there is no room,
+// and reports whether another override is in effect than before.
+func (b *Store) receive(s State) (e *record, changed bool) {
+	e = b.entries[s.Host]
+	if e == nil {
+		e = b.insert(s)
+		return e, e != nil
+	}
+	before, joined := e.Entry, e.state.join(s)
+	if joined.equal(e.state) {
+		return e, false
+	}
+	e = b.insert(joined)
+	return e, e.Entry != before
+}
+
 // compare sends the sender of a digest the overrides of the buckets that differ.
 func (b *Store) compare(m *message) {
 	if m.digests == b.digests {
 		return
 	}
-	var differ [bucketCount][]Entry
+	var differ [bucketCount][]State
 	for host, e := range b.entries {
 		if i := bucket(host); m.digests[i] != b.digests[i] {
-			differ[i] = append(differ[i], e.Entry)
+			differ[i] = append(differ[i], e.state)
 		}
 	}
-	var entries []Entry
+	var states []State
 	for range bucketCount { // whole buckets, so that their digests match afterwards
-		if len(entries) >= minDiffEntries {
+		if len(states) >= minDiffEntries {
 			break
 		}
-		slices.SortFunc(differ[b.nextBucket], func(x, y Entry) int { return cmp.Compare(x.Host, y.Host) })
-		entries = append(entries, differ[b.nextBucket]...)
+		slices.SortFunc(differ[b.nextBucket], func(x, y State) int { return cmp.Compare(x.Host, y.Host) })
+		states = append(states, differ[b.nextBucket]...)
 		b.nextBucket = (b.nextBucket + 1) % bucketCount
 	}
-	b.send(m.from, update, entries)
+	b.send(m.from, update, states)
 	if m.kind == digestRequest { // request the overrides that this gateway lacks
 		b.enqueue(m.from, message{kind: digestReply, digests: b.digests})
 	}
@@ -427,6 +441,15 @@
 	return list
 }
 
+// States returns the states of all overrides, sorted by host, for the process that takes over.
+func (b *Store) States() (list []State) {
+	for _, e := range b.entries {
+		list = append(list, e.state)
+	}
+	slices.SortFunc(list, func(x, y State) int { return cmp.Compare(x.Host, y.Host) })
+	return list
+}
+
 // Out returns the hosts that are out of use, sorted.
 func (b *Store) Out() (hosts []string) {
 	for _, e := range b.entries {
--- a/internal/override/packet.go
+++ b/internal/override/packet.go
@@ -15,19 +15,16 @@
 // Packets of another version are rejected.
 const (
 	// Mark is the first byte of each packet. It distinguishes the packets of this package from others.
-	Mark            = 'E'
-	packetVersion   = 1
-	maxNameBytes    = 64            // bytes of a gateway name
-	maxHostBytes    = 255           // bytes of a host
-	maxEntriesBytes = 1024          // bytes of the overrides in a packet
-	minEntryBytes   = 1 + 8 + 1 + 1 // bytes of an override without its names
+	Mark           = 'E'
+	packetVersion  = 2
+	maxNameBytes   = 64                 // bytes of a gateway name
+	maxHostBytes   = 255                // bytes of a host
+	maxStatesBytes = 1024               // bytes of the overrides in a packet with more than one
+	eventBytes     = 8 + 1              // bytes of an event without its name
+	banBytes       = 1 + eventBytes     // bytes of a ban without its name
+	minStateBytes  = 1 + eventBytes + 1 // bytes of a state without its names and bans
 )
 
-// valid reports whether the names and the version of an override are within their bounds.
-func (w Entry) valid() bool {
-	return validName(w.Host, maxHostBytes) && validName(w.By, maxNameBytes) && w.Version > 0 && w.Version <= maxVersion
-}
-
 // validName reports whether s is a non-empty valid UTF-8 string of at most limit bytes.
 func validName(s string, limit int) bool { return s != "" && len(s) <= limit && utf8.ValidString(s) }
 
@@ -46,27 +43,48 @@
 type message struct {
 	kind    kind
 	from    string
-	entries []Entry
+	states  []State
 	digests [bucketCount]uint64
 }
 
-// appendEntry appends the encoding of an override, which is the same at all gateways: the digests hash it.
-func appendEntry(b []byte, w Entry) []byte {
-	out := byte(0)
-	if w.Out {
-		out = 1
+// appendState appends the encoding of a state, which is the same at all gateways: the digests hash it.
+func appendState(b []byte, s *State) []byte {
+	b = appendName(b, s.Host)
+	b = appendEvent(b, s.Returned)
+	b = append(b, byte(len(s.Bans)))
+	for _, ban := range s.Bans {
+		covered := byte(0)
+		if ban.Covered {
+			covered = 1
+		}
+		b = append(b, covered)
+		b = appendEvent(b, ban.Event)
 	}
-	b = append(b, out)
-	b = binary.BigEndian.AppendUint64(b, w.Version)
-	b = append(append(b, byte(len(w.Host))), w.Host...)
-	return append(append(b, byte(len(w.By))), w.By...)
+	return b
 }
 
-// fitCount returns how many of the overrides fit in one packet, at least 1 unless there are none.
-func fitCount(entries []Entry) int {
+func appendEvent(b []byte, v Event) []byte {
+	return appendName(binary.BigEndian.AppendUint64(b, v.Version), v.By)
+}
+
+func appendName(b []byte, name string) []byte {
+	return append(append(b, byte(len(name))), name...)
+}
+
+// size returns the number of bytes of the encoding.
+func (s *State) size() int {
+	size := minStateBytes + len(s.Host) + len(s.Returned.By)
+	for _, ban := range s.Bans {
+		size += banBytes + len(ban.By)
+	}
+	return size
+}
+
+// fitCount returns how many of the states fit in one packet, at least 1 unless there are none.
+func fitCount(states []State) int {
 	n, size := 0, 0
-	for _, w := range entries {
-		if size += minEntryBytes + len(w.Host) + len(w.By); n > 0 && size > maxEntriesBytes {
+	for i := range states {
+		if size += states[i].size(); n > 0 && size > maxStatesBytes {
 			break
 		}
 		n++
@@ -84,8 +102,8 @@
 		}
 		return b
 	}
-	for _, w := range m.entries {
-		b = appendEntry(b, w)
+	for i := range m.states {
+		b = appendState(b, &m.states[i])
 	}
 	return b
 }
@@ -110,25 +128,52 @@
 		return true
 	}
 	for len(b) > 0 {
-		if len(b) < minEntryBytes || b[0] > 1 {
-			return false
-		}
-		w := Entry{Out: b[0] == 1, Version: binary.BigEndian.Uint64(b[1:])}
-		if w.Host, b, ok = cutName(b[9:]); !ok {
+		var s State
+		if s, b, ok = cutState(b); !ok || !s.valid() {
 			return false
 		}
-		if w.By, b, ok = cutName(b); !ok || !w.valid() {
-			return false
-		}
-		m.entries = append(m.entries, w)
+		m.states = append(m.states, s)
 	}
-	return len(m.entries) > 0
+	return len(m.states) > 0
 }
 
 // maxVersion is far more than operators can reach. The bound exists because an override with the maximum
 // value of the type would leave no version for later overrides.
 const maxVersion = 1 << 62
 
+// cutState reads a state, and returns the bytes after it.
+func cutState(b []byte) (s State, rest []byte, ok bool) {
+	if s.Host, b, ok = cutName(b); !ok {
+		return s, nil, false
+	}
+	if s.Returned, b, ok = cutEvent(b); !ok || len(b) == 0 {
+		return s, nil, false
+	}
+	count := int(b[0])
+	b = b[1:]
+	for range count {
+		if len(b) == 0 || b[0] > 1 {
+			return s, nil, false
+		}
+		ban := Ban{Covered: b[0] == 1}
+		if ban.Event, b, ok = cutEvent(b[1:]); !ok {
+			return s, nil, false
+		}
+		s.Bans = append(s.Bans, ban)
+	}
+	return s, b, true
+}
+
+// cutEvent reads an event, and returns the bytes after it.
+func cutEvent(b []byte) (v Event, rest []byte, ok bool) {
+	if len(b) < eventBytes {
+		return v, nil, false
+	}
+	v.Version = binary.BigEndian.Uint64(b)
+	v.By, rest, ok = cutName(b[8:])
+	return v, rest, ok
+}
+
 // cutName reads a name that is preceded by its length in one byte, and returns the bytes after it.
 func cutName(b []byte) (s string, rest []byte, ok bool) {
 	if len(b) == 0 || len(b) < 1+int(b[0]) {
