A pool that is made anew knows the drains that the one before has heard of

Cause: what sources have told lived in the pool that followed them. Change: a new pool takes over each source's reports with their versions, or the last list of a single source; an upgrade hands them on. Why: a notice binds the gateway, not the pool or process that heard it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"frostshift/internal/gossip"
 	"frostshift/internal/lateness"
 	"frostshift/internal/learning"
+	"frostshift/internal/membership/keeper"
 	"frostshift/internal/moves"
 	"frostshift/internal/peers"
 	"frostshift/internal/save"
@@ -124,12 +125,13 @@
 	running sync.WaitGroup // whatever was started and must end
 	failed  chan error     // a listener that failed
 
-	reloads reloads
-	restart *hotRestart
-	learned map[string]learning.Pool // by pool, of the process that ran before
-	clients clients                  // given up, or not
-	banned  map[string]bool          // hosts that operators took out, by name; under mu
-	desk    *admin.Server            // nil: operators have no address
+	reloads     reloads
+	restart     *hotRestart
+	learned     map[string]learning.Pool   // by pool, of the process that ran before
+	heardBefore map[string][]keeper.Report // by pool, what its sources have told that process
+	clients     clients                    // given up, or not
+	banned      map[string]bool            // hosts that operators took out, by name; under mu
+	desk        *admin.Server              // nil: operators have no address
 
 	view       *peers.View // of the other gateways; nil: none was heard; under mu
 	rules      rules       // limits by key of the present configuration; under mu
--- a/internal/gateway/hotrestart.go
+++ b/internal/gateway/hotrestart.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"frostshift/internal/config"
 	"frostshift/internal/hotrestart"
 	"frostshift/internal/learning"
+	"frostshift/internal/membership/keeper"
 	"frostshift/internal/shift"
 )
 
@@ -93,7 +95,7 @@
 	}
 	next := g.take(m, k.Pools)
 	k.ban(g)
-	s.moves = k.Moves
+	s.moves, g.heardBefore = k.Moves, k.Heard
 	g.exchange.Adopt(&k.Ids)
 	l := &link{s: s, peer: peer, older: true}
 	s.links[l] = struct{}{}
@@ -200,6 +202,7 @@
 	k.Pools, _ = s.gather()
 	k.Ids = g.exchange.Link(s)
 	k.Moves = g.moves.HandOver()
+	k.Heard = g.reports()
 	k.bans(g)
 	text, err := json.Marshal(&k)
 	if err != nil {
@@ -237,6 +240,20 @@
 	return out, len(out) == len(pools)
 }
 
+// reports is what the sources of pools that judge their lists have said.
+func (g *Gateway) reports() map[string][]keeper.Report {
+	g.mu.Lock()
+	pools := maps.Clone(g.pools)
+	g.mu.Unlock()
+	out := map[string][]keeper.Report{}
+	for name, p := range pools {
+		if p.keeper != nil {
+			out[name] = p.keeper.Reports()
+		}
+	}
+	return out
+}
+
 // retire waits until no client is left.
 func (s *hotRestart) retire() {
 	tick := time.NewTicker(retireEvery)
--- a/internal/gateway/hotrestart_link.go
+++ b/internal/gateway/hotrestart_link.go
@@ -9,6 +9,7 @@
 	"frostshift/internal/exchange"
 	"frostshift/internal/hotrestart"
 	"frostshift/internal/learning"
+	"frostshift/internal/membership/keeper"
 	"frostshift/internal/override"
 	"frostshift/internal/shift"
 )
@@ -33,6 +34,8 @@
 	Drained        bool
 	Pools          map[string]learning.Pool
 	Moves          []shift.Saved // nil: of a process that tells nothing of them
+	// Heard is what the sources of pools with several, or with doubts, have said, by the pools' names.
+	Heard map[string][]keeper.Report `json:",omitempty"`
 }
 
 // bans notes the hosts that are out by hand.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -64,15 +64,42 @@
 	known      hostList
 	holders    membership.Addresses // of whoever takes lists
 	typed      int                  // gateways that the configuration names
+	told       *membership.List     // that it begins with; nil: none
 
 	requests, uploads, downloads, conns, bodies, answers *share.Holder
 }
 
+// inherit has a pool begin with what a running pool has heard of its hosts, which it takes the place of: a source that says
+// nothing now may have called some of them leaving.
+func (p *pool) inherit(old *pool) (heard []keeper.Report) {
+	switch {
+	case old == nil:
+	case old.keeper != nil:
+		return old.keeper.Reports()
+	case p.def.Belief != nil || len(p.def.Sources) != 1:
+	default:
+		l := old.known.list()
+		if l == nil {
+			break
+		}
+		if !p.def.Sources[0].Equal(old.def.Sources[0]) {
+			l.Index = nil // versions of different places can't be compared
+		}
+		p.told = l
+	}
+	return nil
+}
+
 // newPool makes a pool; start runs it. One that is never started needs no end.
 func (g *Gateway) newPool(def *config.Pool, m *config.Model) (*pool, error) {
 	p := &pool{def: def, log: g.log.With("pool", def.Name), names: def.Names(), typed: max(m.Instances, 1), ready: make(chan struct{}),
 		requests: g.budgets.requests.Holder(), uploads: g.budgets.uploads.Holder(), downloads: g.budgets.downloads.Holder(), conns: g.budgets.conns.Holder(),
-		bodies: g.budgets.bodies.Holder(), answers: g.budgets.answers.Holder()}
+		bodies: g.budgets.bodies.Holder(), answers: g.budgets.answers.Holder(), told: def.Known}
+	heard := p.inherit(g.pools[def.Name])
+	if heard == nil {
+		heard = g.heardBefore[def.Name]
+	}
+	delete(g.heardBefore, def.Name)
 	bounds := upstream.Config{DialTimeout: def.DialTimeout, ConnIdle: def.ConnIdle, Conns: p.conns, Bytes: p.answers}
 	switch def.Protocol {
 	case config.HTTP2:
@@ -96,7 +123,7 @@
 	processor := fairqueue.Processor().NewPeer(fairqueue.OwedDebt)
 	if def.Belief != nil {
 		kc := keeper.Config{Specs: def.Sources, Belief: *def.Belief, Part: def.Part, Log: p.log, List: sink{p}.List, Silence: g.opt.Silence, Every: g.opt.LookEvery,
-			Processor: processor}
+			Heard: heard, Processor: processor}
 		if m.Views != "" {
 			p.views = newViews(m.Views, def.Name, p.standing)
 			kc.Show = p.views.show
@@ -105,8 +132,8 @@
 		p.list, p.keeper, pc.HostSeen = k, k, k.Saw
 	} else {
 		cfg := source.Config{Sink: sink{p}, Log: p.log, Asked: def.Settings.Ask, Silence: g.opt.Silence, Every: g.opt.LookEvery, Processor: processor}
-		if def.Known != nil {
-			cfg.Index = *def.Known.Index
+		if p.told != nil && p.told.Index != nil {
+			cfg.Index = *p.told.Index
 		}
 		f := source.NewFollower(cfg)
 		p.list, pc.Watch = blindly{f, def.Sources[0]}, f.Ask
@@ -126,8 +153,7 @@
 // start runs the pool until it is drained and its last request has ended.
 func (p *pool) start(g *Gateway) {
 	ctx, end := context.WithCancel(context.Background())
-	def := p.def // a reload may change it from here on
-	known := def.Known
+	known := p.told
 	if known != nil && p.keeper == nil {
 		whole := *known
 		whole.Snapshot = true
--- a/internal/membership/keeper/keeper.go
+++ b/internal/membership/keeper/keeper.go
@@ -41,6 +41,8 @@
 	Show func(State)
 	// Silence and Every are as in source.Config.
 	Silence, Every time.Duration
+	// Heard is what the sources have told an earlier keeper of the pool.
+	Heard []Report
 	// Processor is what all sources together use of it; nil: it is not shared out.
 	Processor *fairqueue.Peer
 }
@@ -120,6 +122,7 @@
 	for i, f := range k.followers {
 		parts.Go(func() { f.Run(ctx, k.cfg.Specs[i]) })
 	}
+	k.takeHeard()
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	for {
--- a/internal/membership/view/view.go
+++ b/internal/membership/view/view.go
@@ -102,6 +102,24 @@
 // Reported returns whether source i has sent a message since New or its last Forget.
 func (m *Merger) Reported(i int) bool { return m.sources[i].reported }
 
+// Report returns all that source i has reported, as one list that another Merger can take; nil if it has reported nothing.
+func (m *Merger) Report(i int) *membership.List {
+	s := &m.sources[i]
+	if !s.reported {
+		return nil
+	}
+	entries := maps.Clone(s.hosts)
+	for name, w := range s.departures {
+		entries[name] = w.entry
+	}
+	index := s.index
+	l := &membership.List{Index: &index, Snapshot: true}
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		l.Endpoints = append(l.Endpoints, entries[name])
+	}
+	return l
+}
+
 // Get returns the entry of a host, and whether there is one.
 func (m *Merger) Get(name string) (Entry, bool) {
 	e, ok := m.merged[name]
