Hosts that are out are written once the folder can be written again

Cause: the write was tried once, with the call. Change: Gateway.keepBans tries every 0.5 s until it is written, and once more at the end; a process that takes over writes what it was told. Why: operators have their yes, which a restart is held to as well.

--- a/internal/gateway/bansfile.go
+++ b/internal/gateway/bansfile.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"time"
 
 	"frostshift/internal/config"
 	"frostshift/internal/hotrestart"
@@ -24,6 +25,40 @@
 	return ""
 }
 
+// writeBansEvery is how often it is tried again to write them.
+const writeBansEvery = 500 * time.Millisecond
+
+// keepBans writes the hosts that are out, and goes on trying where that fails, up to the gateway's end: operators have
+// their yes, which a restart is held to as well.
+func (g *Gateway) keepBans() {
+	s := g.restart
+	err := s.writeBans()
+	if err == nil || !s.retrying.CompareAndSwap(false, true) {
+		return
+	}
+	g.log.Warn("hosts that are out are not kept for a restart yet", "err", err)
+	g.running.Go(func() {
+		again := time.NewTicker(writeBansEvery)
+		defer again.Stop()
+		for last := false; !last; {
+			select {
+			case <-again.C:
+			case <-g.ended:
+				last = true
+			}
+			s.retrying.Store(false) // a call that comes now fails before this write, or is written by it
+			if err = s.writeBans(); err == nil {
+				g.log.Info("hosts that are out are kept for a restart again")
+				return
+			}
+			if !s.retrying.CompareAndSwap(false, true) {
+				return // a later call goes on
+			}
+		}
+		g.log.Error("hosts that are out are not kept for a restart", "err", err)
+	})
+}
+
 // writeBans writes them.
 func (s *hotRestart) writeBans() error {
 	if s.file == "" {
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -95,9 +95,7 @@
 			return fmt.Errorf("it does not hold yet: %w", ctx.Err())
 		}
 	}
-	if err := g.restart.writeBans(); err != nil {
-		g.log.Warn("hosts that are out are not kept for a restart", "err", err)
-	}
+	g.keepBans()
 	return nil
 }
 
--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -291,3 +293,59 @@
 		t.Errorf("back: %v", err)
 	}
 }
+
+// Hosts that operators take out while nothing can be written: a restart used them again.
+func TestHostsOutAreWrittenOnceThatIsPossible(t *testing.T) {
+	for _, end := range []string{"restart", "stop while it is full", "next process"} {
+		t.Run(end, func(t *testing.T) {
+			a, b := scripted(t, fake.Always(fake.Serve("a"))), scripted(t, fake.Always(fake.Serve("b")))
+			dir, err := os.MkdirTemp("", "out") // short: the path of a socket must be
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { os.RemoveAll(dir) })
+			m := service(t, "http1", "http1", routes, a.Addr(), b.Addr())
+			m.HotRestart = filepath.Join(dir, "g.sock")
+			full := bansFile(m) + ".new"
+			if err := os.Symlink("/dev/full", full); err != nil { // a write to it ends with ENOSPC
+				t.Fatal(err)
+			}
+			g := launchServing(t, m)
+			if err := g.outEverywhere(t.Context(), a.Addr(), true); err != nil {
+				t.Fatal(err)
+			}
+			written := func() bool { info, err := os.Stat(bansFile(m)); return err == nil && info.Size() > 0 }
+			if written() {
+				t.Fatal("the file could be written")
+			}
+			next := func() *running { return launchServing(t, m) }
+			switch end {
+			case "restart":
+				os.Remove(full)
+				until(t, "it is written", written)
+				halt(t, g)
+			case "stop while it is full":
+				g.stop()
+				os.Remove(full)
+				await(t, g.end, "the end")
+			default:
+				second := next()
+				await(t, g.end, "the end of the first")
+				os.Remove(full)
+				until(t, "the second has written it", written)
+				halt(t, second)
+			}
+			g = next()
+			before := a.Total()
+			for range 40 {
+				if status, _, _ := ask(t, g, "GET", "/safe"); status != http.StatusOK {
+					t.Errorf("answered %d", status)
+				}
+			}
+			if n := a.Total() - before; n > 0 {
+				t.Errorf("behind the end the host that is out got %d of 40 requests", n)
+			}
+			halt(t, g)
+		})
+	}
+}
--- a/internal/gateway/hotrestart.go
+++ b/internal/gateway/hotrestart.go
@@ -43,6 +43,7 @@
 	retired   chan struct{} // closed once another process has taken over and no client is left here
 	once      sync.Once
 	files     sync.Mutex
+	retrying  atomic.Bool // the hosts that are out could not be written, and are tried again
 }
 
 // stateVersion is that of what one process tells the next.
@@ -95,6 +96,7 @@
 	}
 	next := g.take(m, k.Pools)
 	k.ban(g)
+	g.keepBans() // the process that runs may not have been able to
 	s.moves, g.heardBefore = k.Moves, k.Heard
 	g.exchange.Adopt(&k.Ids)
 	l := &link{s: s, peer: peer, older: true}
