Nothing is sent to a host that has begun to drain while the attempt waited

Cause: nobody asked again between the choice of the host and the first byte. Change: attempts at a host share a channel that is closed once it takes nothing new; MaySend and the wait for a stream see it. The attempt ends as not sent, and the request goes elsewhere. Why: MaySend stands before each first byte, over both protocols. Test: TestNothingNewIsSentToAHostThatDrains (package): sent without the question.

--- a/internal/exchange/call.go
+++ b/internal/exchange/call.go
@@ -254,7 +254,7 @@
 		until, left = c.latest(), c.left(now)
 	}
 	a := &Attempt{Host: act.Host, Message: c.Message, Answers: c.Answers, Until: p.clock.At(until), Left: left,
-		pool: p, call: c, n: len(c.attempts), started: now, sendBy: p.retryBy(c), sent: now}
+		pool: p, call: c, n: len(c.attempts), withdrawn: p.takingHost(act.Host), started: now, sendBy: p.retryBy(c), sent: now}
 	c.attempts = append(c.attempts, a)
 	c.running++
 	c.stage.Store(uint32(StageAttempt))
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -89,11 +89,12 @@
 	calls        map[frostshift.RequestID]*Call
 	lastID       frostshift.RequestID
 	timers       timers
-	started      bool                       // RunDue has been called
-	hasList      bool                       // a host list has arrived
-	processes    atomic.Int32               // processes of this instance, see SetProcesses
-	fleetState   atomic.Pointer[fleetState] // the latest report of the instances that share the hosts
-	stalledUntil frostshift.Time            // the time up to which stalls have been reported
+	taking       map[frostshift.HostID]chan struct{} // see takingHost
+	started      bool                                // RunDue has been called
+	hasList      bool                                // a host list has arrived
+	processes    atomic.Int32                        // processes of this instance, see SetProcesses
+	fleetState   atomic.Pointer[fleetState]          // the latest report of the instances that share the hosts
+	stalledUntil frostshift.Time                     // the time up to which stalls have been reported
 	actions      []frostshift.Action
 
 	counts     Counts
@@ -155,7 +156,7 @@
 	p := &Pool{name: c.Name, set: c.Settings, log: c.Log, failureLog: eventlog.New(c.Log), clock: x.clock, x: x, b: b, upstream: c.Upstream,
 		room: c.Room, downloads: c.Downloads, watch: c.Watch, onHostSeen: c.HostSeen, onAttemptEnd: c.AttemptEnded, onInFlightChange: c.InFlightChanged, learned: c.Learned, sched: c.Scheduler, fleetShare: c.FleetShare, limiter: c.Limiter, advice: c.Settings.MaxRetryAfter,
 		events: make(chan event, 1024), quit: make(chan struct{}), done: make(chan struct{}),
-		calls: map[frostshift.RequestID]*Call{}, jury: verdict.NewOutlierDetector(), retryBudget: verdict.NewBudget(c.Repeats)}
+		calls: map[frostshift.RequestID]*Call{}, taking: map[frostshift.HostID]chan struct{}{}, jury: verdict.NewOutlierDetector(), retryBudget: verdict.NewBudget(c.Repeats)}
 	if c.RetryShare != nil {
 		p.retryBudget.Share(c.RetryShare)
 	}
@@ -254,12 +255,33 @@
 		}
 		p.hasList = p.hasList || kind != frostshift.ListFailed
 		p.b.Hosts(now, kind, hosts)
+		p.withdrawAttempts()
 		if len(hosts) > 0 {
 			p.restore(now)
 		}
 	}})
 }
 
+// takingHost returns a channel that is closed once a host takes nothing new. All attempts of a host share it.
+func (p *Pool) takingHost(id frostshift.HostID) <-chan struct{} {
+	c := p.taking[id]
+	if c == nil {
+		c = make(chan struct{})
+		p.taking[id] = c
+	}
+	return c
+}
+
+// withdrawAttempts withdraws what has not been sent yet to hosts that take nothing new.
+func (p *Pool) withdrawAttempts() {
+	for id, c := range p.taking {
+		if !p.b.Takes(id) {
+			close(c)
+			delete(p.taking, id)
+		}
+	}
+}
+
 // restore restores the learned state of another process, after the first list that names hosts. If
 // that list comes later than restoreWithin, the state is dropped as too old.
 func (p *Pool) restore(now frostshift.Time) {
@@ -280,6 +302,7 @@
 	p.post(event{kind: callFunc, run: func(now frostshift.Time) {
 		apply()
 		p.b.Ban(now, id, out)
+		p.withdrawAttempts()
 		done()
 	}})
 }
--- a/internal/exchange/send_test.go
+++ b/internal/exchange/send_test.go
@@ -168,3 +168,47 @@
 		<-p.Done()
 	})
 }
+
+// A host that drains, or that operators take out, while an attempt there waits to be sent: it was sent once it could be.
+func TestNothingNewIsSentToAHostThatDrains(t *testing.T) {
+	for _, how := range []string{"list", "operators"} {
+		synctest.Test(t, func(t *testing.T) {
+			x := New(NewClock())
+			sent := map[frostshift.HostID]int{}
+			waiting, free := make(chan *Attempt, 1), make(chan struct{})
+			u := newUpstream(func(a *Attempt) (frostshift.Result, time.Duration) {
+				if a.Host == 1 {
+					waiting <- a
+					select {
+					case <-free:
+					case <-a.Withdrawn():
+					}
+				}
+				if !a.MaySend() {
+					return frostshift.NotSent, 0
+				}
+				sent[a.Host]++
+				return frostshift.OK, 0
+			})
+			p := newPool(t, x, "a", u, 1, nil)
+			c := x.ask(1, "id", p, nil)
+			<-waiting
+			if how == "list" {
+				p.UpdateHosts(frostshift.ListChanges, []frostshift.Host{{ID: 1, State: frostshift.Draining}, {ID: 2}}, nil)
+			} else {
+				p.UpdateHosts(frostshift.ListChanges, []frostshift.Host{{ID: 2}}, nil)
+				p.Ban(1, true, func() {}, func() {})
+			}
+			synctest.Wait()
+			close(free)
+			if r := <-c.Reply; r.Verdict != Served {
+				t.Errorf("%s: answered %v", how, r.Verdict)
+			}
+			if sent[1] != 0 || sent[2] != 1 {
+				t.Errorf("%s: sent to hosts: %v", how, sent)
+			}
+			p.Drain()
+			<-p.Done()
+		})
+	}
+}
--- a/internal/exchange/upstream.go
+++ b/internal/exchange/upstream.go
@@ -41,6 +41,8 @@
 	Left    time.Duration // time until then as of the start; with a Body: from its last byte on
 
 	waited atomic.Int64 // nanoseconds spent waiting for the client
+	// withdrawn is closed once the host takes nothing new: it drains, or has gone. nil in a test of an upstream alone.
+	withdrawn <-chan struct{}
 
 	pool         *Pool
 	call         *Call
@@ -58,11 +60,28 @@
 	handle       Handle
 }
 
+// Withdrawn returns a channel that is closed once the host takes nothing new. An attempt of which nothing has been sent
+// then ends with NotSent, whatever it waits for: the request goes elsewhere.
+func (a *Attempt) Withdrawn() <-chan struct{} { return a.withdrawn }
+
+// isWithdrawn reports whether the host takes nothing new.
+func (a *Attempt) isWithdrawn() bool {
+	select {
+	case <-a.withdrawn:
+		return true
+	default:
+		return false
+	}
+}
+
 // MaySend reports whether the request may still be sent. An upstream calls it right before the
 // first byte, as the connection may have taken long to be established. Nothing may be sent once the
-// client is known to have left, once the deadline has passed, or once hosts may have forgotten an
-// earlier attempt of a keyed request.
+// client is known to have left, once the deadline has passed, once hosts may have forgotten an
+// earlier attempt of a keyed request, or once the host drains.
 func (a *Attempt) MaySend() bool {
+	if a.isWithdrawn() {
+		return false
+	}
 	if a.call == nil { // in a test of an upstream alone
 		return true
 	}
--- a/internal/upstream/http2/upstream.go
+++ b/internal/upstream/http2/upstream.go
@@ -208,6 +208,9 @@
 		case <-t.off:
 			late.Stop()
 			return nil, errCalledOff
+		case <-t.Withdrawn():
+			late.Stop()
+			return nil, errCalledOff
 		case <-late.C:
 			return nil, context.DeadlineExceeded
 		}
--- a/state.go
+++ b/state.go
@@ -387,6 +387,12 @@
 	return h.State == Removed && h.pending+h.streams == 0 && b.byID[h.ID] == h && !(h.cold && b.now-h.coldAt < b.set.WarmAfter)
 }
 
+// Takes reports whether a host takes new requests, as far as the host list and the operators say.
+func (b *Balancer) Takes(id HostID) bool {
+	h := b.byID[id]
+	return h != nil && h.State == Ready
+}
+
 // forgetRemoved drops all hosts that can be dropped, in one pass.
 func (b *Balancer) forgetRemoved() {
 	b.hosts = slices.DeleteFunc(b.hosts, func(h *host) bool {
