Connections to hosts rest long enough for a late second answer to show

Cause: a connection rested 1 ms, and what came later was read as the next answer. Change: 5 ms, and 20 ms for a minute at a host that has sent what nobody asked for; a further connection is opened once requests have waited 20 ms together.

--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -85,24 +85,39 @@
 	}
 }
 
-// quiet says whether an idle connection is open and nothing has come on it. Answers do
-// not name their request: one that comes unasked, or the rest of one, would be taken
-// for the answer to the next request.
-func (c *conn) quiet() bool {
+// idleState is what a look at an idle connection finds.
+type idleState int
+
+const (
+	idleQuiet   idleState = iota // open, and nothing has come on it
+	idleUnasked                  // something has come that nobody asked for
+	idleEnded                    // closed or broken
+)
+
+// look returns the state of an idle connection. Answers do not name their request: one that comes unasked, or the
+// rest of one, would be taken for the answer to the next request.
+func (c *conn) look() idleState {
 	if c.in != nil {
-		return false
+		return idleUnasked
 	}
 	if c.raw == nil {
-		return true
+		return idleQuiet
 	}
-	var err error
+	var (
+		n   int
+		err error
+	)
 	// Control, unlike Read, does not mind that the last answer's deadline has passed.
-	if e := c.raw.Control(func(fd uintptr) {
-		_, err = socket.Peek(fd)
-	}); e != nil {
-		return false
+	if e := c.raw.Control(func(fd uintptr) { n, err = socket.Peek(fd) }); e != nil {
+		return idleEnded
+	}
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return idleQuiet
+	case n > 0:
+		return idleUnasked
 	}
-	return errors.Is(err, syscall.EAGAIN)
+	return idleEnded
 }
 
 // Read reads from the host. Where the connection has failed it never says io.EOF.
--- a/internal/upstream/http1/upstream.go
+++ b/internal/upstream/http1/upstream.go
@@ -28,15 +28,20 @@
 	idleShare   = 0.8      // of the hosts' idle time after which we close ours: a late write is a reset
 	sweepEvery  = time.Second
 
-	// settle is how long a connection rests after an answer. What a host sends behind its
-	// answer has come by then and shows: it must not be taken for the next answer.
-	settle = time.Millisecond
+	// settle is how long a connection rests after an answer. An answer does not name its
+	// request: what a host sends some milliseconds behind its answer has come by then and
+	// shows, and is not taken for the next answer.
+	settle = 5 * time.Millisecond
+	// settleUnasked is the same at a host that has sent what nobody asked for within the last
+	// unaskedKept.
+	settleUnasked = 20 * time.Millisecond
+	unaskedKept   = time.Minute
 	// A request that finds none but resting connections waits for one: a new one costs a
-	// handshake and the host much more than a millisecond. Where that happens often, a
-	// further connection is cheaper: after waitsToOpen waits, each of which counts half
-	// waitsHalve later.
-	waitsToOpen = 8
-	waitsHalve  = 100 * time.Millisecond
+	// handshake, and the host more than a wait. Where requests wait often, a further
+	// connection is cheaper: once they have waited for waitedToOpen together, of which half
+	// counts waitedHalves later.
+	waitedToOpen = 20 * time.Millisecond
+	waitedHalves = 100 * time.Millisecond
 )
 
 // Upstream is the hosts of one pool with the connections to them. It is safe for
@@ -60,8 +65,10 @@
 	idle    []*conn // the one used last at the end
 	open    int     // connections, idle or not
 
-	waits   float64 // for resting connections, of late
-	waitsAt time.Time
+	waited   time.Duration // for resting connections, of late
+	waitedAt time.Time
+
+	unaskedAt time.Time // when it was last seen to have sent what nobody asked for
 }
 
 // New returns an Upstream without hosts.
@@ -148,10 +155,12 @@
 		if wait > 0 {
 			time.Sleep(wait)
 		}
-		if c.quiet() {
+		found := c.look()
+		if found == idleQuiet {
 			return c, nil
 		}
 		c.Close()
+		u.note(h, found)
 	}
 	room := u.cfg.Conns.Take(1)
 	for !room && u.shed() {
@@ -247,7 +256,12 @@
 		u.mu.Lock()
 		for _, h := range u.hosts {
 			for i := len(h.idle) - 1; i >= 0; i-- {
-				if c := h.idle[i]; c.freed.Before(old) || !c.quiet() {
+				c := h.idle[i]
+				found := c.look()
+				if found == idleUnasked {
+					h.unaskedAt = time.Now()
+				}
+				if found != idleQuiet || c.freed.Before(old) {
 					h.remove(i).close()
 				}
 			}
@@ -256,26 +270,46 @@
 	}
 }
 
+// note keeps what was found on an idle connection to a host.
+func (u *Upstream) note(h *host, found idleState) {
+	if found != idleUnasked {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	h.unaskedAt = time.Now()
+}
+
+// settles returns how long connections to the host rest. The lock is held.
+func (h *host) settles(now time.Time) time.Duration {
+	if !h.unaskedAt.IsZero() && now.Sub(h.unaskedAt) < unaskedKept {
+		return settleUnasked
+	}
+	return settle
+}
+
 // take takes the connection used last among those that have settled: the others are left
 // to grow old. Where all rest, it is the one nearest to its end, with the time to wait, or
 // nil if a further connection is worth more. The lock is held.
 func (h *host) take(now time.Time) (*conn, time.Duration) {
+	rest := h.settles(now)
 	for i := len(h.idle) - 1; i >= 0; i-- {
-		if now.Sub(h.idle[i].freed) >= settle {
+		if now.Sub(h.idle[i].freed) >= rest {
 			return h.remove(i), 0
 		}
 	}
 	if len(h.idle) == 0 {
 		return nil, 0
 	}
-	h.waits = h.waits*math.Exp2(-float64(now.Sub(h.waitsAt))/float64(waitsHalve)) + 1
-	h.waitsAt = now
-	if h.waits > waitsToOpen && h.open < connsToHost {
-		h.waits = 0
+	wait := rest - now.Sub(h.idle[0].freed)
+	kept := math.Exp2(-float64(now.Sub(h.waitedAt)) / float64(waitedHalves))
+	h.waited = time.Duration(float64(h.waited)*kept) + wait
+	h.waitedAt = now
+	if h.waited > waitedToOpen && h.open < connsToHost {
+		h.waited = 0
 		return nil, 0
 	}
-	c := h.remove(0)
-	return c, settle - now.Sub(c.freed)
+	return h.remove(0), wait
 }
 
 func (h *host) remove(i int) *conn {
