A refusal that is owed goes out ahead of its connection's close

Cause: the choice is made under the lock and the refusal is written behind it; the connection's reader, or its server, learned of the choice first and closed. Change: condemnToRefusal notes that a refusal is on its way; reader and Close, over TLS too, wait for it, bounded by the time for its write. Refusals at a stop go out beside each other. Why: no close can overtake what is owed.

--- a/internal/front/accept_test.go
+++ b/internal/front/accept_test.go
@@ -40,6 +40,25 @@
 	return ln.(*net.TCPListener)
 }
 
+// acceptFrom returns the client's end of a new connection that conns have accepted from a listener, and the accepted one.
+// All end with the test.
+func acceptFrom(t *testing.T, conns *Conns, inner net.Listener) (ln *Listener, client net.Conn, c *Conn) {
+	t.Helper()
+	ln = conns.Listen(inner)
+	t.Cleanup(func() { ln.Close() })
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	return ln, client, nc.(*Conn)
+}
+
 // Connections that wait in the kernel's queue when a listener is closed are taken first, however
 // late whoever accepts them is; then the socket is closed.
 func TestQueueIsEmptiedBeforeTheClose(t *testing.T) {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -63,13 +63,15 @@
 	reset   bool        // it ends with a reset
 	body    bool        // a body is read that must come whole
 	slow    bool        // it keeps its place up to Close, though it is condemned
-	expels  bool        // no further request is taken, and none is waited for
-	asking  bool        // a request is open
-	unread  bool        // ... a part of whose body may be unread
-	many    bool        // it has rested before
-	trial   bool        // it rests for the first time and is let be
-	leave   func()      // of a guard; nil: it has been called, or there is none
-	giveUp  func()      // how to end it in its protocol; nil: it is closed
+	// refusal is closed once the refusal has gone out that another than its reader writes; nil: there is none.
+	refusal chan struct{}
+	expels  bool   // no further request is taken, and none is waited for
+	asking  bool   // a request is open
+	unread  bool   // ... a part of whose body may be unread
+	many    bool   // it has rested before
+	trial   bool   // it rests for the first time and is let be
+	leave   func() // of a guard; nil: it has been called, or there is none
+	giveUp  func() // how to end it in its protocol; nil: it is closed
 
 	// Of an http.Server's reader. It says that a connection is idle before it has looked
 	// whether it holds bytes of the next request already: so the connection rests from its
@@ -178,8 +180,10 @@
 	c.drain()
 }
 
-// readToItsEnd is lastRead, unless Close sees to that: its server holds on to what it has read meanwhile.
+// readToItsEnd is lastRead behind the refusal that the client may be owed, unless Close sees to that: its server holds on to
+// what it has read meanwhile.
 func (c *Conn) readToItsEnd() {
+	c.awaitRefusal()
 	c.all.mu.Lock()
 	slow := c.slow
 	c.all.mu.Unlock()
@@ -291,7 +295,7 @@
 	if c.took() {
 		return true
 	}
-	c.lastRead()
+	c.readToItsEnd()
 	return false
 }
 
@@ -422,8 +426,9 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close ends the connection.
+// Close ends the connection, behind the refusal that the client may be owed.
 func (c *Conn) Close() error {
+	c.awaitRefusal()
 	c.all.mu.Lock()
 	c.closing = true
 	linger, slow := c.lingers(), c.slow
@@ -548,5 +553,11 @@
 	return n, err
 }
 
+// Close ends the connection, behind the refusal that the client may be owed.
+func (s *Secure) Close() error {
+	s.Under.awaitRefusal()
+	return s.Conn.Close()
+}
+
 // CloseWrite ends the answer.
 func (s *Secure) CloseWrite() error { return s.Under.closeWrite(s.Conn) }
--- a/internal/front/expel.go
+++ b/internal/front/expel.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -37,10 +38,10 @@
 			c.expels = true
 		case phase == halfway:
 			halves = append(halves, c)
-			c.condemn(RefusedByStop)
+			c.condemnToRefusal(RefusedByStop)
 		case (phase == silent || phase == once || phase == idle) && c.Unread() > 0: // nobody has had the time to read it
 			halves = append(halves, c)
-			c.condemn(RefusedByStop)
+			c.condemnToRefusal(RefusedByStop)
 		case phase == silent || phase == once || phase == idle:
 			idles = append(idles, c)
 			c.condemn(ClosedByStop)
@@ -49,13 +50,18 @@
 		}
 	}
 	ln.all.mu.Unlock()
+	var refusing sync.WaitGroup
 	for _, c := range halves {
-		c.refuse(refusal, refusalWithin)
-		c.endSoftly()
+		refusing.Go(func() { // one whose system takes nothing in holds up no other
+			c.refuse(refusal, refusalWithin)
+			c.endSoftly()
+			close(c.refusal)
+		})
 	}
 	for _, c := range idles {
 		c.endSoftly()
 	}
+	refusing.Wait()
 }
 
 // expel ends the wait for a body. The lock is held.
@@ -69,6 +75,25 @@
 // handshakes says whether the handshake of a protocol that encrypts is still under way. The lock is held.
 func (c *Conn) handshakes() bool { return c.from.Secure && c.secure == nil }
 
+// condemnToRefusal gives the connection up for whoever is about to refuse what has come of a request on it, and closes
+// c.refusal behind that. The connection's reader, and its server, may learn of it first: they wait, as a close of theirs
+// would overtake the refusal. The lock is held.
+func (c *Conn) condemnToRefusal(why CloseReason) {
+	c.condemn(why)
+	c.refusal = make(chan struct{})
+}
+
+// awaitRefusal waits until the refusal has gone out that the client is owed, if it is owed one by another than the caller.
+// refuse bounds how long that takes.
+func (c *Conn) awaitRefusal() {
+	c.all.mu.Lock()
+	refusal := c.refusal
+	c.all.mu.Unlock()
+	if refusal != nil {
+		<-refusal
+	}
+}
+
 // refuse answers a request of which a part of the head has come. Its server has written nothing since the
 // last answer, and writes nothing from here on.
 func (c *Conn) refuse(text string, within time.Duration) {
--- a/internal/front/heads.go
+++ b/internal/front/heads.go
@@ -259,9 +259,10 @@
 		l.mu.Unlock()
 		return false
 	}
-	c.condemn(RefusedForMemory)
+	c.condemnToRefusal(RefusedForMemory)
 	c.endsSlowly()
 	l.mu.Unlock()
+	defer close(c.refusal)
 	c.refuse(refusal, headRefusalWithin)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
