The end of sending over HTTP/2 is no data race with the reader

Cause: closeWrite writes Conn.answered under the lock, the reader reads it without; over HTTP/2 they do not take turns. Change: it is atomic, as phase beside it is. What Read decides by it is looked at again under the lock.

--- a/internal/front/closes.go
+++ b/internal/front/closes.go
@@ -79,7 +79,7 @@
 		return ClosedAfterAnswer
 	case c.ended.Load() || c.hasLeft():
 		return ClosedByClient
-	case phase == busy && !c.answered:
+	case phase == busy && !c.answered.Load():
 		return ClosedInRequest
 	case phase == halfway:
 		return ClosedInHead
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -76,9 +76,9 @@
 	// Of an http.Server's reader. It says that a connection is idle before it has looked
 	// whether it holds bytes of the next request already: so the connection rests from its
 	// next wait for bytes on, unless the server has gone on to the next head before.
-	answered  bool
-	deadlines int  // that it set since
-	ahead     bool // it has read a byte of the next request
+	answered  atomic.Bool // read without the lock by whoever reads
+	deadlines int         // that it set since
+	ahead     bool        // it has read a byte of the next request
 
 	meter headMeter // of heads over HTTP/1.1
 	// processor is what the client's requests use of it; nil: it is not shared out.
@@ -202,7 +202,7 @@
 
 // Read reads what the client sends, unless the connection has been given up.
 func (c *Conn) Read(b []byte) (int, error) {
-	if c.phase.Load() != busy || c.answered {
+	if c.phase.Load() != busy || c.answered.Load() {
 		if err := c.beforeRead(); err != nil {
 			if errors.Is(err, errExpelled) {
 				c.refuse(refusal, refusalWithin)
@@ -339,8 +339,8 @@
 func (c *Conn) beforeRead() error {
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
-	if c.answered {
-		c.answered = false
+	if c.answered.Load() {
+		c.answered.Store(false)
 		switch {
 		case c.phase.Load() != busy:
 		case c.ahead || c.deadlines > 1:
@@ -456,7 +456,7 @@
 
 func (c *Conn) closeWrite(over net.Conn) error {
 	c.all.mu.Lock()
-	c.answered = false
+	c.answered.Store(false)
 	c.rest(ending)
 	c.all.mu.Unlock()
 	if half, ok := over.(interface{ CloseWrite() error }); ok {
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -283,10 +283,12 @@
 	switch s {
 	case http.StateActive:
 		c.wake(busy)
-		c.answered, c.ahead = false, false
+		c.answered.Store(false)
+		c.ahead = false
 		c.given.Store(false)
 	case http.StateIdle:
-		c.answered, c.deadlines = true, 0
+		c.answered.Store(true)
+		c.deadlines = 0
 		c.meter.bodied()
 	}
 }
