A host's break behind its head is seen where the process looks late

A read whose deadline has passed says so ahead of looking, and a timer hands the beginning on whatever the reader is about to see: a process that runs late takes a break that has come for a rest. Change: at the end of the hold the socket itself is asked (conn.hasEnded); where the host has ended the reader says how. Why: the end of a wait no longer stands for the absence of what it waited for.

--- a/internal/upstream/http1/beginning.go
+++ b/internal/upstream/http1/beginning.go
@@ -59,7 +59,11 @@
 func (b *beginning) fill(c *conn, resp *http.Response, hand func()) (whole bool, err error) {
 	c.limit.N = 1<<63 - 1
 	c.SetReadDeadline(b.until)
-	late := time.AfterFunc(b.ahead, func() { b.hand(hand) })
+	late := time.AfterFunc(b.ahead, func() {
+		if !c.hasEnded() { // else the read under way is about to say how
+			b.hand(hand)
+		}
+	})
 	defer late.Stop()
 	for {
 		n, err := resp.Body.Read(b.buffer[b.got:])
--- a/internal/upstream/http1/conn.go
+++ b/internal/upstream/http1/conn.go
@@ -103,14 +103,7 @@
 	if c.raw == nil {
 		return idleQuiet
 	}
-	var (
-		n   int
-		err error
-	)
-	// Control, unlike Read, does not mind that the last answer's deadline has passed.
-	if e := c.raw.Control(func(fd uintptr) { n, err = socket.Peek(fd) }); e != nil {
-		return idleEnded
-	}
+	n, err := c.peek()
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
 		return idleQuiet
@@ -120,6 +113,31 @@
 	return idleEnded
 }
 
+// peek looks at the socket, and neither waits nor reads: EAGAIN says that it is open and nothing has come.
+func (c *conn) peek() (n int, err error) {
+	// Control, unlike Read, does not mind that a deadline has passed.
+	if e := c.raw.Control(func(fd uintptr) { n, err = socket.Peek(fd) }); e != nil {
+		return 0, e
+	}
+	return n, err
+}
+
+// hasEnded reports whether the host has ended the connection behind all that was read from the socket. A wait whose
+// deadline has passed does not see that: a goroutine that runs late finds the deadline ahead of what has come.
+func (c *conn) hasEnded() bool {
+	if c.raw == nil {
+		return false
+	}
+	n, err := c.peek()
+	switch {
+	case n > 0 || errors.Is(err, syscall.EAGAIN) || errors.Is(err, socket.ErrNotSeen):
+		return false
+	case err != nil: // the kernel tells it a single time
+		c.note(&net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err})
+	}
+	return true
+}
+
 // Read reads from the host. Where the connection has failed it never says io.EOF.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/internal/upstream/http1/flow.go
+++ b/internal/upstream/http1/flow.go
@@ -178,6 +178,10 @@
 	c.limit.N = 1<<63 - 1
 	c.SetReadDeadline(time.Now().Add(within))
 	_, err := c.in.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasEnded() {
+		c.SetReadDeadline(time.Time{})
+		_, err = c.in.Peek(1) // which is known to end at once
+	}
 	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if errors.Is(err, os.ErrDeadlineExceeded) || endsWithConnection && errors.Is(err, io.EOF) {
 		return nil
