Trials tell when a cut answer's head came, and when its host broke

Change: the line of a cut answer says how long behind its head the cut came, how long ahead of its time the head did, and how long behind theirs its hosts broke. What is wrong is judged as before.

--- a/internal/faultinject/paced.go
+++ b/internal/faultinject/paced.go
@@ -98,6 +98,8 @@
 	given []written
 	got   []written
 	ended bool // all was given
+	// broke is how long behind the head an end of the connection came that was to follow it at once: the longest of all attempts.
+	broke time.Duration
 }
 
 func (t *transfer) gives(n int) { t.note(&t.given, n) }
@@ -115,6 +117,19 @@
 	t.ended = true
 }
 
+func (t *transfer) breaks(behind time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.broke = max(t.broke, behind)
+}
+
+// brokeBehind is how long behind its head the connection ended.
+func (t *transfer) brokeBehind() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.broke
+}
+
 // begun is when the first byte of the body was given; zero: none was.
 func (t *transfer) begun() time.Time {
 	t.mu.Lock()
@@ -317,6 +332,9 @@
 	}
 	if plan.Has("breaks") {
 		io.WriteString(c, head)
+		written := time.Now()
+		c.Close()
+		h.record.transferOf(a.id, "down").breaks(time.Since(written))
 		return false
 	}
 	if p.write(c, head, h.record.transferOf(a.id, "down"), over) && p.framing != "close" {
@@ -595,7 +613,8 @@
 	case p.status != http.StatusOK && p.q.down.size > firstTimed && p.answerWasOwed(due, starved) && !disturbed:
 		wrong("dropped", "status %d, and its host had begun the answer %v ahead of its time", p.status, due.Sub(p.down.begun()))
 	case p.status == http.StatusOK && p.err != nil && !disturbed && !(p.q.down.stops() && !p.down.ended) && p.q.down.size > firstTimed:
-		wrong("cut off", "the answer was cut off behind %d bytes: %v", p.count, p.err)
+		wrong("cut off", "the answer was cut off behind %d bytes: %v, %v behind its head, which came %v ahead of its time; its hosts broke up to %v behind theirs, at hosts %d times", p.count, p.err,
+			p.last.Sub(p.first), due.Sub(p.first), p.down.brokeBehind(), p.record.seen(p.id))
 	}
 	if p.status == http.StatusOK && p.q.down.size > firstTimed && p.q.reads == 0 && !disturbed {
 		if held, behind := p.down.heldBack(0, p.last); held > heldWithin+starved {
