--- a/internal/front/accept_test.go
+++ b/internal/front/accept_test.go
@@ -46,6 +46,14 @@
 	t.Helper()
 	ln = conns.Listen(inner)
 	t.Cleanup(func() { ln.Close() })
+	client, c = acceptOn(t, ln)
+	return ln, client, c
+}
+
+// acceptOn returns the client's end of a new connection that a listener has accepted, and the accepted one. Both end with
+// the test.
+func acceptOn(t *testing.T, ln *Listener) (client net.Conn, c *Conn) {
+	t.Helper()
 	client, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -56,7 +64,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { nc.Close() })
-	return ln, client, nc.(*Conn)
+	return client, nc.(*Conn)
 }
 
 // Connections that wait in the kernel's queue when a listener is closed are taken first, however
--- a/internal/front/closes_test.go
+++ b/internal/front/closes_test.go
@@ -77,16 +77,7 @@
 		l := NewConns(10, 10, SpareAfter)
 		l.LogTo(slog.New(slog.NewTextHandler(&text, nil)))
 		ln := l.Listen(listenLocal(t))
-		client, err := net.Dial("tcp", ln.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer client.Close()
-		nc, err := ln.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		c := nc.(*Conn)
+		client, c := acceptOn(t, ln)
 		c.Conn.SetDeadline(time.Now().Add(20 * time.Second))
 		test.play(l, ln, c, client)
 		c.Close()
--- a/internal/front/refusal_test.go
+++ b/internal/front/refusal_test.go
@@ -213,18 +213,9 @@
 	conns := NewConns(clients, clients, SpareAfter)
 	ln := conns.Listen(gates)
 	for range clients {
-		client, err := net.Dial("tcp", ln.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer client.Close()
-		nc, err := ln.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer nc.Close()
+		client, c := acceptOn(t, ln)
 		io.WriteString(client, "GET / HTTP/1.1\r\n")
-		nc.Read(make([]byte, 100))
+		c.Read(make([]byte, 100))
 	}
 	expelled := make(chan struct{})
 	go func() {
