A client that left while its connection waited to be accepted has nothing sent

Cause: of a request's own body any amount may be unread while it comes, and that something of it was read within 80 ms stood for its client's being there. What is read of a connection that waited in the kernel's queue is as old as the wait. Change: at the accept the socket says how long ago it was established (socket.SinceSent). Behind more than 20 ms the reading of a body is no sign, until a look finds less than 32 KiB unread and no end (Conn.Blind). The request is then refused, which is harmless. Why: 20 ms and the 80 ms make the 100 ms that are allowed. Price: a client that is there, waited so long, and has more than 32 KiB of its request still to be read is refused, too.

--- a/internal/faultinject/trial_test.go
+++ b/internal/faultinject/trial_test.go
@@ -188,6 +188,11 @@
 // Requests of clients that close with much unread are not sent on afterwards.
 func TestRequestsOfLeaversAreNotSentOn(t *testing.T) { beside(t, "leavers", 40) }
 
+// The same where connections wait to be accepted, as others hold the descriptors.
+func TestRequestsOfLeaversInTheQueueAreNotSentOn(t *testing.T) {
+	Trial{MemoryMB: 192, Descriptors: 512, Lasts: 5 * time.Second, Groups: []Group{{Kind: "idle", N: 1200}, {Kind: "halfbodies", N: 400}, {Kind: "leavers", N: 20}}}.hold(t, trialTurns)
+}
+
 // An unsafe id that comes again after its client has left does not run again.
 func TestIDRunsOnceAfterItsClientLeft(t *testing.T) { beside(t, "again", 40) }
 
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -52,6 +52,8 @@
 	phase atomic.Int32
 	// readAfter is how long after accepted something of the client's was last read, in nanoseconds.
 	readAfter atomic.Int64
+	// queued says that the connection waited long to be accepted, and no look since has shown that its client is there.
+	queued atomic.Bool
 
 	// The rest belongs to that lock.
 	since  time.Time
--- a/internal/front/hangup.go
+++ b/internal/front/hangup.go
@@ -115,18 +115,36 @@
 	// blindAfter is how long so much of the open request's own body may be unread with nothing read: less than the 100 ms
 	// within which an attempt may begin behind a client's end.
 	blindAfter = 80 * time.Millisecond
+	// queuedMost is how long a connection may have waited to be accepted for what is read of it to show that its client is
+	// there: what blindAfter leaves of the 100 ms.
+	queuedMost = 20 * time.Millisecond
 )
 
+// noteQueued notes whether the connection, which has just been accepted, waited for so long that its client may have left
+// meanwhile: what is read of it is old.
+func (c *Conn) noteQueued() {
+	if c.raw == nil {
+		return
+	}
+	c.raw.Control(func(fd uintptr) { c.queued.Store(socket.SinceSent(fd) > queuedMost) })
+}
+
 // Blind says whether so much is unread behind the open request that its client's end would not show: requests that were
-// sent without waiting for answers, or the rest of its own body where that has not been read from for a while.
+// sent without waiting for answers, or the rest of its own body where that has not been read from for a while, or waited
+// to be accepted.
 func (c *Conn) Blind() bool {
 	c.all.mu.Lock()
 	looks, ownBody := c.giveUp == nil && !c.body, c.unread
 	c.all.mu.Unlock()
-	if !looks || ownBody && time.Since(c.readAt()) < blindAfter {
+	isFresh := ownBody && !c.queued.Load() && time.Since(c.readAt()) < blindAfter
+	if !looks || isFresh {
 		return false
 	}
-	return c.Unread() >= blindFrom
+	if c.Unread() >= blindFrom {
+		return true
+	}
+	c.queued.Store(false)
+	return false
 }
 
 // readAt is when something of the client's was last read.
--- a/internal/front/hangup_test.go
+++ b/internal/front/hangup_test.go
@@ -93,6 +93,67 @@
 	}
 }
 
+// A client that sends a large request and more, and leaves while its connection waits to be accepted, is not taken for
+// present because its body has just been read. One that is there is taken for present once little is unread.
+func TestClientThatLeftInTheQueueIsNotTakenForPresent(t *testing.T) {
+	const (
+		sent  = 1 << 20
+		waits = 200 * time.Millisecond // for the accept
+	)
+	for _, test := range []struct {
+		name        string
+		waits       time.Duration
+		leaves      bool
+		blind, then bool // with a part of the body read, and with all read that comes
+	}{
+		{"left in the queue", waits, true, true, false},
+		{"there, behind a wait", waits, false, true, false},
+		{"there, accepted at once", 0, false, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ln := NewConns(10, 10, SpareAfter).Listen(listenLocal(t))
+			defer ln.Close()
+			client, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			client.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+			accepted := make(chan *Conn, 1)
+			go func() {
+				time.Sleep(test.waits)
+				nc, err := ln.Accept()
+				if err != nil {
+					t.Error(err)
+				}
+				c, _ := nc.(*Conn)
+				accepted <- c
+			}()
+			n, _ := client.Write(make([]byte, sent))
+			if test.leaves {
+				client.Close()
+			}
+			c := <-accepted
+			if c == nil {
+				return
+			}
+			defer c.Close()
+			c.Open(true)
+			first, err := io.ReadFull(c, make([]byte, 4<<10))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.Blind() != test.blind {
+				t.Errorf("blind %t with %d bytes unread", !test.blind, c.Unread())
+			}
+			io.CopyN(io.Discard, c.Conn, int64(n-first-1))
+			if c.Blind() != test.then {
+				t.Errorf("blind %t with %d bytes unread", !test.then, c.Unread())
+			}
+		})
+	}
+}
+
 // Requests that are sent without waiting for answers hold back no end as long as they are few.
 func TestFewPipelinedRequestsHoldBackNoEnd(t *testing.T) {
 	for _, apart := range []bool{false, true} {
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -255,6 +255,7 @@
 			processor: fairqueue.Processor().NewPeer(fairqueue.ClientDebt)}
 		if s, ok := c.(syscall.Conn); ok {
 			cc.raw, _ = s.SyscallConn()
+			cc.noteQueued()
 		}
 		l.mu.Lock()
 		l.open++
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -16,6 +17,7 @@
 	recvfrom = unix.Recvfrom
 	poll     = unix.Poll
 	inqueue  = unix.IoctlGetInt
+	tcpInfo  = unix.GetsockoptTCPInfo
 )
 
 // shortages are errors of calls for which the system had no descriptor or no memory.
@@ -77,6 +79,16 @@
 	return n
 }
 
+// SinceSent returns how long ago something was sent last on a TCP connection, in whole milliseconds: of one on which nothing
+// has been sent, how long ago it was established, though it has waited since to be accepted. 0 where the system does not say.
+func SinceSent(fd uintptr) time.Duration {
+	info, err := tcpInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_sent) * time.Millisecond
+}
+
 // Unacknowledged is how many bytes have been written to a socket and not been acknowledged by the other side; 0 where the
 // system does not say.
 func Unacknowledged(fd uintptr) int {
