A new connection's silence counts from when its client connected

Cause: a new connection may say nothing for 100 ms before it is given up for the next. That was counted from its accept, though its client could have spoken since it connected; some 300 places let 1,200 silent connections through in several times 100 ms. Change: Conn.since of a new connection is when it was established, as the socket says at the accept. Why: a span of the client's begins with the client. What has come and is unread is never taken for silence, as before.

--- a/internal/front/hangup.go
+++ b/internal/front/hangup.go
@@ -120,13 +120,15 @@
 	queuedMost = 20 * time.Millisecond
 )
 
-// noteQueued notes whether the connection, which has just been accepted, waited for so long that its client may have left
-// meanwhile: what is read of it is old.
-func (c *Conn) noteQueued() {
+// noteQueued returns how long the connection, which has just been accepted, waited for that, and notes whether its client
+// may have left meanwhile: what is read of it is old.
+func (c *Conn) noteQueued() (waited time.Duration) {
 	if c.raw == nil {
-		return
+		return 0
 	}
-	c.raw.Control(func(fd uintptr) { c.queued.Store(socket.SinceSent(fd) > queuedMost) })
+	c.raw.Control(func(fd uintptr) { waited = socket.SinceSent(fd) })
+	c.queued.Store(waited > queuedMost)
+	return waited
 }
 
 // Blind says whether so much is unread behind the open request that its client's end would not show: requests that were
