--- a/internal/front/hangup.go
+++ b/internal/front/hangup.go
@@ -120,15 +120,13 @@
 	queuedMost = 20 * time.Millisecond
 )
 
-// noteQueued returns how long the connection, which has just been accepted, waited for that, and notes whether its client
-// may have left meanwhile: what is read of it is old.
-func (c *Conn) noteQueued() (waited time.Duration) {
+// noteQueued notes whether the connection, which has just been accepted, waited for so long that its client may have left
+// meanwhile: what is read of it is old.
+func (c *Conn) noteQueued() {
 	if c.raw == nil {
-		return 0
+		return
 	}
-	c.raw.Control(func(fd uintptr) { waited = socket.SinceSent(fd) })
-	c.queued.Store(waited > queuedMost)
-	return waited
+	c.raw.Control(func(fd uintptr) { c.queued.Store(socket.SinceSent(fd) > queuedMost) })
 }
 
 // Blind says whether so much is unread behind the open request that its client's end would not show: requests that were
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -251,24 +251,17 @@
 		}
 		for l.full() && l.shedSpare() {
 		}
-		return ln.add(c, leave), nil
-	}
-}
-
-// add counts a connection that has just been accepted among the open ones; leave is its guard's.
-func (ln *Listener) add(c net.Conn, leave func()) *Conn {
-	l := ln.all
-	cc := &Conn{Conn: c, all: l, from: ln, accepted: time.Now(), leave: leave, left: make(chan struct{}), meter: headMeter{room: l.heads},
-		processor: fairqueue.Processor().NewPeer(fairqueue.ClientDebt)}
-	if s, ok := c.(syscall.Conn); ok {
-		cc.raw, _ = s.SyscallConn()
+		cc := &Conn{Conn: c, all: l, from: ln, accepted: time.Now(), leave: leave, left: make(chan struct{}), meter: headMeter{room: l.heads},
+			processor: fairqueue.Processor().NewPeer(fairqueue.ClientDebt)}
+		if s, ok := c.(syscall.Conn); ok {
+			cc.raw, _ = s.SyscallConn()
+			cc.noteQueued()
+		}
+		l.mu.Lock()
+		l.open++
+		ln.conns[cc] = struct{}{}
+		cc.rest(silent)
+		l.mu.Unlock()
+		return cc, nil
 	}
-	queued := cc.noteQueued()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open++
-	ln.conns[cc] = struct{}{}
-	cc.rest(silent)
-	cc.since = cc.since.Add(-queued) // its client could have said something since
-	return cc
 }
